--- /dev/null
+++ b/fakes/FakeEngine.ts
@@ -0,0 +1,149 @@
+/** Stand-in of a model engine: finite slots, deterministic answers, and a journal of its runs. */
+import { createHash } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** How an engine behaves. */
+export interface FakeEngineOptions {
+  readonly slots: number;
+  /** Time until the first token, ms. */
+  readonly prefillMs: number;
+  /** Time between tokens, ms. */
+  readonly tokenMs: number;
+}
+
+interface CompletionBody {
+  readonly model: string;
+  readonly stream?: boolean;
+  readonly max_tokens?: number;
+  readonly prompt?: unknown;
+  readonly messages?: unknown;
+  readonly user?: string;
+}
+
+const DEFAULT_TOKENS = 16;
+
+/** The tokens that any engine of a model says to a prompt. */
+export function answerTokens(body: CompletionBody): readonly string[] {
+  const text = JSON.stringify([body.model, body.prompt ?? body.messages, body.user]);
+  const seed = createHash('sha256').update(text).digest('hex');
+  return Array.from(
+    { length: body.max_tokens ?? DEFAULT_TOKENS },
+    (_item, i) => ` ${seed.slice((i * 3) % 60, ((i * 3) % 60) + 4)}${i}`,
+  );
+}
+
+function answerId(body: CompletionBody): string {
+  return `cmpl-${createHash('sha256').update(JSON.stringify(body)).digest('hex').slice(0, 16)}`;
+}
+
+/** One event of a streamed answer. */
+export function tokenEvent(body: CompletionBody, token: string): string {
+  const choice = { index: 0, delta: { content: token } };
+  return `data: ${JSON.stringify({ id: answerId(body), model: body.model, choices: [choice] })}\n\n`;
+}
+
+/** Last event of a streamed answer. */
+export const FINAL_EVENT = 'data: [DONE]\n\n';
+
+/** The answer to a request that is not streamed. */
+export function wholeAnswer(body: CompletionBody): string {
+  const content = answerTokens(body).join('');
+  const choice = { index: 0, message: { role: 'assistant', content } };
+  return JSON.stringify({ id: answerId(body), model: body.model, choices: [choice] });
+}
+
+/** The exact bytes that a caller must receive. */
+export function expectedAnswer(body: CompletionBody): string {
+  return body.stream === true
+    ? [...answerTokens(body).map((token) => tokenEvent(body, token)), FINAL_EVENT].join('')
+    : wholeAnswer(body);
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks = await req.toArray();
+  return Buffer.concat(chunks as Buffer[]).toString('utf8');
+}
+
+/** A model engine on one port. */
+export class FakeEngine {
+  readonly #options: FakeEngineOptions;
+
+  /** How often each request was begun, by its `user` field. */
+  readonly #runs = new Map<string, number>();
+
+  readonly #waiting: (() => void)[] = [];
+
+  #running = 0;
+
+  constructor(options: FakeEngineOptions) {
+    this.#options = options;
+  }
+
+  get runs(): ReadonlyMap<string, number> {
+    return this.#runs;
+  }
+
+  /** Listens; every open answer is cut off when the server's connections are closed. */
+  async listen(port: number): Promise<Server> {
+    const server = createServer((req, res) => {
+      this.#handle(req, res).catch(() => res.destroy());
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    return server;
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (req.url === '/runs') {
+      res.end(JSON.stringify(Object.fromEntries(this.#runs)));
+      return;
+    }
+    const body = JSON.parse(await readText(req)) as CompletionBody;
+    const user = body.user ?? '';
+    this.#runs.set(user, (this.#runs.get(user) ?? 0) + 1);
+    await this.#takeSlot();
+    try {
+      await this.#answer(body, res);
+    } finally {
+      this.#running -= 1;
+      this.#waiting.shift()?.();
+    }
+  }
+
+  async #takeSlot(): Promise<void> {
+    if (this.#running >= this.#options.slots) {
+      await new Promise<void>((resolve) => {
+        this.#waiting.push(resolve);
+      });
+    }
+    this.#running += 1;
+  }
+
+  async #answer(body: CompletionBody, res: ServerResponse): Promise<void> {
+    const { prefillMs, tokenMs } = this.#options;
+    await delay(prefillMs);
+    if (body.stream !== true) {
+      await delay(tokenMs * answerTokens(body).length);
+      res.writeHead(200, { 'content-type': 'application/json' });
+      res.end(wholeAnswer(body));
+      return;
+    }
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    const tokens = answerTokens(body);
+    const next = async (i: number): Promise<void> => {
+      const token = tokens[i];
+      if (token === undefined || res.destroyed) {
+        return;
+      }
+      res.write(tokenEvent(body, token));
+      if (tokenMs > 0) {
+        await delay(tokenMs);
+      }
+      await next(i + 1);
+    };
+    await next(0);
+    res.end(FINAL_EVENT);
+  }
+}
--- /dev/null
+++ b/fakes/FakeService.ts
@@ -0,0 +1,46 @@
+/** Stand-in of a plain service: answers by path and body, and counts what it ran. */
+import { createServer, type Server } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** The exact bytes that a caller must receive. */
+export function expectedReply(path: string, body: string): string {
+  return JSON.stringify({ path, said: body, ok: true });
+}
+
+/** A plain service on one port. */
+export class FakeService {
+  readonly #serviceMs: number;
+
+  readonly #runs = new Map<string, number>();
+
+  constructor(serviceMs: number) {
+    this.#serviceMs = serviceMs;
+  }
+
+  /** How often each body was run. */
+  get runs(): ReadonlyMap<string, number> {
+    return this.#runs;
+  }
+
+  async listen(port: number): Promise<Server> {
+    const server = createServer((req, res) => {
+      const answer = async (): Promise<void> => {
+        if (req.url === '/runs') {
+          res.end(JSON.stringify(Object.fromEntries(this.#runs)));
+          return;
+        }
+        const chunks = await req.toArray();
+        const body = Buffer.concat(chunks as Buffer[]).toString('utf8');
+        this.#runs.set(body, (this.#runs.get(body) ?? 0) + 1);
+        await delay(this.#serviceMs);
+        res.writeHead(200, { 'content-type': 'application/json' });
+        res.end(expectedReply(req.url ?? '', body));
+      };
+      answer().catch(() => res.destroy());
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(port, '127.0.0.1', resolve);
+    });
+    return server;
+  }
+}
--- /dev/null
+++ b/src/cli/CliFormat.ts
@@ -0,0 +1,106 @@
+/** Answers of the administration API as text for people. */
+
+type Row = Readonly<Record<string, unknown>>;
+
+/** Lays rows out in columns. */
+function table(columns: readonly string[], rows: readonly Row[]): string {
+  const cells = rows.map((row) => columns.map((column) => String(row[column] ?? '-')));
+  const widths = columns.map((column, i) =>
+    Math.max(column.length, ...cells.map((line) => line[i]?.length ?? 0)),
+  );
+  return [columns, ...cells]
+    .map((line) =>
+      line
+        .map((cell, i) => cell.padEnd(widths[i] ?? 0))
+        .join('  ')
+        .trimEnd(),
+    )
+    .join('\n');
+}
+
+interface StatusBody {
+  readonly controls: readonly (Row & { readonly attached: readonly unknown[] })[];
+  readonly processes: readonly Row[];
+  readonly fleets: readonly Row[];
+  readonly configIndex: number;
+  readonly inForce: number;
+  readonly live: number;
+}
+
+/** Status of the whole. */
+export function formatStatus(body: StatusBody): string {
+  const controls = body.controls.map((row) => ({ ...row, attached: row.attached.length }));
+  return [
+    table(
+      ['name', 'replica', 'role', 'term', 'commit', 'rollout', 'configIndex', 'attached'],
+      controls,
+    ),
+    table(['fleet', 'version', 'digest'], body.fleets),
+    table(['id', 'role', 'zone', 'address', 'status', 'appliedIndex'], body.processes),
+    `configuration ${body.configIndex} in force on ${body.inForce} of ${body.live} processes`,
+  ].join('\n\n');
+}
+
+interface EndpointRow extends Row {
+  readonly offer?: Row;
+}
+
+/** Endpoints, with what they offer. */
+export function formatEndpoints(body: { readonly endpoints: readonly EndpointRow[] }): string {
+  const rows = body.endpoints.map(({ offer, ...row }) => ({ ...row, ...offer }));
+  return table(['id', 'zone', 'address', 'status', 'fleet', 'service', 'slots', 'group'], rows);
+}
+
+interface GroupRow extends Row {
+  readonly endpoints: readonly { readonly id: string; readonly ranks: readonly number[] }[];
+}
+
+/** Groups of ranks. */
+export function formatGroups(body: { readonly groups: readonly GroupRow[] }): string {
+  const rows = body.groups.map((row) => ({
+    ...row,
+    endpoints: row.endpoints.map(({ id }) => id).join(','),
+    ranks: row.endpoints.reduce((sum, { ranks }) => sum + ranks.length, 0),
+  }));
+  return table(['name', 'fleet', 'service', 'ranks', 'endpoints', 'coordinator', 'token'], rows);
+}
+
+interface DiffBody {
+  readonly fleet: string;
+  readonly version: number;
+  readonly verdict: unknown;
+  readonly changes: readonly {
+    readonly key: string;
+    readonly change: string;
+    readonly from: unknown;
+    readonly to: unknown;
+  }[];
+}
+
+/** What a submission would change. */
+export function formatDiff(body: DiffBody): string {
+  const verdict = typeof body.verdict === 'string' ? body.verdict : JSON.stringify(body.verdict);
+  const lines = body.changes.map(
+    ({ key, change, from, to }) =>
+      `${change} ${key}: ${JSON.stringify(from)} -> ${JSON.stringify(to)}`,
+  );
+  return [`${body.fleet} version ${body.version}: ${verdict}`, ...lines].join('\n');
+}
+
+/** What became of a submission. */
+export function formatSubmit(body: Row): string {
+  const { result, fleet, version, ...rest } = body;
+  const details = Object.entries(rest).map(([key, value]) => `${key}=${String(value)}`);
+  return `${String(result)}: ${String(fleet ?? '')} ${String(version ?? '')} ${details.join(' ')}`;
+}
+
+/** The accepted manifest of a fleet. */
+export function formatManifest(body: Row & { readonly entries: Row }): string {
+  const entries = Object.entries(body.entries).map(
+    ([key, value]) => `${key}: ${JSON.stringify(value)}`,
+  );
+  return [
+    `${String(body.fleet)} version ${String(body.version)} ${String(body.digest)}`,
+    ...entries,
+  ].join('\n');
+}
--- /dev/null
+++ b/src/coordination/Consensus.ts
@@ -0,0 +1,299 @@
+/**
+ * The replicated log among the control processes, as a pure state machine. Safety rests on terms,
+ * quorums and synced state alone; clocks only decide when to try.
+ */
+import {
+  becomeFollower,
+  isOutOfTouch,
+  onPreVote,
+  onPreVoteReply,
+  onVote,
+  onVoteReply,
+  startElection,
+} from './ConsensusElection.js';
+import {
+  chain,
+  commitTo,
+  lastIndex,
+  membersOf,
+  nextElection,
+  replaceTail,
+  termAt,
+} from './ConsensusLog.js';
+import { appendAsLeader, broadcast, onAppendReply, startRead } from './ConsensusReplication.js';
+import type {
+  ConsensusContext,
+  ConsensusEntry,
+  ConsensusHardState,
+  ConsensusInput,
+  ConsensusMembers,
+  ConsensusMessage,
+  ConsensusSnapshot,
+  ConsensusState,
+  ConsensusStep,
+} from './ConsensusTypes.js';
+
+type Of<T extends ConsensusMessage['type']> = Extract<ConsensusMessage, { type: T }>;
+
+/** What a replica finds on its disk, or was founded with. */
+export interface ConsensusRecovery {
+  readonly hard: ConsensusHardState;
+  readonly snapshot: ConsensusSnapshot;
+  readonly log: readonly ConsensusEntry[];
+}
+
+/** State of a replica after a start. Nothing counts as committed beyond its snapshot. */
+export function initConsensus(
+  id: string,
+  recovery: ConsensusRecovery,
+  ctx: ConsensusContext,
+): ConsensusState {
+  const { hard, snapshot, log } = recovery;
+  return {
+    ...hard,
+    id,
+    role: 'follower',
+    leader: null,
+    snapshot,
+    log,
+    commit: snapshot.index,
+    members: membersOf(snapshot, log),
+    electionAt: nextElection(ctx),
+    heardAt: ctx.now,
+    beatAt: ctx.now,
+    votes: [],
+    progress: {},
+    round: 0,
+    reads: [],
+  };
+}
+
+function reply(
+  state: ConsensusState,
+  to: string,
+  ok: boolean,
+  match: number,
+  round: number,
+): ConsensusStep {
+  return {
+    state,
+    outputs: [
+      { type: 'send', to, message: { type: 'appendReply', term: state.term, ok, match, round } },
+    ],
+  };
+}
+
+/** Hears a leader of the current term. */
+function follow(state: ConsensusState, from: string, ctx: ConsensusContext): ConsensusStep {
+  const step: ConsensusStep =
+    state.role === 'follower'
+      ? { state, outputs: [] }
+      : becomeFollower(state, state.term, from, ctx);
+  return {
+    ...step,
+    state: { ...step.state, leader: from, heardAt: ctx.now, electionAt: nextElection(ctx) },
+  };
+}
+
+/** Keeps what is already there: a late, shorter append must not cut what was acknowledged. */
+function mergeEntries(state: ConsensusState, entries: readonly ConsensusEntry[]): ConsensusStep {
+  const first = entries.findIndex(
+    (entry) => entry.index > state.snapshot.index && termAt(state, entry.index) !== entry.term,
+  );
+  return first < 0 ? { state, outputs: [] } : replaceTail(state, entries.slice(first));
+}
+
+function onAppend(
+  state: ConsensusState,
+  from: string,
+  message: Of<'append'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  if (message.term < state.term) {
+    return reply(state, from, false, 0, message.round);
+  }
+  const heard = follow(state, from, ctx);
+  const { prevIndex, prevTerm, entries, round } = message;
+  const known = prevIndex < state.snapshot.index || termAt(state, prevIndex) === prevTerm;
+  if (!known) {
+    const hint = Math.min(prevIndex - 1, lastIndex(state));
+    return chain(heard, (next) => reply(next, from, false, hint, round));
+  }
+  const match = prevIndex + entries.length;
+  const merged = chain(heard, (next) => mergeEntries(next, entries));
+  const committed = chain(merged, (next) => commitTo(next, Math.min(message.commit, match)));
+  return chain(committed, (next) => reply(next, from, true, match, round));
+}
+
+function onInstall(
+  state: ConsensusState,
+  from: string,
+  message: Of<'install'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  if (message.term < state.term) {
+    return reply(state, from, false, 0, message.round);
+  }
+  const heard = follow(state, from, ctx);
+  const { snapshot, round } = message;
+  if (snapshot.index <= state.commit) {
+    return chain(heard, (next) => reply(next, from, true, snapshot.index, round));
+  }
+  const restored: ConsensusStep = {
+    state: {
+      ...heard.state,
+      snapshot,
+      log: [],
+      commit: snapshot.index,
+      members: snapshot.members,
+    },
+    outputs: [
+      ...heard.outputs,
+      { type: 'persistSnapshot', snapshot },
+      { type: 'restore', snapshot },
+    ],
+  };
+  return chain(restored, (next) => reply(next, from, true, snapshot.index, round));
+}
+
+type MessageHandlers = {
+  readonly [T in ConsensusMessage['type']]: (
+    state: ConsensusState,
+    from: string,
+    message: Of<T>,
+    ctx: ConsensusContext,
+  ) => ConsensusStep;
+};
+
+const MESSAGE_HANDLERS: MessageHandlers = {
+  preVote: onPreVote,
+  preVoteReply: onPreVoteReply,
+  vote: onVote,
+  voteReply: onVoteReply,
+  append: onAppend,
+  appendReply: onAppendReply,
+  install: onInstall,
+};
+
+/** Pre-votes name a term that nobody is in yet; they must not raise ours. */
+function raisesTerm(state: ConsensusState, message: ConsensusMessage): boolean {
+  return message.term > state.term && message.type !== 'preVote' && message.type !== 'preVoteReply';
+}
+
+function onMessage(
+  state: ConsensusState,
+  input: Extract<ConsensusInput, { type: 'message' }>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const { from, message } = input;
+  const handler = MESSAGE_HANDLERS[message.type] as MessageHandlers[keyof MessageHandlers] &
+    ((s: ConsensusState, f: string, m: ConsensusMessage, c: ConsensusContext) => ConsensusStep);
+  const first: ConsensusStep = raisesTerm(state, message)
+    ? becomeFollower(state, message.term, null, ctx)
+    : { state, outputs: [] };
+  return chain(first, (next) => handler(next, from, message, ctx));
+}
+
+function onTick(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  if (state.role === 'leader') {
+    if (isOutOfTouch(state, ctx.now)) {
+      return becomeFollower(state, state.term, null, ctx);
+    }
+    return ctx.now >= state.beatAt ? broadcast(state, ctx) : { state, outputs: [] };
+  }
+  return ctx.now >= state.electionAt ? startElection(state, ctx) : { state, outputs: [] };
+}
+
+function refuse(state: ConsensusState, id: string): ConsensusStep {
+  return { state, outputs: [{ type: 'refused', id, leader: state.leader }] };
+}
+
+function announce(step: ConsensusStep, id: string, index: number): ConsensusStep {
+  return {
+    ...step,
+    outputs: [{ type: 'proposed', id, index, term: step.state.term }, ...step.outputs],
+  };
+}
+
+/** One voter at a time, so that every old and every new quorum share a replica. */
+function isSafeChange(from: ConsensusMembers, to: ConsensusMembers): boolean {
+  const added = to.voters.filter((id) => !from.voters.includes(id));
+  const removed = from.voters.filter((id) => !to.voters.includes(id));
+  return added.length + removed.length <= 1 && to.voters.length > 0;
+}
+
+function hasOpenChange(state: ConsensusState): boolean {
+  return state.log.some(({ index, payload }) => index > state.commit && payload.kind === 'members');
+}
+
+function onMembers(
+  state: ConsensusState,
+  input: Extract<ConsensusInput, { type: 'members' }>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  // Before it has committed in its own term a leader may not know the newest members.
+  const ready = state.role === 'leader' && termAt(state, state.commit) === state.term;
+  if (!ready || hasOpenChange(state) || !isSafeChange(state.members, input.members)) {
+    return refuse(state, input.id);
+  }
+  const step = appendAsLeader(state, { kind: 'members', members: input.members }, ctx);
+  return announce(step, input.id, lastIndex(state) + 1);
+}
+
+function onCompact(
+  state: ConsensusState,
+  input: Extract<ConsensusInput, { type: 'compact' }>,
+): ConsensusStep {
+  const term = termAt(state, input.index);
+  if (term === undefined || input.index <= state.snapshot.index || input.index > state.commit) {
+    return { state, outputs: [] };
+  }
+  const cut = input.index - state.snapshot.index;
+  const snapshot: ConsensusSnapshot = {
+    index: input.index,
+    term,
+    members: membersOf(state.snapshot, state.log.slice(0, cut)),
+    image: input.image,
+  };
+  return {
+    state: { ...state, snapshot, log: state.log.slice(cut) },
+    outputs: [{ type: 'persistSnapshot', snapshot }],
+  };
+}
+
+type InputHandlers = {
+  readonly [T in ConsensusInput['type']]: (
+    state: ConsensusState,
+    input: Extract<ConsensusInput, { type: T }>,
+    ctx: ConsensusContext,
+  ) => ConsensusStep;
+};
+
+const INPUT_HANDLERS: InputHandlers = {
+  tick: (state, _input, ctx) => onTick(state, ctx),
+  message: onMessage,
+  propose: (state, { id, command }, ctx) =>
+    state.role === 'leader'
+      ? announce(appendAsLeader(state, { kind: 'command', command }, ctx), id, lastIndex(state) + 1)
+      : refuse(state, id),
+  members: onMembers,
+  read: (state, { id }, ctx) =>
+    state.role === 'leader' && termAt(state, state.commit) === state.term
+      ? startRead(state, id, ctx)
+      : refuse(state, id),
+  compact: (state, input) => onCompact(state, input),
+};
+
+/** One step of a replica. */
+export function stepConsensus(
+  state: ConsensusState,
+  input: ConsensusInput,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const handler = INPUT_HANDLERS[input.type] as (
+    state: ConsensusState,
+    input: ConsensusInput,
+    ctx: ConsensusContext,
+  ) => ConsensusStep;
+  return handler(state, input, ctx);
+}
--- /dev/null
+++ b/src/coordination/ConsensusConstants.ts
@@ -0,0 +1,10 @@
+/** Timing of the replicated log, for AZs about 1.5 ms apart and regions up to some 100 ms. */
+
+/** A follower that hears nothing for this long, plus up to as much again, campaigns. In ms. */
+export const ELECTION_TIMEOUT_MS = 800;
+
+/** A leader sends at least this often. In ms. */
+export const HEARTBEAT_MS = 150;
+
+/** Entries in one message at most, so that one that lags can't hold up the rest. */
+export const APPEND_BATCH = 128;
--- /dev/null
+++ b/src/coordination/ConsensusElection.ts
@@ -0,0 +1,178 @@
+/** Elections: pre-vote, vote, and stepping down. */
+import { ELECTION_TIMEOUT_MS } from './ConsensusConstants.js';
+import { chain, isQuorum, lastIndex, nextElection, peersOf, termAt } from './ConsensusLog.js';
+import { lead } from './ConsensusReplication.js';
+import type {
+  ConsensusContext,
+  ConsensusMessage,
+  ConsensusRole,
+  ConsensusState,
+  ConsensusStep,
+} from './ConsensusTypes.js';
+
+type Of<T extends ConsensusMessage['type']> = Extract<ConsensusMessage, { type: T }>;
+
+/** Goes to a term as a follower. Forgets the vote only if the term is new. */
+export function becomeFollower(
+  state: ConsensusState,
+  term: number,
+  leader: string | null,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const newTerm = term > state.term;
+  const next: ConsensusState = {
+    ...state,
+    term,
+    vote: newTerm ? null : state.vote,
+    role: 'follower',
+    leader,
+    electionAt: nextElection(ctx),
+    votes: [],
+    reads: [],
+    progress: {},
+  };
+  return {
+    state: next,
+    outputs: [
+      ...(newTerm ? [{ type: 'persistHard', hard: { term, vote: null } } as const] : []),
+      ...(state.role === 'follower' ? [] : [{ type: 'role', role: 'follower', term } as const]),
+      ...state.reads.map(({ id }) => ({ type: 'refused', id, leader }) as const),
+    ],
+  };
+}
+
+function askVotes(state: ConsensusState, type: 'preVote' | 'vote', term: number): ConsensusStep {
+  const last = lastIndex(state);
+  const message = { type, term, lastIndex: last, lastTerm: termAt(state, last) ?? 0 };
+  const others = state.members.voters.filter((id) => id !== state.id);
+  return { state, outputs: others.map((to) => ({ type: 'send', to, message })) };
+}
+
+function stand(state: ConsensusState, role: ConsensusRole, ctx: ConsensusContext): ConsensusState {
+  return { ...state, role, leader: null, votes: [state.id], electionAt: nextElection(ctx) };
+}
+
+function campaign(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  const hard = { term: state.term + 1, vote: state.id };
+  const next: ConsensusState = { ...stand(state, 'candidate', ctx), ...hard };
+  const begun: ConsensusStep = { state: next, outputs: [{ type: 'persistHard', hard }] };
+  return isQuorum(next.members, next.votes)
+    ? chain(begun, (now) => lead(now, ctx))
+    : chain(begun, (now) => askVotes(now, 'vote', now.term));
+}
+
+/**
+ * Asks whether an election could be won, before the term is raised.
+ *
+ * Failure: a replica that was cut off returns with a high term. Symptom: a healthy leader is
+ * deposed at each return. Enough: nobody grants a pre-vote while it still hears a leader, and a
+ * pre-vote changes no term.
+ */
+export function startElection(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  if (!state.members.voters.includes(state.id)) {
+    return { state: { ...state, electionAt: nextElection(ctx) }, outputs: [] };
+  }
+  const next = stand(state, 'preCandidate', ctx);
+  return isQuorum(next.members, next.votes)
+    ? campaign(next, ctx)
+    : askVotes(next, 'preVote', next.term + 1);
+}
+
+function isUpToDate(state: ConsensusState, message: Of<'vote'> | Of<'preVote'>): boolean {
+  const last = lastIndex(state);
+  const lastTerm = termAt(state, last) ?? 0;
+  return message.lastTerm !== lastTerm ? message.lastTerm > lastTerm : message.lastIndex >= last;
+}
+
+/** Answers a pre-vote; changes nothing. */
+export function onPreVote(
+  state: ConsensusState,
+  from: string,
+  message: Of<'preVote'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const hearsLeader =
+    state.role === 'leader' ||
+    (state.leader !== null && ctx.now - state.heardAt < ELECTION_TIMEOUT_MS);
+  const granted = message.term > state.term && !hearsLeader && isUpToDate(state, message);
+  // A refusal carries our term, so that a replica behind in terms catches up and can be elected.
+  const term = granted ? message.term : state.term;
+  return {
+    state,
+    outputs: [{ type: 'send', to: from, message: { type: 'preVoteReply', term, granted } }],
+  };
+}
+
+/** Counts a pre-vote; with a quorum, campaigns. */
+export function onPreVoteReply(
+  state: ConsensusState,
+  from: string,
+  message: Of<'preVoteReply'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  if (!message.granted && message.term > state.term) {
+    return becomeFollower(state, message.term, null, ctx);
+  }
+  if (state.role !== 'preCandidate' || !message.granted || message.term !== state.term + 1) {
+    return { state, outputs: [] };
+  }
+  const votes = [...new Set([...state.votes, from])];
+  const next = { ...state, votes };
+  return isQuorum(next.members, votes) ? campaign(next, ctx) : { state: next, outputs: [] };
+}
+
+/** Answers a vote request of the current term: one vote a term, synced before it is sent. */
+export function onVote(
+  state: ConsensusState,
+  from: string,
+  message: Of<'vote'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const granted =
+    message.term === state.term &&
+    (state.vote === null || state.vote === from) &&
+    state.role !== 'leader' &&
+    isUpToDate(state, message);
+  const reply = {
+    type: 'send',
+    to: from,
+    message: { type: 'voteReply', term: state.term, granted },
+  } as const;
+  if (!granted) {
+    return { state, outputs: [reply] };
+  }
+  const hard = { term: state.term, vote: from };
+  return {
+    state: { ...state, vote: from, electionAt: nextElection(ctx) },
+    outputs: [{ type: 'persistHard', hard }, reply],
+  };
+}
+
+/** Counts a vote of the current term; with a quorum, leads. */
+export function onVoteReply(
+  state: ConsensusState,
+  from: string,
+  message: Of<'voteReply'>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  if (state.role !== 'candidate' || !message.granted || message.term !== state.term) {
+    return { state, outputs: [] };
+  }
+  const votes = [...new Set([...state.votes, from])];
+  const next = { ...state, votes };
+  return isQuorum(next.members, votes) ? lead(next, ctx) : { state: next, outputs: [] };
+}
+
+/**
+ * Tells whether a leader has been out of touch with a quorum for an election timeout.
+ *
+ * Failure: a leader is cut off silently and still believes that it leads. Symptom: it takes
+ * submissions that can't be accepted and callers wait for nothing. Enough: it steps down by its own
+ * clock; what it might send meanwhile carries an old term or token and is refused by receivers.
+ */
+export function isOutOfTouch(state: ConsensusState, now: number): boolean {
+  const heard = peersOf(state).filter(
+    (id) => now - (state.progress[id]?.heardAt ?? 0) < ELECTION_TIMEOUT_MS * 2,
+  );
+  return !isQuorum(state.members, [state.id, ...heard]);
+}
--- /dev/null
+++ b/src/coordination/ConsensusLog.ts
@@ -0,0 +1,99 @@
+/** Reading and extending a replica's log. */
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
+import { ELECTION_TIMEOUT_MS } from './ConsensusConstants.js';
+import type {
+  ConsensusContext,
+  ConsensusEntry,
+  ConsensusMembers,
+  ConsensusOutput,
+  ConsensusSnapshot,
+  ConsensusState,
+  ConsensusStep,
+} from './ConsensusTypes.js';
+
+/** Index of the last entry. */
+export function lastIndex(state: ConsensusState): number {
+  return state.snapshot.index + state.log.length;
+}
+
+/** Term of the entry at an index; undefined where it isn't kept. */
+export function termAt(state: ConsensusState, index: number): number | undefined {
+  return index === state.snapshot.index
+    ? state.snapshot.term
+    : state.log[index - state.snapshot.index - 1]?.term;
+}
+
+/** Entries from an index on, at most `most` of them. */
+export function entriesFrom(
+  state: ConsensusState,
+  index: number,
+  most = Infinity,
+): readonly ConsensusEntry[] {
+  const start = index - state.snapshot.index - 1;
+  return state.log.slice(start, start + most);
+}
+
+/** The newest members in a snapshot and the entries behind it. */
+export function membersOf(
+  snapshot: ConsensusSnapshot,
+  log: readonly ConsensusEntry[],
+): ConsensusMembers {
+  const entry = log.findLast(({ payload }) => payload.kind === 'members');
+  return entry?.payload.kind === 'members' ? entry.payload.members : snapshot.members;
+}
+
+/** Every replica but this one. */
+export function peersOf(state: ConsensusState): readonly string[] {
+  return [...state.members.voters, ...state.members.learners].filter((id) => id !== state.id);
+}
+
+/** Tells whether the ids hold a majority of the voters. */
+export function isQuorum(members: ConsensusMembers, ids: readonly string[]): boolean {
+  const have = members.voters.filter((id) => ids.includes(id)).length;
+  return have * 2 > members.voters.length;
+}
+
+/** When a follower that hears nothing from now on campaigns. */
+export function nextElection({ now, rng }: ConsensusContext): number {
+  return now + ELECTION_TIMEOUT_MS + uniformInt(rng, 0, ELECTION_TIMEOUT_MS);
+}
+
+/** Replaces all entries from the first of `entries` on. */
+export function replaceTail(
+  state: ConsensusState,
+  entries: readonly ConsensusEntry[],
+): ConsensusStep {
+  const from = entries[0]?.index ?? lastIndex(state) + 1;
+  const log = [...state.log.slice(0, from - state.snapshot.index - 1), ...entries];
+  return {
+    state: { ...state, log, members: membersOf(state.snapshot, log) },
+    outputs: [{ type: 'persistEntries', from, entries }],
+  };
+}
+
+/** Moves the commit index forward and hands out what became committed. */
+export function commitTo(state: ConsensusState, index: number): ConsensusStep {
+  const commit = Math.min(index, lastIndex(state));
+  if (commit <= state.commit) {
+    return { state, outputs: [] };
+  }
+  const entries = entriesFrom(state, state.commit + 1, commit - state.commit);
+  return { state: { ...state, commit }, outputs: [{ type: 'commit', entries }] };
+}
+
+/** Runs one transition after another, joining their outputs. */
+export function chain(
+  first: ConsensusStep,
+  next: (state: ConsensusState) => ConsensusStep,
+): ConsensusStep {
+  const second = next(first.state);
+  return { state: second.state, outputs: [...first.outputs, ...second.outputs] };
+}
+
+/** A step that only sends. */
+export function sendOnly(
+  state: ConsensusState,
+  outputs: readonly ConsensusOutput[],
+): ConsensusStep {
+  return { state, outputs };
+}
--- /dev/null
+++ b/src/coordination/ConsensusReplication.ts
@@ -0,0 +1,144 @@
+/** Replication: what a leader sends, and what it makes of the answers. */
+import { APPEND_BATCH, HEARTBEAT_MS } from './ConsensusConstants.js';
+import {
+  chain,
+  commitTo,
+  entriesFrom,
+  isQuorum,
+  lastIndex,
+  peersOf,
+  replaceTail,
+  termAt,
+} from './ConsensusLog.js';
+import type {
+  ConsensusContext,
+  ConsensusMessage,
+  ConsensusOutput,
+  ConsensusPayload,
+  ConsensusProgress,
+  ConsensusState,
+  ConsensusStep,
+} from './ConsensusTypes.js';
+
+function progressOf(state: ConsensusState, id: string): ConsensusProgress {
+  return (
+    state.progress[id] ?? { next: lastIndex(state) + 1, match: 0, heardAt: state.beatAt, round: 0 }
+  );
+}
+
+function messageFor(state: ConsensusState, to: string): ConsensusMessage {
+  const { next } = progressOf(state, to);
+  const prevTerm = termAt(state, next - 1);
+  if (prevTerm === undefined || next <= state.snapshot.index) {
+    return { type: 'install', term: state.term, snapshot: state.snapshot, round: state.round };
+  }
+  return {
+    type: 'append',
+    term: state.term,
+    prevIndex: next - 1,
+    prevTerm,
+    entries: entriesFrom(state, next, APPEND_BATCH),
+    commit: state.commit,
+    round: state.round,
+  };
+}
+
+/** Sends to every replica what it lacks; with nothing to send, a heartbeat. */
+export function broadcast(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  return {
+    state: { ...state, beatAt: ctx.now + HEARTBEAT_MS },
+    outputs: peersOf(state).map((to) => ({ type: 'send', to, message: messageFor(state, to) })),
+  };
+}
+
+/** Commits what a quorum holds, of the own term only (Raft, section 5.4.2). */
+function advanceCommit(state: ConsensusState): ConsensusStep {
+  const matches = state.members.voters
+    .map((id) => (id === state.id ? lastIndex(state) : progressOf(state, id).match))
+    .sort((a, b) => b - a);
+  const index = matches[Math.floor(state.members.voters.length / 2)] ?? 0;
+  return termAt(state, index) === state.term ? commitTo(state, index) : { state, outputs: [] };
+}
+
+/** Appends as leader. */
+export function appendAsLeader(
+  state: ConsensusState,
+  payload: ConsensusPayload,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  const entry = { index: lastIndex(state) + 1, term: state.term, payload };
+  return chain(
+    chain(replaceTail(state, [entry]), (next) => broadcast(next, ctx)),
+    advanceCommit,
+  );
+}
+
+/**
+ * Becomes leader, and states the members again: an entry of its own term, which commits what
+ * earlier terms left and tells a replica that joined without a snapshot who the members are.
+ */
+export function lead(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  const fresh = { next: lastIndex(state) + 1, match: 0, heardAt: ctx.now, round: 0 };
+  const next: ConsensusState = {
+    ...state,
+    role: 'leader',
+    leader: state.id,
+    progress: Object.fromEntries(peersOf(state).map((id) => [id, fresh])),
+    reads: [],
+  };
+  const role: ConsensusOutput = { type: 'role', role: 'leader', term: state.term };
+  return chain({ state: next, outputs: [role] }, (now) =>
+    appendAsLeader(now, { kind: 'members', members: now.members }, ctx),
+  );
+}
+
+/** Reads whose round a quorum has answered are safe: no newer leader can have committed before. */
+function releaseReads(state: ConsensusState): ConsensusStep {
+  const confirms = (round: number): boolean =>
+    isQuorum(state.members, [
+      state.id,
+      ...peersOf(state).filter((id) => progressOf(state, id).round >= round),
+    ]);
+  const ready = state.reads.filter((read) => confirms(read.round));
+  return {
+    state: { ...state, reads: state.reads.filter((read) => !ready.includes(read)) },
+    outputs: ready.map(({ id, index }) => ({ type: 'readReady', id, index })),
+  };
+}
+
+/** Takes a follower's answer. */
+export function onAppendReply(
+  state: ConsensusState,
+  from: string,
+  message: Extract<ConsensusMessage, { type: 'appendReply' }>,
+  ctx: ConsensusContext,
+): ConsensusStep {
+  if (state.role !== 'leader' || message.term !== state.term || !peersOf(state).includes(from)) {
+    return { state, outputs: [] };
+  }
+  const known = progressOf(state, from);
+  const match = message.ok ? Math.max(known.match, message.match) : known.match;
+  const progress: ConsensusProgress = {
+    match,
+    next: message.ok ? match + 1 : Math.max(match + 1, Math.min(known.next - 1, message.match + 1)),
+    heardAt: ctx.now,
+    round: Math.max(known.round, message.round),
+  };
+  const next = { ...state, progress: { ...state.progress, [from]: progress } };
+  const committed = chain(chain({ state: next, outputs: [] }, advanceCommit), releaseReads);
+  const lags = progress.next <= lastIndex(committed.state) && (!message.ok || match > known.match);
+  return lags
+    ? chain(committed, (now) => ({
+        state: now,
+        outputs: [{ type: 'send', to: from, message: messageFor(now, from) }],
+      }))
+    : committed;
+}
+
+/** Starts a read: it is answered once a quorum has confirmed this leader after now. */
+export function startRead(state: ConsensusState, id: string, ctx: ConsensusContext): ConsensusStep {
+  const round = state.round + 1;
+  const read = { id, index: state.commit, round };
+  const next = { ...state, round, reads: [...state.reads, read] };
+  return chain(broadcast(next, ctx), releaseReads);
+}
--- /dev/null
+++ b/src/coordination/Lease.ts
@@ -0,0 +1,160 @@
+/**
+ * The right to coordinate a group, as an endpoint process of the group sees it. The log knows who
+ * holds a lease and its fencing token; how long it lasts, each side measures by its own clock.
+ */
+import type { LeaseGrant } from '../protocol/index.js';
+import type { LeaseState } from '../state/index.js';
+
+/** How long a lease lasts from the moment its holder asked for it. In ms. */
+export const LEASE_MS = 6_000;
+
+/** A holder renews this long after its last request. In ms. */
+export const RENEW_MS = 2_000;
+
+/** A rival waits this much longer than the lease, for clocks that run at different speeds. ms. */
+export const LEASE_MARGIN_MS = 1_000;
+
+/** What an endpoint process knows of its group's lease. */
+export interface LeaseView {
+  readonly self: string;
+  readonly group: string;
+  /** The lease held, with the local time until which it may be used; null if not held. */
+  readonly held: { readonly token: number; readonly until: number } | null;
+  /** The last lease seen, and since when it has been seen unchanged, ms. */
+  readonly seen: LeaseState | null;
+  readonly seenAt: number;
+  /** When the open request was sent; null for none. */
+  readonly askedAt: number | null;
+  readonly nextAskAt: number;
+}
+
+/** What goes in. */
+export type LeaseInput =
+  | { readonly type: 'tick' }
+  | { readonly type: 'granted'; readonly grant: LeaseGrant; readonly renewals: number }
+  | { readonly type: 'held'; readonly lease: LeaseState }
+  | { readonly type: 'failed' };
+
+/** What comes out: a request to the log, or news for the coordinator's task. */
+export type LeaseOutput =
+  | {
+      readonly type: 'ask';
+      readonly after: { readonly token: number; readonly renewals: number };
+      readonly observe: boolean;
+    }
+  | { readonly type: 'gained'; readonly token: number }
+  | { readonly type: 'lost' };
+
+/** New state and outputs of a step. */
+export interface LeaseStep {
+  readonly state: LeaseView;
+  readonly outputs: readonly LeaseOutput[];
+}
+
+/** An endpoint process that knows nothing yet. */
+export function initLease(self: string, group: string, now: number): LeaseView {
+  return { self, group, held: null, seen: null, seenAt: now, askedAt: null, nextAskAt: now };
+}
+
+/**
+ * Tells whether the lease may be used now. A process that was frozen asks again before each use;
+ * should it freeze between the two, the receiver refuses its token.
+ */
+export function mayCoordinate(state: LeaseView, now: number): boolean {
+  return state.held !== null && now < state.held.until;
+}
+
+function dropExpired(state: LeaseView, now: number): LeaseStep {
+  return state.held !== null && now >= state.held.until
+    ? { state: { ...state, held: null }, outputs: [{ type: 'lost' }] }
+    : { state, outputs: [] };
+}
+
+/** A rival may ask for the lease once it has seen no renewal for longer than the lease lasts. */
+function mayTakeOver(state: LeaseView, now: number): boolean {
+  return (
+    state.seen === null ||
+    state.seen.holder === state.self ||
+    now - state.seenAt > LEASE_MS + LEASE_MARGIN_MS
+  );
+}
+
+function onTick(state: LeaseView, now: number): LeaseStep {
+  const dropped = dropExpired(state, now);
+  if (state.askedAt !== null || now < state.nextAskAt) {
+    return dropped;
+  }
+  const after = state.seen ?? { token: 0, renewals: 0 };
+  const ask: LeaseOutput = {
+    type: 'ask',
+    after: { token: after.token, renewals: after.renewals },
+    observe: !mayTakeOver(state, now),
+  };
+  return {
+    state: { ...dropped.state, askedAt: now, nextAskAt: now + RENEW_MS },
+    outputs: [...dropped.outputs, ask],
+  };
+}
+
+function onGranted(
+  state: LeaseView,
+  { grant, renewals }: Extract<LeaseInput, { type: 'granted' }>,
+  now: number,
+): LeaseStep {
+  // Counted from the request, not the answer: the answer may have been under way for long.
+  const until = (state.askedAt ?? now) + grant.durationMs;
+  const seen: LeaseState = { holder: grant.holder, token: grant.token, renewals };
+  const gained = state.held?.token !== grant.token;
+  const next: LeaseView = {
+    ...state,
+    held: { token: grant.token, until },
+    seen,
+    seenAt: now,
+    askedAt: null,
+  };
+  return { state: next, outputs: gained ? [{ type: 'gained', token: grant.token }] : [] };
+}
+
+function onHeld(
+  state: LeaseView,
+  { lease }: Extract<LeaseInput, { type: 'held' }>,
+  now: number,
+): LeaseStep {
+  const same = state.seen?.token === lease.token && state.seen.renewals === lease.renewals;
+  const lost = state.held !== null && lease.token !== state.held.token;
+  return {
+    state: {
+      ...state,
+      held: lost ? null : state.held,
+      seen: lease,
+      seenAt: same ? state.seenAt : now,
+      askedAt: null,
+    },
+    outputs: lost ? [{ type: 'lost' }] : [],
+  };
+}
+
+type Handlers = {
+  readonly [T in LeaseInput['type']]: (
+    state: LeaseView,
+    input: Extract<LeaseInput, { type: T }>,
+    now: number,
+  ) => LeaseStep;
+};
+
+const HANDLERS: Handlers = {
+  tick: (state, _input, now) => onTick(state, now),
+  granted: onGranted,
+  held: onHeld,
+  failed: (state) => ({ state: { ...state, askedAt: null }, outputs: [] }),
+};
+
+/** One step of a lease's view. */
+export function stepLease(state: LeaseView, input: LeaseInput, now: number): LeaseStep {
+  const handler = HANDLERS[input.type] as (
+    state: LeaseView,
+    input: LeaseInput,
+    now: number,
+  ) => LeaseStep;
+  return handler(state, input, now);
+}
--- /dev/null
+++ b/src/coordination/MembershipView.ts
@@ -0,0 +1,68 @@
+/** The directory as an entry process sees it through its control process. */
+import type { DirectoryDelta, MemberRecord } from '../protocol/index.js';
+import { isNewerRecord } from '../state/index.js';
+
+/** How long a member missing from a full list is still used. In ms. */
+export const UNCONFIRMED_MS = 5_000;
+
+/** A member, and since when the newest full list has lacked it. */
+export interface ViewedMember {
+  readonly record: MemberRecord;
+  readonly missingSince: number | null;
+}
+
+/** What an entry process knows of the members. */
+export type MembershipView = ReadonlyMap<string, ViewedMember>;
+
+/**
+ * Takes in news.
+ *
+ * Failure: a control process restarts empty, and entry processes attach to it before the endpoints
+ * do. Symptom: its full list lacks endpoints that serve, and calls are refused for want of one.
+ * Enough: what a full list lacks stays in use for a grace longer than it takes to attach again; an
+ * endpoint that is really gone refuses or fails the first attempt meanwhile.
+ */
+export function mergeDelta(
+  view: MembershipView,
+  delta: DirectoryDelta,
+  now: number,
+): MembershipView {
+  const next = new Map(view);
+  const listed = new Set(delta.records.map(({ id }) => id));
+  if (delta.full) {
+    view.forEach((member, id) => {
+      if (!listed.has(id) && member.missingSince === null) {
+        next.set(id, { ...member, missingSince: now });
+      }
+    });
+  }
+  delta.records.forEach((record) => {
+    const known = next.get(record.id)?.record;
+    if (isNewerRecord(record, known)) {
+      next.set(record.id, { record, missingSince: null });
+    } else if (known?.incarnation === record.incarnation && known.version === record.version) {
+      next.set(record.id, { record: known, missingSince: null });
+    }
+  });
+  return next;
+}
+
+/** Drops members that are gone, or were missing for longer than {@link UNCONFIRMED_MS}. */
+export function pruneView(view: MembershipView, now: number): MembershipView {
+  const stale = [...view].filter(
+    ([, { missingSince }]) => missingSince !== null && now - missingSince > UNCONFIRMED_MS,
+  );
+  if (stale.length === 0) {
+    return view;
+  }
+  const next = new Map(view);
+  stale.forEach(([id]) => next.delete(id));
+  return next;
+}
+
+/** Members that take new work. */
+export function servingMembers(view: MembershipView): readonly MemberRecord[] {
+  return [...view.values()]
+    .map(({ record }) => record)
+    .filter(({ status }) => status === 'serving');
+}
--- /dev/null
+++ b/src/coordination/RoutingHash.ts
@@ -0,0 +1,17 @@
+/** Rendezvous hashing (Thaler and Ravishankar, 1998): each key has its own order of the ids. */
+import xxhash from 'xxhash-wasm';
+
+const { h32 } = await xxhash();
+
+/** Orders ids by a key; ids that come or go move only the keys that they win. */
+export function rendezvousOrder(key: number, ids: readonly string[]): readonly string[] {
+  return ids
+    .map((id) => ({ id, weight: h32(id, key) }))
+    .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map(({ id }) => id);
+}
+
+/** Hash of a text, 32 bits. */
+export function hashText(text: string): number {
+  return h32(text);
+}
--- /dev/null
+++ b/src/coordination/index.ts
@@ -0,0 +1,90 @@
+/** Layer `coordination`: the decisions, as pure state machines. */
+export {
+  admit,
+  EMPTY_ADMISSION,
+  localLimit,
+  release,
+  takeRetry,
+  type AdmissionState,
+} from './Admission.js';
+export {
+  LEAST_TIME_MS,
+  MAX_ATTEMPTS,
+  startAttempts,
+  stepAttempts,
+  type AttemptContext,
+  type AttemptInput,
+  type AttemptOutput,
+  type AttemptState,
+  type AttemptStep,
+} from './Attempts.js';
+export { initConsensus, stepConsensus, type ConsensusRecovery } from './Consensus.js';
+export { ELECTION_TIMEOUT_MS, HEARTBEAT_MS } from './ConsensusConstants.js';
+export { lastIndex, membersOf } from './ConsensusLog.js';
+export type {
+  ConsensusContext,
+  ConsensusEntry,
+  ConsensusInput,
+  ConsensusMembers,
+  ConsensusMessage,
+  ConsensusOutput,
+  ConsensusSnapshot,
+  ConsensusState,
+  ConsensusStep,
+} from './ConsensusTypes.js';
+export {
+  initGate,
+  REMEMBER_MS,
+  stepGate,
+  type GateInput,
+  type GateOutput,
+  type GateState,
+} from './Gate.js';
+export {
+  initLease,
+  LEASE_MARGIN_MS,
+  LEASE_MS,
+  mayCoordinate,
+  RENEW_MS,
+  stepLease,
+  type LeaseInput,
+  type LeaseOutput,
+  type LeaseView,
+} from './Lease.js';
+export {
+  attachedRecords,
+  EMPTY_MEMBERSHIP,
+  MEMBER_LEASE_MS,
+  stepMembership,
+  TOMBSTONE_MS,
+  type MembershipInput,
+  type MembershipOutput,
+  type MembershipState,
+} from './MembershipHub.js';
+export {
+  mergeDelta,
+  pruneView,
+  servingMembers,
+  UNCONFIRMED_MS,
+  type MembershipView,
+} from './MembershipView.js';
+export {
+  CHECK_MS,
+  concerns,
+  initRollout,
+  stepRollout,
+  type RolloutInput,
+  type RolloutOutput,
+  type RolloutPhase,
+  type RolloutState,
+} from './Rollout.js';
+export { estimateWork, initRouting, routeRequest, serviceKey, updateRouting } from './Routing.js';
+export { LOGGED_CANDIDATES } from './RoutingConstants.js';
+export { hashText, rendezvousOrder } from './RoutingHash.js';
+export type {
+  RoutingDecision,
+  RoutingEndpoint,
+  RoutingInput,
+  RoutingRequest,
+  RoutingState,
+} from './RoutingTypes.js';
--- /dev/null
+++ b/src/daemon/DaemonAdmin.ts
@@ -0,0 +1,222 @@
+/** The administration API: what the command-line tool and pipelines speak to. */
+import type Koa from 'koa';
+import type { Context } from 'koa';
+import { z } from 'zod';
+import {
+  FindingsError,
+  parseManifest,
+  type Manifest,
+  type MemberRecord,
+  type SubmitReply,
+} from '../protocol/index.js';
+import {
+  diffEntries,
+  digestManifest,
+  entriesOfFleet,
+  flattenManifest,
+  judgeSubmission,
+} from '../state/index.js';
+import { readBody } from '../transport/index.js';
+import type { DaemonConsensus } from './DaemonConsensus.js';
+import type { DaemonHub } from './DaemonHub.js';
+
+/** What the API stands on. */
+export interface AdminOptions {
+  readonly name: string;
+  readonly consensus: DaemonConsensus;
+  readonly hub: DaemonHub;
+  readonly submit: (manifest: Manifest) => Promise<SubmitReply>;
+  /** What each control process tells of itself, this one first. */
+  readonly controls: () => Promise<readonly ControlStatus[]>;
+}
+
+/** What a control process tells of itself. */
+export interface ControlStatus {
+  readonly name: string;
+  readonly replica: string;
+  readonly role: string;
+  readonly term: number;
+  readonly leader: string | null;
+  readonly commit: number;
+  readonly voters: readonly string[];
+  readonly learners: readonly string[];
+  readonly rollout: string;
+  readonly configIndex: number;
+  readonly attached: readonly { readonly id: string; readonly appliedIndex: number }[];
+}
+
+/** Status of a control process. */
+export function controlStatus(
+  name: string,
+  consensus: DaemonConsensus,
+  hub: DaemonHub,
+): ControlStatus {
+  const { state } = consensus;
+  return {
+    name,
+    replica: state.id,
+    role: state.role,
+    term: state.term,
+    leader: state.leader,
+    commit: state.commit,
+    voters: state.members.voters,
+    learners: state.members.learners,
+    rollout: hub.rollout.phase,
+    configIndex: hub.rollout.config.index,
+    attached: hub.attachedStatus,
+  };
+}
+
+const HTTP_STATUS = { accepted: 200, conflict: 409, older: 409, unavailable: 503 } as const;
+
+async function readManifest(ctx: Context): Promise<Manifest> {
+  const body = await readBody(ctx.req);
+  return parseManifest(body.toString('utf8'));
+}
+
+async function getStatus({ controls, consensus, hub }: AdminOptions): Promise<unknown> {
+  const all = await controls();
+  const applied = new Map(
+    all.flatMap(({ attached }) => attached.map(({ id, appliedIndex }) => [id, appliedIndex])),
+  );
+  const processes = [...hub.membership.directory.values()].map((record) => ({
+    ...record,
+    appliedIndex: applied.get(record.id) ?? null,
+  }));
+  const live = processes.filter(({ status }) => status !== 'gone');
+  const { index } = consensus.control.config;
+  return {
+    controls: all,
+    processes,
+    configIndex: index,
+    inForce: live.filter(({ appliedIndex }) => (appliedIndex ?? -1) >= index).length,
+    live: live.length,
+    fleets: Object.entries(consensus.control.fleets).map(([fleet, { version, digest }]) => ({
+      fleet,
+      version,
+      digest,
+    })),
+  };
+}
+
+function isEndpoint({ role, status }: MemberRecord): boolean {
+  return role === 'endpoint' && status !== 'gone';
+}
+
+function getEndpoints({ hub }: AdminOptions): unknown {
+  return { endpoints: [...hub.membership.directory.values()].filter(isEndpoint) };
+}
+
+function getGroups({ hub, consensus }: AdminOptions): unknown {
+  const groups = new Map<string, MemberRecord[]>();
+  [...hub.membership.directory.values()].filter(isEndpoint).forEach((record) => {
+    const name = record.offer?.group;
+    if (name !== undefined) {
+      groups.set(name, [...(groups.get(name) ?? []), record]);
+    }
+  });
+  return {
+    groups: [...groups].map(([name, records]) => ({
+      name,
+      fleet: records[0]?.offer?.fleet,
+      service: records[0]?.offer?.service,
+      endpoints: records.map(({ id, zone, offer }) => ({ id, zone, ranks: offer?.ranks ?? [] })),
+      coordinator: consensus.control.leases[name]?.holder ?? null,
+      token: consensus.control.leases[name]?.token ?? 0,
+    })),
+  };
+}
+
+function diffManifest({ consensus }: AdminOptions, manifest: Manifest): unknown {
+  const { control } = consensus;
+  const before = entriesOfFleet(control.config.entries, manifest.fleet);
+  const digest = digestManifest(manifest);
+  const judged = judgeSubmission(control, manifest.fleet, manifest.version, digest);
+  const { set, del } = diffEntries(before, flattenManifest(manifest));
+  return {
+    fleet: manifest.fleet,
+    version: manifest.version,
+    digest,
+    verdict: judged === 'new' ? 'would be accepted' : judged,
+    changes: [
+      ...Object.entries(set).map(([key, value]) => ({
+        key,
+        change: Object.hasOwn(before, key) ? 'changed' : 'added',
+        from: before[key] ?? null,
+        to: value,
+      })),
+      ...del.map((key) => ({ key, change: 'removed', from: before[key] ?? null, to: null })),
+    ],
+  };
+}
+
+function showManifest({ consensus }: AdminOptions, fleet: string): unknown {
+  const known = consensus.control.fleets[fleet];
+  if (known === undefined) {
+    return undefined;
+  }
+  const { version, digest } = known;
+  return {
+    fleet,
+    version,
+    digest,
+    entries: entriesOfFleet(consensus.control.config.entries, fleet),
+  };
+}
+
+type Route = (options: AdminOptions, ctx: Context) => Promise<unknown>;
+
+const ROUTES: Readonly<Record<string, Route>> = {
+  'GET /v1/status': async (options) => getStatus(options),
+  'GET /v1/endpoints': async (options) => getEndpoints(options),
+  'GET /v1/groups': async (options) => getGroups(options),
+  'POST /v1/manifests/check': async (_options, ctx) => {
+    const manifest = await readManifest(ctx);
+    return { fleet: manifest.fleet, version: manifest.version, digest: digestManifest(manifest) };
+  },
+  'POST /v1/manifests/diff': async (options, ctx) => diffManifest(options, await readManifest(ctx)),
+  'POST /v1/manifests': async ({ submit }, ctx) => {
+    const reply = await submit(await readManifest(ctx));
+    ctx.status = HTTP_STATUS[reply.result];
+    if (reply.result === 'unavailable') {
+      ctx.set('retry-after', '1');
+    }
+    return reply;
+  },
+};
+
+const fleetPath = z.templateLiteral(['GET /v1/manifests/', z.string().min(1)]);
+
+function findRoute(key: string): Route | undefined {
+  const known = ROUTES[key];
+  if (known === undefined && fleetPath.safeParse(key).success) {
+    return async (options, ctx) => showManifest(options, ctx.path.slice('/v1/manifests/'.length));
+  }
+  return known;
+}
+
+/** Adds the administration API to an application. */
+export function addAdminApi(app: Koa, options: AdminOptions): void {
+  app.use(async (ctx) => {
+    const route = findRoute(`${ctx.method} ${ctx.path}`);
+    if (route === undefined) {
+      ctx.status = 404;
+      ctx.body = { error: `no ${ctx.method} ${ctx.path}` };
+      return;
+    }
+    try {
+      ctx.status = 200;
+      const body = await route(options, ctx);
+      if (body === undefined) {
+        ctx.status = 404;
+      }
+      ctx.body = body ?? { error: 'not found' };
+    } catch (err) {
+      if (!(err instanceof FindingsError)) {
+        throw err;
+      }
+      ctx.status = 422;
+      ctx.body = { error: err.message, findings: err.findings };
+    }
+  });
+}
--- /dev/null
+++ b/src/daemon/DaemonConsensus.ts
@@ -0,0 +1,254 @@
+/**
+ * Task that owns a control process's replica: its data folder, its log and the replicated state.
+ * It reads a mailbox, one batch at a time, and syncs before it sends.
+ */
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { Logger } from 'pino';
+import {
+  initConsensus,
+  lastIndex,
+  stepConsensus,
+  type ConsensusEntry,
+  type ConsensusInput,
+  type ConsensusMembers,
+  type ConsensusMessage,
+  type ConsensusOutput,
+  type ConsensusState,
+} from '../coordination/index.js';
+import {
+  applyCommand,
+  EMPTY_CONTROL,
+  type CommandResult,
+  type ControlCommand,
+  type ControlState,
+  type StateDataFolder,
+} from '../state/index.js';
+import {
+  journalOf,
+  recoverJournal,
+  toRecord,
+  type JournalRecord,
+} from './DaemonConsensusJournal.js';
+
+/** How long a proposal or read may take before its caller is told that it is open. In ms. */
+const WAIT_MS = 2_500;
+
+/** What the task needs. */
+export interface ConsensusTaskOptions {
+  readonly folder: StateDataFolder;
+  readonly compactEvery: number;
+  readonly log: Logger;
+  readonly now: () => number;
+  readonly rng: RandomGenerator;
+  readonly send: (to: string, message: ConsensusMessage) => void;
+  /** Called after the replicated state has changed, or may have. */
+  readonly onApplied: (state: ControlState) => void;
+}
+
+type Performers = {
+  readonly [T in ConsensusOutput['type']]?: (output: Extract<ConsensusOutput, { type: T }>) => void;
+};
+
+interface Waiter<T> {
+  readonly resolve: (value: T) => void;
+  readonly until: number;
+}
+
+type Waiters<T> = Map<string, Waiter<T>>;
+
+function settle<T>(waiters: Waiters<T>, id: string, value: T): void {
+  waiters.get(id)?.resolve(value);
+  waiters.delete(id);
+}
+
+/** Result of a proposal; `null` when it was refused, lost or not decided in time. */
+export type ProposalResult = CommandResult | null;
+
+/** One replica. */
+export class DaemonConsensus {
+  readonly #options: ConsensusTaskOptions;
+
+  readonly #proposals = new Map() as Waiters<ProposalResult>;
+
+  /** Proposals in the log by index, with the term they were made in. */
+  readonly #placed = new Map<number, { readonly id: string; readonly term: number }>();
+
+  readonly #reads = new Map() as Waiters<number | null>;
+
+  /** How each output is carried out, once all of its batch is synced. */
+  readonly #performers: Performers = {
+    send: ({ to, message }) => this.#options.send(to, message),
+    commit: ({ entries }) => {
+      this.#applyEntries(entries);
+      this.#options.onApplied(this.#control);
+    },
+    restore: ({ snapshot }) => {
+      this.#control = snapshot.image as ControlState;
+      this.#options.onApplied(this.#control);
+    },
+    proposed: ({ id, index, term }) => {
+      this.#placed.set(index, { id, term });
+    },
+    refused: ({ id }) => {
+      settle(this.#proposals, id, null);
+      settle(this.#reads, id, null);
+    },
+    readReady: ({ id, index }) => settle(this.#reads, id, index),
+    role: ({ role, term }) => this.#options.log.info({ event: 'role', role, term }, 'new role'),
+  };
+
+  #state: ConsensusState;
+
+  #control: ControlState;
+
+  #mailbox: ConsensusInput[] = [];
+
+  #running = false;
+
+  #counter = 0;
+
+  #dead = false;
+
+  constructor(options: ConsensusTaskOptions) {
+    this.#options = options;
+    const { recovery, commit } = recoverJournal(options.folder.recovered);
+    this.#control = (recovery.snapshot.image as ControlState | null) ?? EMPTY_CONTROL;
+    this.#state = initConsensus(options.folder.identity.replica, recovery, this.#context());
+    // What was handed out before the restart was committed; it is applied again at once.
+    const known = recovery.log.filter(({ index }) => index <= commit);
+    this.#state = { ...this.#state, commit: Math.max(recovery.snapshot.index, commit) };
+    this.#applyEntries(known);
+  }
+
+  get state(): ConsensusState {
+    return this.#state;
+  }
+
+  get control(): ControlState {
+    return this.#control;
+  }
+
+  /** Whether this replica belongs to a cluster. */
+  get isFormed(): boolean {
+    return this.#state.members.voters.length > 0 || lastIndex(this.#state) > 0;
+  }
+
+  /** Takes a message, a tick or a command; outputs follow once they are synced. */
+  post(input: ConsensusInput): void {
+    this.#mailbox.push(input);
+    if (!this.#running && !this.#dead) {
+      this.#running = true;
+      this.#drain().catch((err: unknown) => {
+        // A disk that refuses a write can't be promised on: the process must end.
+        this.#options.log.fatal({ err }, 'the data folder failed');
+        this.#dead = true;
+        process.exitCode = 1;
+        process.kill(process.pid, 'SIGTERM');
+      });
+    }
+  }
+
+  /** Proposes a command; resolves once it is applied here. */
+  async propose(command: ControlCommand): Promise<ProposalResult> {
+    return this.#ask(this.#proposals, (id) => ({ type: 'propose', id, command }));
+  }
+
+  /** Proposes new members; resolves with `done` once committed. */
+  async changeMembers(members: ConsensusMembers): Promise<ProposalResult> {
+    return this.#ask(this.#proposals, (id) => ({ type: 'members', id, members }));
+  }
+
+  /** Index that every acceptance before now is at or below; null if this isn't the leader. */
+  async readIndex(): Promise<number | null> {
+    return this.#ask(this.#reads, (id) => ({ type: 'read', id }));
+  }
+
+  /** Founds a cluster: this replica's snapshot of nothing names the voters. */
+  async found(members: ConsensusMembers): Promise<void> {
+    const snapshot = { index: 0, term: 0, members, image: EMPTY_CONTROL };
+    await this.#options.folder.append([{ kind: 'snapshot', snapshot } satisfies JournalRecord]);
+    this.#state = { ...this.#state, snapshot, members };
+  }
+
+  /** Gives up on what has waited too long: the outcome is open, and a resend will tell. */
+  expire(): void {
+    const now = this.#options.now();
+    const expireIn = <T>(waiters: Waiters<T | null>): void =>
+      waiters.forEach(({ until }, id) => {
+        if (now > until) {
+          settle(waiters, id, null);
+        }
+      });
+    expireIn(this.#proposals);
+    expireIn(this.#reads);
+  }
+
+  #context() {
+    return { now: this.#options.now(), rng: this.#options.rng };
+  }
+
+  async #ask<T>(waiters: Waiters<T>, makeInput: (id: string) => ConsensusInput): Promise<T> {
+    this.#counter += 1;
+    const id = `${this.#counter}`;
+    return new Promise((resolve) => {
+      waiters.set(id, { resolve, until: this.#options.now() + WAIT_MS });
+      this.post(makeInput(id));
+    });
+  }
+
+  async #drain(): Promise<void> {
+    while (this.#mailbox.length > 0) {
+      const inputs = this.#mailbox;
+      this.#mailbox = [];
+      const outputs = inputs.flatMap((input) => this.#step(input));
+      // One batch after another: the sync below is what the next batch's promises rest on.
+      // eslint-disable-next-line no-await-in-loop
+      await this.#persist(outputs);
+      outputs.forEach((output) => this.#performers[output.type]?.(output as never));
+      this.#compact();
+    }
+    this.#running = false;
+  }
+
+  #step(input: ConsensusInput): readonly ConsensusOutput[] {
+    const { state, outputs } = stepConsensus(this.#state, input, this.#context());
+    this.#state = state;
+    return outputs;
+  }
+
+  async #persist(outputs: readonly ConsensusOutput[]): Promise<void> {
+    const snapshots = outputs.some(({ type }) => type === 'persistSnapshot');
+    if (snapshots) {
+      await this.#options.folder.rewrite(journalOf(this.#state));
+      return;
+    }
+    const records = outputs.flatMap(toRecord);
+    if (records.length > 0) {
+      await this.#options.folder.append(records);
+    }
+  }
+
+  #applyEntries(entries: readonly ConsensusEntry[]): void {
+    entries.forEach(({ index, term, payload }) => {
+      const applied =
+        payload.kind === 'command'
+          ? applyCommand(this.#control, payload.command as ControlCommand, index)
+          : { state: { ...this.#control, index }, result: { result: 'done' } as const };
+      this.#control = applied.state;
+      const placed = this.#placed.get(index);
+      if (placed !== undefined) {
+        this.#placed.delete(index);
+        // Another leader's entry stands where ours did: ours was lost.
+        settle(this.#proposals, placed.id, placed.term === term ? applied.result : null);
+      }
+    });
+  }
+
+  #compact(): void {
+    const { compactEvery } = this.#options;
+    const { commit, snapshot } = this.#state;
+    if (commit - snapshot.index >= compactEvery && this.#control.index === commit) {
+      this.post({ type: 'compact', index: commit, image: this.#control });
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/DaemonConsensusJournal.ts
@@ -0,0 +1,81 @@
+/** Records of a replica's journal, and what a replica recovers from them. */
+import type {
+  ConsensusEntry,
+  ConsensusOutput,
+  ConsensusRecovery,
+  ConsensusSnapshot,
+  ConsensusState,
+} from '../coordination/index.js';
+
+/** One record. A commit record is written before what it covers is handed to other processes. */
+export type JournalRecord =
+  | { readonly kind: 'hard'; readonly term: number; readonly vote: string | null }
+  | {
+      readonly kind: 'entries';
+      readonly from: number;
+      readonly entries: readonly ConsensusEntry[];
+    }
+  | { readonly kind: 'snapshot'; readonly snapshot: ConsensusSnapshot }
+  | { readonly kind: 'commit'; readonly index: number };
+
+const EMPTY_SNAPSHOT: ConsensusSnapshot = {
+  index: 0,
+  term: 0,
+  members: { voters: [], learners: [] },
+  image: null,
+};
+
+/** The record of an output that must be synced. */
+export function toRecord(output: ConsensusOutput): readonly JournalRecord[] {
+  switch (output.type) {
+    case 'persistHard':
+      return [{ kind: 'hard', ...output.hard }];
+    case 'persistEntries':
+      return [{ kind: 'entries', from: output.from, entries: output.entries }];
+    case 'commit':
+      return [{ kind: 'commit', index: output.entries.at(-1)?.index ?? 0 }];
+    default:
+      return [];
+  }
+}
+
+/** A journal that holds just a replica's state. */
+export function journalOf(state: ConsensusState): readonly JournalRecord[] {
+  return [
+    { kind: 'snapshot', snapshot: state.snapshot },
+    { kind: 'hard', term: state.term, vote: state.vote },
+    { kind: 'entries', from: state.snapshot.index + 1, entries: state.log },
+    { kind: 'commit', index: state.commit },
+  ];
+}
+
+interface Recovered {
+  readonly recovery: ConsensusRecovery;
+  /** What was known to be committed before the restart. */
+  readonly commit: number;
+}
+
+function take({ recovery, commit }: Recovered, record: JournalRecord): Recovered {
+  switch (record.kind) {
+    case 'hard':
+      return { recovery: { ...recovery, hard: { term: record.term, vote: record.vote } }, commit };
+    case 'entries': {
+      const kept = recovery.log.filter(({ index }) => index < record.from);
+      return { recovery: { ...recovery, log: [...kept, ...record.entries] }, commit };
+    }
+    case 'snapshot': {
+      const { snapshot } = record;
+      return { recovery: { ...recovery, snapshot, log: [] }, commit: snapshot.index };
+    }
+    default:
+      return { recovery, commit: Math.max(commit, record.index) };
+  }
+}
+
+/** Reads a journal from its first record to its last. */
+export function recoverJournal(records: readonly unknown[]): Recovered {
+  return (records as readonly JournalRecord[]).reduce(take, {
+    recovery: { hard: { term: 0, vote: null }, snapshot: EMPTY_SNAPSHOT, log: [] },
+    commit: 0,
+  });
+}
--- /dev/null
+++ b/src/daemon/DaemonControlService.ts
@@ -0,0 +1,160 @@
+/** What a control process does for others by way of the log: submissions, leases, joins. */
+import type { Logger } from 'pino';
+import type { LeaseGrant, Manifest, SubmitReply } from '../protocol/index.js';
+import {
+  diffEntries,
+  digestManifest,
+  entriesOfFleet,
+  flattenManifest,
+  judgeSubmission,
+  type LeaseCommand,
+  type LeaseState,
+} from '../state/index.js';
+import type { DaemonConsensus } from './DaemonConsensus.js';
+
+/** Submissions that race are worked out anew this often before the caller is asked to resend. */
+const SUBMIT_TRIES = 4;
+
+/** A replica's name: its id without the part that a new data folder changes. */
+export function replicaName(replica: string): string {
+  return replica.split('.')[0] ?? replica;
+}
+
+/** A question about a lease. `observe` only asks who holds it. */
+export interface LeaseAsk {
+  readonly group: string;
+  readonly holder: string;
+  readonly durationMs: number;
+  readonly after: LeaseCommand['after'];
+  readonly observe: boolean;
+}
+
+/** Answer to a {@link LeaseAsk}. */
+export type LeaseReply =
+  | { readonly result: 'granted'; readonly lease: LeaseGrant; readonly renewals: number }
+  | { readonly result: 'held'; readonly lease: LeaseState }
+  | { readonly result: 'failed' };
+
+/** Services that only the leader gives. */
+export class DaemonControlService {
+  readonly #consensus: DaemonConsensus;
+
+  readonly #log: Logger;
+
+  constructor(consensus: DaemonConsensus, log: Logger) {
+    this.#consensus = consensus;
+    this.#log = log;
+  }
+
+  /** Accepts a manifest, or says why not. `accepted` is said only once a quorum has committed. */
+  async submit(manifest: Manifest): Promise<SubmitReply> {
+    const { fleet, version } = manifest;
+    const digest = digestManifest(manifest);
+    const entries = flattenManifest(manifest);
+    const attempt = async (triesLeft: number): Promise<SubmitReply> => {
+      // Confirms that this replica leads and has applied all that was accepted before.
+      if ((await this.#consensus.readIndex()) === null) {
+        return { result: 'unavailable', reason: 'no leader with a quorum' };
+      }
+      const { control } = this.#consensus;
+      const judged = judgeSubmission(control, fleet, version, digest);
+      if (judged !== 'new') {
+        return judged;
+      }
+      const result = await this.#consensus.propose({
+        kind: 'submit',
+        fleet,
+        version,
+        digest,
+        base: control.fleets[fleet]?.version ?? 0,
+        ...diffEntries(entriesOfFleet(control.config.entries, fleet), entries),
+      });
+      if (result?.result === 'stale' && triesLeft > 1) {
+        return attempt(triesLeft - 1);
+      }
+      return result === null || !('fleet' in result)
+        ? {
+            result: 'unavailable',
+            reason: 'not decided in time; submit again to learn the outcome',
+          }
+        : result;
+    };
+    const reply = await attempt(SUBMIT_TRIES);
+    this.#log.info({ event: 'submit', fleet, version, digest, result: reply.result }, 'submission');
+    return reply;
+  }
+
+  /** Grants or renews a lease, or says who holds it. */
+  async askLease(ask: LeaseAsk): Promise<LeaseReply> {
+    const held = this.#consensus.control.leases[ask.group];
+    const seen = held ?? { token: 0, renewals: 0 };
+    const changed = seen.token !== ask.after.token || seen.renewals !== ask.after.renewals;
+    if (held !== undefined && (ask.observe || changed)) {
+      return { result: 'held', lease: held };
+    }
+    const { group, holder, durationMs, after } = ask;
+    const result = await this.#consensus.propose({
+      kind: 'lease',
+      group,
+      holder,
+      durationMs,
+      after,
+    });
+    if (result?.result === 'granted') {
+      const { token } = result.lease;
+      const renewals = token === after.token ? after.renewals + 1 : 0;
+      this.#log.info({ event: 'lease', group, holder, token, renewals }, 'lease granted');
+      return { ...result, renewals };
+    }
+    return result?.result === 'held' ? result : { result: 'failed' };
+  }
+
+  /** Takes a replica in as a learner; it is promoted by {@link tendMembers}. */
+  async join(replica: string): Promise<boolean> {
+    const { members } = this.#consensus.state;
+    if (members.voters.includes(replica) || members.learners.includes(replica)) {
+      return true;
+    }
+    const name = replicaName(replica);
+    const learners = members.learners.filter((id) => replicaName(id) !== name);
+    const result = await this.#consensus.changeMembers({
+      voters: members.voters,
+      learners: [...learners, replica],
+    });
+    this.#log.info({ event: 'join', replica, taken: result !== null }, 'replica joins');
+    return result !== null;
+  }
+
+  /**
+   * Promotes learners that have caught up, then drops the voters whose place they took.
+   *
+   * Failure: a replica loses its data folder. Symptom: as an empty voter it could vote twice in a
+   * term, or count as holding what it forgot. Enough: it returns under a new identity without a
+   * vote, gets one only with the whole log, and voters change one at a time.
+   */
+  async tendMembers(): Promise<void> {
+    const { state } = this.#consensus;
+    if (state.role !== 'leader') {
+      return;
+    }
+    const { voters, learners } = state.members;
+    const newest = voters.filter((id, i) =>
+      voters.slice(i + 1).every((other) => replicaName(other) !== replicaName(id)),
+    );
+    if (newest.length < voters.length) {
+      const dropped = voters.find((id) => !newest.includes(id));
+      const kept = voters.filter((id) => id !== dropped);
+      await this.#consensus.changeMembers({ voters: kept, learners });
+      this.#log.info({ event: 'voter', dropped }, 'voter dropped');
+      return;
+    }
+    const ready = learners.find((id) => (state.progress[id]?.match ?? 0) >= state.commit);
+    if (ready !== undefined && state.commit > 0) {
+      await this.#consensus.changeMembers({
+        voters: [...voters, ready],
+        learners: learners.filter((id) => id !== ready),
+      });
+      this.#log.info({ event: 'voter', promoted: ready }, 'learner promoted');
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/DaemonEndpoint.ts
@@ -0,0 +1,144 @@
+/** Composition root of role `endpoint`: the gate in front of one engine. */
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { Agent } from 'undici';
+import type { EndpointOffer } from '../protocol/index.js';
+import { serveHttp } from '../transport/index.js';
+import { DaemonCoordinator } from './DaemonCoordinator.js';
+import { DaemonGate } from './DaemonGate.js';
+import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
+import { createApp, every, type Runtime } from './DaemonRuntime.js';
+import type { EndpointSettings } from './DaemonSettings.js';
+
+const TICK_MS = 500;
+
+/** A leaving process waits this long with nothing in progress, so that late attempts are refused
+ * in so many words instead of meeting a closed port. In ms. */
+const LINGER_MS = 1_500;
+
+interface Cradle {
+  readonly agent: Agent;
+  readonly hubLink: DaemonHubLink;
+  readonly gate: DaemonGate;
+  readonly coordinator: DaemonCoordinator | null;
+}
+
+function offerOf(cfg: EndpointSettings): EndpointOffer {
+  const { fleet, service, slots, group, ranks } = cfg;
+  return {
+    fleet,
+    service,
+    slots,
+    ...(group === undefined || ranks === undefined ? {} : { group, ranks }),
+  };
+}
+
+function compose(
+  cfg: EndpointSettings,
+  runtime: Runtime,
+  signal: AbortSignal,
+  onDrained: () => void,
+): Cradle {
+  const { log, now } = runtime;
+  const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
+  container.register({
+    agent: asValue(new Agent({ headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } })),
+    hubLink: asFunction(
+      () =>
+        new DaemonHubLink({
+          targets: preferOwn(cfg.control, cfg['zone-control']),
+          record: {
+            id: cfg.id,
+            role: 'endpoint',
+            zone: cfg.zone,
+            address: `${cfg.http.host}:${cfg.http.port}`,
+            incarnation: runtime.incarnation,
+            version: 0,
+            status: 'serving',
+            offer: offerOf(cfg),
+          },
+          log,
+          signal,
+          random: runtime.random,
+          onConfig: (config) => {
+            const { gate, hubLink } = container.cradle;
+            gate.renew(hubLink.record.incarnation);
+            gate.input({ type: 'ready' });
+            log.info({ event: 'config', index: config.index }, 'configuration in force');
+          },
+          onDirectory: () => undefined,
+        }),
+    ).singleton(),
+    gate: asFunction(
+      ({ agent, hubLink }: Cradle) =>
+        new DaemonGate({
+          runtime,
+          agent,
+          engine: cfg.engine,
+          slots: cfg.slots,
+          record: () => hubLink.record,
+          onDrained,
+        }),
+    ).singleton(),
+    coordinator: asFunction(({ hubLink }: Cradle) =>
+      cfg.group === undefined
+        ? null
+        : new DaemonCoordinator({ self: cfg.id, group: cfg.group, hubLink, log, now }),
+    ).singleton(),
+  });
+  return container.cradle;
+}
+
+/** Leaves: says so, refuses new work, and waits for all attempts in progress. */
+async function leave(
+  { hubLink, gate }: Cradle,
+  runtime: Runtime,
+  drained: Promise<void>,
+): Promise<void> {
+  hubLink.announce({ status: 'leaving' });
+  const report = setInterval(() => {
+    const waitsFor = [...gate.state.running].map(([key, { customer }]) => `${key} (${customer})`);
+    runtime.log.info({ event: 'draining', waitsFor }, 'waiting for attempts in progress');
+  }, 1_000);
+  gate.input({ type: 'leave' });
+  await drained;
+  clearInterval(report);
+  await new Promise((resolve) => {
+    setTimeout(resolve, LINGER_MS);
+  });
+}
+
+/** Runs an endpoint process until the signal, then until its attempts have ended. */
+export async function runEndpoint(
+  cfg: EndpointSettings,
+  runtime: Runtime,
+  signal: AbortSignal,
+): Promise<void> {
+  const stop = new AbortController();
+  let onDrained: () => void = () => undefined;
+  const drained = new Promise<void>((resolve) => {
+    onDrained = resolve;
+  });
+  const cradle = compose(cfg, runtime, stop.signal, () => onDrained());
+  const { gate, hubLink, coordinator } = cradle;
+  const app = createApp(runtime, () => ({
+    ready: gate.state.phase === 'serving',
+    reason: gate.state.phase,
+  }));
+  gate.addApi(app);
+  await serveHttp(app, cfg.http, stop.signal);
+  every(TICK_MS, stop.signal, () => {
+    gate.input({ type: 'tick' });
+    if (hubLink.isUp) {
+      coordinator?.tick();
+    }
+  });
+  runtime.log.info({ event: 'listening', http: cfg.http }, 'endpoint is up');
+  await new Promise<void>((resolve) => {
+    signal.addEventListener('abort', () => resolve(), { once: true });
+  });
+  const limit = new Promise<void>((resolve) => {
+    setTimeout(resolve, cfg['drain-ms']).unref();
+  });
+  await leave(cradle, runtime, Promise.race([drained, limit]));
+  stop.abort();
+}
--- /dev/null
+++ b/src/daemon/DaemonEntry.ts
@@ -0,0 +1,81 @@
+/** Composition root of role `entry`: callers' requests. */
+import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { Agent } from 'undici';
+import { serveHttp } from '../transport/index.js';
+import { addCallerApi } from './DaemonEntryApi.js';
+import { DaemonEntryState } from './DaemonEntryState.js';
+import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
+import { createApp, every, type Runtime } from './DaemonRuntime.js';
+import type { EntrySettings } from './DaemonSettings.js';
+
+const TICK_MS = 250;
+
+/** Connections to one gate. More calls than this wait for one, and count as in flight. */
+const CONNECTIONS_PER_GATE = 256;
+
+interface Cradle {
+  readonly hubLink: DaemonHubLink;
+  readonly state: DaemonEntryState;
+  readonly agent: Agent;
+}
+
+function compose(cfg: EntrySettings, runtime: Runtime, signal: AbortSignal): Cradle {
+  const { log } = runtime;
+  const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
+  container.register({
+    state: asFunction(() => new DaemonEntryState(cfg.zone, runtime)).singleton(),
+    agent: asValue(
+      new Agent({
+        connections: CONNECTIONS_PER_GATE,
+        // The request's own deadline ends it; a long pause between tokens is not a fault here.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        keepAliveTimeout: 30_000,
+        connect: { timeout: 1_000 },
+      }),
+    ),
+    hubLink: asFunction(
+      ({ state }: Cradle) =>
+        new DaemonHubLink({
+          targets: preferOwn(cfg.control, cfg['zone-control']),
+          record: {
+            id: cfg.id,
+            role: 'entry',
+            zone: cfg.zone,
+            address: `${cfg.http.host}:${cfg.http.port}`,
+            incarnation: runtime.incarnation,
+            version: 0,
+            status: 'serving',
+          },
+          log,
+          signal,
+          random: runtime.random,
+          onConfig: (config) => state.onConfig(config),
+          onDirectory: (delta) => state.onDirectory(delta),
+        }),
+    ).singleton(),
+  });
+  return container.cradle;
+}
+
+/** Runs an entry process until the signal, then until no request is in progress. */
+export async function runEntry(
+  cfg: EntrySettings,
+  runtime: Runtime,
+  signal: AbortSignal,
+): Promise<void> {
+  const stop = new AbortController();
+  const { hubLink, state, agent } = compose(cfg, runtime, stop.signal);
+  const app = createApp(runtime, () => {
+    const ready = state.isReady && !signal.aborted;
+    return { ready, reason: signal.aborted ? 'leaving' : state.readiness };
+  });
+  addCallerApi(app, { id: cfg.id, runtime, state, agent, hubLink });
+  await serveHttp(app, cfg.http, stop.signal);
+  every(TICK_MS, stop.signal, () => state.tick());
+  runtime.log.info({ event: 'listening', http: cfg.http }, 'entry is up');
+  signal.addEventListener('abort', () => hubLink.announce({ status: 'leaving' }), { once: true });
+  await state.drained(signal, cfg['drain-ms']);
+  stop.abort();
+  await agent.close();
+}
--- /dev/null
+++ b/src/daemon/DaemonEntryCall.ts
@@ -0,0 +1,332 @@
+/** Drives one request's attempts: routes, sends to gates, and delivers the one answer. */
+import type { ServerResponse } from 'node:http';
+import type { Context } from 'koa';
+import type { Dispatcher } from 'undici';
+import {
+  startAttempts,
+  stepAttempts,
+  type AttemptInput,
+  type AttemptOutput,
+  type AttemptState,
+  type AttemptStep,
+} from '../coordination/index.js';
+import {
+  HOP_HEADERS,
+  isErrorCode,
+  type RequestError,
+  type AnswerFrame,
+  type Customer,
+  type ErrorBody,
+  type MemberRecord,
+  type RevokeReply,
+} from '../protocol/index.js';
+import { FRAMES_TYPE, readFrames } from '../transport/index.js';
+import type { CallerApiOptions } from './DaemonEntryApi.js';
+import { answerError } from './DaemonRuntime.js';
+
+/** How long a gate may take to acknowledge a revocation before the outcome is unknown. In ms. */
+const REVOKE_MS = 1_000;
+
+/** A request as read from its caller. */
+export interface CallSpec {
+  readonly customer: Customer;
+  readonly service: string;
+  readonly prefix: number | null;
+  readonly streamed: boolean;
+  readonly repeatable: boolean;
+  /** ms on the local monotonic clock. */
+  readonly deadline: number;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+type Performers = {
+  readonly [T in AttemptOutput['type']]: (output: Extract<AttemptOutput, { type: T }>) => void;
+};
+
+/** One request in progress. */
+export class DaemonEntryCall {
+  readonly #options: CallerApiOptions;
+
+  readonly #request: string;
+
+  readonly #spec: CallSpec;
+
+  readonly #ctx: Context;
+
+  readonly #res: ServerResponse;
+
+  readonly #startedAt: number;
+
+  readonly #aborts = new Map<number, AbortController>();
+
+  /** Frame that a `deliver` output is about. */
+  #frame: AnswerFrame | null = null;
+
+  /** Parts of an answer that is sent whole. */
+  #parts: Uint8Array[] = [];
+
+  #status = 200;
+
+  #contentType = '';
+
+  #state: AttemptState;
+
+  #outcome = 'whole';
+
+  /** Resolves `run`. */
+  #finish: (() => void) | null = null;
+
+  readonly #performers: Performers = {
+    route: ({ exclude }) => this.#route(exclude),
+    send: ({ endpoint, attempt }) => {
+      this.#send(endpoint, attempt).catch((err: unknown) => {
+        this.#options.runtime.log.error({ err, request: this.#request }, 'attempt failed');
+        this.#input({ type: 'lost', attempt });
+      });
+    },
+    revoke: ({ endpoint, attempt }) => {
+      this.#revoke(endpoint, attempt).catch(() => this.#input({ type: 'revokeFailed', attempt }));
+    },
+    deliver: () => this.#deliver(),
+    reset: () => {
+      this.#parts = [];
+    },
+    cancel: ({ attempt }) => this.#aborts.get(attempt)?.abort(),
+    finish: () => this.#answerWhole(),
+    fail: ({ error }) => this.#answerError(error),
+  };
+
+  constructor(options: CallerApiOptions, request: string, spec: CallSpec, ctx: Context) {
+    this.#options = options;
+    this.#request = request;
+    this.#spec = spec;
+    this.#ctx = ctx;
+    this.#res = ctx.res;
+    this.#startedAt = options.runtime.now();
+    this.#state = startAttempts(request, spec.repeatable, spec.deadline).state;
+  }
+
+  /** Runs the request until its final answer has been handed over. */
+  async run(): Promise<void> {
+    const { state, runtime } = this.#options;
+    const { customer, deadline } = this.#spec;
+    state.begin(this.#request, customer.name);
+    const timer = setTimeout(() => this.#input({ type: 'deadline' }), deadline - runtime.now());
+    const onClose = () => this.#input({ type: 'callerGone' });
+    this.#res.once('close', onClose);
+    try {
+      await new Promise<void>((resolve) => {
+        this.#finish = resolve;
+        this.#take(startAttempts(this.#request, this.#spec.repeatable, deadline));
+      });
+    } finally {
+      clearTimeout(timer);
+      this.#res.removeListener('close', onClose);
+      this.#aborts.forEach((abort) => abort.abort());
+      state.end(this.#request, customer.name, this.#outcome);
+    }
+  }
+
+  #input(input: AttemptInput): void {
+    const { state, runtime } = this.#options;
+    const wasOpen = this.#state.phase !== 'finished';
+    this.#take(
+      stepAttempts(this.#state, input, {
+        now: runtime.now(),
+        takeRetry: () => state.takeRetry(this.#spec.service),
+      }),
+    );
+    if (input.type === 'callerGone' && wasOpen) {
+      this.#outcome = 'caller_gone';
+      this.#finish?.();
+    }
+  }
+
+  #take({ state, outputs }: AttemptStep): void {
+    this.#state = state;
+    outputs.forEach((output) => this.#performers[output.type](output as never));
+  }
+
+  #route(exclude: readonly string[]): void {
+    const { service, prefix } = this.#spec;
+    const { endpoint } = this.#options.state.route(
+      { service, prefix, exclude },
+      this.#request,
+      this.#state.attempt,
+    );
+    this.#input({ type: 'routed', endpoint });
+  }
+
+  #hopHeaders(endpoint: MemberRecord, attempt: number): Record<string, string> {
+    const { runtime, hubLink } = this.#options;
+    const { customer, path, method, deadline, contentType } = this.#spec;
+    return {
+      'content-type': contentType,
+      [HOP_HEADERS.request]: this.#request,
+      [HOP_HEADERS.attempt]: String(attempt),
+      [HOP_HEADERS.sender]: String(hubLink.record.incarnation),
+      [HOP_HEADERS.target]: String(endpoint.incarnation),
+      [HOP_HEADERS.path]: path,
+      [HOP_HEADERS.method]: method,
+      [HOP_HEADERS.deadline]: String(Math.max(0, Math.round(deadline - runtime.now()))),
+      [HOP_HEADERS.customer]: customer.name,
+    };
+  }
+
+  async #send(endpoint: MemberRecord, attempt: number): Promise<void> {
+    const { state, agent } = this.#options;
+    const abort = new AbortController();
+    this.#aborts.set(attempt, abort);
+    state.updateRouting({ type: 'sent', id: endpoint.id });
+    let result: 'whole' | 'refused' | 'failed' | 'cancelled' = 'failed';
+    try {
+      const response = await agent.request({
+        origin: `http://${endpoint.address}`,
+        path: '/v1/attempts',
+        method: 'POST',
+        headers: this.#hopHeaders(endpoint, attempt),
+        body: this.#spec.body,
+        signal: abort.signal,
+      });
+      const framed = response.headers['content-type'] === FRAMES_TYPE;
+      result = framed
+        ? await this.#readAnswer(response, endpoint, attempt)
+        : await this.#readRefusal(response, attempt);
+    } catch (err) {
+      const { code } = err as { code?: string };
+      const unsent = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+      this.#input(unsent ? { type: 'unsent', attempt } : { type: 'lost', attempt });
+    } finally {
+      this.#aborts.delete(attempt);
+      state.updateRouting({
+        type: 'done',
+        id: endpoint.id,
+        result: abort.signal.aborted ? 'cancelled' : result,
+      });
+    }
+  }
+
+  async #readRefusal(
+    response: Dispatcher.ResponseData,
+    attempt: number,
+  ): Promise<'refused' | 'failed'> {
+    const { error } = (await response.body.json()) as ErrorBody;
+    if (error.outcome === 'not_run' && isErrorCode(error.code)) {
+      this.#input({ type: 'refused', attempt, code: error.code });
+      return 'refused';
+    }
+    this.#input({ type: 'lost', attempt });
+    return 'failed';
+  }
+
+  async #readAnswer(
+    response: Dispatcher.ResponseData,
+    endpoint: MemberRecord,
+    attempt: number,
+  ): Promise<'whole' | 'failed'> {
+    const frames = readFrames(response.body);
+    try {
+      // eslint-disable-next-line no-restricted-syntax -- a stream has no other way to be read in step
+      for await (const frame of frames) {
+        this.#frame = frame;
+        this.#input({ type: frame.kind, frame } as AttemptInput);
+        if (frame.kind === 'end') {
+          this.#options.state.updateRouting({
+            type: 'report',
+            id: endpoint.id,
+            load: frame.load,
+          });
+          return frame.whole ? 'whole' : 'failed';
+        }
+        if (this.#res.writableNeedDrain) {
+          await new Promise((resolve) => {
+            this.#res.once('drain', resolve);
+            this.#res.once('close', resolve);
+          });
+        }
+      }
+    } catch {
+      // The body broke off; what that means is decided below.
+    }
+    this.#input({ type: 'cut', attempt });
+    return 'failed';
+  }
+
+  async #revoke(endpoint: MemberRecord, attempt: number): Promise<void> {
+    const response = await this.#options.agent.request({
+      origin: `http://${endpoint.address}`,
+      path: '/v1/attempts/revoke',
+      method: 'POST',
+      headers: this.#hopHeaders(endpoint, attempt),
+      signal: AbortSignal.timeout(REVOKE_MS),
+    });
+    const { state } = (await response.body.json()) as RevokeReply;
+    this.#input({ type: 'revokeReply', attempt, state });
+  }
+
+  /** Hands over the frame at hand: streams go on at once, other answers wait to be whole. */
+  #deliver(): void {
+    const frame = this.#frame;
+    if (frame?.kind === 'head') {
+      this.#status = frame.status;
+      this.#contentType = frame.contentType;
+      this.#options.state.observeFirstByte(this.#options.runtime.now() - this.#startedAt);
+      if (frame.streamed) {
+        this.#ctx.respond = false;
+        this.#res.writeHead(frame.status, {
+          'content-type': frame.contentType,
+          'cache-control': 'no-cache',
+        });
+      }
+    } else if (frame?.kind === 'data') {
+      if (this.#res.headersSent) {
+        this.#res.write(frame.bytes);
+      } else {
+        this.#parts.push(frame.bytes);
+      }
+    }
+  }
+
+  #answerWhole(): void {
+    if (this.#res.headersSent) {
+      this.#res.end();
+    } else {
+      this.#ctx.status = this.#status;
+      this.#ctx.type = this.#contentType;
+      this.#ctx.body = Buffer.concat(this.#parts);
+    }
+    this.#log('whole');
+    this.#finish?.();
+  }
+
+  /** A stream that has begun ends with an error event and without its final event. */
+  #answerError(error: RequestError): void {
+    this.#outcome = error.outcome;
+    if (this.#res.headersSent) {
+      this.#res.end(`event: error\ndata: ${JSON.stringify(error.toBody(this.#request))}\n\n`);
+    } else {
+      answerError(this.#ctx, error, this.#request);
+    }
+    this.#log(error.outcome, error.code);
+    this.#finish?.();
+  }
+
+  #log(outcome: string, code?: string): void {
+    const { runtime } = this.#options;
+    runtime.log.info(
+      {
+        event: 'answer',
+        request: this.#request,
+        customer: this.#spec.customer.name,
+        attempts: this.#state.attempt,
+        outcome,
+        code,
+        ms: Math.round(runtime.now() - this.#startedAt),
+      },
+      'answered',
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/DaemonEntryState.ts
@@ -0,0 +1,202 @@
+/** Task that owns what an entry process knows: configuration, members, routing and admission. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { Counter, Gauge, Histogram } from 'prom-client';
+import {
+  admit,
+  EMPTY_ADMISSION,
+  LOGGED_CANDIDATES,
+  initRouting,
+  mergeDelta,
+  pruneView,
+  release,
+  routeRequest,
+  servingMembers,
+  takeRetry,
+  updateRouting,
+  type AdmissionState,
+  type MembershipView,
+  type RoutingDecision,
+  type RoutingInput,
+  type RoutingRequest,
+  type RoutingState,
+} from '../coordination/index.js';
+import { RequestError, type Customer, type DirectoryDelta } from '../protocol/index.js';
+import { EMPTY_CONFIG, viewConfig, type ConfigState, type ConfigView } from '../state/index.js';
+import type { Runtime } from './DaemonRuntime.js';
+
+/** How often a process that drains says what it waits for. In ms. */
+const DRAIN_REPORT_MS = 1_000;
+
+/** State of an entry process; each part is replaced whole. */
+export class DaemonEntryState {
+  readonly #runtime: Runtime;
+
+  readonly #requests: Counter<'outcome'>;
+
+  readonly #firstByte: Histogram;
+
+  readonly #gauge: Gauge;
+
+  readonly #inProgress = new Map<string, string>();
+
+  #view: MembershipView = new Map();
+
+  #config: ConfigView = viewConfig(EMPTY_CONFIG);
+
+  #routing: RoutingState;
+
+  #admission: AdmissionState = EMPTY_ADMISSION;
+
+  #entryHosts = 1;
+
+  constructor(zone: string, runtime: Runtime) {
+    this.#runtime = runtime;
+    this.#routing = initRouting(zone);
+    const registers = [runtime.registry];
+    this.#requests = new Counter({
+      name: 'laburnumgauge_requests_total',
+      help: 'Requests ended, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    });
+    this.#firstByte = new Histogram({
+      name: 'laburnumgauge_first_byte_seconds',
+      help: 'Time to the first byte of the answer',
+      buckets: [0.01, 0.05, 0.1, 0.2, 0.4, 0.63, 1, 2, 5],
+      registers,
+    });
+    this.#gauge = new Gauge({
+      name: 'laburnumgauge_requests_in_progress',
+      help: 'Requests in progress',
+      registers,
+    });
+  }
+
+  get config(): ConfigView {
+    return this.#config;
+  }
+
+  get isReady(): boolean {
+    return this.readiness === 'ready';
+  }
+
+  /** What is missing to be ready, or `ready`. */
+  get readiness(): string {
+    if (this.#config.index === 0) {
+      return 'no configuration from a control process yet';
+    }
+    return this.#routing.endpoints.size === 0 ? 'no endpoint known yet' : 'ready';
+  }
+
+  onConfig(config: ConfigState): void {
+    this.#config = viewConfig(config);
+    this.#runtime.log.info({ event: 'config', index: config.index }, 'configuration in force');
+  }
+
+  onDirectory(delta: DirectoryDelta): void {
+    this.#setView(mergeDelta(this.#view, delta, this.#runtime.now()));
+  }
+
+  /** Drops members that have been missing for too long. */
+  tick(): void {
+    const view = pruneView(this.#view, this.#runtime.now());
+    if (view !== this.#view) {
+      this.#setView(view);
+    }
+  }
+
+  /** Takes a request in. @throws {RequestError} if the customer is at its limit. */
+  admit(customer: Customer, service: string): void {
+    const { state, error } = admit(this.#admission, customer, service, this.#entryHosts);
+    this.#admission = state;
+    if (error !== null) {
+      throw error;
+    }
+  }
+
+  begin(request: string, customer: string): void {
+    this.#inProgress.set(request, customer);
+    this.#gauge.set(this.#inProgress.size);
+  }
+
+  /** Ends a request that was taken in. */
+  end(request: string, customer: string, outcome: string): void {
+    this.#inProgress.delete(request);
+    this.#gauge.set(this.#inProgress.size);
+    this.#admission = release(this.#admission, customer);
+    this.#requests.inc({ outcome });
+  }
+
+  observeFirstByte(ms: number): void {
+    this.#firstByte.observe(ms / 1000);
+  }
+
+  takeRetry(service: string): boolean {
+    const { state, allowed } = takeRetry(this.#admission, service);
+    this.#admission = state;
+    return allowed;
+  }
+
+  /** Chooses an endpoint, and writes down why. */
+  route(req: RoutingRequest, request: string, attempt: number): RoutingDecision {
+    const { rng, log } = this.#runtime;
+    const decision = routeRequest(this.#routing, req, this.#runtime.now(), rng);
+    log.info(
+      {
+        event: 'route',
+        request,
+        attempt,
+        service: req.service,
+        endpoint: decision.endpoint?.id ?? null,
+        reason: decision.reason,
+        of: decision.candidates.length,
+        candidates: decision.candidates
+          .slice(0, LOGGED_CANDIDATES)
+          .map(({ id, score }) => `${id}=${score.toFixed(3)}`),
+      },
+      'routing decision',
+    );
+    return decision;
+  }
+
+  updateRouting(input: RoutingInput): void {
+    this.#routing = updateRouting(this.#routing, input, this.#runtime.now());
+  }
+
+  /** The customer of a request. @throws {RequestError} if there is none by that name. */
+  customer(name: string | undefined): Customer {
+    const customer = name === undefined ? undefined : this.#config.customers.get(name);
+    if (customer === undefined) {
+      throw new RequestError('unknown_customer', `no customer "${name ?? ''}" in the manifest`);
+    }
+    return customer;
+  }
+
+  /** Resolves once the signal has come and nothing is in progress, or after a time limit. */
+  async drained(signal: AbortSignal, limitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      signal.addEventListener('abort', () => resolve(), { once: true });
+    });
+    const until = this.#runtime.now() + limitMs;
+    const wait = async (): Promise<void> => {
+      if (this.#inProgress.size === 0 || this.#runtime.now() > until) {
+        return;
+      }
+      const waitsFor = [...this.#inProgress].slice(0, 10).map(([id, name]) => `${id} (${name})`);
+      this.#runtime.log.info(
+        { event: 'draining', inProgress: this.#inProgress.size, waitsFor },
+        'waiting for requests in progress',
+      );
+      await delay(DRAIN_REPORT_MS);
+      await wait();
+    };
+    await wait();
+  }
+
+  #setView(view: MembershipView): void {
+    this.#view = view;
+    const records = servingMembers(view);
+    this.#entryHosts = records.filter(({ role }) => role === 'entry').length;
+    this.updateRouting({ type: 'members', records });
+  }
+}
--- /dev/null
+++ b/src/daemon/DaemonGate.ts
@@ -0,0 +1,201 @@
+/** Task of the gate in front of an engine: its HTTP interface towards entry processes. */
+import type { Context } from 'koa';
+import type Koa from 'koa';
+import type { Agent } from 'undici';
+import {
+  initGate,
+  stepGate,
+  type GateInput,
+  type GateOutput,
+  type GateState,
+} from '../coordination/index.js';
+import {
+  HOP_HEADERS,
+  RequestError,
+  type LoadReport,
+  type MemberRecord,
+  type RevokeReply,
+} from '../protocol/index.js';
+import { FRAMES_TYPE, FrameWriter, headerOf, readBody } from '../transport/index.js';
+import { relayEvents, relayWhole } from './DaemonGateRelay.js';
+import { answerError, type Runtime } from './DaemonRuntime.js';
+
+/** What the task needs. */
+export interface GateOptions {
+  readonly runtime: Runtime;
+  readonly agent: Agent;
+  /** URL of the engine. */
+  readonly engine: string;
+  readonly slots: number;
+  readonly record: () => MemberRecord;
+  readonly onDrained: () => void;
+}
+
+interface Hop {
+  readonly key: string;
+  readonly request: string;
+  readonly attempt: number;
+  readonly target: number;
+  readonly customer: string;
+  readonly path: string;
+  readonly method: string;
+  readonly deadlineMs: number;
+}
+
+function readHop(ctx: Context): Hop {
+  const get = (name: string): string => headerOf(ctx.req, name) ?? '';
+  const request = get(HOP_HEADERS.request);
+  const attempt = Number(get(HOP_HEADERS.attempt));
+  const target = Number(get(HOP_HEADERS.target));
+  if (request === '' || !Number.isInteger(attempt) || !Number.isInteger(target)) {
+    throw new RequestError('bad_request', 'headers of an attempt are missing');
+  }
+  return {
+    // The request's id holds the entry process's incarnation, so keys outlive its restarts.
+    key: `${request}#${attempt}`,
+    request,
+    attempt,
+    target,
+    customer: get(HOP_HEADERS.customer),
+    path: get(HOP_HEADERS.path),
+    method: get(HOP_HEADERS.method),
+    deadlineMs: Number(get(HOP_HEADERS.deadline)),
+  };
+}
+
+/** The gate. */
+export class DaemonGate {
+  readonly #options: GateOptions;
+
+  #state: GateState;
+
+  constructor(options: GateOptions) {
+    this.#options = options;
+    this.#state = initGate(options.record().incarnation);
+  }
+
+  get state(): GateState {
+    return this.#state;
+  }
+
+  /** Load as this gate sees it: what runs beyond the slots waits inside the engine. */
+  get load(): LoadReport {
+    const { size } = this.#state.running;
+    const { slots } = this.#options;
+    return { running: Math.min(size, slots), queued: Math.max(0, size - slots), slots };
+  }
+
+  input(input: GateInput): GateOutput | undefined {
+    const { state, outputs } = stepGate(this.#state, input, this.#options.runtime.now());
+    this.#state = state;
+    outputs.filter(({ type }) => type === 'drained').forEach(() => this.#options.onDrained());
+    return outputs[0];
+  }
+
+  /** A hub gave this process a new incarnation; it has run nothing under the old one. */
+  renew(incarnation: number): void {
+    this.#state = { ...this.#state, incarnation };
+  }
+
+  /** Adds the gate's interface to an application. */
+  addApi(app: Koa): void {
+    const routes: Readonly<Record<string, (ctx: Context) => Promise<void> | void>> = {
+      'POST /v1/attempts': async (ctx) => this.#onAttempt(ctx),
+      'POST /v1/attempts/revoke': (ctx) => this.#onRevoke(ctx),
+    };
+    app.use(async (ctx, next) => {
+      const route = routes[`${ctx.method} ${ctx.path}`];
+      if (route === undefined) {
+        await next();
+        return;
+      }
+      try {
+        await route(ctx);
+      } catch (err) {
+        answerError(ctx, err);
+      }
+    });
+  }
+
+  #onRevoke(ctx: Context): void {
+    const { key, target } = readHop(ctx);
+    const output = this.input({ type: 'revoke', key, target });
+    const state = output?.type === 'revoked' ? output.state : 'started';
+    const reply: RevokeReply = { state, incarnation: this.#state.incarnation };
+    ctx.body = reply;
+  }
+
+  async #onAttempt(ctx: Context): Promise<void> {
+    const hop = readHop(ctx);
+    const body = await readBody(ctx.req);
+    const { key, target, customer } = hop;
+    const output = this.input({ type: 'attempt', key, target, customer });
+    if (output?.type === 'refuse') {
+      throw new RequestError(output.code, 'the gate did not start the attempt');
+    }
+    ctx.respond = false;
+    const { res } = ctx;
+    res.writeHead(200, { 'content-type': FRAMES_TYPE });
+    res.flushHeaders();
+    const writer = new FrameWriter(res);
+    const abort = new AbortController();
+    const timer = setTimeout(() => abort.abort(), Math.max(1, hop.deadlineMs));
+    res.once('close', () => abort.abort());
+    try {
+      await this.#run(hop, body, ctx, writer, abort.signal);
+    } finally {
+      clearTimeout(timer);
+      this.input({ type: 'ended', key });
+      res.end();
+    }
+  }
+
+  async #run(
+    hop: Hop,
+    body: Buffer,
+    ctx: Context,
+    writer: FrameWriter,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { runtime, agent, engine } = this.#options;
+    const identity = {
+      request: hop.request,
+      attempt: hop.attempt,
+      incarnation: this.#state.incarnation,
+    };
+    let seq = 0;
+    let reason = 'done';
+    try {
+      const response = await agent.request({
+        origin: engine,
+        path: hop.path,
+        method: hop.method,
+        headers: {
+          'content-type': headerOf(ctx.req, 'content-type') ?? 'application/json',
+          'x-customer': hop.customer,
+          'x-request-id': hop.request,
+        },
+        body: body.length === 0 ? null : body,
+        signal,
+      });
+      const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
+      const streamed = contentType.startsWith('text/event-stream');
+      const head = { kind: 'head', ...identity, seq: 0, status: response.statusCode } as const;
+      writer.write({ ...head, contentType, streamed });
+      const send = (bytes: Buffer, events: number): void => {
+        writer.write({ kind: 'data', ...identity, seq: seq + 1, events, bytes });
+        seq += events;
+      };
+      const relay = streamed ? relayEvents : relayWhole;
+      reason = await relay(response.body, ctx.res, send);
+    } catch (err) {
+      reason = (err as Error).message;
+    }
+    const whole = reason === 'done';
+    writer.write({ kind: 'end', ...identity, seq, whole, reason, load: this.load });
+    runtime.log.info(
+      { event: 'attempt', ...identity, whole, reason, events: seq },
+      'attempt ended',
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/DaemonGateRelay.ts
@@ -0,0 +1,63 @@
+/** Relays an engine's answer as frames, without looking into its events. */
+import type { ServerResponse } from 'node:http';
+import type { Readable } from 'node:stream';
+import { DONE_EVENT, findEvents } from '../transport/index.js';
+
+/** Sends bytes that hold so many whole events. */
+export type SendPart = (bytes: Buffer, events: number) => void;
+
+/** Why a relayed answer ended; `done` if it is whole. */
+export type RelayEnd = 'done' | 'the engine broke off its stream';
+
+async function drain(res: ServerResponse): Promise<void> {
+  await new Promise<void>((resolve) => {
+    res.once('drain', resolve);
+    res.once('close', resolve);
+  });
+}
+
+/**
+ * Relays server-sent events.
+ *
+ * Failure: an engine dies in the middle of a stream, and its connection ends like that of a whole
+ * one. Symptom: half a summary looks finished. Enough: only whole events go on, and the stream is
+ * whole only if its last event is the final one.
+ */
+export async function relayEvents(
+  body: Readable,
+  res: ServerResponse,
+  send: SendPart,
+): Promise<RelayEnd> {
+  let rest: Buffer = Buffer.alloc(0);
+  let done = false;
+  // eslint-disable-next-line no-restricted-syntax -- a stream has no other way to be read in step
+  for await (const chunk of body) {
+    const data = rest.length === 0 ? (chunk as Buffer) : Buffer.concat([rest, chunk as Buffer]);
+    const { end, events } = findEvents(data);
+    if (events > 0) {
+      done = data.subarray(0, end).subarray(-DONE_EVENT.length).equals(Buffer.from(DONE_EVENT));
+      send(data.subarray(0, end), events);
+    }
+    rest = data.subarray(end);
+    if (res.writableNeedDrain) {
+      await drain(res);
+    }
+  }
+  return done && rest.length === 0 ? 'done' : 'the engine broke off its stream';
+}
+
+/** Relays an answer that is not a stream; each part counts as one event. */
+export async function relayWhole(
+  body: Readable,
+  res: ServerResponse,
+  send: SendPart,
+): Promise<RelayEnd> {
+  // eslint-disable-next-line no-restricted-syntax -- a stream has no other way to be read in step
+  for await (const chunk of body) {
+    send(chunk as Buffer, 1);
+    if (res.writableNeedDrain) {
+      await drain(res);
+    }
+  }
+  return 'done';
+}
--- /dev/null
+++ b/src/daemon/DaemonHubLink.ts
@@ -0,0 +1,108 @@
+/** The link of an entry or endpoint process to a control process, its own AZ's first. */
+import type { Logger } from 'pino';
+import type {
+  ConfigDelta,
+  DirectoryDelta,
+  HelloMessage,
+  HelloReply,
+  MemberRecord,
+} from '../protocol/index.js';
+import { applyConfigDelta, EMPTY_CONFIG, type ConfigState } from '../state/index.js';
+import { TransportLinkClient, type TransportLink } from '../transport/index.js';
+import type { ControlTarget } from './DaemonSettings.js';
+
+/** What the task needs. */
+export interface HubLinkOptions {
+  readonly targets: readonly ControlTarget[];
+  readonly record: MemberRecord;
+  readonly log: Logger;
+  readonly signal: AbortSignal;
+  readonly random: () => number;
+  readonly onConfig: (config: ConfigState) => void;
+  readonly onDirectory: (delta: DirectoryDelta) => void;
+}
+
+/** Keeps this process attached, announced and up to date. */
+export class DaemonHubLink {
+  readonly #options: HubLinkOptions;
+
+  readonly #client: TransportLinkClient;
+
+  #record: MemberRecord;
+
+  #config: ConfigState = EMPTY_CONFIG;
+
+  constructor(options: HubLinkOptions) {
+    this.#options = options;
+    this.#record = options.record;
+    this.#client = new TransportLinkClient({
+      targets: options.targets,
+      signal: options.signal,
+      jitter: options.random,
+      handlers: {
+        config: (delta) => this.#onConfig(delta as ConfigDelta),
+        directory: (delta) => options.onDirectory(delta as DirectoryDelta),
+        'config.fetch': () => this.#config,
+      },
+      onUp: async (link) => this.#hello(link),
+    });
+  }
+
+  get record(): MemberRecord {
+    return this.#record;
+  }
+
+  get config(): ConfigState {
+    return this.#config;
+  }
+
+  /** Whether this process is attached now. */
+  get isUp(): boolean {
+    return this.#client.link !== null;
+  }
+
+  /** Announces a change of this process. */
+  announce(change: Partial<Pick<MemberRecord, 'status' | 'offer'>>): void {
+    this.#record = { ...this.#record, ...change, version: this.#record.version + 1 };
+    this.#client.notify('member.announce', this.#record);
+  }
+
+  /** Calls a method of the control process. */
+  async request(method: string, params: unknown): Promise<unknown> {
+    return this.#client.request(method, params);
+  }
+
+  async #hello(link: TransportLink): Promise<void> {
+    // A new version refutes a `gone` that was said while this process wasn't heard.
+    this.#record = { ...this.#record, version: this.#record.version + 1 };
+    const hello: HelloMessage = { record: this.#record, configIndex: this.#config.index };
+    const reply = (await link.request('member.hello', hello)) as HelloReply;
+    if (reply.accepted) {
+      this.#options.log.info({ event: 'attached', to: link.peer }, 'attached');
+      return;
+    }
+    this.#record = { ...this.#record, incarnation: reply.leastIncarnation, version: 0 };
+    throw new Error('incarnation too old');
+  }
+
+  #onConfig(delta: ConfigDelta): void {
+    const { state, result } = applyConfigDelta(this.#config, delta);
+    this.#config = state;
+    if (result === 'gap') {
+      this.#client.link?.notify('config.gap', { held: state.index });
+      return;
+    }
+    if (result === 'applied') {
+      this.#options.onConfig(state);
+    }
+    this.#client.link?.notify('config.applied', { index: state.index });
+  }
+}
+
+/** Puts the control process of the own AZ first: it shares a switch and survives a cut with us. */
+export function preferOwn(
+  targets: readonly ControlTarget[],
+  own: string | undefined,
+): readonly ControlTarget[] {
+  return [...targets].sort((a, b) => Number(b.name === own) - Number(a.name === own));
+}
--- /dev/null
+++ b/src/daemon/DaemonRuntime.ts
@@ -0,0 +1,86 @@
+/** What every role shares: log, clock, randomness, metrics and the signals of its life. */
+import { randomInt } from 'node:crypto';
+import Koa, { type Context } from 'koa';
+import { pino, type Logger } from 'pino';
+import { collectDefaultMetrics, Registry } from 'prom-client';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import { RequestError } from '../protocol/index.js';
+
+/** Shared means of one process. */
+export interface Runtime {
+  readonly log: Logger;
+  readonly registry: Registry;
+  /** Generator of all decisions of this process; its seed is in the log. */
+  readonly rng: RandomGenerator;
+  /** ms on the local monotonic clock. */
+  readonly now: () => number;
+  /** Number from 0 to 1. */
+  readonly random: () => number;
+  /** Incarnation of this process: rises with each start, as far as the clock does. */
+  readonly incarnation: number;
+}
+
+/** Makes the means of a process. */
+export function createRuntime(id: string, role: string, level: string): Runtime {
+  const seed = randomInt(2 ** 31);
+  const rng = xoroshiro128plus(seed);
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const log = pino({ level, base: { id, role }, timestamp: pino.stdTimeFunctions.isoTime });
+  log.info({ event: 'start', seed, pid: process.pid }, 'starting');
+  return {
+    log,
+    registry,
+    rng,
+    now: () => performance.now(),
+    random: () => uniformFloat64(rng),
+    incarnation: Date.now(),
+  };
+}
+
+/** Runs a task at an interval until the signal. */
+export function every(ms: number, signal: AbortSignal, task: () => void): void {
+  const timer = setInterval(task, ms);
+  signal.addEventListener('abort', () => clearInterval(timer), { once: true });
+}
+
+/** Reports whether the process is ready, and if not, why. */
+export type ReadinessCheck = () => { readonly ready: boolean; readonly reason: string };
+
+/** Answers an error as JSON, with when to come back where that helps. */
+export function answerError(ctx: Context, err: unknown, requestId?: string): void {
+  const error =
+    err instanceof RequestError ? err : new RequestError('endpoint_failed', (err as Error).message);
+  ctx.status = error.status;
+  if (error.retryAfterSeconds !== undefined) {
+    ctx.set('retry-after', String(error.retryAfterSeconds));
+  }
+  ctx.body = error.toBody(requestId);
+}
+
+/** A koa application with liveness, readiness and metrics. */
+export function createApp(runtime: Runtime, isReady: ReadinessCheck): Koa {
+  const handlers: Readonly<Record<string, (ctx: Context) => Promise<void> | void>> = {
+    '/livez': (ctx) => {
+      ctx.body = 'ok\n';
+    },
+    '/readyz': (ctx) => {
+      const { ready, reason } = isReady();
+      ctx.status = ready ? 200 : 503;
+      ctx.body = `${reason}\n`;
+    },
+    '/metrics': async (ctx) => {
+      ctx.type = runtime.registry.contentType;
+      ctx.body = await runtime.registry.metrics();
+    },
+  };
+  const app = new Koa();
+  app.on('error', (err: Error) => runtime.log.debug({ err: err.message }, 'http error'));
+  app.use(async (ctx, next) => {
+    const handler = ctx.method === 'GET' ? handlers[ctx.path] : undefined;
+    await (handler === undefined ? next() : handler(ctx));
+  });
+  return app;
+}
--- /dev/null
+++ b/src/daemon/DaemonTestSwitch.ts
@@ -0,0 +1,36 @@
+/** Test switch: cuts this process off from peers by name, silently. Off unless a setting says so. */
+import type Koa from 'koa';
+import { z } from 'zod';
+import { readBody, type LinkSwitch } from '../transport/index.js';
+
+const cutSchema = z.strictObject({ peers: z.array(z.string()) });
+
+/** Which peers are cut off. */
+export class DaemonTestSwitch {
+  readonly #enabled: boolean;
+
+  #peers: ReadonlySet<string> = new Set();
+
+  constructor(enabled: boolean) {
+    this.#enabled = enabled;
+  }
+
+  /** Drops everything from and to the peers that are cut off. */
+  readonly isCut: LinkSwitch = (link) => this.#peers.has(link.peer);
+
+  /** Adds `POST /test/cut` to an application, if the switch is enabled. */
+  addApi(app: Koa): void {
+    if (!this.#enabled) {
+      return;
+    }
+    app.use(async (ctx, next) => {
+      if (ctx.method !== 'POST' || ctx.path !== '/test/cut') {
+        await next();
+        return;
+      }
+      const body = await readBody(ctx.req);
+      this.#peers = new Set(cutSchema.parse(JSON.parse(body.toString('utf8'))).peers);
+      ctx.body = { peers: [...this.#peers] };
+    });
+  }
+}
--- /dev/null
+++ b/src/protocol/ProtocolManifestText.ts
@@ -0,0 +1,69 @@
+/** Reads a manifest from YAML or JSON text; every finding has its line and column. */
+import { LineCounter, parseDocument } from 'yaml';
+import { FindingsError, type Finding } from './ProtocolFindings.js';
+import { manifestSchema, type Manifest } from './ProtocolManifest.js';
+
+interface Place {
+  readonly line: number;
+  readonly column: number;
+}
+
+type YamlDocument = ReturnType<typeof parseDocument>;
+
+interface Ranged {
+  readonly range?: readonly [number, number, number] | null;
+}
+
+/** Place of the deepest node that the path reaches: a missing key is reported at its parent. */
+function findPlace(
+  doc: YamlDocument,
+  lines: LineCounter,
+  path: readonly (string | number)[],
+): Place {
+  let known = path;
+  let node = doc.getIn(known, true) as Ranged | undefined;
+  while (!node?.range && known.length > 0) {
+    known = known.slice(0, -1);
+    node = doc.getIn(known, true) as Ranged | undefined;
+  }
+  const { line, col } = lines.linePos(node?.range?.[0] ?? 0);
+  return { line, column: col };
+}
+
+function formatPath(path: readonly (string | number)[]): string {
+  return path.reduce<string>(
+    (text, part) =>
+      typeof part === 'number' ? `${text}[${part}]` : `${text}${text === '' ? '' : '.'}${part}`,
+    '',
+  );
+}
+
+/**
+ * Parses and checks a manifest.
+ *
+ * @throws {FindingsError} with all findings, each with line and column.
+ */
+export function parseManifest(text: string): Manifest {
+  const lines = new LineCounter();
+  const doc = parseDocument(text, { lineCounter: lines, prettyErrors: false });
+  if (doc.errors.length > 0) {
+    const findings = doc.errors.map((err): Finding => {
+      const { line, col } = lines.linePos(err.pos[0]);
+      return { place: 'syntax', line, column: col, message: err.message };
+    });
+    throw new FindingsError('manifest', findings);
+  }
+  const parsed = manifestSchema.safeParse(doc.toJS());
+  if (parsed.success) {
+    return parsed.data;
+  }
+  const findings = parsed.error.issues.map((issue): Finding => {
+    const path = issue.path.map((part) => (typeof part === 'number' ? part : String(part)));
+    return {
+      place: formatPath(path) || 'manifest',
+      ...findPlace(doc, lines, path),
+      message: issue.message,
+    };
+  });
+  throw new FindingsError('manifest', findings);
+}
--- /dev/null
+++ b/src/protocol/index.ts
@@ -0,0 +1,41 @@
+/** Layer `protocol`: message types, validators and errors. Stands on nothing. */
+export { FindingsError, formatFinding, type Finding } from './ProtocolFindings.js';
+export {
+  manifestSchema,
+  type Customer,
+  type Group,
+  type Manifest,
+  type Service,
+} from './ProtocolManifest.js';
+export { parseManifest } from './ProtocolManifestText.js';
+export {
+  CALLER_HEADERS,
+  HOP_HEADERS,
+  type AnswerFrame,
+  type ConfigDelta,
+  type ConfigEntries,
+  type DataFrame,
+  type DirectoryDelta,
+  type EndFrame,
+  type EndpointOffer,
+  type HeadFrame,
+  type HelloMessage,
+  type HelloReply,
+  type Json,
+  type LeaseGrant,
+  type LoadReport,
+  type MemberRecord,
+  type MemberStatus,
+  type RevokeReply,
+  type Role,
+  type SubmitReply,
+  type SubmitRequest,
+} from './ProtocolMessages.js';
+export {
+  ERROR_CODES,
+  isErrorCode,
+  RequestError,
+  type ErrorBody,
+  type ErrorCode,
+  type Outcome,
+} from './ProtocolRequestError.js';
--- /dev/null
+++ b/src/state/StateConfig.ts
@@ -0,0 +1,162 @@
+/**
+ * Configuration as flat entries, so that a change travels as a small delta: a manifest of 7,300
+ * customers is several hundred KB, a change of one customer's limit about a hundred bytes.
+ */
+import { createHash } from 'node:crypto';
+import type {
+  ConfigDelta,
+  ConfigEntries,
+  Customer,
+  Json,
+  Manifest,
+  Service,
+} from '../protocol/index.js';
+
+/** A configuration and the log index that it stands for. */
+export interface ConfigState {
+  readonly index: number;
+  readonly entries: ConfigEntries;
+}
+
+/** No configuration yet. */
+export const EMPTY_CONFIG: ConfigState = { index: 0, entries: {} };
+
+/** JSON with sorted keys, so that equal values have equal text. */
+export function canonicalJson(value: unknown): string {
+  if (Array.isArray(value)) {
+    return `[${value.map(canonicalJson).join(',')}]`;
+  }
+  if (value !== null && typeof value === 'object') {
+    const body = Object.entries(value)
+      .filter(([, item]) => item !== undefined)
+      .sort(([a], [b]) => (a < b ? -1 : 1))
+      .map(([key, item]) => `${JSON.stringify(key)}:${canonicalJson(item)}`);
+    return `{${body.join(',')}}`;
+  }
+  return JSON.stringify(value);
+}
+
+/** Digest of a manifest's content; key order and white space don't count. */
+export function digestManifest(manifest: Manifest): string {
+  return createHash('sha256').update(canonicalJson(manifest)).digest('hex');
+}
+
+/** Flattens a manifest into entries `fleet/kind/name`. */
+export function flattenManifest(manifest: Manifest): ConfigEntries {
+  const { fleet } = manifest;
+  const named = (kind: string, items: readonly { readonly name: string }[]): [string, Json][] =>
+    items.map((item) => [`${fleet}/${kind}/${item.name}`, item as unknown as Json]);
+  return Object.fromEntries([
+    [`${fleet}/fleet/${fleet}`, { version: manifest.version }],
+    ...named('zone', manifest.availabilityZones),
+    ...named('model', manifest.models),
+    ...named('service', manifest.services),
+    ...named('customer', manifest.customers),
+  ]);
+}
+
+/** What leads from one set of entries to another. */
+export function diffEntries(
+  from: ConfigEntries,
+  to: ConfigEntries,
+): Pick<ConfigDelta, 'set' | 'del'> {
+  const set = Object.entries(to).filter(
+    ([key, value]) =>
+      !Object.hasOwn(from, key) || canonicalJson(from[key]) !== canonicalJson(value),
+  );
+  return {
+    set: Object.fromEntries(set),
+    del: Object.keys(from).filter((key) => !Object.hasOwn(to, key)),
+  };
+}
+
+function omit(entries: ConfigEntries, gone: ReadonlySet<string>): ConfigEntries {
+  return Object.fromEntries(Object.entries(entries).filter(([key]) => !gone.has(key)));
+}
+
+/** Entries after a delta. */
+export function patchEntries(
+  entries: ConfigEntries,
+  delta: Pick<ConfigDelta, 'set' | 'del'>,
+): ConfigEntries {
+  const gone = new Set(delta.del);
+  const kept = gone.size === 0 ? entries : omit(entries, gone);
+  return { ...kept, ...delta.set };
+}
+
+/** Entries of one fleet. */
+export function entriesOfFleet(entries: ConfigEntries, fleet: string): ConfigEntries {
+  const prefix = `${fleet}/`;
+  return Object.fromEntries(Object.entries(entries).filter(([key]) => key.startsWith(prefix)));
+}
+
+/** What became of a delta: `gap` asks for everything since the index held. */
+export type DeltaResult = 'applied' | 'old' | 'gap';
+
+/**
+ * Applies a delta in order of log index.
+ *
+ * Failure: a relay that was frozen wakes and sends an old delta, or a reordered one. Symptom: a
+ * process goes back to an older configuration. Enough: a delta that does not lead past the index
+ * held is dropped, and one that starts beyond it is never applied, so the index only rises.
+ */
+export function applyConfigDelta(
+  state: ConfigState,
+  delta: ConfigDelta,
+): { readonly state: ConfigState; readonly result: DeltaResult } {
+  if (delta.to <= state.index) {
+    return { state, result: 'old' };
+  }
+  if (delta.from === 0) {
+    return { state: { index: delta.to, entries: delta.set }, result: 'applied' };
+  }
+  if (delta.from > state.index) {
+    return { state, result: 'gap' };
+  }
+  if (delta.from < state.index) {
+    // Covers changes already held and newer ones; a partial overlay could undo one of the former.
+    return { state, result: 'gap' };
+  }
+  return {
+    state: { index: delta.to, entries: patchEntries(state.entries, delta) },
+    result: 'applied',
+  };
+}
+
+/** A service with the fleet it belongs to. */
+export interface FleetService {
+  readonly fleet: string;
+  readonly service: Service;
+}
+
+/** Lookup tables that a request needs, derived once a configuration. */
+export interface ConfigView {
+  readonly index: number;
+  readonly byModel: ReadonlyMap<string, FleetService>;
+  /** Plain services, longest path first. */
+  readonly byPath: readonly (readonly [path: string, service: FleetService])[];
+  readonly customers: ReadonlyMap<string, Customer>;
+}
+
+/** Derives the lookup tables. */
+export function viewConfig(config: ConfigState): ConfigView {
+  const byModel = new Map<string, FleetService>();
+  const byPath: [string, FleetService][] = [];
+  const customers = new Map<string, Customer>();
+  Object.entries(config.entries).forEach(([key, value]) => {
+    const [fleet = '', kind] = key.split('/');
+    if (kind === 'customer') {
+      const customer = value as unknown as Customer;
+      customers.set(customer.name, customer);
+    } else if (kind === 'service') {
+      const service = value as unknown as Service;
+      if (service.kind === 'model') {
+        byModel.set(service.model, { fleet, service });
+      } else {
+        byPath.push([service.path, { fleet, service }]);
+      }
+    }
+  });
+  byPath.sort(([a], [b]) => b.length - a.length);
+  return { index: config.index, byModel, byPath, customers };
+}
--- /dev/null
+++ b/src/state/StateControl.ts
@@ -0,0 +1,216 @@
+/**
+ * The replicated state of the control processes. `applyCommand` is the single place where it
+ * changes; every replica applies the same commands in the same order.
+ */
+import type { ConfigDelta, ConfigEntries, LeaseGrant, SubmitReply } from '../protocol/index.js';
+import { EMPTY_CONFIG, patchEntries, type ConfigState } from './StateConfig.js';
+
+/** Deltas kept for processes that missed some; a longer gap is closed by a snapshot. */
+export const DELTA_HISTORY = 512;
+
+/** What has been accepted for one fleet. */
+export interface FleetState {
+  readonly version: number;
+  readonly digest: string;
+  /** Log index by accepted version, with its digest: a resend gets its first answer for good. */
+  readonly accepted: Readonly<Record<number, { readonly digest: string; readonly index: number }>>;
+}
+
+/** A lease as the log knows it: who holds it, never until when, for clocks don't agree. */
+export interface LeaseState {
+  readonly holder: string;
+  readonly token: number;
+  /** Rises with each renewal, so that a rival sees whether the holder still renews. */
+  readonly renewals: number;
+}
+
+/** Replicated state of the control processes. */
+export interface ControlState {
+  readonly index: number;
+  readonly config: ConfigState;
+  readonly deltas: readonly ConfigDelta[];
+  readonly fleets: Readonly<Record<string, FleetState>>;
+  readonly leases: Readonly<Record<string, LeaseState>>;
+  /** Last fencing token given, over all groups. */
+  readonly lastToken: number;
+}
+
+/** A manifest's change, worked out by the leader against `base`. */
+export interface SubmitCommand {
+  readonly kind: 'submit';
+  readonly fleet: string;
+  readonly version: number;
+  readonly digest: string;
+  /** Version of the fleet that the delta starts from; 0 for none. */
+  readonly base: number;
+  readonly set: ConfigEntries;
+  readonly del: readonly string[];
+}
+
+/** Grants or renews a lease; `after` names the lease seen, so that a race has one winner. */
+export interface LeaseCommand {
+  readonly kind: 'lease';
+  readonly group: string;
+  readonly holder: string;
+  readonly durationMs: number;
+  readonly after: { readonly token: number; readonly renewals: number };
+}
+
+/** A command of the log. `noop` is what a new leader commits first. */
+export type ControlCommand = SubmitCommand | LeaseCommand | { readonly kind: 'noop' };
+
+/** Result of a command. `stale`: its base has changed, work it out anew. */
+export type CommandResult =
+  | SubmitReply
+  | { readonly result: 'granted'; readonly lease: LeaseGrant }
+  | { readonly result: 'held'; readonly lease: LeaseState }
+  | { readonly result: 'stale' }
+  | { readonly result: 'done' };
+
+/** State before the first command. */
+export const EMPTY_CONTROL: ControlState = {
+  index: 0,
+  config: EMPTY_CONFIG,
+  deltas: [],
+  fleets: {},
+  leases: {},
+  lastToken: 0,
+};
+
+interface Applied {
+  readonly state: ControlState;
+  readonly result: CommandResult;
+}
+
+/**
+ * Judges a submission against what was accepted, without changing anything.
+ *
+ * Operators race with equal version numbers and resend when an answer is lost. The same digest is
+ * the same submission and gets the answer of the first; another digest is a conflict that names
+ * what was accepted. The table is part of snapshots, so compaction and failover don't forget it.
+ */
+export function judgeSubmission(
+  state: ControlState,
+  fleet: string,
+  version: number,
+  digest: string,
+): SubmitReply | 'new' {
+  const known = state.fleets[fleet];
+  if (known === undefined) {
+    return 'new';
+  }
+  const same = known.accepted[version];
+  if (same !== undefined) {
+    return same.digest === digest
+      ? { result: 'accepted', fleet, version, digest, index: same.index }
+      : {
+          result: 'conflict',
+          fleet,
+          version,
+          acceptedDigest: same.digest,
+          acceptedVersion: version,
+        };
+  }
+  return version > known.version
+    ? 'new'
+    : {
+        result: 'older',
+        fleet,
+        version,
+        acceptedDigest: known.digest,
+        acceptedVersion: known.version,
+      };
+}
+
+function applySubmit(state: ControlState, command: SubmitCommand, index: number): Applied {
+  const { fleet, version, digest } = command;
+  const judged = judgeSubmission(state, fleet, version, digest);
+  if (judged !== 'new') {
+    return { state, result: judged };
+  }
+  const known = state.fleets[fleet];
+  if ((known?.version ?? 0) !== command.base) {
+    return { state, result: { result: 'stale' } };
+  }
+  const delta: ConfigDelta = {
+    from: state.config.index,
+    to: index,
+    set: command.set,
+    del: command.del,
+  };
+  return {
+    state: {
+      ...state,
+      config: { index, entries: patchEntries(state.config.entries, delta) },
+      deltas: [...state.deltas, delta].slice(-DELTA_HISTORY),
+      fleets: {
+        ...state.fleets,
+        [fleet]: {
+          version,
+          digest,
+          accepted: { ...known?.accepted, [version]: { digest, index } },
+        },
+      },
+    },
+    result: { result: 'accepted', fleet, version, digest, index },
+  };
+}
+
+function applyLease(state: ControlState, command: LeaseCommand): Applied {
+  const { group, holder, durationMs, after } = command;
+  const held = state.leases[group];
+  const seen = held ?? { token: 0, renewals: 0 };
+  if (seen.token !== after.token || seen.renewals !== after.renewals) {
+    return held === undefined
+      ? { state, result: { result: 'stale' } }
+      : { state, result: { result: 'held', lease: held } };
+  }
+  const renewal = held?.holder === holder;
+  const token = renewal ? held.token : state.lastToken + 1;
+  const lease: LeaseState = { holder, token, renewals: renewal ? held.renewals + 1 : 0 };
+  return {
+    state: {
+      ...state,
+      leases: { ...state.leases, [group]: lease },
+      lastToken: Math.max(state.lastToken, token),
+    },
+    result: { result: 'granted', lease: { group, holder, token, durationMs } },
+  };
+}
+
+type Handlers = {
+  readonly [K in ControlCommand['kind']]: (
+    state: ControlState,
+    command: Extract<ControlCommand, { kind: K }>,
+    index: number,
+  ) => Applied;
+};
+
+const HANDLERS: Handlers = {
+  submit: applySubmit,
+  lease: applyLease,
+  noop: (state) => ({ state, result: { result: 'done' } }),
+};
+
+/** Applies one committed command; the only place where the replicated state changes. */
+export function applyCommand(state: ControlState, command: ControlCommand, index: number): Applied {
+  const handler = HANDLERS[command.kind] as (
+    state: ControlState,
+    command: ControlCommand,
+    index: number,
+  ) => Applied;
+  const applied = handler(state, command, index);
+  return { state: { ...applied.state, index }, result: applied.result };
+}
+
+/** Deltas that lead from an index to the newest, or one snapshot where they aren't kept. */
+export function deltasSince(state: ControlState, index: number): readonly ConfigDelta[] {
+  if (index === state.config.index) {
+    return [];
+  }
+  const start = state.deltas.findIndex((delta) => delta.from === index);
+  if (index > 0 && start >= 0) {
+    return state.deltas.slice(start);
+  }
+  return [{ from: 0, to: state.config.index, set: state.config.entries, del: [] }];
+}
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,33 @@
+/** Layer `state`: read-only values, each with its single place of change. */
+export {
+  applyConfigDelta,
+  canonicalJson,
+  diffEntries,
+  digestManifest,
+  EMPTY_CONFIG,
+  entriesOfFleet,
+  flattenManifest,
+  patchEntries,
+  viewConfig,
+  type ConfigState,
+  type ConfigView,
+  type DeltaResult,
+  type FleetService,
+} from './StateConfig.js';
+export {
+  applyCommand,
+  DELTA_HISTORY,
+  deltasSince,
+  EMPTY_CONTROL,
+  judgeSubmission,
+  type CommandResult,
+  type ControlCommand,
+  type ControlState,
+  type FleetState,
+  type LeaseCommand,
+  type LeaseState,
+  type SubmitCommand,
+} from './StateControl.js';
+export { StateCorruptError } from './StateCorruptError.js';
+export { StateDataFolder, type Identity } from './StateDataFolder.js';
+export { isNewerRecord, mergeRecords, type Directory } from './StateDirectory.js';
--- /dev/null
+++ b/src/transport/TransportFrames.ts
@@ -0,0 +1,53 @@
+/** The answer of a gate to an entry process: frames by msgpackr in one HTTP body. */
+import type { Readable, Writable } from 'node:stream';
+import { Packr, UnpackrStream } from 'msgpackr';
+import type { AnswerFrame } from '../protocol/index.js';
+
+/** Content type of a body of frames. */
+export const FRAMES_TYPE = 'application/x-laburnumgauge-frames';
+
+/** Writes frames. Records are coded by position, with their names sent once. */
+export class FrameWriter {
+  readonly #packr = new Packr({ sequential: true });
+
+  readonly #out: Writable;
+
+  constructor(out: Writable) {
+    this.#out = out;
+  }
+
+  /** Writes one frame; false once the buffer is full. */
+  write(frame: AnswerFrame): boolean {
+    return this.#out.write(this.#packr.pack(frame));
+  }
+}
+
+/** Reads frames from a body. */
+export function readFrames(body: Readable): AsyncIterable<AnswerFrame> & { destroy: () => void } {
+  const unpacker = new UnpackrStream();
+  body.on('error', (err) => unpacker.destroy(err));
+  body.pipe(unpacker);
+  return unpacker;
+}
+
+const NEWLINE = 0x0a;
+
+/** End of the last whole event in a buffer of server-sent events, and how many there are. */
+export function findEvents(data: Buffer): { readonly end: number; readonly events: number } {
+  let events = 0;
+  let end = 0;
+  let at = data.indexOf(NEWLINE);
+  while (at >= 0 && at + 1 < data.length) {
+    if (data[at + 1] === NEWLINE) {
+      events += 1;
+      end = at + 2;
+      at = data.indexOf(NEWLINE, end);
+    } else {
+      at = data.indexOf(NEWLINE, at + 1);
+    }
+  }
+  return { end, events };
+}
+
+/** Last event of a whole stream of completions. */
+export const DONE_EVENT = 'data: [DONE]\n\n';
--- /dev/null
+++ b/src/transport/TransportLink.ts
@@ -0,0 +1,138 @@
+/**
+ * A link between two of the system's processes: JSON-RPC 2.0 both ways over one TCP connection,
+ * framed and coded by msgpackr.
+ */
+import type { Socket } from 'node:net';
+import { JSONRPCClient, JSONRPCServer, JSONRPCServerAndClient } from 'json-rpc-2.0';
+import { PackrStream, UnpackrStream } from 'msgpackr';
+
+/** Each side sends at least this often. In ms. */
+export const BEAT_MS = 1_000;
+
+/** A link on which nothing was heard for this long is closed. In ms. */
+export const SILENT_MS = 3_000;
+
+/** How long an answer may take unless the caller says otherwise. In ms. */
+export const REPLY_MS = 3_000;
+
+/** Handles one method; what it returns is the reply. */
+export type LinkHandler = (params: unknown, link: TransportLink) => unknown;
+
+/** Handlers by method. */
+export type LinkHandlers = Readonly<Record<string, LinkHandler>>;
+
+/** Test switch of a link: while it says so, messages are dropped silently both ways. */
+export type LinkSwitch = (link: TransportLink) => boolean;
+
+/** One open link. Ends with its socket or its signal. */
+export class TransportLink {
+  /** Name of the peer, as far as it is known; set by who accepts it. */
+  peer: string;
+
+  readonly #socket: Socket;
+
+  readonly #packer = new PackrStream();
+
+  readonly #rpc: JSONRPCServerAndClient;
+
+  readonly #isCut: LinkSwitch;
+
+  readonly #closed: Promise<void>;
+
+  #heardAt = performance.now();
+
+  constructor(
+    socket: Socket,
+    peer: string,
+    handlers: LinkHandlers,
+    isCut: LinkSwitch = () => false,
+  ) {
+    this.#socket = socket;
+    this.peer = peer;
+    this.#isCut = isCut;
+    socket.setNoDelay(true);
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    server.addMethod('link.beat', () => null);
+    Object.entries(handlers).forEach(([method, handler]) => {
+      server.addMethod(method, (params: unknown) => handler(params, this));
+    });
+    const client = new JSONRPCClient((payload: unknown) => {
+      this.#send(payload);
+    });
+    this.#rpc = new JSONRPCServerAndClient(server, client, { errorListener: () => undefined });
+    this.#packer.pipe(socket);
+    this.#read();
+    this.#closed = new Promise((resolve) => {
+      socket.once('close', () => {
+        this.#rpc.rejectAllPendingRequests('the link was closed');
+        resolve();
+      });
+    });
+    this.#beat();
+  }
+
+  /** Resolves once the link has ended. */
+  get closed(): Promise<void> {
+    return this.#closed;
+  }
+
+  /** When anything was last heard, ms on the local monotonic clock. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
+  /** Bytes received and sent, without headers of lower layers. */
+  get bytes(): { readonly received: number; readonly sent: number } {
+    return { received: this.#socket.bytesRead, sent: this.#socket.bytesWritten };
+  }
+
+  /** Calls a method of the peer. Rejects if the link ends or the answer takes too long. */
+  async request(method: string, params: unknown, timeoutMs = REPLY_MS): Promise<unknown> {
+    return this.#rpc.timeout(timeoutMs).request(method, params, undefined);
+  }
+
+  /** Sends without waiting for an answer; nothing tells whether it arrived. */
+  notify(method: string, params: unknown): void {
+    this.#rpc.notify(method, params, undefined);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #send(payload: unknown): void {
+    if (!this.#socket.destroyed && !this.#isCut(this)) {
+      this.#packer.write(payload);
+    }
+  }
+
+  #read(): void {
+    const unpacker = new UnpackrStream();
+    unpacker.on('data', (payload: unknown) => {
+      if (!this.#isCut(this)) {
+        this.#heardAt = performance.now();
+        this.#rpc.receiveAndSend(payload, undefined, undefined).catch(() => undefined);
+      }
+    });
+    // What can't be decoded can't be trusted to be in step again: the link starts afresh.
+    unpacker.on('error', () => this.close());
+    this.#socket.on('error', () => this.close());
+    this.#socket.pipe(unpacker);
+  }
+
+  /**
+   * Failure: something between the two ends forgets the connection. Symptom: it stays open and
+   * silent for good while new ones work. Enough: both ends send every second and drop a link that
+   * was silent for three; whoever made it connects afresh. It says nothing about the peer's health.
+   */
+  #beat(): void {
+    const timer = setInterval(() => {
+      if (performance.now() - this.#heardAt > SILENT_MS) {
+        this.close();
+      } else {
+        this.notify('link.beat', {});
+      }
+    }, BEAT_MS);
+    this.#socket.once('close', () => clearInterval(timer));
+  }
+}
--- /dev/null
+++ b/src/transport/TransportLinkClient.ts
@@ -0,0 +1,114 @@
+/** Keeps one link up to one of several addresses. */
+import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Address } from './TransportAddress.js';
+import { TransportLink, type LinkHandlers, type LinkSwitch } from './TransportLink.js';
+
+const CONNECT_MS = 1_500;
+const BACKOFF_MS = 100;
+const BACKOFF_MAX_MS = 1_000;
+
+/** What a client of links needs. */
+export interface LinkClientOptions {
+  /** Names and addresses in order of preference. */
+  readonly targets: readonly { readonly name: string; readonly address: Address }[];
+  readonly handlers: LinkHandlers;
+  readonly signal: AbortSignal;
+  readonly isCut?: LinkSwitch;
+  /** Called with each new link; if it rejects, the link is closed and the next target tried. */
+  readonly onUp: (link: TransportLink) => Promise<void>;
+  readonly onDown?: (link: TransportLink) => void;
+  /** Number from 0 to 1, to spread reconnects. */
+  readonly jitter: () => number;
+}
+
+async function openSocket(address: Address, signal: AbortSignal) {
+  const socket = connect({ host: address.host, port: address.port });
+  const limit = AbortSignal.any([signal, AbortSignal.timeout(CONNECT_MS)]);
+  await new Promise<void>((resolve, reject) => {
+    const abort = () => {
+      socket.destroy();
+      reject(new Error('connect timed out'));
+    };
+    limit.addEventListener('abort', abort, { once: true });
+    socket.once('error', reject);
+    socket.once('connect', () => {
+      limit.removeEventListener('abort', abort);
+      socket.removeListener('error', reject);
+      resolve();
+    });
+  });
+  return socket;
+}
+
+/** A link that is made anew whenever it ends, until the signal. */
+export class TransportLinkClient {
+  readonly #options: LinkClientOptions;
+
+  #link: TransportLink | null = null;
+
+  constructor(options: LinkClientOptions) {
+    this.#options = options;
+    this.#run().catch(() => undefined);
+  }
+
+  /** The link, once its `onUp` is through; null while there is none. */
+  get link(): TransportLink | null {
+    return this.#link;
+  }
+
+  /** Calls a method of the peer. Rejects at once while there is no link. */
+  async request(method: string, params: unknown, timeoutMs?: number): Promise<unknown> {
+    if (this.#link === null) {
+      throw new Error('no link');
+    }
+    return this.#link.request(method, params, timeoutMs);
+  }
+
+  /** Sends without waiting for an answer; does nothing while there is no link. */
+  notify(method: string, params: unknown): void {
+    this.#link?.notify(method, params);
+  }
+
+  async #run(): Promise<void> {
+    const { targets, signal, jitter } = this.#options;
+    let failures = 0;
+    while (!signal.aborted) {
+      const target = targets[failures % targets.length];
+      // One connection at a time, by design: this loop is the owner of the link.
+      // eslint-disable-next-line no-await-in-loop
+      const served = target !== undefined && (await this.#serve(target));
+      failures = served ? 0 : failures + 1;
+      const pause = Math.min(
+        BACKOFF_MAX_MS,
+        BACKOFF_MS * 2 ** Math.floor(failures / targets.length),
+      );
+      // eslint-disable-next-line no-await-in-loop
+      await delay(pause * (0.5 + jitter()), undefined, { signal }).catch(() => undefined);
+    }
+  }
+
+  /** Serves one connection to its end; false if it did not come up. */
+  async #serve(target: LinkClientOptions['targets'][number]): Promise<boolean> {
+    const { handlers, signal, isCut, onUp, onDown } = this.#options;
+    let link: TransportLink | null = null;
+    try {
+      const socket = await openSocket(target.address, signal);
+      link = new TransportLink(socket, target.name, handlers, isCut);
+      const opened = link;
+      signal.addEventListener('abort', () => opened.close(), { once: true });
+      await onUp(link);
+      this.#link = link;
+      await link.closed;
+      return true;
+    } catch {
+      link?.close();
+      return false;
+    } finally {
+      this.#link = null;
+      if (link !== null) {
+        onDown?.(link);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/index.ts
@@ -0,0 +1,15 @@
+/** Layer `transport`: sockets, by libraries. Knows no policy. */
+export { parseAddress, type Address } from './TransportAddress.js';
+export { DONE_EVENT, findEvents, FRAMES_TYPE, FrameWriter, readFrames } from './TransportFrames.js';
+export { headerOf, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
+export {
+  BEAT_MS,
+  REPLY_MS,
+  SILENT_MS,
+  TransportLink,
+  type LinkHandler,
+  type LinkHandlers,
+  type LinkSwitch,
+} from './TransportLink.js';
+export { TransportLinkClient, type LinkClientOptions } from './TransportLinkClient.js';
+export { serveLinks, type LinkServerOptions } from './TransportLinkServer.js';
--- /dev/null
+++ b/tools/QuickstartCluster.ts
@@ -0,0 +1,179 @@
+/** A whole system on loopback: three AZs with their control, entry and endpoint processes. */
+import { mkdir, rm } from 'node:fs/promises';
+import path from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { freePorts, QuickstartProcesses } from './QuickstartProcess.js';
+
+const DIST = fileURLToPath(new URL('..', import.meta.url));
+const DAEMON = path.join(DIST, 'src/daemon/DaemonMain.js');
+const FAKE = path.join(DIST, 'fakes/FakeMain.js');
+
+/** One engine or plain service with its endpoint process. */
+export interface EndpointSpec {
+  readonly id: string;
+  readonly zone: string;
+  readonly service: string;
+  readonly kind: 'engine' | 'service';
+  readonly group?: string;
+  readonly ranks?: string;
+}
+
+/** What to start. */
+export interface ClusterSpec {
+  readonly folder: string;
+  readonly fleet: string;
+  readonly zones: readonly string[];
+  readonly entriesPerZone: number;
+  readonly endpoints: readonly EndpointSpec[];
+  /** Slots, prefill in ms and ms between tokens of the stand-ins. */
+  readonly engine: readonly [number, number, number];
+  readonly logLevel: string;
+  readonly extraControl?: readonly string[];
+}
+
+/** Addresses of what runs, `ip:port` by name. */
+export interface ClusterAddresses {
+  readonly controls: readonly string[];
+  readonly entries: readonly string[];
+  readonly engines: Readonly<Record<string, string>>;
+}
+
+async function isReady(address: string): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(`http://${address}/readyz`);
+    await body.dump();
+    return statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Waits until a check holds. @throws if it doesn't in time. */
+export async function waitUntil(
+  what: string,
+  limitMs: number,
+  check: () => Promise<boolean>,
+): Promise<void> {
+  const until = performance.now() + limitMs;
+  const poll = async (): Promise<void> => {
+    if (await check()) {
+      return;
+    }
+    if (performance.now() > until) {
+      throw new Error(`not in time: ${what}`);
+    }
+    await delay(50);
+    await poll();
+  };
+  await poll();
+}
+
+/** Waits until processes say that they are ready. */
+export async function waitReady(addresses: readonly string[], limitMs = 20_000): Promise<void> {
+  await Promise.all(
+    addresses.map(async (address) =>
+      waitUntil(`${address} ready`, limitMs, async () => isReady(address)),
+    ),
+  );
+}
+
+/** The running system. */
+export class QuickstartCluster {
+  readonly #spec: ClusterSpec;
+
+  readonly #processes: QuickstartProcesses;
+
+  readonly #arguments = new Map<string, readonly string[]>();
+
+  #addresses: ClusterAddresses = { controls: [], entries: [], engines: {} };
+
+  constructor(spec: ClusterSpec) {
+    this.#spec = spec;
+    this.#processes = new QuickstartProcesses(spec.folder);
+  }
+
+  get addresses(): ClusterAddresses {
+    return this.#addresses;
+  }
+
+  get processes(): QuickstartProcesses {
+    return this.#processes;
+  }
+
+  /** Name of the control process of a zone. */
+  static controlOf(zone: string): string {
+    return `control-${zone}`;
+  }
+
+  /** Starts control processes, stand-ins and endpoints, then entry processes. */
+  async start(): Promise<void> {
+    const { folder, zones, entriesPerZone, endpoints } = this.#spec;
+    await rm(folder, { recursive: true, force: true });
+    await mkdir(folder, { recursive: true });
+    const count = zones.length * (2 + entriesPerZone) + endpoints.length * 2;
+    const ports = (await freePorts(count)).map((port) => `127.0.0.1:${port}`);
+    const take = (): string => ports.pop() ?? '';
+    const links = zones.map((zone) => `${QuickstartCluster.controlOf(zone)}=${take()}`);
+    const control = links.join(',');
+    const controls = zones.map((zone, i) =>
+      this.#startControl(zone, links[i] ?? '', control, take()),
+    );
+    const engines = Object.fromEntries(
+      endpoints.map((spec) => [spec.id, this.#startEndpoint(spec, control, take(), take())]),
+    );
+    const entries = zones.flatMap((zone) =>
+      Array.from({ length: entriesPerZone }, (_item, i) =>
+        this.#startEntry(`entry-${zone}-${i + 1}`, zone, control, take()),
+      ),
+    );
+    this.#addresses = { controls, entries, engines };
+    await waitReady(controls);
+  }
+
+  /** Starts a process again as it was first started. */
+  restart(name: string): void {
+    this.#processes.start(name, DAEMON, this.#arguments.get(name) ?? []);
+  }
+
+  #daemon(name: string, args: readonly string[]): void {
+    const all = [...args, '--log-level', this.#spec.logLevel];
+    this.#arguments.set(name, all);
+    this.#processes.start(name, DAEMON, all);
+  }
+
+  #startControl(zone: string, link: string, control: string, http: string): string {
+    const id = QuickstartCluster.controlOf(zone);
+    const address = link.split('=')[1] ?? '';
+    const folder = path.join(this.#spec.folder, 'data', id);
+    this.#daemon(id, [
+      ...['control', '--id', id, '--zone', zone, '--http', http, '--link', address],
+      ...['--control', control, '--data-folder', folder],
+      ...(this.#spec.extraControl ?? []),
+    ]);
+    return http;
+  }
+
+  #startEndpoint(spec: EndpointSpec, control: string, http: string, engine: string): string {
+    const { id, zone, service, kind, group, ranks } = spec;
+    const port = engine.split(':')[1] ?? '';
+    this.#processes.start(`fake-${id}`, FAKE, [kind, port, ...this.#spec.engine.map(String)]);
+    this.#daemon(id, [
+      ...['endpoint', '--id', id, '--zone', zone, '--http', http, '--control', control],
+      ...['--zone-control', QuickstartCluster.controlOf(zone)],
+      ...['--engine', `http://${engine}`, '--fleet', this.#spec.fleet, '--service', service],
+      ...['--slots', String(this.#spec.engine[0])],
+      ...(group === undefined || ranks === undefined ? [] : ['--group', group, '--ranks', ranks]),
+    ]);
+    return engine;
+  }
+
+  #startEntry(id: string, zone: string, control: string, http: string): string {
+    this.#daemon(id, [
+      ...['entry', '--id', id, '--zone', zone, '--http', http, '--control', control],
+      ...['--zone-control', QuickstartCluster.controlOf(zone)],
+    ]);
+    return http;
+  }
+}
--- /dev/null
+++ b/tools/QuickstartProcess.ts
@@ -0,0 +1,84 @@
+/** Child processes of the quickstart: started by it, and stopped by it, by id. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { createServer } from 'node:net';
+import path from 'node:path';
+
+/** Port that is free now. */
+export async function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, '127.0.0.1', () => {
+      const address = server.address();
+      server.close(() => resolve(typeof address === 'object' ? (address?.port ?? 0) : 0));
+    });
+  });
+}
+
+/** Free ports, all different. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    // eslint-disable-next-line no-await-in-loop
+    ports.add(await freePort());
+  }
+  return [...ports];
+}
+
+/** Processes that belong together and end together. */
+export class QuickstartProcesses {
+  readonly #folder: string;
+
+  readonly #children = new Map<string, ChildProcess>();
+
+  constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  /** Starts a node program; its output goes to a log file by name. */
+  start(name: string, program: string, args: readonly string[]): ChildProcess {
+    const log = createWriteStream(path.join(this.#folder, `${name}.log`), { flags: 'a' });
+    const child = spawn(process.execPath, [program, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    child.stdout.pipe(log);
+    child.stderr.pipe(log, { end: false });
+    this.#children.set(name, child);
+    return child;
+  }
+
+  get(name: string): ChildProcess {
+    const child = this.#children.get(name);
+    if (child === undefined) {
+      throw new Error(`no process "${name}"`);
+    }
+    return child;
+  }
+
+  get names(): readonly string[] {
+    return [...this.#children.keys()];
+  }
+
+  /** Sends a signal; resolves with the exit code once the process has ended. */
+  async stop(name: string, signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
+    const child = this.get(name);
+    if (child.exitCode !== null || child.signalCode !== null) {
+      return child.exitCode;
+    }
+    const ended = new Promise<number | null>((resolve) => {
+      child.once('exit', resolve);
+    });
+    child.kill(signal);
+    return ended;
+  }
+
+  /** Stops all: politely, and after some time for good. */
+  async stopAll(politeMs: number): Promise<void> {
+    const timer = setTimeout(() => {
+      this.#children.forEach((child) => child.kill('SIGKILL'));
+    }, politeMs);
+    await Promise.all(this.names.map(async (name) => this.stop(name)));
+    clearTimeout(timer);
+  }
+}
