--- /dev/null
+++ b/bench/BenchMain.ts
@@ -0,0 +1,18 @@
+/** `npm run bench -- NAME`: prints one JSON line a case, with its seed. */
+
+/** A bench; its seed makes every random choice. */
+export type Bench = (seed: number) => Promise<void>;
+
+const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
+  overhead: async () => (await import('./BenchOverhead.js')).benchOverhead,
+};
+
+const [name = '', seed = '1'] = process.argv.slice(2);
+const load = BENCHES[name];
+if (load === undefined) {
+  process.stderr.write(`no bench "${name}"; there are: ${Object.keys(BENCHES).join(', ')}\n`);
+  process.exitCode = 2;
+} else {
+  const bench = await load();
+  await bench(Number(seed));
+}
--- a/fakes/FakeEngine.ts
+++ b/fakes/FakeEngine.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
+import { FakeOrders, type FakeOrder } from './FakeOrders.js';
 
 /** How an engine behaves. */
 export interface FakeEngineOptions {
@@ -10,6 +11,10 @@
   readonly prefillMs: number;
   /** Time between tokens, ms. */
   readonly tokenMs: number;
+  /** Whether orders with an old fencing token are refused. */
+  readonly fencing?: boolean;
+  /** How old a load report is, ms. */
+  readonly loadLagMs?: number;
 }
 
 interface CompletionBody {
@@ -65,6 +70,19 @@
   return Buffer.concat(chunks as Buffer[]).toString('utf8');
 }
 
+/** Prefixes kept in the cache; the oldest goes first. */
+const CACHE_SIZE = 64;
+
+/** Every so many cache events one is lost. */
+const EVENT_GAP = 7;
+
+function prefixOf(body: CompletionBody): string {
+  return JSON.stringify(body.prompt ?? body.messages ?? '').slice(0, 64);
+}
+
+/** Small requests beside completions: what an engine tells and takes. */
+type SideHandler = (req: IncomingMessage) => Promise<unknown>;
+
 /** A model engine on one port. */
 export class FakeEngine {
   readonly #options: FakeEngineOptions;
@@ -74,10 +92,39 @@
 
   readonly #waiting: (() => void)[] = [];
 
+  readonly #orders: FakeOrders;
+
+  /** Cached prefixes, oldest first; also what `kv` exports. */
+  readonly #cache = new Set<string>();
+
+  readonly #events: { readonly seq: number; readonly added: string }[] = [];
+
+  readonly #cancelled = new Set<string>();
+
+  readonly #side: Readonly<Record<string, SideHandler>> = {
+    'GET /runs': async () => Object.fromEntries(this.#runs),
+    'GET /load': async () => this.#reported,
+    'GET /cache-events': async () => this.#events.filter(({ seq }) => seq % EVENT_GAP !== 0),
+    'GET /kv': async () => [...this.#cache],
+    'POST /kv': async (req) => {
+      (JSON.parse(await readText(req)) as readonly string[]).forEach((key) => this.#remember(key));
+      return { held: this.#cache.size };
+    },
+    'GET /orders': async () => this.#orders.state,
+    'POST /orders': async (req) => this.#orders.take(JSON.parse(await readText(req)) as FakeOrder),
+    'POST /cancel': async (req) => {
+      this.#cancelled.add(await readText(req));
+      return {};
+    },
+  };
+
   #running = 0;
 
+  #reported = { running: 0, queued: 0, slots: 0 };
+
   constructor(options: FakeEngineOptions) {
     this.#options = options;
+    this.#orders = new FakeOrders(options.fencing ?? true);
   }
 
   get runs(): ReadonlyMap<string, number> {
@@ -96,22 +143,47 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    if (req.url === '/runs') {
-      res.end(JSON.stringify(Object.fromEntries(this.#runs)));
+    const side = this.#side[`${req.method ?? ''} ${req.url ?? ''}`];
+    if (side !== undefined) {
+      res.end(JSON.stringify(await side(req)));
       return;
     }
     const body = JSON.parse(await readText(req)) as CompletionBody;
     const user = body.user ?? '';
     this.#runs.set(user, (this.#runs.get(user) ?? 0) + 1);
     await this.#takeSlot();
+    const offset = Number(req.headers['x-resume-offset'] ?? 0);
     try {
-      await this.#answer(body, res);
+      await this.#answer(body, res, offset);
     } finally {
       this.#running -= 1;
       this.#waiting.shift()?.();
+      this.#reportLoad();
+    }
+  }
+
+  #remember(prefix: string): void {
+    this.#cache.delete(prefix);
+    this.#cache.add(prefix);
+    this.#events.push({ seq: this.#events.length + 1, added: prefix });
+    const [oldest] = this.#cache;
+    if (this.#cache.size > CACHE_SIZE && oldest !== undefined) {
+      this.#cache.delete(oldest);
     }
   }
 
+  /** Load is reported late: what is told was true some time ago. */
+  #reportLoad(): void {
+    const load = {
+      running: this.#running,
+      queued: this.#waiting.length,
+      slots: this.#options.slots,
+    };
+    setTimeout(() => {
+      this.#reported = load;
+    }, this.#options.loadLagMs ?? 0).unref();
+  }
+
   async #takeSlot(): Promise<void> {
     if (this.#running >= this.#options.slots) {
       await new Promise<void>((resolve) => {
@@ -121,9 +193,12 @@
     this.#running += 1;
   }
 
-  async #answer(body: CompletionBody, res: ServerResponse): Promise<void> {
+  async #answer(body: CompletionBody, res: ServerResponse, offset: number): Promise<void> {
     const { prefillMs, tokenMs } = this.#options;
-    await delay(prefillMs);
+    const prefix = prefixOf(body);
+    await delay(this.#cache.has(prefix) ? prefillMs / 4 : prefillMs);
+    this.#remember(prefix);
+    this.#reportLoad();
     if (body.stream !== true) {
       await delay(tokenMs * answerTokens(body).length);
       res.writeHead(200, { 'content-type': 'application/json' });
@@ -134,7 +209,7 @@
     const tokens = answerTokens(body);
     const next = async (i: number): Promise<void> => {
       const token = tokens[i];
-      if (token === undefined || res.destroyed) {
+      if (token === undefined || res.destroyed || this.#cancelled.has(body.user ?? '')) {
         return;
       }
       res.write(tokenEvent(body, token));
@@ -143,7 +218,7 @@
       }
       await next(i + 1);
     };
-    await next(0);
-    res.end(FINAL_EVENT);
+    await next(offset);
+    res.end(this.#cancelled.has(body.user ?? '') ? '' : FINAL_EVENT);
   }
 }
--- /dev/null
+++ b/fakes/FakeGroup.ts
@@ -0,0 +1,188 @@
+/**
+ * Stand-in of a group of ranks in lock-step on an expert map. A rank takes orders one by one; a step
+ * runs only when every rank is willing, and the group counts steps in which maps differed.
+ */
+
+/** Which experts each rank holds, by layer: `map[layer][rank]` lists experts. */
+export type FakeMap = readonly (readonly (readonly number[])[])[];
+
+/** An order to one rank. */
+export type FakeRankOrder =
+  | {
+      readonly kind: 'prepare';
+      readonly token: number;
+      readonly version: number;
+      readonly map: FakeMap;
+    }
+  /** Run no step from `step` on until told what became of the version. */
+  | {
+      readonly kind: 'arm';
+      readonly token: number;
+      readonly version: number;
+      readonly step: number;
+    }
+  | { readonly kind: 'commit'; readonly token: number; readonly version: number }
+  | { readonly kind: 'abort'; readonly token: number; readonly version: number }
+  | { readonly kind: 'query'; readonly token: number };
+
+/** What a rank answers. */
+export interface FakeRankReply {
+  readonly accepted: boolean;
+  readonly highest: number;
+  readonly version: number;
+  readonly prepared: number | null;
+  readonly armed: number | null;
+  readonly armedStep: number | null;
+  readonly committed: number | null;
+  readonly step: number;
+}
+
+/** What a step did. */
+export interface FakeStep {
+  readonly step: number;
+  readonly ran: boolean;
+  readonly waiting: readonly number[];
+  /** Load of each rank, summed over layers; empty if the step didn't run. */
+  readonly rankLoad: readonly number[];
+}
+
+interface Rank {
+  readonly highest: number;
+  readonly version: number;
+  readonly map: FakeMap;
+  readonly prepared: { readonly version: number; readonly map: FakeMap } | null;
+  readonly armed: { readonly version: number; readonly step: number } | null;
+  readonly committed: number | null;
+  readonly stalled: boolean;
+}
+
+type Take<K extends FakeRankOrder['kind']> = (
+  rank: Rank,
+  order: Extract<FakeRankOrder, { kind: K }>,
+) => Rank | null;
+
+const TAKE: { readonly [K in FakeRankOrder['kind']]: Take<K> } = {
+  prepare: (rank, { version, map }) =>
+    rank.armed === null && version > rank.version ? { ...rank, prepared: { version, map } } : null,
+  arm: (rank, { version, step }) =>
+    rank.prepared?.version === version ? { ...rank, armed: rank.armed ?? { version, step } } : null,
+  commit: (rank, { version }) =>
+    rank.armed?.version === version ? { ...rank, committed: version } : null,
+  abort: (rank, { version }) =>
+    rank.committed === version || rank.version >= version
+      ? null
+      : { ...rank, prepared: null, armed: null },
+  query: (rank) => rank,
+};
+
+/** Takes a committed version into use from the step it was armed for. */
+function activate(rank: Rank, step: number): Rank {
+  const { armed, committed, prepared } = rank;
+  return armed !== null && committed === armed.version && step >= armed.step && prepared !== null
+    ? { ...rank, version: armed.version, map: prepared.map, prepared: null, armed: null }
+    : rank;
+}
+
+/** A rank that is armed and doesn't know what became of the version waits rather than guesses. */
+function isWilling({ stalled, armed, committed }: Rank, step: number): boolean {
+  return !stalled && (armed === null || step < armed.step || committed === armed.version);
+}
+
+/** The group. */
+export class FakeGroup {
+  readonly #fencing: boolean;
+
+  #ranks: readonly Rank[];
+
+  #step = 0;
+
+  #mixed = 0;
+
+  constructor(ranks: number, map: FakeMap, fencing = true) {
+    this.#fencing = fencing;
+    const rank: Rank = {
+      highest: 0,
+      version: 1,
+      map,
+      prepared: null,
+      armed: null,
+      committed: null,
+      stalled: false,
+    };
+    this.#ranks = Array.from({ length: ranks }, () => rank);
+  }
+
+  /** Steps in which ranks used different maps: must stay 0. */
+  get mixedSteps(): number {
+    return this.#mixed;
+  }
+
+  get versions(): readonly number[] {
+    return this.#ranks.map(({ version }) => version);
+  }
+
+  /** Gives an order to one rank. */
+  order(index: number, order: FakeRankOrder): FakeRankReply {
+    const rank = this.#ranks[index];
+    if (rank === undefined) {
+      throw new Error(`no rank ${index}`);
+    }
+    const stale = this.#fencing && order.token < rank.highest;
+    const take = TAKE[order.kind] as (rank: Rank, order: FakeRankOrder) => Rank | null;
+    const taken = stale ? null : take(rank, order);
+    const next = { ...(taken ?? rank), highest: Math.max(rank.highest, order.token) };
+    this.#set(index, next);
+    return {
+      accepted: taken !== null,
+      highest: next.highest,
+      version: next.version,
+      prepared: next.prepared?.version ?? null,
+      armed: next.armed?.version ?? null,
+      armedStep: next.armed?.step ?? null,
+      committed: next.committed,
+      step: this.#step,
+    };
+  }
+
+  /** A stalled rank runs no step, so the group runs none. */
+  stall(index: number, stalled: boolean): void {
+    const rank = this.#ranks[index];
+    if (rank !== undefined) {
+      this.#set(index, { ...rank, stalled });
+    }
+  }
+
+  /** Runs one step if all ranks are willing. `load[layer][expert]` counts tokens. */
+  run(load: readonly (readonly number[])[]): FakeStep {
+    const step = this.#step + 1;
+    const waiting = this.#ranks.flatMap((rank, i) => (isWilling(rank, step) ? [] : [i]));
+    if (waiting.length > 0) {
+      return { step, ran: false, waiting, rankLoad: [] };
+    }
+    this.#step = step;
+    this.#ranks = this.#ranks.map((rank) => activate(rank, step));
+    if (new Set(this.versions).size > 1) {
+      this.#mixed += 1;
+    }
+    return { step, ran: true, waiting, rankLoad: this.#loads(load) };
+  }
+
+  /** Load of an expert is shared evenly by the ranks that hold a replica. */
+  #loads(load: readonly (readonly number[])[]): readonly number[] {
+    return this.#ranks.map(({ map }, rank) =>
+      load.reduce(
+        (sum, experts, layer) =>
+          sum +
+          (map[layer]?.[rank] ?? []).reduce((part, expert) => {
+            const holders = (map[layer] ?? []).filter((held) => held.includes(expert)).length;
+            return part + (experts[expert] ?? 0) / holders;
+          }, 0),
+        0,
+      ),
+    );
+  }
+
+  #set(index: number, rank: Rank): void {
+    this.#ranks = this.#ranks.map((known, i) => (i === index ? rank : known));
+  }
+}
--- /dev/null
+++ b/src/protocol/__tests__/unit/ProtocolManifest.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import { readFile } from 'node:fs/promises';
+import { describe, it } from 'node:test';
+import { openSnapshots } from '../../../__tests__/utils/TestSnapshot.js';
+import { FindingsError, formatFinding, parseManifest } from '../../index.js';
+
+const matchSnapshot = openSnapshots(import.meta.url);
+
+function findingsOf(text: string): readonly string[] {
+  try {
+    parseManifest(text);
+    return [];
+  } catch (err) {
+    assert.ok(err instanceof FindingsError);
+    return err.findings.map(formatFinding);
+  }
+}
+
+describe('parseManifest', () => {
+  it('reads the sample manifests', async () => {
+    const read = async (file: string) =>
+      parseManifest(
+        await readFile(new URL(`../../../../manifests/${file}`, import.meta.url), 'utf8'),
+      );
+    matchSnapshot('stockdesk', await read('stockdesk.yaml'));
+    matchSnapshot('drafting', await read('drafting.yaml'));
+  });
+
+  it('reports all findings together, each with line and column', () => {
+    const text = [
+      'fleet: Stock Desk',
+      'version: 0',
+      'availabilityZones: [{ name: ikeja, region: lagos-west }]',
+      'services:',
+      '  - { name: a, kind: model, model: missing, skewWeight: 3 }',
+      '  - { name: b, kind: plain, path: lookup }',
+      '  - { name: b, kind: batch }',
+      'customers: []',
+      'colour: red',
+    ].join('\n');
+    matchSnapshot('findings', findingsOf(text));
+  });
+
+  it('reports what only the whole manifest shows', () => {
+    const text = [
+      'fleet: stockdesk',
+      'version: 1',
+      'availabilityZones: [{ name: ikeja, region: lagos-west }]',
+      'models: [{ name: m }]',
+      'services:',
+      '  - name: a',
+      '    kind: model',
+      '    model: m',
+      '    groups: [{ name: g, ranks: 2, layers: 1, experts: 32, slotsPerRank: 8 }]',
+      '  - { name: a, kind: model, model: m }',
+      'customers: [{ name: c }, { name: c }]',
+    ].join('\n');
+    matchSnapshot('cross findings', findingsOf(text));
+  });
+
+  it('reports broken YAML at its place', () => {
+    matchSnapshot('syntax', findingsOf('fleet: [a\nversion: 1'));
+  });
+});
--- /dev/null
+++ b/src/state/__tests__/unit/StateControl.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  applyCommand,
+  applyConfigDelta,
+  deltasSince,
+  EMPTY_CONFIG,
+  EMPTY_CONTROL,
+  type ControlState,
+  type SubmitCommand,
+} from '../../index.js';
+
+const submit = (version: number, digest: string, base: number): SubmitCommand => ({
+  kind: 'submit',
+  fleet: 'f',
+  version,
+  digest,
+  base,
+  set: { [`f/customer/c${version % 3}`]: { digest } },
+  del: [],
+});
+
+function accept(count: number): ControlState {
+  return Array.from({ length: count }, (_item, i) => i + 1).reduce(
+    (state, version) =>
+      applyCommand(state, submit(version, `d${version}`, version - 1), version).state,
+    EMPTY_CONTROL,
+  );
+}
+
+describe('applyCommand', () => {
+  // Two pipelines submit version 2 with different content at the same moment. Whichever the log
+  // orders first is accepted; the other must hear what was, not that its own was.
+  it('lets one of two equal versions win and names it to the other', () => {
+    const first = applyCommand(accept(1), submit(2, 'mine', 1), 2);
+    const second = applyCommand(first.state, submit(2, 'yours', 1), 3);
+    assert.deepEqual(second.result, {
+      result: 'conflict',
+      fleet: 'f',
+      version: 2,
+      acceptedDigest: 'mine',
+      acceptedVersion: 2,
+    });
+    assert.deepEqual(second.state.config, first.state.config);
+  });
+
+  // The answer to a submission is lost, hundreds of others are accepted, and the pipeline resends.
+  // It must hear that it was accepted, at its first index, not that it is too old.
+  it('gives a resend its first answer however much later', () => {
+    const state = accept(400);
+    const again = applyCommand(state, submit(7, 'd7', 6), 401);
+    assert.deepEqual(again.result, {
+      result: 'accepted',
+      fleet: 'f',
+      version: 7,
+      digest: 'd7',
+      index: 7,
+    });
+    assert.equal(again.state.config.index, 400);
+  });
+
+  // Two leaders' worth of work meet: a delta computed against version 1 is applied after version 2.
+  // Applied blindly it would undo what version 2 changed.
+  it('refuses a delta whose base has changed', () => {
+    const { result } = applyCommand(accept(2), submit(3, 'd3', 1), 3);
+    assert.deepEqual(result, { result: 'stale' });
+  });
+
+  // Two endpoint processes find the lease unrenewed and ask at once. Both named the lease that they
+  // saw; the second one's has changed since, so there is one holder, with a higher token.
+  it('grants a lease to one of two rivals', () => {
+    const ask = (holder: string) =>
+      ({
+        kind: 'lease',
+        group: 'g',
+        holder,
+        durationMs: 1,
+        after: { token: 0, renewals: 0 },
+      }) as const;
+    const first = applyCommand(EMPTY_CONTROL, ask('a'), 1);
+    const second = applyCommand(first.state, ask('b'), 2);
+    assert.equal(first.result.result, 'granted');
+    assert.deepEqual(second.result, {
+      result: 'held',
+      lease: { holder: 'a', token: 1, renewals: 0 },
+    });
+  });
+});
+
+describe('applyConfigDelta', () => {
+  it('reaches the same configuration by deltas as by a snapshot', () => {
+    const state = accept(20);
+    const byDeltas = deltasSince(state, 5).reduce(
+      (config, delta) => applyConfigDelta(config, delta).state,
+      accept(5).config,
+    );
+    const bySnapshot = applyConfigDelta(EMPTY_CONFIG, deltasSince(state, 0)[0] as never).state;
+    assert.deepEqual(byDeltas, state.config);
+    assert.deepEqual(bySnapshot, state.config);
+  });
+
+  // A relay was frozen for hundreds of changes, wakes, and sends what it had in its buffers. The
+  // receiver must stay on the newer configuration, whether the old one comes as delta or snapshot.
+  it('never goes back to an older index', () => {
+    const { config } = accept(300);
+    const late = accept(40);
+    [...deltasSince(late, 0), ...late.deltas].forEach((delta) => {
+      assert.deepEqual(applyConfigDelta(config, delta), { state: config, result: 'old' });
+    });
+  });
+
+  it('asks again after a gap instead of applying what follows it', () => {
+    const held = accept(3).config;
+    const [, , , , fifth] = accept(6).deltas;
+    assert.ok(fifth);
+    assert.deepEqual(applyConfigDelta(held, fifth), { state: held, result: 'gap' });
+  });
+});
