--- /dev/null
+++ b/bench/BenchControlHub.ts
@@ -0,0 +1,112 @@
+/** Cost of a control process: with so many processes attached, and of submissions. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { waitUntil } from '../tools/QuickstartCluster.js';
+import type { QuickstartProcesses } from '../tools/QuickstartProcess.js';
+import { attach, bytesOf, startControl, submit, watchIdle } from './BenchControlProcess.js';
+import { inTurn, range, readUsage, report, round } from './BenchReport.js';
+
+const CHANGES = 20;
+const CHANGE_GAP_MS = 100;
+const CUSTOMERS = 700;
+const SUBMISSIONS = 10;
+
+/** What a control process with so many attached spent. */
+export interface HubCost {
+  readonly attached: number;
+  readonly joinMs: number;
+  readonly idleCpuPercent: number;
+  readonly idleBytesPerSecond: number;
+  readonly residentMb: number;
+  readonly grownMb: number;
+  readonly cpuMsPerChange: number;
+  readonly bytesPerChangePerProcess: number;
+  readonly inForceMs: number;
+}
+
+/** What submissions of a manifest with so many customers took. */
+export interface SubmitCost {
+  readonly customers: number;
+  readonly medianMs: number;
+  readonly cpuMs: number;
+  readonly residentMb: number;
+}
+
+/** A hub with so many processes attached: idle, and under changes. */
+export async function benchHub(
+  processes: QuickstartProcesses,
+  count: number,
+  seed: number,
+): Promise<HubCost> {
+  const control = await startControl(processes);
+  await submit(control, CUSTOMERS, 1);
+  const empty = await readUsage(control.pid);
+  const roles = (i: number): 'entry' | 'endpoint' => (i % 4 === 0 ? 'entry' : 'endpoint');
+  const joinedAt = performance.now();
+  const all = await Promise.all(
+    Array.from({ length: count }, async (_item, i) => attach(control.port, roles(i), i)),
+  );
+  await waitUntil('all hold the configuration', 60_000, async () =>
+    all.every(({ index }) => index > 0),
+  );
+  const joinMs = performance.now() - joinedAt;
+  await delay(1_000);
+  const idle = await watchIdle(control.pid, () => bytesOf(all));
+  const before = await readUsage(control.pid);
+  const bytesBefore = bytesOf(all);
+  const changeAt = performance.now();
+  const latencies = await inTurn(range(CHANGES), async (i) => {
+    const sentAt = performance.now();
+    const index = await submit(control, CUSTOMERS, 2 + i);
+    await waitUntil('in force everywhere', 20_000, async () =>
+      all.every((attached) => attached.index >= index),
+    );
+    const ms = Math.max(...all.map(({ appliedAt }) => appliedAt)) - sentAt;
+    await delay(CHANGE_GAP_MS);
+    return ms;
+  });
+  const seconds = (performance.now() - changeAt) / 1000;
+  const after = await readUsage(control.pid);
+  const idleBytes = idle.bytesPerSecond * seconds;
+  const idleCpu = (idle.cpuPercent / 100) * seconds * 1000;
+  const result: HubCost = {
+    attached: count,
+    joinMs: Math.round(joinMs),
+    idleCpuPercent: idle.cpuPercent,
+    idleBytesPerSecond: idle.bytesPerSecond,
+    residentMb: after.residentMb,
+    grownMb: round(after.residentMb - empty.residentMb),
+    cpuMsPerChange: round((after.cpuMs - before.cpuMs - idleCpu) / CHANGES),
+    bytesPerChangePerProcess: round((bytesOf(all) - bytesBefore - idleBytes) / CHANGES / count),
+    inForceMs: round(Math.max(...latencies)),
+  };
+  report('control-cost', { case: 'hub', seed, ...result });
+  all.forEach(({ link }) => link.close());
+  await processes.stop(control.name);
+  return result;
+}
+
+/** A submission of a whole manifest that changes one customer, by the number of customers. */
+export async function benchSubmit(
+  processes: QuickstartProcesses,
+  customers: number,
+  seed: number,
+): Promise<SubmitCost> {
+  const control = await startControl(processes);
+  await submit(control, customers, 1);
+  const before = await readUsage(control.pid);
+  const times = await inTurn(range(SUBMISSIONS), async (i) => {
+    const startedAt = performance.now();
+    await submit(control, customers, 2 + i);
+    return performance.now() - startedAt;
+  });
+  const after = await readUsage(control.pid);
+  const result: SubmitCost = {
+    customers,
+    medianMs: round([...times].sort((a, b) => a - b)[5] ?? 0),
+    cpuMs: round((after.cpuMs - before.cpuMs) / times.length),
+    residentMb: after.residentMb,
+  };
+  report('control-cost', { case: 'submit', seed, ...result });
+  await processes.stop(control.name);
+  return result;
+}
--- /dev/null
+++ b/bench/BenchControlProcess.ts
@@ -0,0 +1,119 @@
+/** Processes and links of the bench of control's cost. */
+import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import type { ConfigDelta, HelloMessage } from '../src/protocol/index.js';
+import { TransportLink, withParts } from '../src/transport/index.js';
+import { waitReady } from '../tools/QuickstartCluster.js';
+import { freePorts, type QuickstartProcesses } from '../tools/QuickstartProcess.js';
+import { makeManifest, makeMember } from './BenchFixtures.js';
+import { readUsage, round } from './BenchReport.js';
+
+/** Where processes of this bench keep their data and logs. */
+export const FOLDER = fileURLToPath(new URL('../../.quickstart/control-cost', import.meta.url));
+/** The daemon's program. */
+export const DAEMON = fileURLToPath(new URL('../src/daemon/DaemonMain.js', import.meta.url));
+const IDLE_MS = 6_000;
+
+/** A control process started by the bench. */
+export interface Control {
+  readonly name: string;
+  readonly http: string;
+  readonly link: string;
+  readonly port: number;
+  readonly pid: number;
+}
+
+let runs = 0;
+
+/** Starts the only control process of a cluster. */
+export async function startControl(processes: QuickstartProcesses): Promise<Control> {
+  const [linkPort = 0, httpPort = 0] = await freePorts(2);
+  const link = `127.0.0.1:${linkPort}`;
+  const http = `127.0.0.1:${httpPort}`;
+  runs += 1;
+  const name = `control-${runs}`;
+  const child = processes.start(name, DAEMON, [
+    ...['control', '--id', 'c1', '--zone', 'az-1', '--http', http, '--link', link],
+    ...['--control', `c1=${link}`, '--data-folder', `${FOLDER}/${name}-${process.pid}`],
+    ...['--log-level', 'warn'],
+  ]);
+  await waitReady([http]);
+  return { name, http, link, port: linkPort, pid: child.pid ?? 0 };
+}
+
+/** Submits a manifest; its log index once it is accepted. */
+export async function submit(
+  { http }: Control,
+  customers: number,
+  version: number,
+): Promise<number> {
+  const response = await request(`http://${http}/v1/manifests`, {
+    method: 'POST',
+    body: JSON.stringify(makeManifest(customers, version)),
+  });
+  const body = (await response.body.json()) as { result?: string; index?: number };
+  if (body.result !== 'accepted') {
+    throw new Error(`not accepted: ${JSON.stringify(body)}`);
+  }
+  return body.index ?? 0;
+}
+
+/** One attached process, as far as its control process can tell. */
+export interface Attached {
+  readonly link: TransportLink;
+  index: number;
+  appliedAt: number;
+}
+
+/** Attaches a process that is a link and nothing more. */
+export async function attach(
+  port: number,
+  role: 'entry' | 'endpoint',
+  i: number,
+): Promise<Attached> {
+  const socket = connect({ host: '127.0.0.1', port });
+  await new Promise((resolve) => {
+    socket.once('connect', resolve);
+  });
+  const state = { index: 0, appliedAt: 0 };
+  const link = new TransportLink(
+    socket,
+    'hub',
+    withParts({
+      config: (delta, from) => {
+        state.index = (delta as ConfigDelta).to;
+        state.appliedAt = performance.now();
+        from.notify('config.applied', { index: state.index });
+      },
+      directory: () => undefined,
+    }),
+  );
+  const hello: HelloMessage = { record: makeMember(role, i), configIndex: 0 };
+  await link.request('member.hello', hello, 20_000);
+  return Object.assign(state, { link });
+}
+
+/** Bytes sent and received over all links. */
+export function bytesOf(all: readonly Attached[]): number {
+  return all.reduce((sum, { link }) => sum + link.bytes.sent + link.bytes.received, 0);
+}
+
+/** What a process spent. */
+export interface Spent {
+  readonly cpuPercent: number;
+  readonly bytesPerSecond: number;
+}
+
+/** Account of a process over some idle time. */
+export async function watchIdle(pid: number, bytes: () => number): Promise<Spent> {
+  const before = await readUsage(pid);
+  const bytesBefore = bytes();
+  await delay(IDLE_MS);
+  const after = await readUsage(pid);
+  return {
+    cpuPercent: round(((after.cpuMs - before.cpuMs) / IDLE_MS) * 100),
+    bytesPerSecond: round((bytes() - bytesBefore) / (IDLE_MS / 1000)),
+  };
+}
--- a/bench/BenchReport.ts
+++ b/bench/BenchReport.ts
@@ -64,3 +64,19 @@
   const kb = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0);
   return { cpuMs: ticks * TICK_MS, residentMb: round(kb / 1024) };
 }
+
+/** Runs an asynchronous task for each item, one after another. */
+export async function inTurn<T, R>(
+  items: readonly T[],
+  task: (item: T, i: number) => Promise<R>,
+): Promise<readonly R[]> {
+  return items.reduce<Promise<readonly R[]>>(async (before, item, i) => {
+    const results = await before;
+    return [...results, await task(item, i)];
+  }, Promise.resolve([]));
+}
+
+/** Whole numbers from 0. */
+export function range(count: number): readonly number[] {
+  return Array.from({ length: count }, (_item, i) => i);
+}
--- a/src/coordination/Rollout.ts
+++ b/src/coordination/Rollout.ts
@@ -78,6 +78,9 @@
 }
 
 function filterDelta(record: MemberRecord, delta: ConfigDelta): ConfigDelta {
+  if (record.role !== 'endpoint') {
+    return delta;
+  }
   return {
     ...delta,
     set: filterEntries(record, delta.set),
--- a/src/coordination/Routing.ts
+++ b/src/coordination/Routing.ts
@@ -1,6 +1,5 @@
 /** Routing: which endpoint an attempt goes to. A pure decision over what this process knows. */
-import { Map as ImmutableMap } from 'immutable';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { MemberRecord } from '../protocol/index.js';
 import {
@@ -9,11 +8,12 @@
   EJECT_MAX_MS,
   EJECT_MS,
   EJECT_SHARE,
+  LOGGED_CANDIDATES,
   REMOTE_ZONE_COST,
   REPORT_HALF_LIFE_MS,
   SLOW_START_MS,
 } from './RoutingConstants.js';
-import { rendezvousOrder } from './RoutingHash.js';
+import { hashText, mixHashes } from './RoutingHash.js';
 import type {
   RoutingCandidate,
   RoutingDecision,
@@ -23,9 +23,12 @@
   RoutingState,
 } from './RoutingTypes.js';
 
+/** Largest hash. */
+const MAX_HASH = 2 ** 31 - 1;
+
 /** State of a process that knows no endpoint yet. */
 export function initRouting(zone: string): RoutingState {
-  return { zone, endpoints: ImmutableMap(), byService: new Map() };
+  return { zone, services: new Map(), places: new Map() };
 }
 
 /** Key of the service that an endpoint serves. */
@@ -36,6 +39,7 @@
 function freshEndpoint(record: MemberRecord, now: number): RoutingEndpoint {
   return {
     record,
+    hash: hashText(record.id),
     slots: Math.max(1, record.offer?.slots ?? 1),
     inFlight: 0,
     load: null,
@@ -47,25 +51,32 @@
   };
 }
 
+function findEndpoint(state: RoutingState, id: string): RoutingEndpoint | undefined {
+  const place = state.places.get(id);
+  return place === undefined ? undefined : state.services.get(place.service)?.[place.at];
+}
+
 /** Keeps what is known of an endpoint as long as it is the same incarnation. */
 function onMembers(
   state: RoutingState,
   { records }: Extract<RoutingInput, { type: 'members' }>,
   now: number,
 ): RoutingState {
-  const endpoints = new Map<string, RoutingEndpoint>();
-  const byService = new Map<string, string[]>();
+  const services = new Map<string, RoutingEndpoint[]>();
+  const places = new Map<string, { service: string; at: number }>();
   records.forEach((record) => {
     if (record.role !== 'endpoint' || record.offer === undefined || record.status !== 'serving') {
       return;
     }
-    const known = state.endpoints.get(record.id);
+    const known = findEndpoint(state, record.id);
     const same = known?.record.incarnation === record.incarnation;
-    endpoints.set(record.id, same ? { ...known, record } : freshEndpoint(record, now));
-    const key = serviceKey(record.offer.fleet, record.offer.service);
-    byService.set(key, [...(byService.get(key) ?? []), record.id]);
+    const service = serviceKey(record.offer.fleet, record.offer.service);
+    const endpoints = services.get(service) ?? [];
+    services.set(service, endpoints);
+    places.set(record.id, { service, at: endpoints.length });
+    endpoints.push(same ? { ...known, record } : freshEndpoint(record, now));
   });
-  return { ...state, endpoints: ImmutableMap(endpoints), byService };
+  return { ...state, services, places };
 }
 
 function change(
@@ -73,10 +84,13 @@
   id: string,
   update: (endpoint: RoutingEndpoint) => RoutingEndpoint,
 ): RoutingState {
-  const known = state.endpoints.get(id);
-  return known === undefined
-    ? state
-    : { ...state, endpoints: state.endpoints.set(id, update(known)) };
+  const place = state.places.get(id);
+  const endpoints = place && state.services.get(place.service);
+  if (place === undefined || endpoints === undefined) {
+    return state;
+  }
+  const next = endpoints.map((endpoint, i) => (i === place.at ? update(endpoint) : endpoint));
+  return { ...state, services: new Map(state.services).set(place.service, next) };
 }
 
 function afterFailure(endpoint: RoutingEndpoint, now: number): RoutingEndpoint {
@@ -157,27 +171,60 @@
   return (estimateWork(endpoint, now) + 1) / (endpoint.slots * warmth) + remote;
 }
 
+interface Usable {
+  readonly endpoints: readonly RoutingEndpoint[];
+  readonly lastResort: boolean;
+}
+
 /** Endpoints in use; those set aside come back where they would be more than the share allowed. */
-function usable(
-  state: RoutingState,
-  req: RoutingRequest,
-  now: number,
-): { readonly endpoints: readonly RoutingEndpoint[]; readonly lastResort: boolean } {
-  const all = (state.byService.get(req.service) ?? [])
-    .map((id) => state.endpoints.get(id))
-    .filter((endpoint): endpoint is RoutingEndpoint => endpoint !== undefined);
-  const fresh = all.filter(({ record }) => !req.exclude.includes(record.id));
+function findUsable(state: RoutingState, req: RoutingRequest, now: number): Usable {
+  const all = state.services.get(req.service) ?? [];
+  const fresh =
+    req.exclude.length === 0 ? all : all.filter(({ record }) => !req.exclude.includes(record.id));
   const healthy = fresh.filter(({ ejectedUntil }) => ejectedUntil <= now);
-  const mayEject = all.filter(({ ejectedUntil }) => ejectedUntil > now).length;
-  const floor = mayEject > all.length * EJECT_SHARE || healthy.length === 0;
-  return floor
+  const ejected = all.length - all.filter(({ ejectedUntil }) => ejectedUntil <= now).length;
+  return ejected > all.length * EJECT_SHARE || healthy.length === 0
     ? { endpoints: fresh, lastResort: healthy.length === 0 && fresh.length > 0 }
     : { endpoints: healthy, lastResort: false };
 }
 
-interface Scored extends RoutingCandidate {
-  readonly endpoint: RoutingEndpoint;
-  readonly tie: number;
+/** The few best, best first, by one pass: sorting hundreds for four costs more than the rest. */
+function pickBest(
+  endpoints: readonly RoutingEndpoint[],
+  scores: readonly number[],
+): readonly RoutingCandidate[] {
+  const best: { id: string; score: number }[] = [];
+  endpoints.forEach(({ record }, i) => {
+    const score = scores[i] ?? Infinity;
+    const last = best[LOGGED_CANDIDATES - 1];
+    if (last === undefined || score < last.score) {
+      const at = best.findIndex((item) => score < item.score);
+      best.splice(at < 0 ? best.length : at, 0, { id: record.id, score });
+      best.length = Math.min(best.length, LOGGED_CANDIDATES);
+    }
+  });
+  return best;
+}
+
+/** Of the endpoints within a slack of the best, the one that comes first by `weigh`. */
+function pickNear(
+  endpoints: readonly RoutingEndpoint[],
+  scores: readonly number[],
+  limit: number,
+  weigh: (endpoint: RoutingEndpoint) => number,
+): RoutingEndpoint | null {
+  let chosen: RoutingEndpoint | null = null;
+  let weight = -1;
+  endpoints.forEach((endpoint, i) => {
+    if ((scores[i] ?? Infinity) <= limit) {
+      const own = weigh(endpoint);
+      if (own > weight) {
+        chosen = endpoint;
+        weight = own;
+      }
+    }
+  });
+  return chosen;
 }
 
 /** Chooses an endpoint for one attempt. */
@@ -187,35 +234,25 @@
   now: number,
   rng: RandomGenerator,
 ): RoutingDecision {
-  const { endpoints, lastResort } = usable(state, req, now);
-  const scored = endpoints
-    .map((endpoint): Scored => ({
-      id: endpoint.record.id,
-      score: scoreEndpoint(state, endpoint, now),
-      endpoint,
-      tie: uniformFloat64(rng),
-    }))
-    .sort((a, b) => a.score - b.score || a.tie - b.tie);
-  const [best] = scored;
+  const { endpoints, lastResort } = findUsable(state, req, now);
+  const scores = endpoints.map((endpoint) => scoreEndpoint(state, endpoint, now));
+  const candidates = pickBest(endpoints, scores);
+  const [best] = candidates;
   if (best === undefined) {
-    return { endpoint: null, reason: 'no_endpoint', candidates: [] };
+    return { endpoint: null, reason: 'no_endpoint', of: 0, candidates };
   }
-  const candidates = scored.map(({ id, score }) => ({ id, score }));
   const { prefix } = req;
-  if (prefix !== null) {
-    const near = scored.filter(({ score }) => score <= best.score + AFFINITY_SLACK);
-    const [home] = rendezvousOrder(
-      prefix,
-      near.map(({ id }) => id),
-    );
-    const holder = near.find(({ id }) => id === home);
-    if (holder !== undefined) {
-      return { endpoint: holder.endpoint.record, reason: 'affinity', candidates };
-    }
-  }
+  const slack = prefix === null ? 0 : AFFINITY_SLACK;
+  // Without a prefix the weights are random, which tells equal scores apart.
+  const key = prefix ?? uniformInt(rng, 0, MAX_HASH);
+  const chosen = pickNear(endpoints, scores, best.score + slack, ({ hash }) =>
+    mixHashes(key, hash),
+  );
+  const reason = prefix === null ? 'least_load' : 'affinity';
   return {
-    endpoint: best.endpoint.record,
-    reason: lastResort ? 'last_resort' : 'least_load',
+    endpoint: chosen?.record ?? null,
+    reason: lastResort ? 'last_resort' : reason,
+    of: endpoints.length,
     candidates,
   };
 }
--- a/src/coordination/RoutingHash.ts
+++ b/src/coordination/RoutingHash.ts
@@ -15,3 +15,13 @@
 export function hashText(text: string): number {
   return h32(text);
 }
+
+/** Weight of a key at an id, both hashed already: the last rounds of murmur3, for a hot path. */
+export function mixHashes(key: number, id: number): number {
+  /* eslint-disable no-bitwise -- a hash is made of bits */
+  let h = key ^ id;
+  h = Math.imul(h ^ (h >>> 16), 0x85ebca6b);
+  h = Math.imul(h ^ (h >>> 13), 0xc2b2ae35);
+  return (h ^ (h >>> 16)) >>> 0;
+  /* eslint-enable no-bitwise */
+}
--- a/src/coordination/RoutingTypes.ts
+++ b/src/coordination/RoutingTypes.ts
@@ -1,10 +1,11 @@
 /** Types of the routing decision. */
-import type { Map as ImmutableMap } from 'immutable';
 import type { LoadReport, MemberRecord } from '../protocol/index.js';
 
 /** What an entry process knows of one endpoint it may use. */
 export interface RoutingEndpoint {
   readonly record: MemberRecord;
+  /** Hash of its id, for the order that a prefix gives the endpoints. */
+  readonly hash: number;
   readonly slots: number;
   /** Attempts that this process sent and that haven't ended: counted at once, never lagging. */
   readonly inFlight: number;
@@ -26,9 +27,10 @@
 export interface RoutingState {
   /** Own availability zone. */
   readonly zone: string;
-  readonly endpoints: ImmutableMap<string, RoutingEndpoint>;
-  /** Ids of the endpoints of a service, `fleet/service`. */
-  readonly byService: ReadonlyMap<string, readonly string[]>;
+  /** Endpoints by service, `fleet/service`. */
+  readonly services: ReadonlyMap<string, readonly RoutingEndpoint[]>;
+  /** Where an endpoint stands in `services`. */
+  readonly places: ReadonlyMap<string, { readonly service: string; readonly at: number }>;
 }
 
 /** A request as routing sees it. */
@@ -55,6 +57,8 @@
 export interface RoutingDecision {
   readonly endpoint: MemberRecord | null;
   readonly reason: RoutingReason | 'no_endpoint';
+  /** Endpoints that were weighed; `candidates` are the best of them. */
+  readonly of: number;
   readonly candidates: readonly RoutingCandidate[];
 }
 
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -68,6 +68,7 @@
   UNCONFIRMED_MS,
   type MembershipView,
 } from './MembershipView.js';
+export { BUDGET_BYTES_PER_SECOND, initPacing, takeBytes, type PacingState } from './Pacing.js';
 export {
   CHECK_MS,
   concerns,
@@ -79,7 +80,6 @@
   type RolloutState,
 } from './Rollout.js';
 export { estimateWork, initRouting, routeRequest, serviceKey, updateRouting } from './Routing.js';
-export { LOGGED_CANDIDATES } from './RoutingConstants.js';
 export { hashText, rendezvousOrder } from './RoutingHash.js';
 export type {
   RoutingDecision,
@@ -88,3 +88,11 @@
   RoutingRequest,
   RoutingState,
 } from './RoutingTypes.js';
+export {
+  dealSubset,
+  keepSubsets,
+  selectSubset,
+  SUBSET_OWN,
+  SUBSET_REMOTE,
+  type SubsetSelf,
+} from './Subset.js';
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -4,7 +4,7 @@
 import { z } from 'zod';
 import {
   FindingsError,
-  parseManifest,
+  parseManifestQuickly,
   type Manifest,
   type MemberRecord,
   type SubmitReply,
@@ -71,7 +71,7 @@
 
 async function readManifest(ctx: Context): Promise<Manifest> {
   const body = await readBody(ctx.req);
-  return parseManifest(body.toString('utf8'));
+  return parseManifestQuickly(body.toString('utf8'));
 }
 
 async function getStatus({ controls, consensus, hub }: AdminOptions): Promise<unknown> {
--- a/src/daemon/DaemonEntry.ts
+++ b/src/daemon/DaemonEntry.ts
@@ -23,7 +23,7 @@
   const { log } = runtime;
   const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
   container.register({
-    state: asFunction(() => new DaemonEntryState(cfg.zone, runtime)).singleton(),
+    state: asFunction(() => new DaemonEntryState(cfg.id, cfg.zone, runtime)).singleton(),
     agent: asValue(
       new Agent({
         connections: CONNECTIONS_PER_GATE,
--- a/src/daemon/DaemonEntryState.ts
+++ b/src/daemon/DaemonEntryState.ts
@@ -4,8 +4,8 @@
 import {
   admit,
   EMPTY_ADMISSION,
-  LOGGED_CANDIDATES,
   initRouting,
+  keepSubsets,
   mergeDelta,
   pruneView,
   release,
@@ -29,6 +29,10 @@
 
 /** State of an entry process; each part is replaced whole. */
 export class DaemonEntryState {
+  readonly #id: string;
+
+  readonly #zone: string;
+
   readonly #runtime: Runtime;
 
   readonly #requests: Counter<'outcome'>;
@@ -49,7 +53,9 @@
 
   #entryHosts = 1;
 
-  constructor(zone: string, runtime: Runtime) {
+  constructor(id: string, zone: string, runtime: Runtime) {
+    this.#id = id;
+    this.#zone = zone;
     this.#runtime = runtime;
     this.#routing = initRouting(zone);
     const registers = [runtime.registry];
@@ -85,7 +91,7 @@
     if (this.#config.index === 0) {
       return 'no configuration from a control process yet';
     }
-    return this.#routing.endpoints.size === 0 ? 'no endpoint known yet' : 'ready';
+    return this.#routing.places.size === 0 ? 'no endpoint known yet' : 'ready';
   }
 
   onConfig(config: ConfigState): void {
@@ -149,10 +155,8 @@
         service: req.service,
         endpoint: decision.endpoint?.id ?? null,
         reason: decision.reason,
-        of: decision.candidates.length,
-        candidates: decision.candidates
-          .slice(0, LOGGED_CANDIDATES)
-          .map(({ id, score }) => `${id}=${score.toFixed(3)}`),
+        of: decision.of,
+        candidates: decision.candidates.map(({ id, score }) => `${id}=${score.toFixed(3)}`),
       },
       'routing decision',
     );
@@ -196,7 +200,10 @@
   #setView(view: MembershipView): void {
     this.#view = view;
     const records = servingMembers(view);
-    this.#entryHosts = records.filter(({ role }) => role === 'entry').length;
-    this.updateRouting({ type: 'members', records });
+    const entries = records.filter(({ role }) => role === 'entry');
+    this.#entryHosts = entries.length;
+    const own = entries.filter(({ zone }) => zone === this.#zone).map(({ id }) => id);
+    const self = { id: this.#id, zone: this.#zone, entries: own };
+    this.updateRouting({ type: 'members', records: keepSubsets(records, self) });
   }
 }
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -6,9 +6,11 @@
 import {
   attachedRecords,
   EMPTY_MEMBERSHIP,
+  initPacing,
   initRollout,
   stepMembership,
   stepRollout,
+  takeBytes,
   type MembershipInput,
   type MembershipOutput,
   type MembershipState,
@@ -17,8 +19,11 @@
   type RolloutState,
 } from '../coordination/index.js';
 import type { DirectoryDelta, HelloMessage, HelloReply, MemberRecord } from '../protocol/index.js';
-import type { ConfigState, ControlState } from '../state/index.js';
-import type { LinkHandlers, TransportLink } from '../transport/index.js';
+import { regionsOf, type ConfigState, type ControlState } from '../state/index.js';
+import { PartsSender, type LinkHandlers, type TransportLink } from '../transport/index.js';
+
+/** A link on which nothing was heard for this long renews no lease. In ms. */
+const HEARD_MS = 1_500;
 
 /** What the task needs. */
 export interface HubOptions {
@@ -34,11 +39,28 @@
   readonly appliedIndex: number;
 }
 
+/** A process attached, with the sender of what is bulky or must stay in order. */
+interface Attached {
+  readonly link: TransportLink;
+  readonly sender: PartsSender;
+  readonly record: MemberRecord;
+}
+
+/** Sends at a pace that stays inside the receiver's budget. */
+function pacedSender(link: TransportLink, now: () => number): PartsSender {
+  let pacing = initPacing(now());
+  return new PartsSender(link, (bytes) => {
+    const { state, waitMs } = takeBytes(pacing, bytes, now());
+    pacing = state;
+    return waitMs;
+  });
+}
+
 /** The attached processes of one control process. */
 export class DaemonHub {
   readonly #options: HubOptions;
 
-  readonly #links = new Map<string, TransportLink>();
+  readonly #links = new Map<string, Attached>();
 
   readonly #applied = new Map<string, number>();
 
@@ -46,6 +68,9 @@
 
   #rollout: RolloutState;
 
+  /** Region of each zone, by the newest configuration. */
+  #regions: ReadonlyMap<string, string> = new Map();
+
   constructor(options: HubOptions) {
     this.#options = options;
     this.#rollout = initRollout(options.now());
@@ -104,8 +129,8 @@
 
   /** Renews the leases of those heard, then looks for those that ran out. */
   tick(): void {
-    const ids = [...this.#links].flatMap(([id, link]) =>
-      this.#options.now() - link.heardAt < 1_500 ? [id] : [],
+    const ids = [...this.#links].flatMap(([id, { link }]) =>
+      this.#options.now() - link.heardAt < HEARD_MS ? [id] : [],
     );
     this.#member({ type: 'heard', ids });
     this.#member({ type: 'tick' });
@@ -113,7 +138,7 @@
   }
 
   onClosed(link: TransportLink): void {
-    if (this.#links.get(link.peer) === link) {
+    if (this.#links.get(link.peer)?.link === link) {
       this.#links.delete(link.peer);
       this.#applied.delete(link.peer);
       this.#roll({ type: 'unsubscribe', id: link.peer });
@@ -126,16 +151,15 @@
     if (!reply.accepted) {
       return reply;
     }
-    this.#links.get(id)?.close();
+    this.#links.get(id)?.link.close();
     // The link's peer is who said hello on it; it can't speak for another.
     // eslint-disable-next-line no-param-reassign
     link.peer = id;
-    this.#links.set(id, link);
+    const sender = pacedSender(link, this.#options.now);
+    const attached: Attached = { link, sender, record };
+    this.#links.set(id, attached);
     this.#applied.set(id, configIndex);
-    if (record.role === 'entry') {
-      const records = [...this.#membership.directory.values()];
-      link.notify('directory', { full: true, records } satisfies DirectoryDelta);
-    }
+    this.#sendDirectory(attached);
     this.#roll({ type: 'subscribe', record, held: configIndex });
     return reply;
   }
@@ -164,23 +188,53 @@
         'member',
       );
     });
-    const delta: DirectoryDelta = { full: false, records };
-    this.#links.forEach((link, id) => {
-      if (this.#membership.directory.get(id)?.role === 'entry') {
-        link.notify('directory', delta);
+    this.#links.forEach(({ sender, record }) => {
+      const concerning = record.role === 'entry' ? this.#concerning(record, records) : [];
+      if (concerning.length > 0) {
+        sender.notify('directory', { full: false, records: concerning } satisfies DirectoryDelta);
       }
     });
   }
 
+  /** An entry process is told of its own region: work never spills out of it. */
+  #concerning(record: MemberRecord, records: readonly MemberRecord[]): readonly MemberRecord[] {
+    const own = this.#regions.get(record.zone);
+    return records.filter(({ zone }) => {
+      const region = this.#regions.get(zone);
+      return own === undefined || region === undefined || region === own;
+    });
+  }
+
+  #sendDirectory({ sender, record }: Attached): void {
+    if (record.role === 'entry') {
+      const records = this.#concerning(record, [...this.#membership.directory.values()]);
+      sender.notify('directory', { full: true, records } satisfies DirectoryDelta);
+    }
+  }
+
+  /** Looks the regions up once a configuration; when they change, entry processes start afresh. */
+  #updateRegions(): void {
+    const regions = regionsOf(this.#rollout.config.entries);
+    const text = JSON.stringify([...regions]);
+    if (text !== JSON.stringify([...this.#regions])) {
+      this.#regions = regions;
+      this.#links.forEach((attached) => this.#sendDirectory(attached));
+    }
+  }
+
   #roll(input: RolloutInput): void {
     const { state, outputs } = stepRollout(this.#rollout, input, this.#options.now());
+    const changed = state.config !== this.#rollout.config;
     this.#rollout = state;
+    if (changed) {
+      this.#updateRegions();
+    }
     outputs.forEach((output) => this.#perform(output));
   }
 
   #perform(output: RolloutOutput): void {
     if (output.type === 'send') {
-      this.#links.get(output.to)?.notify('config', output.delta);
+      this.#links.get(output.to)?.sender.notify('config', output.delta);
     } else if (output.type === 'phase') {
       this.#options.log.info({ event: 'rollout', phase: output.phase }, 'rollout phase');
     } else {
@@ -192,7 +246,7 @@
 
   /** Gets the newer configuration that a process holds. */
   async #fetch(from: string): Promise<void> {
-    const config = await this.#links.get(from)?.request('config.fetch', {});
+    const config = await this.#links.get(from)?.link.request('config.fetch', {});
     if (config !== undefined && config !== null) {
       this.#roll({ type: 'learned', config: config as ConfigState });
     }
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -8,7 +8,7 @@
   MemberRecord,
 } from '../protocol/index.js';
 import { applyConfigDelta, EMPTY_CONFIG, type ConfigState } from '../state/index.js';
-import { TransportLinkClient, type TransportLink } from '../transport/index.js';
+import { TransportLinkClient, withParts, type TransportLink } from '../transport/index.js';
 import type { ControlTarget } from './DaemonSettings.js';
 
 /** What the task needs. */
@@ -39,11 +39,11 @@
       targets: options.targets,
       signal: options.signal,
       jitter: options.random,
-      handlers: {
+      handlers: withParts({
         config: (delta) => this.#onConfig(delta as ConfigDelta),
         directory: (delta) => options.onDirectory(delta as DirectoryDelta),
         'config.fetch': () => this.#config,
-      },
+      }),
       onUp: async (link) => this.#hello(link),
     });
   }
--- a/src/protocol/ProtocolManifestText.ts
+++ b/src/protocol/ProtocolManifestText.ts
@@ -38,6 +38,18 @@
   );
 }
 
+/** Reads JSON that holds, which takes a fraction of the time; all else is YAML's, with places. */
+function parseSoundJson(text: string): Manifest | undefined {
+  if (!text.trimStart().startsWith('{')) {
+    return undefined;
+  }
+  try {
+    return manifestSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
 /**
  * Parses and checks a manifest.
  *
@@ -67,3 +79,13 @@
   });
   throw new FindingsError('manifest', findings);
 }
+
+/**
+ * Parses and checks a manifest as {@link parseManifest} does, sooner where it is JSON that holds;
+ * only a key that stands twice in such JSON isn't found.
+ *
+ * @throws {FindingsError} with all findings, each with line and column.
+ */
+export function parseManifestQuickly(text: string): Manifest {
+  return parseSoundJson(text) ?? parseManifest(text);
+}
--- a/src/protocol/__tests__/unit/ProtocolManifest.test.ts
+++ b/src/protocol/__tests__/unit/ProtocolManifest.test.ts
@@ -2,13 +2,13 @@
 import { readFile } from 'node:fs/promises';
 import { describe, it } from 'node:test';
 import { openSnapshots } from '../../../__tests__/utils/TestSnapshot.js';
-import { FindingsError, formatFinding, parseManifest } from '../../index.js';
+import { FindingsError, formatFinding, parseManifest, parseManifestQuickly } from '../../index.js';
 
 const matchSnapshot = openSnapshots(import.meta.url);
 
 function findingsOf(text: string): readonly string[] {
   try {
-    parseManifest(text);
+    parseManifestQuickly(text);
     return [];
   } catch (err) {
     assert.ok(err instanceof FindingsError);
@@ -58,6 +58,19 @@
     matchSnapshot('cross findings', findingsOf(text));
   });
 
+  it('reads JSON as it reads YAML, findings with their place included', () => {
+    const manifest = {
+      fleet: 'f',
+      version: 1,
+      availabilityZones: [{ name: 'z', region: 'r' }],
+      services: [{ name: 's', kind: 'plain', path: '/s' }],
+      customers: [{ name: 'c' }],
+    };
+    const json = JSON.stringify(manifest, null, 2);
+    assert.deepEqual(parseManifestQuickly(json), parseManifest(json));
+    matchSnapshot('json findings', findingsOf(json.replace('"/s"', '"s"')));
+  });
+
   it('reports broken YAML at its place', () => {
     matchSnapshot('syntax', findingsOf('fleet: [a\nversion: 1'));
   });
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -7,7 +7,7 @@
   type Manifest,
   type Service,
 } from './ProtocolManifest.js';
-export { parseManifest } from './ProtocolManifestText.js';
+export { parseManifest, parseManifestQuickly } from './ProtocolManifestText.js';
 export {
   CALLER_HEADERS,
   HOP_HEADERS,
--- a/src/state/StateConfig.ts
+++ b/src/state/StateConfig.ts
@@ -160,3 +160,13 @@
   byPath.sort(([a], [b]) => b.length - a.length);
   return { index: config.index, byModel, byPath, customers };
 }
+
+/** Region of each availability zone. */
+export function regionsOf(entries: ConfigEntries): ReadonlyMap<string, string> {
+  return new Map(
+    Object.entries(entries)
+      .filter(([key]) => key.split('/')[1] === 'zone')
+      .map(([, value]) => value as unknown as Manifest['availabilityZones'][number])
+      .map(({ name, region }) => [name, region]),
+  );
+}
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -12,8 +12,44 @@
 export interface FleetState {
   readonly version: number;
   readonly digest: string;
-  /** Log index by accepted version, with its digest: a resend gets its first answer for good. */
-  readonly accepted: Readonly<Record<number, { readonly digest: string; readonly index: number }>>;
+  /** What was accepted under each version, so that a resend gets its first answer. */
+  readonly accepted: AcceptedTable;
+}
+
+/** One accepted version. */
+export interface AcceptedVersion {
+  readonly digest: string;
+  readonly index: number;
+}
+
+/**
+ * Accepted versions in buckets of {@link ACCEPTED_BUCKET}, so that adding one copies a bucket and
+ * not the history.
+ */
+export type AcceptedTable = Readonly<Record<number, Readonly<Record<number, AcceptedVersion>>>>;
+
+/** Versions in one bucket. */
+const ACCEPTED_BUCKET = 256;
+
+/**
+ * Buckets kept: 262,144 versions, 32 days of 8,200 changes a day. A resend of an older one is
+ * answered `older`, which is no acceptance, so nothing wrong is promised.
+ */
+const ACCEPTED_BUCKETS = 1_024;
+
+function findAccepted(table: AcceptedTable, version: number): AcceptedVersion | undefined {
+  return table[Math.floor(version / ACCEPTED_BUCKET)]?.[version];
+}
+
+function addAccepted(
+  table: AcceptedTable,
+  version: number,
+  accepted: AcceptedVersion,
+): AcceptedTable {
+  const bucket = Math.floor(version / ACCEPTED_BUCKET);
+  const next = { ...table, [bucket]: { ...table[bucket], [version]: accepted } };
+  const kept = Object.entries(next).slice(-ACCEPTED_BUCKETS);
+  return kept.length < Object.keys(next).length ? Object.fromEntries(kept) : next;
 }
 
 /** A lease as the log knows it: who holds it, never until when, for clocks don't agree. */
@@ -99,7 +135,7 @@
   if (known === undefined) {
     return 'new';
   }
-  const same = known.accepted[version];
+  const same = findAccepted(known.accepted, version);
   if (same !== undefined) {
     return same.digest === digest
       ? { result: 'accepted', fleet, version, digest, index: same.index }
@@ -148,7 +184,7 @@
         [fleet]: {
           version,
           digest,
-          accepted: { ...known?.accepted, [version]: { digest, index } },
+          accepted: addAccepted(known?.accepted ?? {}, version, { digest, index }),
         },
       },
     },
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -8,6 +8,7 @@
   entriesOfFleet,
   flattenManifest,
   patchEntries,
+  regionsOf,
   viewConfig,
   type ConfigState,
   type ConfigView,
--- /dev/null
+++ b/src/transport/TransportParts.ts
@@ -0,0 +1,100 @@
+/** Bulk over a link: packed, compressed, and sent in parts that can be paced. */
+import { promisify } from 'node:util';
+import { deflateRaw, inflateRaw } from 'node:zlib';
+import { pack, unpack } from 'msgpackr';
+import type { LinkHandler, LinkHandlers, TransportLink } from './TransportLink.js';
+
+const deflate = promisify(deflateRaw);
+const inflate = promisify(inflateRaw);
+
+/** Bytes of one part. */
+export const PART_BYTES = 4_096;
+
+/** Messages shorter than this go as they are. In bytes. */
+const SMALL_BYTES = 1_024;
+
+interface Part {
+  readonly id: number;
+  readonly method: string;
+  readonly part: number;
+  readonly parts: number;
+  readonly bytes: Uint8Array;
+}
+
+/** How long to wait after so many bytes were sent. In ms. */
+export type Pace = (bytes: number) => number;
+
+/** Sends messages in order; what is large goes in parts, at the pace given. */
+export class PartsSender {
+  readonly #link: TransportLink;
+
+  readonly #pace: Pace;
+
+  #queue: Promise<void> = Promise.resolve();
+
+  #counter = 0;
+
+  constructor(link: TransportLink, pace: Pace) {
+    this.#link = link;
+    this.#pace = pace;
+  }
+
+  /** Queues a message behind those queued before. */
+  notify(method: string, params: unknown): void {
+    const packed = pack(params);
+    this.#queue = this.#queue
+      .then(async () => this.#send(method, params, packed))
+      .catch(() => undefined);
+  }
+
+  async #send(method: string, params: unknown, packed: Buffer): Promise<void> {
+    if (packed.length <= SMALL_BYTES) {
+      this.#link.notify(method, params);
+      this.#pace(packed.length);
+      return;
+    }
+    const bytes = await deflate(packed);
+    const parts = Math.ceil(bytes.length / PART_BYTES);
+    this.#counter += 1;
+    const id = this.#counter;
+    const sendFrom = async (part: number): Promise<void> => {
+      if (part >= parts) {
+        return;
+      }
+      const slice = bytes.subarray(part * PART_BYTES, (part + 1) * PART_BYTES);
+      this.#link.notify('link.part', { id, method, part, parts, bytes: slice } satisfies Part);
+      const waitMs = this.#pace(slice.length);
+      if (waitMs > 0) {
+        await new Promise((resolve) => {
+          setTimeout(resolve, waitMs).unref();
+        });
+      }
+      await sendFrom(part + 1);
+    };
+    await sendFrom(0);
+  }
+}
+
+/** Adds to handlers one that puts parts together and hands the whole to the method's own. */
+export function withParts(handlers: LinkHandlers): LinkHandlers {
+  let id = 0;
+  let received: Uint8Array[] = [];
+  const onPart: LinkHandler = async (params, link) => {
+    const part = params as Part;
+    if (part.part === 0) {
+      id = part.id;
+      received = [];
+    }
+    // Parts come in order on one link; a new link starts with a new message.
+    if (part.id !== id || part.part !== received.length) {
+      return;
+    }
+    received.push(part.bytes);
+    if (received.length === part.parts) {
+      const whole = Buffer.concat(received);
+      received = [];
+      await handlers[part.method]?.(unpack(await inflate(whole)), link);
+    }
+  };
+  return { ...handlers, 'link.part': onPart };
+}
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -13,3 +13,4 @@
 } from './TransportLink.js';
 export { TransportLinkClient, type LinkClientOptions } from './TransportLinkClient.js';
 export { serveLinks, type LinkServerOptions } from './TransportLinkServer.js';
+export { PART_BYTES, PartsSender, withParts, type Pace } from './TransportParts.js';
