Specifications of log, rollout and lease, explored exhaustively, with mutants

Found: the rollout specification broke 'a restarted process took an older configuration than its peers hold': a process attached elsewhere before the cut held more than the AZ's control process, which served others meanwhile. Test seen failing without the change. A specification of replacement from an empty start with all candidates did not end in 5 minutes; it now starts after one accepted entry.

--- /dev/null
+++ b/spec/SpecConsensus.ts
@@ -0,0 +1,360 @@
+/**
+ * Specification of election, commit and the replacement of a voter.
+ *
+ * Messages need no state of their own: a leader's log only grows within its term, so "any prefix of
+ * it may arrive at any replica at any time, any number of times, or never" covers loss, delay,
+ * doubling and reordering; likewise a vote once given may be counted at any later time.
+ */
+import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+
+/** An entry: its term, and the voters from here on where it changes them. */
+interface Entry {
+  readonly t: number;
+  readonly v?: string;
+}
+
+interface Replica {
+  readonly term: number;
+  readonly log: readonly Entry[];
+  /** Whom it voted for, by term; `votes[0]` is unused. What a disk holds. */
+  readonly votes: readonly string[];
+  /** Whether the log's last entry has been synced. */
+  readonly synced: number;
+}
+
+/** What happened in a term. */
+interface Term {
+  readonly leader: string;
+  readonly leading: boolean;
+  readonly log: readonly Entry[];
+  /** Longest match acknowledged, by replica. */
+  readonly acks: Readonly<Record<string, number>>;
+  /** Votes that were given in this term, also those that the voter forgot: `voter>candidate`. */
+  readonly given: readonly string[];
+}
+
+interface State {
+  readonly replicas: Readonly<Record<string, Replica>>;
+  readonly terms: readonly Term[];
+  /** What a leader has told callers to be accepted. */
+  readonly committed: readonly Entry[];
+  /** Term in which the newest of them was. */
+  readonly committedIn: number;
+  readonly broken: readonly string[];
+  readonly wiped: boolean;
+  readonly crashes: number;
+}
+
+interface Event extends SpecEvent {
+  readonly id: string;
+  readonly term: number;
+  readonly n?: number;
+}
+
+/** Bounds of one exploration. */
+export interface ConsensusBounds {
+  readonly terms: number;
+  readonly log: number;
+  readonly crashes: number;
+  /** Who may stand for election. */
+  readonly candidates: string;
+  /** Whether replica c may lose its disk and be replaced by d. */
+  readonly replace: boolean;
+  /** Where to start: see the functions of these names. */
+  readonly start?: 'empty' | 'after two terms' | 'after one commit';
+}
+
+const START_VOTERS = 'abc';
+
+/** The steps of a replacement: one voter at a time, or (mutant) both at once. */
+const CHANGES: Readonly<Record<string, string>> = { abc: 'abcd', abcd: 'abd' };
+
+function votersOf(log: readonly Entry[]): string {
+  return log.findLast(({ v }) => v !== undefined)?.v ?? START_VOTERS;
+}
+
+function isQuorum(voters: string, ids: readonly string[]): boolean {
+  return Array.from(voters).filter((id) => ids.includes(id)).length * 2 > voters.length;
+}
+
+function emptyReplica(): Replica {
+  return { term: 0, log: [], votes: [], synced: 0 };
+}
+
+function emptyTerm(): Term {
+  return { leader: '', leading: false, log: [], acks: {}, given: [] };
+}
+
+function setReplica(state: State, id: string, change: Partial<Replica>): State {
+  const known = state.replicas[id] ?? emptyReplica();
+  return { ...state, replicas: { ...state.replicas, [id]: { ...known, ...change } } };
+}
+
+function setTerm(state: State, term: number, change: Partial<Term>): State {
+  return {
+    ...state,
+    terms: state.terms.map((known, i) => (i === term ? { ...known, ...change } : known)),
+  };
+}
+
+function isUpToDate(mine: readonly Entry[], theirs: readonly Entry[]): boolean {
+  const [a, b] = [mine.at(-1)?.t ?? 0, theirs.at(-1)?.t ?? 0];
+  return b !== a ? b > a : theirs.length >= mine.length;
+}
+
+function replicaOf(state: State, id: string): Replica {
+  return state.replicas[id] ?? emptyReplica();
+}
+
+function termOf(state: State, term: number): Term {
+  return state.terms[term] ?? emptyTerm();
+}
+
+/** A candidate's votes in a term, as ever given. */
+function votesFor(state: State, term: number, id: string): readonly string[] {
+  return termOf(state, term)
+    .given.filter((vote) => vote.endsWith(`>${id}`))
+    .map((vote) => vote[0] ?? '');
+}
+
+function sortKeys(acks: Readonly<Record<string, number>>): Readonly<Record<string, number>> {
+  return Object.fromEntries(Object.entries(acks).sort(([a], [b]) => (a < b ? -1 : 1)));
+}
+
+type Step = (state: State, event: Event, on: Safeguards) => State;
+
+const STEPS: Readonly<Record<string, Step>> = {
+  /** Votes for oneself in a new term. */
+  campaign: (state, { id, term }) => {
+    const votes = [...replicaOf(state, id).votes];
+    votes[term] = id;
+    const given = [...termOf(state, term).given, `${id}>${id}`].sort();
+    const next = setReplica(state, id, { term, votes: Array.from(votes, (vote) => vote ?? '') });
+    return setTerm(next, term, { given });
+  },
+  /** `id` votes for the candidate number `n`. */
+  vote: (state, { id, term, n = 0 }) => {
+    const candidate = 'abcd'[n] ?? '';
+    const votes = Array.from(replicaOf(state, id).votes, (vote) => vote ?? '');
+    votes[term] = candidate;
+    const given = [...new Set([...termOf(state, term).given, `${id}>${candidate}`])].sort();
+    const next = setReplica(state, id, { term, votes: Array.from(votes, (vote) => vote ?? '') });
+    return setTerm(next, term, { given });
+  },
+  lead: (state, { id, term }) => {
+    const known = termOf(state, term);
+    const broken = known.leader !== '' && known.leader !== id ? ['two leaders in a term'] : [];
+    const { log } = replicaOf(state, id);
+    // A leader of an older term that wakes late can't undo anything: it needn't know.
+    const lost = term > state.committedIn && state.committed.some(({ t }, i) => log[i]?.t !== t);
+    const next = setTerm(state, term, { leader: id, leading: true, log, acks: { [id]: 0 } });
+    return {
+      ...next,
+      broken: [...state.broken, ...broken, ...(lost ? ['an accepted entry was lost'] : [])],
+    };
+  },
+  /** Appends an entry of its own; `n` 1 changes the voters. */
+  append: (state, { id, term, n = 0 }, on) => {
+    const { log } = termOf(state, term);
+    const voters = votersOf(log);
+    const changed = on['one voter at a time'] === false ? 'abd' : CHANGES[voters];
+    const entry: Entry = n === 1 && changed !== undefined ? { t: term, v: changed } : { t: term };
+    const next = [...log, entry];
+    return setTerm(setReplica(state, id, { log: next, synced: next.length }), term, { log: next });
+  },
+  /** The first `n` entries of a leader's log arrive. */
+  receive: (state, { id, term, n = 0 }, on) => {
+    const known = replicaOf(state, id);
+    const sent = termOf(state, term).log.slice(0, n);
+    const agrees = sent.every(({ t }, i) => known.log[i]?.t === t);
+    const log = agrees ? known.log : sent;
+    const next = setReplica(state, id, {
+      term,
+      log,
+      synced:
+        on['sync before answering'] === false ? Math.min(known.synced, log.length) : log.length,
+    });
+    const { acks } = termOf(state, term);
+    return setTerm(next, term, { acks: sortKeys({ ...acks, [id]: Math.max(acks[id] ?? 0, n) }) });
+  },
+  commit: (state, { term, n = 0 }) => {
+    const { log } = termOf(state, term);
+    const committed = log.slice(0, n).map(({ t }) => ({ t }));
+    const differs = state.committed.some(({ t }, i) => i < n && committed[i]?.t !== t);
+    return {
+      ...state,
+      committed: committed.length > state.committed.length ? committed : state.committed,
+      committedIn: Math.max(state.committedIn, term),
+      broken: differs ? [...state.broken, 'two accepted entries at one index'] : state.broken,
+    };
+  },
+  /** Stops and starts: what was not synced is gone, and so is the lead. */
+  crash: (state, { id, term }, on) => {
+    const known = replicaOf(state, id);
+    const votes = on['sync the vote'] === false ? [] : known.votes;
+    const next = setReplica(state, id, { log: known.log.slice(0, known.synced), votes });
+    const led = termOf(next, term).leader === id;
+    const stopped = led ? setTerm(next, term, { leading: false }) : next;
+    return { ...stopped, crashes: state.crashes + 1 };
+  },
+  /** Loses its disk: it returns as d, without a vote, or (mutant) under its own name. */
+  wipe: (state, { id }, on) => {
+    const kept =
+      on['new identity after a lost disk'] === false
+        ? setReplica(state, id, emptyReplica())
+        : state;
+    const terms = kept.terms.map((term) =>
+      term.leader === id ? { ...term, leading: false } : term,
+    );
+    return { ...kept, terms, wiped: true };
+  },
+};
+
+function electionEvents(state: State, id: string, bounds: ConsensusBounds): readonly Event[] {
+  const { term, votes, log } = replicaOf(state, id);
+  const mayStand = votersOf(log).includes(id) && bounds.candidates.includes(id);
+  const next = term + 1;
+  const campaign: readonly Event[] =
+    mayStand && next <= bounds.terms ? [{ type: 'campaign', id, term: next }] : [];
+  const lead = state.terms.flatMap((known, t) =>
+    t > 0 &&
+    t === term &&
+    votes[t] === id &&
+    known.leader !== id &&
+    known.acks[id] === undefined &&
+    isQuorum(votersOf(log), votesFor(state, t, id))
+      ? [{ type: 'lead', id, term: t }]
+      : [],
+  );
+  return [...campaign, ...lead];
+}
+
+function voteEvents(state: State, id: string): readonly Event[] {
+  const voter = replicaOf(state, id);
+  return Object.entries(state.replicas).flatMap(([other, { term, votes, log }]) => {
+    const asks = other !== id && term > 0 && votes[term] === other && term >= voter.term;
+    const free = term > voter.term || (voter.votes[term] ?? '') === '';
+    return asks && free && isUpToDate(voter.log, log)
+      ? [{ type: 'vote', id, term, n: 'abcd'.indexOf(other) }]
+      : [];
+  });
+}
+
+function leaderEvents(
+  state: State,
+  term: number,
+  bounds: ConsensusBounds,
+  on: Safeguards,
+): readonly Event[] {
+  const { leader: id, leading, log, acks } = termOf(state, term);
+  if (!leading || replicaOf(state, id).term !== term) {
+    return [];
+  }
+  const ownEntry = log.some(({ t }) => t === term);
+  const changes = log.filter(({ v }) => v !== undefined).length;
+  const committed = state.committed.length >= log.length;
+  const mayChange = bounds.replace && committed && ownEntry && changes < 2;
+  const append = [
+    ...(log.length < bounds.log && !ownEntry ? [{ type: 'append', id, term, n: 0 }] : []),
+    ...(log.length < bounds.log + 2 && mayChange ? [{ type: 'append', id, term, n: 1 }] : []),
+  ];
+  const commit = log.flatMap(({ t }, i) => {
+    const holders = Object.keys(acks).filter((other) => other === id || (acks[other] ?? 0) > i);
+    const own = t === term || on['commit only own term by count'] === false;
+    return own && i >= state.committed.length && isQuorum(votersOf(log), holders)
+      ? [{ type: 'commit', id, term, n: i + 1 }]
+      : [];
+  });
+  return [...append, ...commit];
+}
+
+function receiveEvents(state: State, id: string): readonly Event[] {
+  const { term: mine } = replicaOf(state, id);
+  return state.terms.flatMap(({ leader, log, acks }, term) =>
+    leader !== '' && leader !== id && term >= mine
+      ? log
+          .map((_entry, i) => i + 1)
+          .filter((n) => (acks[id] ?? 0) < n || term > mine)
+          .map((n) => ({ type: 'receive', id, term, n }))
+      : [],
+  );
+}
+
+function listEvents(state: State, bounds: ConsensusBounds, on: Safeguards): readonly Event[] {
+  const ids = Object.keys(state.replicas).filter(
+    (id) => !(state.wiped && id === 'c' && on['new identity after a lost disk'] !== false),
+  );
+  const crash = ids.flatMap((id) => {
+    const { term } = replicaOf(state, id);
+    return state.crashes < bounds.crashes ? [{ type: 'crash', id, term }] : [];
+  });
+  const wipe = bounds.replace && !state.wiped ? [{ type: 'wipe', id: 'c', term: 0 }] : [];
+  return [
+    ...ids.flatMap((id) => electionEvents(state, id, bounds)),
+    ...ids.flatMap((id) => voteEvents(state, id)),
+    ...ids.flatMap((id) => receiveEvents(state, id)),
+    ...state.terms.flatMap((_term, t) => leaderEvents(state, t, bounds, on)),
+    ...crash,
+    ...wipe,
+  ];
+}
+
+/** The situation of section 5.4.2 in the paper on Raft, from which counting alone goes wrong. */
+function afterTwoTerms(state: State): State {
+  const replicas = {
+    a: { term: 1, log: [{ t: 1 }], votes: ['', 'a'], synced: 1 },
+    b: { term: 2, log: [], votes: ['', 'a', 'c'], synced: 0 },
+    c: { term: 2, log: [{ t: 2 }], votes: ['', '', 'c'], synced: 1 },
+  };
+  const first = { leader: 'a', log: [{ t: 1 }], acks: { a: 0 }, given: ['a>a', 'b>a'] };
+  const second = { leader: 'c', log: [{ t: 2 }], acks: { c: 0 }, given: ['b>c', 'c>c'] };
+  return setTerm(setTerm({ ...state, replicas }, 1, first), 2, second);
+}
+
+/** Leader a has an entry accepted that c acknowledged and b doesn't have. */
+function afterOneCommit(state: State): State {
+  const log = [{ t: 1 }];
+  const replicas = {
+    a: { term: 1, log, votes: ['', 'a'], synced: 1 },
+    b: { term: 1, log: [], votes: ['', 'a'], synced: 0 },
+    c: { term: 1, log, votes: ['', 'a'], synced: 1 },
+    d: emptyReplica(),
+  };
+  const acks = { a: 0, c: 1 };
+  const given = ['a>a', 'b>a', 'c>a'];
+  const begun = { ...state, replicas, committed: log, committedIn: 1 };
+  return setTerm(begun, 1, { leader: 'a', leading: true, log, acks, given });
+}
+
+const STARTS: Readonly<Record<string, (state: State) => State>> = {
+  empty: (state) => state,
+  'after two terms': afterTwoTerms,
+  'after one commit': afterOneCommit,
+};
+
+/** Makes the specification within bounds. */
+export function makeConsensusSpec(
+  name: string,
+  bounds: ConsensusBounds,
+  safeguards: readonly string[],
+): Spec<State, Event> {
+  const first = STARTS[bounds.start ?? 'empty'] ?? ((state: State): State => state);
+  const ids = bounds.replace ? ['a', 'b', 'c', 'd'] : ['a', 'b', 'c'];
+  return {
+    name,
+    bounds: JSON.stringify(bounds),
+    safeguards,
+    init: first({
+      replicas: Object.fromEntries(ids.map((id) => [id, emptyReplica()])),
+      terms: Array.from({ length: bounds.terms + 1 }, emptyTerm),
+      committed: [],
+      committedIn: 0,
+      broken: [],
+      wiped: false,
+      crashes: 0,
+    }),
+    events: (state, on) => listEvents(state, bounds, on),
+    step: (state, event, on) => STEPS[event.type]?.(state, event, on) ?? state,
+    violations: ({ broken }) => broken,
+  };
+}
--- /dev/null
+++ b/spec/SpecExplorer.ts
@@ -0,0 +1,89 @@
+/** Explores every state of a specification, by xstate's `getAdjacencyMap`. */
+import { fromTransition, type AnyActorLogic } from 'xstate';
+import { getAdjacencyMap } from 'xstate/graph';
+import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+
+/** More states than this are a mistake in a specification's bounds. */
+const STATE_LIMIT = 3_000_000;
+
+/** What an exploration found. */
+export interface Exploration {
+  readonly states: number;
+  readonly transitions: number;
+  readonly seconds: number;
+  /** Shortest trace to a state that breaks an invariant; null if there is none. */
+  readonly trace: readonly string[] | null;
+  readonly violated: readonly string[];
+}
+
+function formatEvent({ type, ...rest }: SpecEvent): string {
+  const details = Object.entries(rest).map(([key, value]) => `${key}=${JSON.stringify(value)}`);
+  return [type, ...details].join(' ');
+}
+
+/** How a state was first reached. */
+interface Origin {
+  readonly from: string;
+  readonly event: SpecEvent;
+}
+
+function traceTo(origins: ReadonlyMap<string, Origin>, key: string): readonly string[] {
+  const origin = origins.get(key);
+  return origin === undefined ? [] : [...traceTo(origins, origin.from), formatEvent(origin.event)];
+}
+
+/**
+ * Visits all states and checks the invariants in each. The library goes breadth first, so the first
+ * violation found has the shortest trace; nothing is gone beyond then.
+ */
+export function exploreSpec<S, E extends SpecEvent>(spec: Spec<S, E>, on: Safeguards): Exploration {
+  const startedAt = performance.now();
+  const origins = new Map<string, Origin>();
+  const known = new Set([JSON.stringify(spec.init)]);
+  let transitions = 0;
+  let violated: readonly string[] = spec.violations(spec.init);
+  let violation: string | null = null;
+  const listNews = ({ context }: { readonly context: S }): readonly E[] => {
+    const from = JSON.stringify(context);
+    if (violation === null && violated.length === 0) {
+      violated = spec.violations(context);
+      violation = violated.length > 0 ? from : null;
+    }
+    if (violation !== null) {
+      return [];
+    }
+    // Only events that lead to states not met yet are handed on, so that the queue stays short.
+    return spec.events(context, on).filter((event) => {
+      transitions += 1;
+      const next = JSON.stringify(spec.step(context, event, on));
+      if (known.has(next)) {
+        return false;
+      }
+      known.add(next);
+      origins.set(next, { from, event });
+      return true;
+    });
+  };
+  const logic = fromTransition((state: S, event: E) => spec.step(state, event, on), spec.init);
+  const graph = getAdjacencyMap(logic as unknown as AnyActorLogic, {
+    events: listNews as never,
+    serializeState: ((snapshot: { readonly context: S }) =>
+      JSON.stringify(snapshot.context)) as never,
+    limit: STATE_LIMIT,
+  });
+  return {
+    states: Object.keys(graph).length,
+    transitions,
+    seconds: (performance.now() - startedAt) / 1000,
+    trace: violation === null ? null : traceTo(origins, violation),
+    violated,
+  };
+}
+
+/** All safeguards on, but those named. */
+export function safeguardsWithout(
+  spec: { readonly safeguards: readonly string[] },
+  off: readonly string[] = [],
+): Safeguards {
+  return Object.fromEntries(spec.safeguards.map((name) => [name, !off.includes(name)]));
+}
--- /dev/null
+++ b/spec/SpecLease.ts
@@ -0,0 +1,169 @@
+/**
+ * Specification of a group's lease: the log grants it with rising tokens, holders freeze and wake,
+ * orders are late, and the gate in front of an engine restarts. The engine ignores tokens.
+ */
+import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+
+interface Holder {
+  /** Token under which it believes to hold the lease; 0 for none. */
+  readonly token: number;
+  /** Whether its lease has run out by its own clock, which it learns when it looks. */
+  readonly expired: boolean;
+}
+
+interface State {
+  /** Newest token granted by the log. */
+  readonly granted: number;
+  readonly holders: readonly Holder[];
+  /** Orders on their way to the gate, by token. */
+  readonly toGate: readonly number[];
+  /** Orders that the gate has passed on, on their way to the engine. */
+  readonly toEngine: readonly number[];
+  /** Highest token that the gate knows; -1 while it has restarted and not learned it again. */
+  readonly highest: number;
+  /** Token of the newest order that the engine has carried out. */
+  readonly done: number;
+  readonly restarts: number;
+  readonly broken: readonly string[];
+}
+
+interface Event extends SpecEvent {
+  readonly i?: number;
+  readonly token?: number;
+}
+
+/** Bounds of the exploration. */
+export interface LeaseBounds {
+  readonly grants: number;
+  readonly restarts: number;
+}
+
+const SAFEGUARDS = [
+  'grant only after the lease ran out',
+  'compare tokens at the gate',
+  'learn the token from a quorum after a restart',
+  'wait out orders on their way to the engine',
+] as const;
+
+const HOLDERS = 2;
+
+function setHolder(state: State, i: number, change: Partial<Holder>): State {
+  return {
+    ...state,
+    holders: state.holders.map((known, j) => (j === i ? { ...known, ...change } : known)),
+  };
+}
+
+function removeOne(tokens: readonly number[], token: number): readonly number[] {
+  const at = tokens.indexOf(token);
+  return tokens.filter((_token, i) => i !== at);
+}
+
+function add(tokens: readonly number[], token: number): readonly number[] {
+  return [...new Set([...tokens, token])].sort((a, b) => a - b);
+}
+
+type Step = (state: State, event: Event, on: Safeguards) => State;
+
+const STEPS: Readonly<Record<string, Step>> = {
+  grant: (state, { i = 0 }) => {
+    const token = state.granted + 1;
+    // Two who may use the lease at once by their own clocks: the log must never allow that.
+    const both = state.holders.some((known, j) => j !== i && known.token > 0 && !known.expired);
+    const broken = both ? [...state.broken, 'two holders whose leases both run'] : state.broken;
+    return { ...setHolder(state, i, { token, expired: false }), granted: token, broken };
+  },
+  expire: (state, { i = 0 }) => setHolder(state, i, { expired: true }),
+  notice: (state, { i = 0 }) => setHolder(state, i, { token: 0 }),
+  /** It looked before it froze; it wakes and sends, though the lease has run out meanwhile. */
+  order: (state, { i = 0 }) => ({
+    ...state,
+    toGate: add(state.toGate, state.holders[i]?.token ?? 0),
+  }),
+  pass: (state, { token = 0 }, on) => {
+    const stale = token < state.highest && on['compare tokens at the gate'] !== false;
+    const toGate = removeOne(state.toGate, token);
+    if (stale) {
+      return { ...state, toGate };
+    }
+    return {
+      ...state,
+      toGate,
+      toEngine: add(state.toEngine, token),
+      highest: Math.max(state.highest, token),
+    };
+  },
+  drop: (state, { token = 0 }) => ({ ...state, toEngine: removeOne(state.toEngine, token) }),
+  carryOut: (state, { token = 0 }) => ({
+    ...state,
+    toEngine: removeOne(state.toEngine, token),
+    done: Math.max(state.done, token),
+    broken:
+      token < state.done
+        ? [...state.broken, 'an old order was carried out after a newer one']
+        : state.broken,
+  }),
+  restartGate: (state) => ({ ...state, highest: -1, restarts: state.restarts + 1 }),
+  learn: (state) => ({ ...state, highest: Math.max(state.highest, state.granted) }),
+};
+
+function gateEvents(state: State, on: Safeguards): readonly Event[] {
+  const learned =
+    state.highest >= 0 || on['learn the token from a quorum after a restart'] === false;
+  // A newer owner's order waits until none of an older one can still be on its way to the engine.
+  const clear = (token: number): boolean =>
+    on['wait out orders on their way to the engine'] === false ||
+    state.toEngine.every((other) => other >= token);
+  return [
+    ...(learned
+      ? state.toGate.filter(clear).map((token) => ({ type: 'pass', token }))
+      : [{ type: 'learn' }]),
+    ...state.toEngine.flatMap((token) => [
+      { type: 'carryOut', token },
+      { type: 'drop', token },
+    ]),
+  ];
+}
+
+function holderEvents(
+  state: State,
+  i: number,
+  bounds: LeaseBounds,
+  on: Safeguards,
+): readonly Event[] {
+  const { token, expired } = state.holders[i] ?? { token: 0, expired: false };
+  const free = state.holders.every((known, j) => j === i || known.token === 0 || known.expired);
+  const mayAsk = free || on['grant only after the lease ran out'] === false;
+  return [
+    ...(token === 0 && mayAsk && state.granted < bounds.grants ? [{ type: 'grant', i }] : []),
+    ...(token > 0 && !expired ? [{ type: 'expire', i }] : []),
+    ...(token > 0 && expired ? [{ type: 'notice', i }] : []),
+    ...(token > 0 && !state.toGate.includes(token) ? [{ type: 'order', i }] : []),
+  ];
+}
+
+/** Makes the specification within bounds. */
+export function makeLeaseSpec(bounds: LeaseBounds): Spec<State, Event> {
+  return {
+    name: 'lease, fencing and restart of the gate',
+    bounds: JSON.stringify(bounds),
+    safeguards: SAFEGUARDS,
+    init: {
+      granted: 0,
+      holders: Array.from({ length: HOLDERS }, () => ({ token: 0, expired: false })),
+      toGate: [],
+      toEngine: [],
+      highest: 0,
+      done: 0,
+      restarts: 0,
+      broken: [],
+    },
+    events: (state, on) => [
+      ...state.holders.flatMap((_holder, i) => holderEvents(state, i, bounds, on)),
+      ...gateEvents(state, on),
+      ...(state.restarts < bounds.restarts ? [{ type: 'restartGate' }] : []),
+    ],
+    step: (state, event, on) => STEPS[event.type]?.(state, event, on) ?? state,
+    violations: ({ broken }) => broken,
+  };
+}
--- /dev/null
+++ b/spec/SpecList.ts
@@ -0,0 +1,26 @@
+/** All specifications, with their bounds. */
+import { makeConsensusSpec } from './SpecConsensus.js';
+import { makeLeaseSpec } from './SpecLease.js';
+import { makeRolloutSpec } from './SpecRollout.js';
+import type { Spec, SpecEvent } from './SpecTypes.js';
+
+/** What `npm run check:model` explores. */
+export const SPECS = [
+  makeConsensusSpec(
+    'election and commit',
+    { terms: 2, log: 2, crashes: 1, candidates: 'abc', replace: false },
+    ['sync the vote', 'sync before answering'],
+  ),
+  makeConsensusSpec(
+    'commit after two lost terms',
+    { terms: 4, log: 2, crashes: 0, candidates: 'ac', replace: false, start: 'after two terms' },
+    ['commit only own term by count'],
+  ),
+  makeConsensusSpec(
+    'replacement of a voter',
+    { terms: 2, log: 1, crashes: 0, candidates: 'bd', replace: true, start: 'after one commit' },
+    ['new identity after a lost disk', 'one voter at a time'],
+  ),
+  makeRolloutSpec({ changes: 3, restarts: 3, processes: 2 }),
+  makeLeaseSpec({ grants: 3, restarts: 2 }),
+] as unknown as readonly Spec<unknown, SpecEvent>[];
--- a/src/coordination/Rollout.ts
+++ b/src/coordination/Rollout.ts
@@ -101,9 +101,21 @@
     : [{ from: 0, to: config.index, set: config.entries, del: [] }];
 }
 
-/** Brings every process attached up to date, unless this one isn't sure of its own yet. */
+/** Entry processes that hold more than this one: only they hold the whole, an endpoint its share. */
+function findAhead({ subscribers, config }: RolloutState): readonly string[] {
+  return [...subscribers.values()]
+    .filter(({ record, sent }) => record.role === 'entry' && sent > config.index)
+    .map(({ record }) => record.id);
+}
+
+/**
+ * Brings every process attached up to date, unless this one isn't sure of its own yet, or has just
+ * heard of a newer configuration that it is fetching: a process that restarted would else take the
+ * older one while its neighbour acts on the newer.
+ */
 function push(state: RolloutState): RolloutStep {
-  if (state.phase === 'checking' || state.config.index === 0) {
+  const unsure = state.phase === 'checking' || findAhead(state).length > 0;
+  if (unsure || state.config.index === 0) {
     return { state, outputs: [] };
   }
   const behind = [...state.subscribers.values()].filter(({ sent }) => sent < state.config.index);
@@ -141,22 +153,31 @@
     : { state, outputs: [] };
 }
 
+/** Asks those ahead for what they hold. */
+function fetchAhead(state: RolloutState): readonly RolloutOutput[] {
+  return findAhead(state).map((from) => ({ type: 'fetch', from }));
+}
+
 function onSubscribe(
   state: RolloutState,
   { record, held }: Extract<RolloutInput, { type: 'subscribe' }>,
 ): RolloutStep {
   const subscribers = new Map(state.subscribers).set(record.id, { record, sent: held });
   const pushed = push({ ...state, subscribers });
-  // Only an entry process holds the whole; an endpoint's share would be a loss if served onwards.
-  return held > state.config.index && record.role === 'entry'
-    ? { ...pushed, outputs: [...pushed.outputs, { type: 'fetch', from: record.id }] }
-    : pushed;
+  return { ...pushed, outputs: [...pushed.outputs, ...fetchAhead(pushed.state)] };
+}
+
+function onTick(state: RolloutState, now: number): RolloutStep {
+  const waited = state.phase === 'checking' && now - state.startedAt >= CHECK_MS;
+  const step = waited ? enter(state, 'cutOff') : { state, outputs: [] };
+  return { ...step, outputs: [...step.outputs, ...fetchAhead(step.state)] };
 }
 
 function onUnsubscribe(state: RolloutState, id: string): RolloutStep {
   const subscribers = new Map(state.subscribers);
   subscribers.delete(id);
-  return { state: { ...state, subscribers }, outputs: [] };
+  // If it was ahead and is gone, the others need no longer wait for what it held.
+  return push({ ...state, subscribers });
 }
 
 function onGap(
@@ -184,10 +205,7 @@
   unsubscribe: (state, { id }) => onUnsubscribe(state, id),
   learned: (state, { config }) => take(state, config, []),
   gap: onGap,
-  tick: (state, _input, now) =>
-    state.phase === 'checking' && now - state.startedAt >= CHECK_MS
-      ? enter(state, 'cutOff')
-      : { state, outputs: [] },
+  tick: (state, _input, now) => onTick(state, now),
 };
 
 /**
