--- a/fakes/FakeGroup.ts
+++ b/fakes/FakeGroup.ts
@@ -68,10 +68,13 @@
     rank.prepared?.version === version ? { ...rank, armed: rank.armed ?? { version, step } } : null,
   commit: (rank, { version }) =>
     rank.armed?.version === version ? { ...rank, committed: version } : null,
-  abort: (rank, { version }) =>
-    rank.committed === version || rank.version >= version
-      ? null
-      : { ...rank, prepared: null, armed: null },
+  abort: (rank, { version }) => {
+    if (rank.committed === version || rank.version >= version) {
+      return null;
+    }
+    // Another version may be committed and not yet in use: an abort is about the one it names.
+    return rank.prepared?.version === version ? { ...rank, prepared: null, armed: null } : rank;
+  },
   query: (rank) => rank,
 };
 
--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -1,6 +1,7 @@
 /** All specifications, with their bounds. */
 import { makeConsensusSpec } from './SpecConsensus.js';
 import { makeLeaseSpec } from './SpecLease.js';
+import { makeMapChangeSpec } from './SpecMapChange.js';
 import { makeRolloutSpec } from './SpecRollout.js';
 import type { Spec, SpecEvent } from './SpecTypes.js';
 
@@ -23,4 +24,14 @@
   ),
   makeRolloutSpec({ changes: 3, restarts: 3, processes: 2 }),
   makeLeaseSpec({ grants: 3, restarts: 2 }),
+  makeMapChangeSpec({ ranks: 3, proposals: [1, 0] }, [
+    'commit only once all are armed',
+    'an armed rank waits rather than guesses',
+    'refuse old tokens',
+    'learn from all ranks before acting',
+  ]),
+  makeMapChangeSpec({ ranks: 2, proposals: [2, 0] }, [
+    'a new version for each attempt',
+    'abort only the version named',
+  ]),
 ] as unknown as readonly Spec<unknown, SpecEvent>[];
--- /dev/null
+++ b/spec/SpecMapChange.ts
@@ -0,0 +1,285 @@
+/**
+ * Specification of a map change over the ranks of a group, by a coordinator and the one that
+ * replaces it while the first still lives.
+ *
+ * Orders once sent may arrive at any later time, as often as they like, or never; so may answers.
+ * Ranks are alike, so states that differ only in their order are one.
+ */
+import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+
+interface Rank {
+  /** Highest token seen. */
+  readonly h: number;
+  /** Version in use; prepared, armed and committed version, 0 for none. */
+  readonly v: number;
+  readonly p: number;
+  readonly a: number;
+  readonly c: number;
+  /** Answers given, `kind.token.version`; to a query with what it told. */
+  readonly said: readonly string[];
+}
+
+interface Coordinator {
+  readonly phase: string;
+  readonly version: number;
+  readonly attempted: number;
+}
+
+interface State {
+  readonly ranks: readonly Rank[];
+  readonly coordinators: readonly Coordinator[];
+  /** Orders sent, `kind.token.version`. */
+  readonly sent: readonly string[];
+  /** Versions whose armed step has come. */
+  readonly reached: readonly number[];
+  readonly broken: readonly string[];
+}
+
+interface Event extends SpecEvent {
+  readonly i?: number;
+  readonly order?: string;
+  readonly version?: number;
+}
+
+/** Bounds of the exploration. */
+export interface MapChangeBounds {
+  readonly ranks: number;
+  /** Changes that the first and the second coordinator may propose. */
+  readonly proposals: readonly [number, number];
+}
+
+const SAFEGUARDS = [
+  'commit only once all are armed',
+  'an armed rank waits rather than guesses',
+  'refuse old tokens',
+  'learn from all ranks before acting',
+  'a new version for each attempt',
+  'abort only the version named',
+] as const;
+
+const FIRST_VERSION = 1;
+
+/** Letter of the order that each phase sends. */
+const ORDERS: Readonly<Record<string, string>> = {
+  learning: 'q',
+  preparing: 'p',
+  arming: 'a',
+  committing: 'c',
+  aborting: 'b',
+};
+
+function sortRanks(ranks: readonly Rank[]): readonly Rank[] {
+  return ranks
+    .map((rank) => ({ rank, key: JSON.stringify(rank) }))
+    .sort((a, b) => (a.key < b.key ? -1 : 1))
+    .map(({ rank }) => rank);
+}
+
+function addTo<T>(items: readonly T[], item: T): readonly T[] {
+  return items.includes(item) ? items : [...items, item].sort((a, b) => (a < b ? -1 : 1));
+}
+
+function enter(state: State, i: number, change: Partial<Coordinator>): State {
+  const coordinators = state.coordinators.map((known, j) =>
+    j === i ? { ...known, ...change } : known,
+  );
+  const { phase, version } = coordinators[i] ?? { phase: '', version: 0 };
+  const kind = ORDERS[phase];
+  const sent = kind === undefined ? state.sent : addTo(state.sent, `${kind}.${i + 1}.${version}`);
+  return { ...state, coordinators, sent };
+}
+
+/** What a rank makes of an order; null if it refuses. */
+function take(rank: Rank, kind: string, version: number, on: Safeguards): Rank | null {
+  const rules: Readonly<Record<string, () => Rank | null>> = {
+    q: () => rank,
+    p: () => (rank.a === 0 && version > rank.v ? { ...rank, p: version } : null),
+    a: () => (rank.p === version ? { ...rank, a: version } : null),
+    c: () => {
+      if (rank.v === version) {
+        return rank;
+      }
+      return rank.a === version ? { ...rank, c: version } : null;
+    },
+    b: () => {
+      if (rank.c === version || rank.v >= version) {
+        return null;
+      }
+      // Only what the abort is about: an older version may be committed and not yet in use.
+      const other = rank.p !== version && on['abort only the version named'] !== false;
+      return other ? rank : { ...rank, p: 0, a: 0 };
+    },
+  };
+  return rules[kind]?.() ?? null;
+}
+
+function answerOf(rank: Rank, kind: string, token: number, version: number): string {
+  return kind === 'q'
+    ? `q.${token}.${rank.v}.${rank.p}.${rank.a}.${rank.c}`
+    : `${kind}.${token}.${version}`;
+}
+
+interface Told {
+  readonly v: number;
+  readonly p: number;
+  readonly a: number;
+  readonly c: number;
+}
+
+/** First answers of all ranks to a query; null while one is missing. */
+function learned(state: State, token: number): readonly Told[] | null {
+  const told = state.ranks.map(({ said }) => said.find((text) => text.startsWith(`q.${token}.`)));
+  if (told.includes(undefined)) {
+    return null;
+  }
+  return told.map((text) => {
+    const [v = 0, p = 0, a = 0, c = 0] = (text ?? '').split('.').slice(2).map(Number);
+    return { v, p, a, c };
+  });
+}
+
+function afterLearning(state: State, i: number, told: readonly Told[]): State {
+  const newest = Math.max(...told.map(({ v, c }) => Math.max(v, c)));
+  const open = Math.max(...told.map(({ p, a }) => Math.max(p, a)));
+  const attempted = Math.max(newest, open);
+  if (told.some(({ v }) => v < newest)) {
+    return enter(state, i, { phase: 'committing', version: newest, attempted });
+  }
+  if (open > newest) {
+    const phase = told.every(({ a }) => a === open) ? 'committing' : 'aborting';
+    return enter(state, i, { phase, version: open, attempted });
+  }
+  return enter(state, i, { phase: 'ready', version: newest, attempted });
+}
+
+type Step = (state: State, event: Event, on: Safeguards) => State;
+
+const STEPS: Readonly<Record<string, Step>> = {
+  replace: (state) => enter(state, 1, { phase: 'learning' }),
+  /** Mutant: acts on what it has heard from some ranks. */
+  learnSome: (state) => enter(state, 1, { phase: 'aborting', version: FIRST_VERSION + 1 }),
+  propose: (state, { i = 0 }, on) => {
+    const { attempted, version } = state.coordinators[i] ?? { attempted: 0, version: 0 };
+    const next = (on['a new version for each attempt'] === false ? version : attempted) + 1;
+    return enter(state, i, { phase: 'preparing', version: next, attempted: next });
+  },
+  giveUp: (state, { i = 0 }) => enter(state, i, { phase: 'aborting' }),
+  advance: (state, { i = 0 }, on) => {
+    const { phase, version } = state.coordinators[i] ?? { phase: '', version: 0 };
+    const told = phase === 'learning' ? learned(state, i + 1) : null;
+    if (told !== null) {
+      return afterLearning(state, i, told);
+    }
+    const skip = on['commit only once all are armed'] === false;
+    const next: Readonly<Record<string, Partial<Coordinator>>> = {
+      preparing: { phase: 'arming' },
+      arming: { phase: 'committing' },
+      committing: { phase: 'ready' },
+      aborting: { phase: 'ready', version: Math.min(...state.ranks.map(({ v }) => v)) },
+    };
+    const armed = enter(state, i, next[phase] ?? {});
+    return skip && phase === 'preparing'
+      ? enter(armed, i, { phase: 'committing', version })
+      : armed;
+  },
+  deliver: (state, { i = 0, order = '' }, on) => {
+    const [kind = '', token = 0, version = 0] = order
+      .split('.')
+      .map((part, j) => (j === 0 ? part : Number(part))) as [string, number, number];
+    const rank = state.ranks[i];
+    const stale = rank === undefined || (token < rank.h && on['refuse old tokens'] !== false);
+    const taken = stale ? null : take(rank, kind, version, on);
+    if (taken === null) {
+      return state;
+    }
+    const next: Rank = {
+      ...taken,
+      h: Math.max(taken.h, token),
+      said: addTo(taken.said, answerOf(taken, kind, token, version)),
+    };
+    return { ...state, ranks: sortRanks(state.ranks.map((known, j) => (j === i ? next : known))) };
+  },
+  reach: (state, { version = 0 }) => ({ ...state, reached: addTo(state.reached, version) }),
+  /** One step of the group: those whose step has come and who know go over to the new version. */
+  step: (state) => {
+    const ranks = state.ranks.map((rank) =>
+      rank.a !== 0 && rank.c === rank.a && state.reached.includes(rank.a)
+        ? { ...rank, v: rank.a, p: 0, a: 0 }
+        : rank,
+    );
+    const mixed = new Set(ranks.map(({ v }) => v)).size > 1;
+    return {
+      ...state,
+      ranks: sortRanks(ranks),
+      broken: mixed ? ['ranks used different maps in one step'] : [],
+    };
+  },
+};
+
+function sentBy(state: State, i: number, kind: string): number {
+  return state.sent.filter((order) => order.startsWith(`${kind}.${i + 1}.`)).length;
+}
+
+function coordinatorEvents(
+  state: State,
+  i: number,
+  bounds: MapChangeBounds,
+  on: Safeguards,
+): readonly Event[] {
+  const { phase, version } = state.coordinators[i] ?? { phase: 'idle', version: 0 };
+  const kind = ORDERS[phase];
+  const answered =
+    phase === 'learning'
+      ? learned(state, i + 1) !== null
+      : state.ranks.every(({ said }) => said.includes(`${kind ?? ''}.${i + 1}.${version}`));
+  const done = sentBy(state, i, 'p');
+  const early = phase === 'preparing' || phase === 'arming';
+  const hasty = phase === 'learning' && on['learn from all ranks before acting'] === false;
+  return [
+    ...(phase === 'ready' && done < (bounds.proposals[i] ?? 0) ? [{ type: 'propose', i }] : []),
+    ...(kind !== undefined && answered ? [{ type: 'advance', i }] : []),
+    ...(early ? [{ type: 'giveUp', i }] : []),
+    ...(hasty ? [{ type: 'learnSome' }] : []),
+  ];
+}
+
+function mayStep(state: State, on: Safeguards): boolean {
+  const waits = state.ranks.some(({ a, c }) => a !== 0 && c !== a && state.reached.includes(a));
+  return !waits || on['an armed rank waits rather than guesses'] === false;
+}
+
+/** Makes the specification within bounds. */
+export function makeMapChangeSpec(
+  bounds: MapChangeBounds,
+  safeguards: readonly string[] = SAFEGUARDS,
+): Spec<State, Event> {
+  const rank: Rank = { h: 1, v: FIRST_VERSION, p: 0, a: 0, c: 0, said: [] };
+  return {
+    name: 'map change over the ranks of a group',
+    bounds: JSON.stringify(bounds),
+    safeguards,
+    init: {
+      ranks: Array.from({ length: bounds.ranks }, () => rank),
+      coordinators: [
+        { phase: 'ready', version: FIRST_VERSION, attempted: FIRST_VERSION },
+        { phase: 'idle', version: 0, attempted: 0 },
+      ],
+      sent: [],
+      reached: [],
+      broken: [],
+    },
+    events: (state, on) => [
+      ...(state.coordinators[1]?.phase === 'idle' ? [{ type: 'replace' }] : []),
+      ...state.coordinators.flatMap((_known, i) => coordinatorEvents(state, i, bounds, on)),
+      ...state.ranks.flatMap((_rank, i) =>
+        state.sent.map((order) => ({ type: 'deliver', i, order })),
+      ),
+      ...state.ranks
+        .filter(({ a }) => a !== 0 && !state.reached.includes(a))
+        .map(({ a }) => ({ type: 'reach', version: a })),
+      ...(mayStep(state, on) ? [{ type: 'step' }] : []),
+    ],
+    step: (state, event, on) => STEPS[event.type]?.(state, event, on) ?? state,
+    violations: ({ broken }) => broken,
+  };
+}
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -45,7 +45,9 @@
     runtime: asValue(runtime),
     signal: asValue(signal),
     folder: asValue(folder),
-    testSwitch: asFunction(() => new DaemonTestSwitch(cfg['test-switch'])).singleton(),
+    testSwitch: asFunction(
+      () => new DaemonTestSwitch(cfg['test-switch'], cfg['test-cut']),
+    ).singleton(),
     peers: asFunction(
       ({ testSwitch }: Cradle) =>
         new DaemonControlPeers({
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -46,6 +46,7 @@
           isCut: options.isCut,
           jitter: options.random,
           onUp: async (link) => {
+            link.notify('control.hello', { from: options.self });
             // A new link may have missed news: the peer gets the whole list of those attached here.
             const { attached } = options.hub();
             link.notify('control.directory', this.#directory(true, attached));
@@ -59,18 +60,18 @@
   get handlers(): LinkHandlers {
     const { consensus, hub } = this.#options;
     return {
-      raft: (params, link) => {
-        const { from, message } = params as { from: string; message: ConsensusMessage };
+      'control.hello': (params, link) => {
         // eslint-disable-next-line no-param-reassign
-        link.peer = replicaName(from);
+        link.peer = (params as { from: string }).from;
+      },
+      raft: (params) => {
+        const { from, message } = params as { from: string; message: ConsensusMessage };
         consensus().post({ type: 'message', from, message });
       },
       'control.identity': () => this.identity,
       'control.found': async (params) => this.#onFound(params as { voters: readonly string[] }),
-      'control.directory': (params, link) => {
+      'control.directory': (params) => {
         const { from, ...delta } = params as DirectoryDelta & { from: string };
-        // eslint-disable-next-line no-param-reassign
-        link.peer = from;
         hub().onPeer(from, delta);
       },
     };
--- a/src/daemon/DaemonSettings.ts
+++ b/src/daemon/DaemonSettings.ts
@@ -72,6 +72,10 @@
     'data-folder': z.string().min(1),
     'compact-every': z.coerce.number().int().min(8).max(100_000).default(256),
     'test-switch': z.stringbool().default(false),
+    'test-cut': z
+      .string()
+      .default('')
+      .transform((text) => text.split(',').filter((part) => part !== '')),
   }),
   entry: z.object({ ...base, 'zone-control': name.optional(), 'drain-ms': ms.default(600_000) }),
   endpoint: z.object({
--- a/src/daemon/DaemonTestSwitch.ts
+++ b/src/daemon/DaemonTestSwitch.ts
@@ -11,8 +11,10 @@
 
   #peers: ReadonlySet<string> = new Set();
 
-  constructor(enabled: boolean) {
+  /** `cut` names peers to be cut off from the start, for restarts within a cut. */
+  constructor(enabled: boolean, cut: readonly string[]) {
     this.#enabled = enabled;
+    this.#peers = new Set(enabled ? cut : []);
   }
 
   /** Drops everything from and to the peers that are cut off. */
--- a/tools/QuickstartCluster.ts
+++ b/tools/QuickstartCluster.ts
@@ -6,7 +6,10 @@
 import { request } from 'undici';
 import { freePorts, QuickstartProcesses } from './QuickstartProcess.js';
 
-const DIST = fileURLToPath(new URL('..', import.meta.url));
+/** The built programs, whether this runs from source or from `dist` itself. */
+const DIST = fileURLToPath(
+  new URL(import.meta.url.includes('/dist/') ? '..' : '../dist', import.meta.url),
+);
 const DAEMON = path.join(DIST, 'src/daemon/DaemonMain.js');
 const FAKE = path.join(DIST, 'fakes/FakeMain.js');
 
@@ -132,9 +135,9 @@
     await waitReady(controls);
   }
 
-  /** Starts a process again as it was first started. */
-  restart(name: string): void {
-    this.#processes.start(name, DAEMON, this.#arguments.get(name) ?? []);
+  /** Starts a process again as it was first started, with further flags. */
+  restart(name: string, flags: readonly string[] = []): void {
+    this.#processes.start(name, DAEMON, [...(this.#arguments.get(name) ?? []), ...flags]);
   }
 
   #daemon(name: string, args: readonly string[]): void {
--- /dev/null
+++ b/tools/__tests__/unit/ControlFailure.test.ts
@@ -0,0 +1,245 @@
+/** Failures of control processes, with real processes over loopback. One system, one test after another. */
+import assert from 'node:assert/strict';
+import { mkdtemp, rm } from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { request } from 'undici';
+import { expectedReply } from '../../../fakes/FakeService.js';
+import type { SubmitReply } from '../../../src/protocol/index.js';
+import { QuickstartCluster, waitReady, waitUntil } from '../../QuickstartCluster.js';
+
+const ZONES = ['ikeja', 'apapa', 'lekki'] as const;
+const CONTROLS = ZONES.map((zone) => QuickstartCluster.controlOf(zone));
+
+interface ControlRow {
+  readonly name: string;
+  readonly replica: string;
+  readonly role: string;
+  readonly voters: readonly string[];
+  readonly rollout: string;
+  readonly configIndex: number;
+}
+
+interface Status {
+  readonly controls: readonly ControlRow[];
+  readonly configIndex: number;
+  readonly inForce: number;
+  readonly live: number;
+}
+
+function manifest(version: number, limit = 64): string {
+  return JSON.stringify({
+    fleet: 'stockdesk',
+    version,
+    availabilityZones: ZONES.map((name) => ({ name, region: 'lagos-west' })),
+    services: [{ name: 'lookup', kind: 'plain', path: '/lookup', repeatable: true }],
+    customers: [{ name: 'kano', maxInFlight: limit + (version % 7) }],
+  });
+}
+
+describe('control processes under failure', () => {
+  let cluster: QuickstartCluster;
+  let folder = '';
+  let version = 0;
+
+  const http = (name: string): string => cluster.addresses.controls[CONTROLS.indexOf(name)] ?? '';
+
+  const status = async (name: string): Promise<Status> => {
+    const response = await request(`http://${http(name)}/v1/status`);
+    return (await response.body.json()) as Status;
+  };
+
+  const post = async (name: string, route: string, body: string): Promise<unknown> => {
+    const response = await request(`http://${http(name)}${route}`, { method: 'POST', body });
+    return response.body.json();
+  };
+
+  /** Submits until the outcome is known. */
+  const submit = async (name: string, text: string): Promise<SubmitReply> => {
+    let reply: SubmitReply = { result: 'unavailable', reason: '' };
+    await waitUntil('the outcome of a submission', 15_000, async () => {
+      try {
+        reply = (await post(name, '/v1/manifests', text)) as SubmitReply;
+      } catch {
+        return false;
+      }
+      return reply.result !== 'unavailable';
+    });
+    return reply;
+  };
+
+  const findLeader = async (among: readonly string[] = CONTROLS): Promise<string> => {
+    let leader = '';
+    await waitUntil('a leader', 15_000, async () => {
+      const rows = (await status(among[0] ?? '')).controls;
+      leader = rows.find((row) => row.role === 'leader' && among.includes(row.name))?.name ?? '';
+      return leader !== '';
+    });
+    return leader;
+  };
+
+  const inForce = async (name: string, limitMs = 10_000): Promise<void> =>
+    waitUntil('in force everywhere', limitMs, async () => {
+      const { inForce: count, live } = await status(name);
+      return count === live && live === ZONES.length * 2;
+    });
+
+  /** Sends a call through the entry process of a zone; its answer must be whole. */
+  const call = async (zone: number): Promise<void> => {
+    const response = await request(`http://${cluster.addresses.entries[zone] ?? ''}/lookup/x`, {
+      method: 'POST',
+      headers: { 'x-customer': 'kano' },
+      body: 'shelf',
+    });
+    assert.equal(await response.body.text(), expectedReply('/lookup/x', 'shelf'));
+  };
+
+  before(async () => {
+    folder = await mkdtemp(path.join(os.tmpdir(), 'laburnumgauge-control-'));
+    cluster = new QuickstartCluster({
+      folder,
+      fleet: 'stockdesk',
+      zones: ZONES,
+      entriesPerZone: 1,
+      endpoints: ZONES.map((zone) => ({
+        id: `lookup-${zone}`,
+        zone,
+        service: 'lookup',
+        kind: 'service' as const,
+      })),
+      engine: [8, 1, 1],
+      logLevel: 'info',
+      extraControl: ['--test-switch', 'true', '--compact-every', '64'],
+    });
+    await cluster.start();
+    version += 1;
+    assert.equal((await submit(CONTROLS[0] ?? '', manifest(version))).result, 'accepted');
+    await waitReady(cluster.addresses.entries);
+    await inForce(CONTROLS[0] ?? '');
+  });
+
+  after(async () => {
+    CONTROLS.forEach((name) => cluster.processes.get(name).kill('SIGCONT'));
+    await cluster.processes.stopAll(3_000);
+    await rm(folder, { recursive: true });
+  });
+
+  // The leader is killed while a submission is under way, and the pipeline never hears back. It
+  // sends the same file to another control process: the outcome is one acceptance, whoever decided
+  // it; other content under that version is a conflict for good, also at the old leader.
+  it('gives a resend one outcome when the leader is killed in the middle', async () => {
+    const leader = await findLeader();
+    const other = CONTROLS.find((name) => name !== leader) ?? '';
+    version += 1;
+    const lost = post(leader, '/v1/manifests', manifest(version)).catch(() => undefined);
+    await delay(2);
+    await cluster.processes.stop(leader, 'SIGKILL');
+    await lost;
+    const accepted = await submit(other, manifest(version));
+    assert.equal(accepted.result, 'accepted');
+    assert.equal((await submit(other, manifest(version, 99))).result, 'conflict');
+    cluster.restart(leader);
+    await waitReady([http(leader)]);
+    assert.deepEqual(await submit(leader, manifest(version)), accepted);
+    await inForce(other);
+  });
+
+  // The leader is frozen for longer than an election takes; others accept a change meanwhile. It
+  // wakes and believes that it leads. What a racing pipeline submits to it must meet the acceptance
+  // it slept through, and nobody may get the older configuration back.
+  it('refuses what a leader that slept would accept', async () => {
+    const leader = await findLeader();
+    const others = CONTROLS.filter((name) => name !== leader);
+    version += 1;
+    cluster.processes.get(leader).kill('SIGSTOP');
+    const accepted = await submit(others[0] ?? '', manifest(version));
+    assert.equal(accepted.result, 'accepted');
+    const race = post(leader, '/v1/manifests', manifest(version, 500)) as Promise<SubmitReply>;
+    await delay(500);
+    cluster.processes.get(leader).kill('SIGCONT');
+    const raced = await race;
+    const settled =
+      raced.result === 'unavailable' ? await submit(leader, manifest(version, 500)) : raced;
+    assert.equal(settled.result, 'conflict');
+    await inForce(leader);
+  });
+
+  // A host loses its disk and is repaired with an empty one; right after it is back, a second host
+  // dies. The repaired one must hold the whole log by then, under a new identity, and with the
+  // third be the quorum that accepts the next change.
+  it('goes on when a second host fails right after a first was repaired', async () => {
+    const [lost = '', second = '', third = ''] = CONTROLS;
+    const old = (await status(third)).controls.find(({ name }) => name === lost)?.replica ?? '';
+    await cluster.processes.stop(lost, 'SIGKILL');
+    await rm(path.join(folder, 'data', lost), { recursive: true });
+    cluster.restart(lost);
+    await waitUntil('the repaired replica votes', 20_000, async () => {
+      const { controls } = await status(third);
+      const fresh = controls.find(({ name }) => name === lost)?.replica ?? '';
+      const voters = controls.find(({ name }) => name === third)?.voters ?? [];
+      return voters.includes(fresh) && !voters.includes(old) && voters.length === 3;
+    });
+    await cluster.processes.stop(second, 'SIGKILL');
+    version += 1;
+    assert.equal((await submit(third, manifest(version))).result, 'accepted');
+    cluster.restart(second);
+    await waitReady([http(second)]);
+    await inForce(third);
+  });
+
+  // An AZ is cut off. The others accept a change; the cut-off AZ goes on serving on what it has.
+  // Its control process and its entry process both restart inside the cut: neither may come back
+  // with an older configuration, and the AZ must serve again. Healed, it takes the change.
+  it('serves on in a cut-off AZ, through two restarts, and never goes back', async () => {
+    const cutOff = CONTROLS[2] ?? '';
+    const others = CONTROLS.slice(0, 2);
+    const held = (await status(cutOff)).configIndex;
+    const cut = JSON.stringify({ peers: [cutOff] });
+    await Promise.all(others.map(async (name) => post(name, '/test/cut', cut)));
+    await post(cutOff, '/test/cut', JSON.stringify({ peers: others }));
+    await findLeader(others);
+    version += 1;
+    assert.equal((await submit(others[0] ?? '', manifest(version))).result, 'accepted');
+    await call(2);
+    await cluster.processes.stop(cutOff, 'SIGKILL');
+    cluster.restart(cutOff, ['--test-cut', others.join(',')]);
+    await cluster.processes.stop('entry-lekki-1', 'SIGKILL');
+    cluster.restart('entry-lekki-1');
+    await waitReady([http(cutOff), cluster.addresses.entries[2] ?? '']);
+    const own = (await status(cutOff)).controls.find(({ name }) => name === cutOff);
+    assert.deepEqual([own?.rollout, own?.configIndex], ['cutOff', held]);
+    await call(2);
+    const refused = (await post(cutOff, '/v1/manifests', manifest(version + 1))) as SubmitReply;
+    assert.equal(refused.result, 'unavailable');
+    const heal = JSON.stringify({ peers: [] });
+    await Promise.all(CONTROLS.map(async (name) => post(name, '/test/cut', heal)));
+    await inForce(others[0] ?? '', 20_000);
+  });
+
+  // Three hundred changes go by, then every process is killed and started again, as after a power
+  // cut. All must come back with the newest, and a resend of an early version gets its first answer.
+  it('comes back with the newest after 300 changes and a restart of all', async () => {
+    const leader = await findLeader();
+    const first = await submit(leader, manifest(version + 1));
+    const last = version + 300;
+    const next = async (n: number): Promise<void> => {
+      if (n <= last) {
+        assert.equal((await submit(leader, manifest(n))).result, 'accepted');
+        await next(n + 1);
+      }
+    };
+    await next(version + 2);
+    const newest = (await status(leader)).configIndex;
+    const daemons = cluster.processes.names.filter((name) => !name.startsWith('fake-'));
+    await Promise.all(daemons.map(async (name) => cluster.processes.stop(name, 'SIGKILL')));
+    daemons.forEach((name) => cluster.restart(name));
+    await waitReady([...cluster.addresses.controls, ...cluster.addresses.entries]);
+    await inForce(leader, 20_000);
+    assert.equal((await status(leader)).configIndex, newest);
+    assert.deepEqual(await submit(leader, manifest(version + 1)), first);
+    await Promise.all([0, 1, 2].map(call));
+    version = last;
+  });
+});
