--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -40,7 +40,7 @@
       signal: options.signal,
       jitter: options.random,
       handlers: withParts({
-        config: (delta) => this.#onConfig(delta as ConfigDelta),
+        config: (delta, link) => this.#onConfig(delta as ConfigDelta, link),
         directory: (delta) => options.onDirectory(delta as DirectoryDelta),
         'config.fetch': () => this.#config,
       }),
@@ -85,17 +85,21 @@
     throw new Error('incarnation too old');
   }
 
-  #onConfig(delta: ConfigDelta): void {
+  /**
+   * Takes a delta and answers on the link that it came by: it can come before the reply to `hello`,
+   * when the client doesn't count the link as up, and the answer would be lost.
+   */
+  #onConfig(delta: ConfigDelta, link: TransportLink): void {
     const { state, result } = applyConfigDelta(this.#config, delta);
     this.#config = state;
     if (result === 'gap') {
-      this.#client.link?.notify('config.gap', { held: state.index });
+      link.notify('config.gap', { held: state.index });
       return;
     }
     if (result === 'applied') {
       this.#options.onConfig(state);
     }
-    this.#client.link?.notify('config.applied', { index: state.index });
+    link.notify('config.applied', { index: state.index });
   }
 }
 
--- a/src/transport/TransportLink.ts
+++ b/src/transport/TransportLink.ts
@@ -41,6 +41,8 @@
 
   #heardAt = performance.now();
 
+  #hasHole = false;
+
   constructor(
     socket: Socket,
     peer: string,
@@ -101,15 +103,25 @@
   }
 
   #send(payload: unknown): void {
-    if (!this.#socket.destroyed && !this.#isCut(this)) {
+    if (!this.#socket.destroyed && !this.#isDropping()) {
       this.#packer.write(payload);
     }
   }
 
+  /** While cut, drops. A link with a hole in it is closed after that: TCP never leaves one. */
+  #isDropping(): boolean {
+    if (this.#isCut(this)) {
+      this.#hasHole = true;
+    } else if (this.#hasHole) {
+      this.close();
+    }
+    return this.#hasHole;
+  }
+
   #read(): void {
     const unpacker = new UnpackrStream();
     unpacker.on('data', (payload: unknown) => {
-      if (!this.#isCut(this)) {
+      if (!this.#isDropping()) {
         this.#heardAt = performance.now();
         this.#rpc.receiveAndSend(payload, undefined, undefined).catch(() => undefined);
       }
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -8,6 +8,9 @@
 const BACKOFF_MS = 100;
 const BACKOFF_MAX_MS = 1_000;
 
+/** How often a link to another than the first target is reconsidered. In ms. */
+const RETURN_MS = 5_000;
+
 /** What a client of links needs. */
 export interface LinkClientOptions {
   /** Names and addresses in order of preference. */
@@ -88,9 +91,33 @@
     }
   }
 
+  /**
+   * Ends a link to a target that is second best once the first accepts connections again: else all
+   * that moved away from a process that restarted would stay away, and an AZ that is cut off later
+   * would find its processes attached elsewhere.
+   */
+  #returnToFirst(link: TransportLink): () => void {
+    const { targets, signal, jitter } = this.#options;
+    const [first] = targets;
+    const timer = setInterval(
+      () => {
+        if (first !== undefined) {
+          openSocket(first.address, signal)
+            .then((socket) => {
+              socket.destroy();
+              link.close();
+            })
+            .catch(() => undefined);
+        }
+      },
+      RETURN_MS * (0.5 + jitter()),
+    );
+    return () => clearInterval(timer);
+  }
+
   /** Serves one connection to its end; false if it did not come up. */
   async #serve(target: LinkClientOptions['targets'][number]): Promise<boolean> {
-    const { handlers, signal, isCut, onUp, onDown } = this.#options;
+    const { targets, handlers, signal, isCut, onUp, onDown } = this.#options;
     let link: TransportLink | null = null;
     try {
       const socket = await openSocket(target.address, signal);
@@ -99,7 +126,9 @@
       signal.addEventListener('abort', () => opened.close(), { once: true });
       await onUp(link);
       this.#link = link;
+      const stop = target === targets[0] ? null : this.#returnToFirst(link);
       await link.closed;
+      stop?.();
       return true;
     } catch {
       link?.close();
