Lease renewals out of the log; commits told at once; recovery bench

Cause: 359 groups renewing through the log are 180 entries a second; followers, and so the processes of their AZs, heard of a commit only with the next heartbeat. Change: LeaseKeeper: the leader remembers renewals and counts every lease as renewed at its own election; each grant has a new token; holders carry their incarnation. A leader broadcasts when its commit index moves.

--- a/bench/BenchControlCost.ts
+++ b/bench/BenchControlCost.ts
@@ -4,6 +4,7 @@
  */
 import { mkdir } from 'node:fs/promises';
 import { QuickstartProcesses } from '../tools/QuickstartProcess.js';
+import { benchGroups } from './BenchControlGroups.js';
 import { benchHub, benchSubmit, type HubCost } from './BenchControlHub.js';
 import { benchEmpty, benchEndpoint, benchEntry } from './BenchControlNodes.js';
 import { FOLDER } from './BenchControlProcess.js';
@@ -40,6 +41,9 @@
   const submits = await inTurn([70, 700, 2_000, 7_300], async (customers) =>
     benchSubmit(processes, customers, seed),
   );
+  const groups = await inTurn([0, 90, 180, 359], async (count) =>
+    benchGroups(processes, count, seed),
+  );
   const hubs = await inTurn([25, 100, 200, 350], async (count) => benchHub(processes, count, seed));
   const entries = await inTurn(ENTRY_SIZES, async ([members, customers]) =>
     benchEntry(processes, members, customers, seed),
@@ -48,6 +52,8 @@
   slope(seed, 'routing decision, us', 'endpoint of the service', routes);
   slope(seed, 'submission, ms', 'customer', pick(submits, 'customers', 'medianMs'));
   slope(seed, 'submission CPU, ms', 'customer', pick(submits, 'customers', 'cpuMs'));
+  slope(seed, 'leases CPU, % of a core', 'group', pick(groups, 'groups', 'cpuPercent'));
+  slope(seed, 'leases bytes/s', 'group', pick(groups, 'groups', 'bytesPerSecond'));
   const attached = (name: string, value: keyof HubCost): void =>
     slope(seed, name, 'process attached', pick(hubs, 'attached', value));
   attached('hub idle CPU, % of a core', 'idleCpuPercent');
--- a/bench/BenchMain.ts
+++ b/bench/BenchMain.ts
@@ -6,6 +6,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
   'control-cost': async () => (await import('./BenchControlCost.js')).benchControlCost,
   overhead: async () => (await import('./BenchOverhead.js')).benchOverhead,
+  recovery: async () => (await import('./BenchRecovery.js')).benchRecovery,
 };
 
 const [name = '', seed = '1'] = process.argv.slice(2);
--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -51,6 +51,14 @@
   };
 }
 
+type Transition = (state: ConsensusState) => ConsensusStep;
+
+const keep: Transition = (state) => ({ state, outputs: [] });
+
+function broadcastStep(ctx: ConsensusContext): Transition {
+  return (state) => broadcast(state, ctx);
+}
+
 /** Commits what a quorum holds, of the own term only (Raft, section 5.4.2). */
 function advanceCommit(state: ConsensusState): ConsensusStep {
   const matches = state.members.voters
@@ -125,7 +133,10 @@
     round: Math.max(known.round, message.round),
   };
   const next = { ...state, progress: { ...state.progress, [from]: progress } };
-  const committed = chain(chain({ state: next, outputs: [] }, advanceCommit), releaseReads);
+  const advanced = chain({ state: next, outputs: [] }, advanceCommit);
+  // Told at once rather than with the next heartbeat: what followers serve waits for it.
+  const told = advanced.state.commit > next.commit ? broadcastStep(ctx) : keep;
+  const committed = chain(chain(advanced, told), releaseReads);
   const lags = progress.next <= lastIndex(committed.state) && (!message.ok || match > known.match);
   return lags
     ? chain(committed, (now) => ({
--- a/src/coordination/Lease.ts
+++ b/src/coordination/Lease.ts
@@ -39,7 +39,7 @@
 export type LeaseOutput =
   | {
       readonly type: 'ask';
-      readonly after: { readonly token: number; readonly renewals: number };
+      readonly after: { readonly token: number };
       readonly observe: boolean;
     }
   | { readonly type: 'gained'; readonly token: number }
@@ -84,10 +84,9 @@
   if (state.askedAt !== null || now < state.nextAskAt) {
     return dropped;
   }
-  const after = state.seen ?? { token: 0, renewals: 0 };
   const ask: LeaseOutput = {
     type: 'ask',
-    after: { token: after.token, renewals: after.renewals },
+    after: { token: state.seen?.token ?? 0 },
     observe: !mayTakeOver(state, now),
   };
   return {
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -20,6 +20,7 @@
 } from './Attempts.js';
 export { initConsensus, stepConsensus, type ConsensusRecovery } from './Consensus.js';
 export { ELECTION_TIMEOUT_MS, HEARTBEAT_MS } from './ConsensusConstants.js';
+export { isOutOfTouch } from './ConsensusElection.js';
 export { lastIndex, membersOf } from './ConsensusLog.js';
 export type {
   ConsensusContext,
@@ -51,6 +52,25 @@
   type LeaseOutput,
   type LeaseView,
 } from './Lease.js';
+export {
+  countRenewals,
+  initLeaseKeeper,
+  mayGrant,
+  renewLease,
+  type LeaseKeeperState,
+} from './LeaseKeeper.js';
+export {
+  ARM_AHEAD_STEPS,
+  CHANGE_LIMIT_MS,
+  initMapChange,
+  ORDER_RETRY_MS,
+  stepMapChange,
+  type MapChangeInput,
+  type MapChangeOutput,
+  type MapChangeState,
+  type RankOrder,
+  type RankStatus,
+} from './MapChange.js';
 export {
   attachedRecords,
   EMPTY_MEMBERSHIP,
@@ -68,6 +88,14 @@
   UNCONFIRMED_MS,
   type MembershipView,
 } from './MembershipView.js';
+export {
+  FRESH_ORDER_GATE,
+  judgeOrder,
+  learnToken,
+  settleOrder,
+  type OrderGateState,
+  type OrderVerdict,
+} from './OrderGate.js';
 export { BUDGET_BYTES_PER_SECOND, initPacing, takeBytes, type PacingState } from './Pacing.js';
 export {
   CHECK_MS,
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -82,7 +82,7 @@
         }),
     ).singleton(),
     service: asFunction(
-      ({ consensus }: Cradle) => new DaemonControlService(consensus, runtime.log),
+      ({ consensus }: Cradle) => new DaemonControlService(consensus, runtime.log, runtime.now),
     ).singleton(),
   });
   return container.cradle;
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -1,5 +1,13 @@
 /** What a control process does for others by way of the log: submissions, leases, joins. */
 import type { Logger } from 'pino';
+import {
+  countRenewals,
+  initLeaseKeeper,
+  isOutOfTouch,
+  mayGrant,
+  renewLease,
+  type LeaseKeeperState,
+} from '../coordination/index.js';
 import type { LeaseGrant, Manifest, SubmitReply } from '../protocol/index.js';
 import {
   diffEntries,
@@ -41,9 +49,16 @@
 
   readonly #log: Logger;
 
-  constructor(consensus: DaemonConsensus, log: Logger) {
+  readonly #now: () => number;
+
+  #keeper: LeaseKeeperState = initLeaseKeeper(0);
+
+  #keptInTerm = 0;
+
+  constructor(consensus: DaemonConsensus, log: Logger, now: () => number) {
     this.#consensus = consensus;
     this.#log = log;
+    this.#now = now;
   }
 
   /** Accepts a manifest, or says why not. `accepted` is said only once a quorum has committed. */
@@ -86,25 +101,53 @@
 
   /** Grants or renews a lease, or says who holds it. */
   async askLease(ask: LeaseAsk): Promise<LeaseReply> {
-    const held = this.#consensus.control.leases[ask.group];
-    const seen = held ?? { token: 0, renewals: 0 };
-    const changed = seen.token !== ask.after.token || seen.renewals !== ask.after.renewals;
-    if (held !== undefined && (ask.observe || changed)) {
-      return { result: 'held', lease: held };
+    const { group, holder } = ask;
+    const held = this.#consensus.control.leases[group];
+    // A leader that was frozen may have been replaced without knowing: it vouches for nothing.
+    if (isOutOfTouch(this.#consensus.state, this.#now())) {
+      return { result: 'failed' };
     }
-    const { group, holder, durationMs, after } = ask;
+    const keeper = this.#keepLeases();
+    if (held?.holder === holder && held.token === ask.after.token) {
+      this.#keeper = renewLease(keeper, group, held.token, this.#now());
+      return this.#granted(ask, held.token);
+    }
+    if (held !== undefined && (ask.observe || !mayGrant(keeper, group, held, this.#now()))) {
+      const renewals = countRenewals(keeper, group, held.token);
+      return { result: 'held', lease: { ...held, renewals } };
+    }
+    return this.#grant(ask, held);
+  }
+
+  /** What is remembered of renewals, from the own election on. */
+  #keepLeases(): LeaseKeeperState {
+    const { term } = this.#consensus.state;
+    if (term !== this.#keptInTerm) {
+      this.#keptInTerm = term;
+      this.#keeper = initLeaseKeeper(this.#now());
+    }
+    return this.#keeper;
+  }
+
+  #granted({ group, holder, durationMs }: LeaseAsk, token: number): LeaseReply {
+    const renewals = countRenewals(this.#keeper, group, token);
+    return { result: 'granted', lease: { group, holder, token, durationMs }, renewals };
+  }
+
+  async #grant(ask: LeaseAsk, held: LeaseState | undefined): Promise<LeaseReply> {
+    const { group, holder, durationMs } = ask;
     const result = await this.#consensus.propose({
       kind: 'lease',
       group,
       holder,
       durationMs,
-      after,
+      after: { token: held?.token ?? 0 },
     });
     if (result?.result === 'granted') {
       const { token } = result.lease;
-      const renewals = token === after.token ? after.renewals + 1 : 0;
-      this.#log.info({ event: 'lease', group, holder, token, renewals }, 'lease granted');
-      return { ...result, renewals };
+      this.#keeper = renewLease(this.#keepLeases(), group, token, this.#now());
+      this.#log.info({ event: 'lease', group, holder, token }, 'lease granted');
+      return this.#granted(ask, token);
     }
     return result?.result === 'held' ? result : { result: 'failed' };
   }
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -82,7 +82,14 @@
     coordinator: asFunction(({ hubLink }: Cradle) =>
       cfg.group === undefined
         ? null
-        : new DaemonCoordinator({ self: cfg.id, group: cfg.group, hubLink, log, now }),
+        : new DaemonCoordinator({
+            // The incarnation tells a process from its past life, whose lease it must wait out.
+            self: `${cfg.id}@${runtime.incarnation}`,
+            group: cfg.group,
+            hubLink,
+            log,
+            now,
+          }),
     ).singleton(),
   });
   return container.cradle;
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -56,7 +56,7 @@
 export interface LeaseState {
   readonly holder: string;
   readonly token: number;
-  /** Rises with each renewal, so that a rival sees whether the holder still renews. */
+  /** Renewals as the leader counts them; 0 in the log, see `LeaseKeeper`. */
   readonly renewals: number;
 }
 
@@ -83,13 +83,13 @@
   readonly del: readonly string[];
 }
 
-/** Grants or renews a lease; `after` names the lease seen, so that a race has one winner. */
+/** Grants a lease; `after` names the one that it follows, so that a race has one winner. */
 export interface LeaseCommand {
   readonly kind: 'lease';
   readonly group: string;
   readonly holder: string;
   readonly durationMs: number;
-  readonly after: { readonly token: number; readonly renewals: number };
+  readonly after: { readonly token: number };
 }
 
 /** A command of the log. `noop` is what a new leader commits first. */
@@ -195,21 +195,16 @@
 function applyLease(state: ControlState, command: LeaseCommand): Applied {
   const { group, holder, durationMs, after } = command;
   const held = state.leases[group];
-  const seen = held ?? { token: 0, renewals: 0 };
-  if (seen.token !== after.token || seen.renewals !== after.renewals) {
+  if ((held?.token ?? 0) !== after.token) {
     return held === undefined
       ? { state, result: { result: 'stale' } }
       : { state, result: { result: 'held', lease: held } };
   }
-  const renewal = held?.holder === holder;
-  const token = renewal ? held.token : state.lastToken + 1;
-  const lease: LeaseState = { holder, token, renewals: renewal ? held.renewals + 1 : 0 };
+  // Also for the same holder: a process that restarted must not share a token with its past life.
+  const token = state.lastToken + 1;
+  const lease: LeaseState = { holder, token, renewals: 0 };
   return {
-    state: {
-      ...state,
-      leases: { ...state.leases, [group]: lease },
-      lastToken: Math.max(state.lastToken, token),
-    },
+    state: { ...state, leases: { ...state.leases, [group]: lease }, lastToken: token },
     result: { result: 'granted', lease: { group, holder, token, durationMs } },
   };
 }
