Failure tests of the way of a request; answers that end before they begin; placement core and bench

Found by a test with real processes, seen failing first: a gate killed before the engine's answer had begun left its caller waiting to the deadline (30 s): 'cut' and 'end' were taken only once a head had come. Both now count while waiting; unit test added.

--- a/bench/BenchMain.ts
+++ b/bench/BenchMain.ts
@@ -6,6 +6,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
   'control-cost': async () => (await import('./BenchControlCost.js')).benchControlCost,
   overhead: async () => (await import('./BenchOverhead.js')).benchOverhead,
+  placement: async () => (await import('./BenchPlacement.js')).benchPlacement,
   recovery: async () => (await import('./BenchRecovery.js')).benchRecovery,
 };
 
--- /dev/null
+++ b/bench/BenchPlacementBaselines.ts
@@ -0,0 +1,58 @@
+/** Baselines of placement: a static map, and greedy solutions from scratch. */
+import type { PlacementMap } from '../src/coordination/index.js';
+
+/** Experts laid out in order, and the spare slots with the experts that follow. */
+export function staticMap(ranks: number, experts: number, slots: number): PlacementMap {
+  const each = experts / ranks;
+  return Array.from({ length: ranks }, (_rank, rank) =>
+    Array.from({ length: slots }, (_slot, slot) => (rank * each + slot) % experts),
+  );
+}
+
+/** Replicates the hottest expert until all slots are used, then packs by longest first. */
+export function solveGreedily(
+  load: readonly number[],
+  ranks: number,
+  slots: number,
+  speeds: readonly number[],
+): PlacementMap {
+  const replicas = load.map(() => 1);
+  const share = (expert: number): number => (load[expert] ?? 0) / (replicas[expert] ?? 1);
+  Array.from({ length: ranks * slots - load.length }).forEach(() => {
+    const hottest = load.reduce(
+      (best, _load, expert) =>
+        (replicas[expert] ?? 0) < ranks && share(expert) > share(best) ? expert : best,
+      0,
+    );
+    replicas[hottest] = (replicas[hottest] ?? 0) + 1;
+  });
+  const items = load
+    .flatMap((_load, expert) => Array.from({ length: replicas[expert] ?? 1 }, () => expert))
+    .sort((a, b) => share(b) - share(a));
+  const rows: number[][] = Array.from({ length: ranks }, () => []);
+  const loads = rows.map(() => 0);
+  const put = (expert: number): void => {
+    const fits = (rank: number, again: boolean): boolean =>
+      (rows[rank]?.length ?? 0) < slots && (again || !rows[rank]?.includes(expert));
+    const open = (again: boolean): number =>
+      loads.reduce(
+        (best, at, rank) =>
+          fits(rank, again) && (best < 0 || at < (loads[best] ?? 0)) ? rank : best,
+        -1,
+      );
+    const chosen = open(false);
+    const rank = chosen < 0 ? open(true) : chosen;
+    rows[rank]?.push(expert);
+    loads[rank] = (loads[rank] ?? 0) + share(expert) / (speeds[rank] ?? 1);
+  };
+  items.forEach(put);
+  return rows;
+}
+
+/** Experts that must be copied to go from one map to another. */
+export function countMoves(from: PlacementMap, to: PlacementMap): number {
+  return to.reduce(
+    (sum, row, rank) => sum + row.filter((expert) => !from[rank]?.includes(expert)).length,
+    0,
+  );
+}
--- a/src/coordination/Attempts.ts
+++ b/src/coordination/Attempts.ts
@@ -228,7 +228,7 @@
   { frame }: Extract<AttemptInput, { type: 'end' }>,
   ctx: AttemptContext,
 ): AttemptStep {
-  return frame.whole && frame.seq === state.seq
+  return frame.whole && frame.seq === state.seq && state.phase === 'answering'
     ? { state: { ...state, phase: 'finished' }, outputs: [{ type: 'finish' }] }
     : onCut(state, ctx);
 }
@@ -281,7 +281,7 @@
   }),
   data: onData,
   end: onEnd,
-  cut: (state, _input, ctx) => onCut(state, ctx),
+  cut: (state, _input, ctx) => (state.phase === 'waiting' ? onLost(state, ctx) : onCut(state, ctx)),
   deadline: onDeadline,
   callerGone: onCallerGone,
 };
@@ -295,8 +295,9 @@
   revokeFailed: ['revoking'],
   head: ['waiting'],
   data: ['answering'],
-  end: ['answering'],
-  cut: ['answering'],
+  // A gate that is killed, or whose engine is gone, ends its answer before any head.
+  end: ['waiting', 'answering'],
+  cut: ['waiting', 'answering'],
 };
 
 /**
--- /dev/null
+++ b/src/coordination/Placement.ts
@@ -0,0 +1,240 @@
+/**
+ * Placement of a layer's experts on the slots of a group's ranks: small changes from the map in use,
+ * made only where what they save in step time pays for what they cost.
+ */
+import type { PlacementEstimate } from './PlacementEstimate.js';
+
+/** Experts on each rank's slots; an expert on several ranks has replicas, which share its load. */
+export type PlacementMap = readonly (readonly number[])[];
+
+/** What a change costs and for how long it is expected to hold. */
+export interface PlacementPolicy {
+  /** Weight of step-time skew against the cost of moving, from the manifest; 0 to 1. */
+  readonly skewWeight: number;
+  /** Time of a step with even load, ms. */
+  readonly stepMs: number;
+  /** Steps for which the load is expected to stay as it is. */
+  readonly lifeSteps: number;
+  /** Cost of copying one expert's weights, as ms of step time lost to it. */
+  readonly moveMs: number;
+  /** Experts that may be copied now, by the weight store's rate. */
+  readonly mostMoves: number;
+  /** Speed of each rank; 1 is usual, less is slower. */
+  readonly speeds: readonly number[];
+}
+
+/** One change of a slot: `expert` takes the place of what the slot held. */
+export interface PlacementMove {
+  readonly rank: number;
+  readonly slot: number;
+  readonly expert: number;
+}
+
+/** A decision, with what the log line says of it. */
+export interface PlacementDecision {
+  readonly map: PlacementMap;
+  readonly moves: readonly PlacementMove[];
+  /** Estimated max/mean rank load before and after. */
+  readonly skewBefore: number;
+  readonly skewAfter: number;
+  readonly reason: 'balanced' | 'not_worth_it' | 'improved';
+}
+
+/** Ranks looked at for a hot expert: the least loaded ones. */
+const COLD_RANKS = 4;
+
+/** Times its own uncertainty that a gain must exceed. */
+const SIGNIFICANCE = 1;
+
+/** Part of an interval's variance that is left in the estimate: weight / (2 - weight). */
+const RESIDUAL = 0.15;
+
+interface Working {
+  readonly slots: number[][];
+  readonly holders: Set<number>[];
+  readonly loads: number[];
+}
+
+interface Candidate {
+  readonly moves: readonly PlacementMove[];
+  readonly gain: number;
+}
+
+/** Load of each rank, over its speed. */
+export function rankLoads(
+  map: PlacementMap,
+  load: readonly number[],
+  speeds: readonly number[],
+): readonly number[] {
+  const replicas = new Map<number, number>();
+  map.flat().forEach((expert) => replicas.set(expert, (replicas.get(expert) ?? 0) + 1));
+  return map.map(
+    (slots, rank) =>
+      slots.reduce((sum, expert) => sum + (load[expert] ?? 0) / (replicas.get(expert) ?? 1), 0) /
+      (speeds[rank] ?? 1),
+  );
+}
+
+/** Largest over mean. */
+export function skewOf(loads: readonly number[]): number {
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  return mean === 0 ? 1 : Math.max(...loads) / mean;
+}
+
+/** Power mean of order 8: close to the maximum, and it still falls where one of two maxima does. */
+function peak(loads: readonly number[]): number {
+  const sum = loads.reduce((total, load) => total + load ** 8, 0);
+  return (sum / loads.length) ** (1 / 8);
+}
+
+function startWorking(map: PlacementMap, experts: number, loads: readonly number[]): Working {
+  const holders = Array.from({ length: experts }, () => new Set<number>());
+  map.forEach((slots, rank) => slots.forEach((expert) => holders[expert]?.add(rank)));
+  return { slots: map.map((slots) => [...slots]), holders, loads: [...loads] };
+}
+
+/** Loads after moves; only the ranks that hold the experts concerned are worked out anew. */
+function loadsAfter(
+  { slots, holders, loads }: Working,
+  moves: readonly PlacementMove[],
+  load: readonly number[],
+  speeds: readonly number[],
+): number[] {
+  const next = [...loads];
+  const change = (expert: number, rank: number, adds: boolean, held: Set<number>): void => {
+    const own = load[expert] ?? 0;
+    const before = own / Math.max(1, held.size);
+    const after = own / Math.max(1, held.size + (adds ? 1 : -1));
+    held.forEach((holder) => {
+      next[holder] = (next[holder] ?? 0) + (after - before) / (speeds[holder] ?? 1);
+    });
+    const share = adds ? after : -after;
+    next[rank] = (next[rank] ?? 0) + share / (speeds[rank] ?? 1);
+  };
+  const local = new Map<number, Set<number>>();
+  const heldBy = (expert: number): Set<number> => {
+    const held = local.get(expert) ?? new Set(holders[expert]);
+    local.set(expert, held);
+    return held;
+  };
+  moves.forEach(({ rank, slot, expert }) => {
+    const old = slots[rank]?.[slot] ?? -1;
+    change(expert, rank, true, heldBy(expert));
+    heldBy(expert).add(rank);
+    change(old, rank, false, heldBy(old));
+    heldBy(old).delete(rank);
+  });
+  return next;
+}
+
+function applyMoves(working: Working, moves: readonly PlacementMove[], loads: number[]): Working {
+  const slots = working.slots.map((row) => [...row]);
+  const holders = [...working.holders];
+  moves.forEach(({ rank, slot, expert }) => {
+    const old = slots[rank]?.[slot] ?? -1;
+    holders[old] = new Set([...(holders[old] ?? [])].filter((holder) => holder !== rank));
+    holders[expert] = new Set([...(holders[expert] ?? []), rank]);
+    (slots[rank] ?? [])[slot] = expert;
+  });
+  return { slots, holders, loads };
+}
+
+/** Replaces a spare replica on the cold rank by one of the hot expert, or swaps the two. */
+function listMoves(
+  { slots, holders }: Working,
+  hot: number,
+  cold: number,
+): readonly (readonly PlacementMove[])[] {
+  return (slots[hot] ?? []).flatMap((expert, from) => {
+    if (holders[expert]?.has(cold)) {
+      return [];
+    }
+    return (slots[cold] ?? []).flatMap((old, slot) => {
+      const take: PlacementMove = { rank: cold, slot, expert };
+      const spare = (holders[old]?.size ?? 0) > 1;
+      const swap: readonly PlacementMove[] = [take, { rank: hot, slot: from, expert: old }];
+      return [...(spare ? [[take]] : []), ...(holders[old]?.has(hot) ? [] : [swap])];
+    });
+  });
+}
+
+function uncertainty(
+  { slots }: Working,
+  moves: readonly PlacementMove[],
+  variance: readonly number[],
+): number {
+  const sum = moves.reduce((total, { rank, slot, expert }) => {
+    const old = slots[rank]?.[slot] ?? -1;
+    return total + (variance[expert] ?? 0) + (variance[old] ?? 0);
+  }, 0);
+  return Math.sqrt(sum * RESIDUAL);
+}
+
+/** The change at the most loaded rank that gains most for each expert copied. */
+function findBest(
+  working: Working,
+  estimate: PlacementEstimate,
+  policy: PlacementPolicy,
+): Candidate | null {
+  const order = working.loads.map((load, rank) => ({ load, rank })).sort((a, b) => b.load - a.load);
+  const hot = order[0]?.rank ?? 0;
+  const before = peak(working.loads);
+  let best: Candidate | null = null;
+  order.slice(-COLD_RANKS).forEach(({ rank: cold }) => {
+    const options = cold === hot ? [] : listMoves(working, hot, cold);
+    options.forEach((moves) => {
+      const after = peak(loadsAfter(working, moves, estimate.mean, policy.speeds));
+      const gain = before - after - SIGNIFICANCE * uncertainty(working, moves, estimate.variance);
+      if (gain > 0 && (best === null || gain / moves.length > best.gain / best.moves.length)) {
+        best = { moves, gain };
+      }
+    });
+  });
+  return best;
+}
+
+/**
+ * Whether a change pays.
+ *
+ * Failure: the map is solved anew at each interval. Symptom: weights move all the time for noise,
+ * and streams are disturbed for a gain that is gone before it is reached. Enough: a change must save
+ * more step time over the load's expected life than its copies cost, weighed by the manifest.
+ */
+function pays(candidate: Candidate, mean: number, policy: PlacementPolicy): boolean {
+  const saved = (candidate.gain / mean) * policy.stepMs * policy.lifeSteps;
+  const cost = candidate.moves.length * policy.moveMs;
+  return policy.skewWeight * saved > (1 - policy.skewWeight) * cost;
+}
+
+/** Decides on one layer. */
+export function decidePlacement(
+  map: PlacementMap,
+  estimate: PlacementEstimate,
+  policy: PlacementPolicy,
+): PlacementDecision {
+  const loads = rankLoads(map, estimate.mean, policy.speeds);
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  const skewBefore = skewOf(loads);
+  let working = startWorking(map, estimate.mean.length, loads);
+  const moves: PlacementMove[] = [];
+  let candidate = findBest(working, estimate, policy);
+  const found = candidate !== null;
+  while (
+    candidate !== null &&
+    moves.length + candidate.moves.length <= policy.mostMoves &&
+    pays(candidate, mean, policy)
+  ) {
+    const after = loadsAfter(working, candidate.moves, estimate.mean, policy.speeds);
+    working = applyMoves(working, candidate.moves, after);
+    moves.push(...candidate.moves);
+    candidate = findBest(working, estimate, policy);
+  }
+  const idle = found ? 'not_worth_it' : 'balanced';
+  return {
+    map: working.slots,
+    moves,
+    skewBefore,
+    skewAfter: skewOf(working.loads),
+    reason: moves.length > 0 ? 'improved' : idle,
+  };
+}
--- /dev/null
+++ b/src/coordination/PlacementEstimate.ts
@@ -0,0 +1,56 @@
+/** Estimate of each expert's load from counters that lag, drift and are noisy. */
+
+/** Load of the experts of a layer, as shares: the mean over experts is 1. */
+export interface PlacementEstimate {
+  readonly mean: readonly number[];
+  /** Variance of one interval's share around the mean: noise and drift together. */
+  readonly variance: readonly number[];
+  readonly intervals: number;
+}
+
+/** Weight of the newest interval once many have been seen: a memory of some four intervals. */
+const WEIGHT = 0.25;
+
+/** Weight after a surprise: what was known before is of little use. */
+const SURPRISED_WEIGHT = 0.8;
+
+/** Squared error over what was expected, averaged over experts, that counts as a surprise. */
+const SURPRISE = 6;
+
+/** Nothing seen yet. */
+export function initEstimate(experts: number): PlacementEstimate {
+  const flat = Array.from({ length: experts }, () => 1);
+  return { mean: flat, variance: flat.map(() => 0), intervals: 0 };
+}
+
+function toShares(counts: readonly number[]): readonly number[] {
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  return counts.map((count) => (total === 0 ? 1 : (count * counts.length) / total));
+}
+
+/** A topic shift shows as errors far beyond the noise, over all experts at once. */
+function isSurprised(estimate: PlacementEstimate, shares: readonly number[]): boolean {
+  const expected = estimate.variance.reduce((sum, variance) => sum + variance, 0);
+  const seen = shares.reduce((sum, share, i) => sum + (share - (estimate.mean[i] ?? 1)) ** 2, 0);
+  return estimate.intervals > 2 && seen > SURPRISE * expected;
+}
+
+/** Takes in the counters of one interval. */
+export function updateEstimate(
+  estimate: PlacementEstimate,
+  counts: readonly number[],
+): PlacementEstimate {
+  const shares = toShares(counts);
+  const usual = Math.max(WEIGHT, 1 / (estimate.intervals + 1));
+  const weight = isSurprised(estimate, shares) ? SURPRISED_WEIGHT : usual;
+  const errors = shares.map((share, i) => share - (estimate.mean[i] ?? 1));
+  return {
+    mean: estimate.mean.map((mean, i) => mean + weight * (errors[i] ?? 0)),
+    variance: estimate.variance.map((variance, i) =>
+      estimate.intervals === 0
+        ? 0
+        : (1 - usual) * variance + usual * Math.min((errors[i] ?? 0) ** 2, 4 * variance + 0.01),
+    ),
+    intervals: estimate.intervals + 1,
+  };
+}
--- a/src/coordination/__tests__/unit/Attempts.test.ts
+++ b/src/coordination/__tests__/unit/Attempts.test.ts
@@ -113,6 +113,17 @@
     ]);
   });
 
+  // The gate is killed after it took the call and before the engine's answer has begun, or finds its
+  // engine gone. Nothing more will come; the caller must not wait for the deadline to learn it.
+  it('goes on at once when an answer ends before it has begun', () => {
+    const cut: AttemptInput = { type: 'cut', attempt: 1 };
+    assert.deepEqual(kinds(run(true, [cut]).outputs), ['revoke', 'reset', 'route']);
+    assert.deepEqual(kinds(run(false, [cut]).outputs), ['revoke']);
+    assert.deepEqual(kinds(run(true, [end(0, false)]).outputs), ['reset', 'route']);
+    assert.deepEqual(kinds(run(true, [end(0, true)]).outputs), ['reset', 'route']);
+    assert.deepEqual(kinds(run(false, [end(0, false)]).outputs), ['fail outcome_unknown unknown']);
+  });
+
   // A frame is missing or comes twice. Joining the rest would leave a gap or a doubled token.
   it('treats a gap or an overlap as a cut', () => {
     assert.deepEqual(kinds(run(true, [head(false), data(2)]).outputs), ['reset', 'route']);
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -97,6 +97,16 @@
   type OrderVerdict,
 } from './OrderGate.js';
 export { BUDGET_BYTES_PER_SECOND, initPacing, takeBytes, type PacingState } from './Pacing.js';
+export {
+  decidePlacement,
+  rankLoads,
+  skewOf,
+  type PlacementDecision,
+  type PlacementMap,
+  type PlacementMove,
+  type PlacementPolicy,
+} from './Placement.js';
+export { initEstimate, updateEstimate, type PlacementEstimate } from './PlacementEstimate.js';
 export {
   CHECK_MS,
   concerns,
--- a/tools/QuickstartCluster.ts
+++ b/tools/QuickstartCluster.ts
@@ -43,7 +43,8 @@
   readonly engines: Readonly<Record<string, string>>;
 }
 
-async function isReady(address: string): Promise<boolean> {
+/** Whether a process says that it is ready. */
+export async function isReady(address: string): Promise<boolean> {
   try {
     const { statusCode, body } = await request(`http://${address}/readyz`);
     await body.dump();
@@ -140,6 +141,12 @@
     this.#processes.start(name, DAEMON, [...(this.#arguments.get(name) ?? []), ...flags]);
   }
 
+  /** Starts the stand-in behind an endpoint again. */
+  restartFake(id: string): void {
+    const name = `fake-${id}`;
+    this.#processes.start(name, FAKE, this.#arguments.get(name) ?? []);
+  }
+
   #daemon(name: string, args: readonly string[]): void {
     const all = [...args, '--log-level', this.#spec.logLevel];
     this.#arguments.set(name, all);
@@ -161,7 +168,8 @@
   #startEndpoint(spec: EndpointSpec, control: string, http: string, engine: string): string {
     const { id, zone, service, kind, group, ranks } = spec;
     const port = engine.split(':')[1] ?? '';
-    this.#processes.start(`fake-${id}`, FAKE, [kind, port, ...this.#spec.engine.map(String)]);
+    this.#arguments.set(`fake-${id}`, [kind, port, ...this.#spec.engine.map(String)]);
+    this.restartFake(id);
     this.#daemon(id, [
       ...['endpoint', '--id', id, '--zone', zone, '--http', http, '--control', control],
       ...['--zone-control', QuickstartCluster.controlOf(zone)],
--- /dev/null
+++ b/tools/__tests__/unit/DataPathFailure.test.ts
@@ -0,0 +1,197 @@
+/** Failures on the way of a request, with real processes over loopback. One system for all tests. */
+import assert from 'node:assert/strict';
+import { mkdtemp, rm } from 'node:fs/promises';
+import os from 'node:os';
+import path from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { request } from 'undici';
+import { expectedAnswer, FINAL_EVENT } from '../../../fakes/FakeEngine.js';
+import type { ErrorBody } from '../../../src/protocol/index.js';
+import { isReady, QuickstartCluster, waitReady, waitUntil } from '../../QuickstartCluster.js';
+import { countRuns } from '../../QuickstartLoad.js';
+
+const TOKEN_MS = 20;
+
+const MANIFEST = JSON.stringify({
+  fleet: 'stockdesk',
+  version: 1,
+  availabilityZones: [{ name: 'ikeja', region: 'lagos-west' }],
+  models: [{ name: 'stock-narrative' }],
+  services: [{ name: 'stock-narrative', kind: 'model', model: 'stock-narrative' }],
+  customers: [{ name: 'kano' }],
+});
+
+interface Sent {
+  readonly status: number;
+  readonly text: string;
+}
+
+describe('requests under failure', () => {
+  let cluster: QuickstartCluster;
+  let folder = '';
+
+  const body = (user: string, stream: boolean, tokens: number) => ({
+    model: 'stock-narrative',
+    stream,
+    max_tokens: tokens,
+    prompt: 'shelf',
+    user,
+  });
+
+  const send = async (
+    spec: ReturnType<typeof body>,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<Sent> => {
+    const response = await request(`http://${cluster.addresses.entries[0] ?? ''}/v1/completions`, {
+      method: 'POST',
+      headers: { 'x-customer': 'kano', ...headers },
+      body: JSON.stringify(spec),
+    });
+    const text = await response.body.text();
+    return { status: response.statusCode, text };
+  };
+
+  /** Engine that runs a request, by the stand-ins' journals. */
+  const findEngine = async (user: string): Promise<string> => {
+    let found = '';
+    await waitUntil(`${user} runs`, 5_000, async () => {
+      const all = await Promise.all(
+        Object.entries(cluster.addresses.engines).map(async ([id, address]) => ({
+          id,
+          runs: (await countRuns([address])).get(user) ?? 0,
+        })),
+      );
+      found = all.find(({ runs }) => runs > 0)?.id ?? '';
+      return found !== '';
+    });
+    return found;
+  };
+
+  const errorOf = ({ text }: Sent): ErrorBody['error'] => (JSON.parse(text) as ErrorBody).error;
+
+  /** Waits until both endpoints take work again. */
+  const bothServe = async (): Promise<void> => {
+    const control = cluster.addresses.controls[0] ?? '';
+    await waitUntil('two endpoints serve', 15_000, async () => {
+      const response = await request(`http://${control}/v1/endpoints`);
+      const { endpoints } = (await response.body.json()) as {
+        endpoints: readonly { readonly status: string; readonly address: string }[];
+      };
+      const serving = endpoints.filter(({ status }) => status === 'serving');
+      // A gate that was killed is listed until its lease ends: ask each itself.
+      const ready = await Promise.all(serving.map(async ({ address }) => isReady(address)));
+      return ready.length === 2 && ready.every(Boolean);
+    });
+    await delay(200);
+  };
+
+  before(async () => {
+    folder = await mkdtemp(path.join(os.tmpdir(), 'laburnumgauge-data-'));
+    cluster = new QuickstartCluster({
+      folder,
+      fleet: 'stockdesk',
+      zones: ['ikeja'],
+      entriesPerZone: 1,
+      endpoints: [1, 2].map((n) => ({
+        id: `engine-${n}`,
+        zone: 'ikeja',
+        service: 'stock-narrative',
+        kind: 'engine' as const,
+      })),
+      engine: [8, 10, TOKEN_MS],
+      logLevel: 'info',
+    });
+    await cluster.start();
+    await request(`http://${cluster.addresses.controls[0] ?? ''}/v1/manifests`, {
+      method: 'POST',
+      body: MANIFEST,
+    });
+    await waitReady(cluster.addresses.entries);
+    await bothServe();
+  });
+
+  after(async () => {
+    cluster.processes.names.forEach((name) => cluster.processes.get(name).kill('SIGCONT'));
+    await cluster.processes.stopAll(3_000);
+    await rm(folder, { recursive: true });
+  });
+
+  // A gate is killed while it runs a call whose answer is sent whole. The call may be repeated, so
+  // it runs again at the other endpoint, and the caller sees one whole answer and nothing else.
+  it('runs a call that may be repeated elsewhere when its gate is killed', async () => {
+    const spec = body('repeat', false, 40);
+    const answer = send(spec);
+    const engine = await findEngine('repeat');
+    await cluster.processes.stop(engine, 'SIGKILL');
+    assert.equal((await answer).text, expectedAnswer(spec));
+    cluster.restart(engine);
+    await bothServe();
+  });
+
+  // As above, for a call that may not be repeated. It had been started and nobody can tell how far
+  // it got: the caller is told `unknown` at once, long before the deadline, and it ran once.
+  it('says unknown at once for a call that may not be repeated', async () => {
+    const spec = body('once', false, 40);
+    const answer = send(spec, { 'x-repeatable': 'false' });
+    const engine = await findEngine('once');
+    await cluster.processes.stop(engine, 'SIGKILL');
+    const sent = await answer;
+    assert.equal(errorOf(sent).outcome, 'unknown');
+    const runs = await countRuns(Object.values(cluster.addresses.engines));
+    assert.equal(runs.get('once'), 1);
+    cluster.restart(engine);
+    await bothServe();
+  });
+
+  // An engine dies in the middle of a stream; its gate lives. What was sent can't be taken back, so
+  // the stream must end with an error event, and must not end like a whole one.
+  it('never lets a stream that broke off look whole', async () => {
+    const spec = body('stream', true, 60);
+    const answer = send(spec);
+    const engine = await findEngine('stream');
+    await delay(TOKEN_MS * 5);
+    await cluster.processes.stop(`fake-${engine}`, 'SIGKILL');
+    const { text } = await answer;
+    assert.ok(!text.includes(FINAL_EVENT));
+    assert.match(text, /event: error\ndata: .*"code":"answer_cut"/);
+    const whole = text.slice(0, text.indexOf('event: error'));
+    assert.ok(whole.length > 0 && expectedAnswer(spec).startsWith(whole));
+    cluster.restartFake(engine);
+  });
+
+  // An endpoint is told to stop while a stream runs that is longer than the linger and several lease
+  // times' worth of beats. New calls go elsewhere at once; the stream is delivered to its end, and
+  // only then does the process end, with exit code 0.
+  it('cuts nothing off when an endpoint leaves, and gives it no new work', async () => {
+    const spec = body('long', true, 300);
+    const answer = send(spec);
+    const leaving = await findEngine('long');
+    const left = cluster.processes.stop(leaving);
+    await delay(300);
+    const news = Array.from({ length: 6 }, (_item, i) => body(`news-${i}`, false, 2));
+    const answers = await Promise.all(news.map(async (item) => send(item)));
+    assert.deepEqual(
+      answers.map(({ text }) => text),
+      news.map(expectedAnswer),
+    );
+    const there = await countRuns([cluster.addresses.engines[leaving] ?? '']);
+    assert.equal([...there.keys()].filter((user) => user.startsWith('news-')).length, 0);
+    assert.equal((await answer).text, expectedAnswer(spec));
+    assert.equal(await left, 0);
+    cluster.restart(leaving);
+    await bothServe();
+  });
+
+  // A gate is frozen with a call before it: neither an answer nor an end of the connection comes.
+  // At the deadline the caller gets its final answer at once, which says that it may have been run.
+  it('answers at the deadline when a gate is frozen', async () => {
+    const spec = body('frozen', false, 100);
+    const answer = send(spec, { 'x-deadline-ms': '1200', 'x-repeatable': 'false' });
+    const engine = await findEngine('frozen');
+    cluster.processes.get(engine).kill('SIGSTOP');
+    const sent = await answer;
+    cluster.processes.get(engine).kill('SIGCONT');
+    assert.deepEqual([sent.status, errorOf(sent).outcome], [504, 'unknown']);
+  });
+});
