--- a/tools/__tests__/unit/DataPathFailure.test.ts
+++ b/tools/__tests__/unit/DataPathFailure.test.ts
@@ -158,6 +158,12 @@
     const whole = text.slice(0, text.indexOf('event: error'));
     assert.ok(whole.length > 0 && expectedAnswer(spec).startsWith(whole));
     cluster.restartFake(engine);
+    await waitUntil('the stand-in listens', 5_000, async () =>
+      countRuns([cluster.addresses.engines[engine] ?? '']).then(
+        () => true,
+        () => false,
+      ),
+    );
   });
 
   // An endpoint is told to stop while a stream runs that is longer than the linger and several lease
