--- a/src/coordination/Placement.ts
+++ b/src/coordination/Placement.ts
@@ -43,8 +43,11 @@
 /** Ranks looked at for a hot expert: the least loaded ones. */
 const COLD_RANKS = 4;
 
+/** Order of the mean that stands for the maximum; at 8 a change at one of 64 ranks hardly shows. */
+const PEAK_ORDER = 32;
+
 /** Times its own uncertainty that a gain must exceed. */
-const SIGNIFICANCE = 1;
+const SIGNIFICANCE = 0.1;
 
 /** Part of an interval's variance that is left in the estimate: weight / (2 - weight). */
 const RESIDUAL = 0.15;
@@ -81,10 +84,10 @@
   return mean === 0 ? 1 : Math.max(...loads) / mean;
 }
 
-/** Power mean of order 8: close to the maximum, and it still falls where one of two maxima does. */
+/** Power mean of high order: close to the maximum, and it still falls where one of two maxima does. */
 function peak(loads: readonly number[]): number {
-  const sum = loads.reduce((total, load) => total + load ** 8, 0);
-  return (sum / loads.length) ** (1 / 8);
+  const sum = loads.reduce((total, load) => total + load ** PEAK_ORDER, 0);
+  return (sum / loads.length) ** (1 / PEAK_ORDER);
 }
 
 function startWorking(map: PlacementMap, experts: number, loads: readonly number[]): Working {
