One deltasSince for the state and the rollout

Cause: Rollout had its own copy of deltasSince, and the one in state was called by tests alone. Change: the rollout's version, which also checks that the deltas end at the configuration, moves to state and both use it. Behaviour of the daemon is unchanged.

--- a/src/coordination/Rollout.ts
+++ b/src/coordination/Rollout.ts
@@ -3,7 +3,7 @@
  * sent deltas from the index it holds, or a snapshot; only entries that concern it.
  */
 import type { ConfigDelta, ConfigEntries, MemberRecord } from '../protocol/index.js';
-import type { ConfigState } from '../state/index.js';
+import { deltasSince, type ConfigState } from '../state/index.js';
 
 /** How long a restarted control process waits for a leader before it serves what it holds. ms. */
 export const CHECK_MS = 2_000;
@@ -88,19 +88,6 @@
   };
 }
 
-/** What leads from an index to the newest. */
-function since(state: RolloutState, held: number): readonly ConfigDelta[] {
-  const { config, deltas } = state;
-  if (held >= config.index) {
-    return [];
-  }
-  const start = deltas.findIndex(({ from }) => from === held);
-  const joined = deltas.at(-1)?.to === config.index;
-  return held > 0 && start >= 0 && joined
-    ? deltas.slice(start)
-    : [{ from: 0, to: config.index, set: config.entries, del: [] }];
-}
-
 /** Entry processes that hold more than this one: only they hold the whole, an endpoint its share. */
 function findAhead({ subscribers, config }: RolloutState): readonly string[] {
   return [...subscribers.values()]
@@ -125,7 +112,7 @@
   const subscribers = new Map(state.subscribers);
   const outputs = behind.flatMap(({ record, sent }) => {
     subscribers.set(record.id, { record, sent: state.config.index });
-    return since(state, sent).map((delta): RolloutOutput => ({
+    return deltasSince(state, sent).map((delta): RolloutOutput => ({
       type: 'send',
       to: record.id,
       delta: filterDelta(record, delta),
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -234,14 +234,20 @@
   return { state: { ...applied.state, index }, result: applied.result };
 }
 
-/** Deltas that lead from an index to the newest, or one snapshot where they aren't kept. */
-export function deltasSince(state: ControlState, index: number): readonly ConfigDelta[] {
-  if (index === state.config.index) {
+/**
+ * Deltas that lead from an index to the newest; one snapshot where they aren't kept, or don't end at
+ * the configuration, as when that was learned from elsewhere.
+ */
+export function deltasSince(
+  { config, deltas }: Pick<ControlState, 'config' | 'deltas'>,
+  index: number,
+): readonly ConfigDelta[] {
+  if (index >= config.index) {
     return [];
   }
-  const start = state.deltas.findIndex((delta) => delta.from === index);
-  if (index > 0 && start >= 0) {
-    return state.deltas.slice(start);
-  }
-  return [{ from: 0, to: state.config.index, set: state.config.entries, del: [] }];
+  const start = deltas.findIndex((delta) => delta.from === index);
+  const joined = deltas.at(-1)?.to === config.index;
+  return index > 0 && start >= 0 && joined
+    ? deltas.slice(start)
+    : [{ from: 0, to: config.index, set: config.entries, del: [] }];
 }
