--- /dev/null
+++ b/src/coordination/DemandEstimate.ts
@@ -0,0 +1,114 @@
+/**
+ * Estimate of the load that each expert of a group will have, from how often the ranks' requests chose
+ * it. Demand shifts at once and by much, so what came before a shift must not weigh on it.
+ */
+
+/** Choices by set and expert. */
+export type ExpertCounts = readonly (readonly number[])[];
+
+/** Choices of one interval, all ranks together. */
+interface Interval {
+  readonly counts: ExpertCounts;
+  readonly total: number;
+}
+
+/** What was seen lately. */
+export interface DemandState {
+  /** Newest last; all of them are from after the last shift. */
+  readonly intervals: readonly Interval[];
+  /** Cumulative counts last read, by rank; null where there is none to compare with. */
+  readonly last: readonly (ExpertCounts | null)[];
+  /** Shifts seen. */
+  readonly shifts: number;
+}
+
+/** Intervals kept: with four a second these are about one and a half seconds of demand. */
+const MOST_INTERVALS = 6;
+
+/** Weight of an interval relative to the next newer one. */
+const DECAY = 0.8;
+
+/**
+ * Part of the choices that must have moved between two intervals to be taken for a shift. Requests
+ * that come and go move 0.1 to 0.2 in a quarter of a second; a shift of two thirds of the demand
+ * shows as 0.3 and more once requests from after it are half of those that run.
+ */
+const SHIFT_DISTANCE = 0.28;
+
+/** An interval with fewer choices says nothing. */
+const LEAST_TOTAL = 2_000;
+
+/** Nothing seen. */
+export function initDemand(ranks: number): DemandState {
+  return { intervals: [], last: Array.from({ length: ranks }, () => null), shifts: 0 };
+}
+
+function sumOf(counts: ExpertCounts): number {
+  return counts.reduce((sum, set) => sum + set.reduce((part, count) => part + count, 0), 0);
+}
+
+/** Half of the summed differences of shares, over all sets: 0 for equal, 1 for disjoint demand. */
+function distance(a: Interval, b: Interval): number {
+  const perSet = a.counts.map((set, i) => {
+    const other = b.counts[i] ?? [];
+    const totalA = Math.max(1, set.reduce((sum, count) => sum + count, 0));
+    const totalB = Math.max(1, other.reduce((sum, count) => sum + count, 0));
+    return (
+      set.reduce((sum, count, e) => sum + Math.abs(count / totalA - (other[e] ?? 0) / totalB), 0) / 2
+    );
+  });
+  return perSet.reduce((sum, part) => sum + part, 0) / Math.max(1, perSet.length);
+}
+
+/**
+ * Takes the cumulative counts of the ranks, null for one that didn't answer. Counts that went back
+ * are those of a rank that has restarted, and only set a new start.
+ */
+export function takeCounts(
+  state: DemandState,
+  counts: readonly (ExpertCounts | null)[],
+): DemandState {
+  const deltas = counts.flatMap((now, rank) => {
+    const before = state.last[rank] ?? null;
+    if (now === null || before === null) {
+      return [];
+    }
+    const delta = now.map((set, s) => set.map((count, e) => count - (before[s]?.[e] ?? 0)));
+    return delta.some((set) => set.some((count) => count < 0)) ? [] : [delta];
+  });
+  const last = counts.map((now, rank) => now ?? state.last[rank] ?? null);
+  const [first] = deltas;
+  if (first === undefined) {
+    return { ...state, last };
+  }
+  const sum = first.map((set, s) =>
+    set.map((_count, e) => deltas.reduce((total, delta) => total + (delta[s]?.[e] ?? 0), 0)),
+  );
+  const interval: Interval = { counts: sum, total: sumOf(sum) };
+  if (interval.total < LEAST_TOTAL) {
+    return { ...state, last };
+  }
+  const newest = state.intervals.at(-1);
+  const shifted = newest !== undefined && distance(newest, interval) > SHIFT_DISTANCE;
+  const kept = shifted ? [] : state.intervals.slice(1 - MOST_INTERVALS);
+  return { intervals: [...kept, interval], last, shifts: state.shifts + Number(shifted) };
+}
+
+/** Expected share of each expert's load, by set; null before anything was seen. */
+export function expectedLoad(state: DemandState): readonly (readonly number[])[] | null {
+  const [first] = state.intervals;
+  if (first === undefined) {
+    return null;
+  }
+  const sums = first.counts.map((set) => set.map(() => 0));
+  state.intervals.forEach(({ counts, total }, i) => {
+    const weight = DECAY ** (state.intervals.length - 1 - i) / total;
+    counts.forEach((set, s) => {
+      const sum = sums[s] ?? [];
+      set.forEach((count, e) => {
+        sum[e] = (sum[e] ?? 0) + count * weight;
+      });
+    });
+  });
+  return sums;
+}
--- a/src/coordination/Freshness.ts
+++ b/src/coordination/Freshness.ts
@@ -4,18 +4,26 @@
  *
  * Failure: an entry process is cut off or frozen while a customer's key is withdrawn. Symptom: the key
  * goes on working there. Enough: the lease counts from the moment at which the question was sent that
- * a leader with a fresh quorum answered, by a clock that runs on while the host is suspended, and is
- * looked at for each request.
+ * a leader with a fresh quorum answered, is looked at for each request, and is given up where the two
+ * clocks of the host disagree on how long that is ago: the steady clock stands still while a host is
+ * suspended, the time of day may be set, and neither tells which of the two has happened.
  */
 
+/** Both clocks of a host, read together; ms. */
+export interface ClockReading {
+  readonly steady: number;
+  /** Time of day. */
+  readonly wall: number;
+}
+
 /** What an entry process knows of its configuration's age. */
 export interface FreshnessState {
   /** Log index of the configuration held; 0 for none. */
   readonly held: number;
   /** When the newest question was sent whose answer the configuration held satisfies, ms. */
-  readonly provenAt: number | null;
+  readonly provenAt: ClockReading | null;
   /** An answer that names a configuration still on its way here. */
-  readonly open: { readonly index: number; readonly askedAt: number } | null;
+  readonly open: { readonly index: number; readonly askedAt: ClockReading } | null;
 }
 
 /** Nothing known. */
@@ -24,27 +32,44 @@
 /** Part of the time allowed for a withdrawal that a lease lasts; the rest covers clock rates. */
 export const FRESHNESS_SHARE = 0.92;
 
+/** Clocks that differ by more have been set or stood still; adjustment is far slower. In ms. */
+const CLOCK_SLACK_MS = 250;
+
+function later(a: ClockReading | null, b: ClockReading): ClockReading {
+  return a !== null && a.steady > b.steady ? a : b;
+}
+
 /** Takes a configuration in. */
 export function holdConfig(state: FreshnessState, index: number): FreshnessState {
   const { open } = state;
   if (open === null || index < open.index) {
     return { ...state, held: index };
   }
-  return { held: index, provenAt: Math.max(state.provenAt ?? 0, open.askedAt), open: null };
+  return { held: index, provenAt: later(state.provenAt, open.askedAt), open: null };
 }
 
 /** Takes the answer to a question that was sent at `askedAt`. */
-export function proveFresh(state: FreshnessState, newest: number, askedAt: number): FreshnessState {
+export function proveFresh(
+  state: FreshnessState,
+  newest: number,
+  askedAt: ClockReading,
+): FreshnessState {
   if (newest === 0) {
     return state;
   }
   if (state.held >= newest) {
-    return { ...state, provenAt: Math.max(state.provenAt ?? 0, askedAt) };
+    return { ...state, provenAt: later(state.provenAt, askedAt) };
   }
   return { ...state, open: { index: newest, askedAt } };
 }
 
 /** Tells whether the lease holds now. */
-export function isFresh(state: FreshnessState, now: number, leaseMs: number): boolean {
-  return state.provenAt !== null && now - state.provenAt < leaseMs;
+export function isFresh(state: FreshnessState, now: ClockReading, leaseMs: number): boolean {
+  const { provenAt } = state;
+  if (provenAt === null) {
+    return false;
+  }
+  const steady = now.steady - provenAt.steady;
+  const wall = now.wall - provenAt.wall;
+  return steady < leaseMs && Math.abs(wall - steady) < CLOCK_SLACK_MS;
 }
--- /dev/null
+++ b/src/coordination/MapPlan.ts
@@ -0,0 +1,310 @@
+/**
+ * Plans a group's next expert map: few changes from the map in use, the hottest experts first on more
+ * ranks. A pass lasts, set by set, as long as its most loaded rank, so what counts is the sum over
+ * sets of the largest load.
+ */
+import type { GroupMap } from '../protocol/index.js';
+
+/** Shape of a map, and what a change may bring. */
+export interface MapShape {
+  /** Experts that a rank holds at most, a set. */
+  readonly slotsPerRank: number;
+  /** Experts new to a rank that one change may bring, a set. */
+  readonly mostNew: number;
+}
+
+/** What a change must be worth. */
+export interface MapPolicy {
+  /** Experts new to one rank over all sets: copying them takes the time until the switch. */
+  readonly mostNewPerRank: number;
+  /** Part of the mean load that each copied expert must take off the most loaded rank. */
+  readonly gainPerCopy: number;
+}
+
+/** A planned map with the figures that its log line needs. */
+export interface MapPlanned {
+  readonly map: GroupMap;
+  /** Experts that ranks must copy. */
+  readonly copies: number;
+  /** Largest over mean load, averaged over sets, before and after. */
+  readonly skewBefore: number;
+  readonly skewAfter: number;
+}
+
+/** Ranks of least load that are looked at for an expert of the most loaded one. */
+const COLD_RANKS = 4;
+
+/** Order of the mean that stands for the maximum: at 16 a change at any hot rank shows. */
+const PEAK_ORDER = 16;
+
+/** One set while it is planned. */
+interface Working {
+  readonly weights: readonly number[];
+  readonly ranks: Set<number>[];
+  readonly holders: Set<number>[];
+  readonly loads: number[];
+  /** What each rank holds in the map in use: bringing one of these back costs no copy. */
+  readonly inUse: readonly ReadonlySet<number>[];
+  readonly added: number[];
+}
+
+/** Puts an expert on a rank, in place of another there if `drop` names one. */
+interface Change {
+  readonly expert: number;
+  readonly to: number;
+  readonly drop: number | null;
+  /** Rank that gives the expert up, and takes `drop` for it; null to keep both copies. */
+  readonly from: number | null;
+}
+
+function startWorking(ranks: readonly (readonly number[])[], weights: readonly number[]): Working {
+  const holders = weights.map(() => new Set<number>());
+  ranks.forEach((experts, rank) => experts.forEach((expert) => holders[expert]?.add(rank)));
+  const loads = ranks.map((experts) =>
+    experts.reduce(
+      (sum, expert) => sum + (weights[expert] ?? 0) / Math.max(1, holders[expert]?.size ?? 1),
+      0,
+    ),
+  );
+  return {
+    weights,
+    ranks: ranks.map((experts) => new Set(experts)),
+    holders,
+    loads,
+    inUse: ranks.map((experts) => new Set(experts)),
+    added: ranks.map(() => 0),
+  };
+}
+
+function skewOf(loads: readonly number[]): number {
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  return mean === 0 ? 1 : Math.max(...loads) / mean;
+}
+
+/** Adds an expert to a rank or takes it away, in `loads` alone. */
+function shift(
+  { weights }: Working,
+  loads: Map<number, number>,
+  holders: ReadonlySet<number>,
+  expert: number,
+  rank: number,
+  adds: boolean,
+  loadOf: (rank: number) => number,
+): void {
+  const weight = weights[expert] ?? 0;
+  const before = weight / Math.max(1, holders.size);
+  const after = weight / Math.max(1, holders.size + (adds ? 1 : -1));
+  holders.forEach((holder) => {
+    if (adds || holder !== rank) {
+      loads.set(holder, (loads.get(holder) ?? loadOf(holder)) + after - before);
+    }
+  });
+  const own = loads.get(rank) ?? loadOf(rank);
+  loads.set(rank, adds ? own + after : own - before);
+}
+
+/** Loads of the ranks that a change touches. */
+function loadsAfter(working: Working, { expert, to, drop, from }: Change): Map<number, number> {
+  const loads = new Map<number, number>();
+  const loadOf = (rank: number): number => working.loads[rank] ?? 0;
+  const move = (
+    moved: number,
+    holders: ReadonlySet<number>,
+    rank: number,
+    adds: boolean,
+  ): ReadonlySet<number> => {
+    shift(working, loads, holders, moved, rank, adds, loadOf);
+    const next = new Set(holders);
+    if (adds) {
+      next.add(rank);
+    } else {
+      next.delete(rank);
+    }
+    return next;
+  };
+  const holders = move(expert, working.holders[expert] ?? new Set(), to, true);
+  if (from !== null) {
+    move(expert, holders, from, false);
+  }
+  if (drop !== null) {
+    const dropHolders = working.holders[drop] ?? new Set<number>();
+    const swapped = from === null ? dropHolders : move(drop, dropHolders, from, true);
+    move(drop, swapped, to, false);
+  }
+  return loads;
+}
+
+function isNew({ inUse }: Working, rank: number, expert: number): boolean {
+  return !(inUse[rank]?.has(expert) ?? false);
+}
+
+function copiesOf(working: Working, { expert, to, drop, from }: Change): number {
+  const first = isNew(working, to, expert) ? 1 : 0;
+  const second = from !== null && drop !== null && isNew(working, from, drop) ? 1 : 0;
+  return first + second;
+}
+
+/** Changes that put an expert of the most loaded rank on a less loaded one. */
+function listChanges(
+  { ranks, holders }: Working,
+  { slotsPerRank }: MapShape,
+  hot: number,
+  to: number,
+): readonly Change[] {
+  const held = [...(ranks[to] ?? [])];
+  const hasPlace = held.length < slotsPerRank;
+  const spare = held.filter((expert) => (holders[expert]?.size ?? 0) > 1);
+  return [...(ranks[hot] ?? [])].flatMap((expert): readonly Change[] => {
+    if (ranks[to]?.has(expert)) {
+      return [];
+    }
+    if (hasPlace) {
+      return [
+        { expert, to, drop: null, from: null },
+        { expert, to, drop: null, from: hot },
+      ];
+    }
+    const replaced = spare.map((drop): Change => ({ expert, to, drop, from: null }));
+    const swapped = held
+      .filter((drop) => !(ranks[hot]?.has(drop) ?? false))
+      .map((drop): Change => ({ expert, to, drop, from: hot }));
+    return [...replaced, ...swapped];
+  });
+}
+
+/** Room that is left for copies, by rank. */
+interface Room {
+  readonly shape: MapShape;
+  readonly policy: MapPolicy;
+  /** Copies planned so far by rank, over all sets. */
+  readonly planned: readonly number[];
+}
+
+function hasRoom(working: Working, { shape, policy, planned }: Room, change: Change): boolean {
+  const fits = (rank: number, expert: number): boolean =>
+    !isNew(working, rank, expert) ||
+    ((working.added[rank] ?? 0) < shape.mostNew && (planned[rank] ?? 0) < policy.mostNewPerRank);
+  const { expert, to, drop, from } = change;
+  return fits(to, expert) && (from === null || drop === null || fits(from, drop));
+}
+
+function powerSum(loads: Iterable<number>, scale: number): number {
+  let sum = 0;
+  // eslint-disable-next-line no-restricted-syntax
+  for (const load of loads) {
+    sum += (load / scale) ** PEAK_ORDER;
+  }
+  return sum;
+}
+
+/** The change that takes most off the peak for each copy, if any is worth one. */
+function findBest(working: Working, room: Room): Change | null {
+  const { loads } = working;
+  const order = loads.map((_load, rank) => rank).sort((a, b) => (loads[b] ?? 0) - (loads[a] ?? 0));
+  const [hot = 0] = order;
+  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+  const total = powerSum(loads, mean);
+  const peak = (total / loads.length) ** (1 / PEAK_ORDER);
+  let best: Change | null = null;
+  let bestGain = room.policy.gainPerCopy;
+  order.slice(-COLD_RANKS).forEach((to) => {
+    if (to === hot) {
+      return;
+    }
+    listChanges(working, room.shape, hot, to).forEach((change) => {
+      if (!hasRoom(working, room, change)) {
+        return;
+      }
+      const touched = loadsAfter(working, change);
+      const before = powerSum([...touched.keys()].map((rank) => loads[rank] ?? 0), mean);
+      const after = Math.max(0, total - before + powerSum(touched.values(), mean));
+      const gain = peak - (after / loads.length) ** (1 / PEAK_ORDER);
+      const perCopy = gain / Math.max(0.5, copiesOf(working, change));
+      if (perCopy > bestGain) {
+        best = change;
+        bestGain = perCopy;
+      }
+    });
+  });
+  return best;
+}
+
+function place(working: Working, rank: number, expert: number): void {
+  working.ranks[rank]?.add(expert);
+  working.holders[expert]?.add(rank);
+}
+
+function remove(working: Working, rank: number, expert: number): void {
+  working.ranks[rank]?.delete(expert);
+  working.holders[expert]?.delete(rank);
+}
+
+/** Carries a change out on the working copy; returns the ranks that must copy an expert for it. */
+function apply(working: Working, change: Change): readonly number[] {
+  const { expert, to, drop, from } = change;
+  const copying = [
+    ...(isNew(working, to, expert) ? [to] : []),
+    ...(from !== null && drop !== null && isNew(working, from, drop) ? [from] : []),
+  ];
+  loadsAfter(working, change).forEach((load, rank) => {
+    working.loads[rank] = load;
+  });
+  place(working, to, expert);
+  if (from !== null) {
+    remove(working, from, expert);
+  }
+  if (drop !== null) {
+    remove(working, to, drop);
+    if (from !== null) {
+      place(working, from, drop);
+    }
+  }
+  copying.forEach((rank) => {
+    working.added[rank] = (working.added[rank] ?? 0) + 1;
+  });
+  return copying;
+}
+
+/** Most changes of one set in one plan; each rank may take a few. */
+const MOST_CHANGES = 64;
+
+/**
+ * Plans the next map from each expert's expected load, by set. Sets take turns, the most uneven
+ * first, so that the copies that a rank may make go where they shorten the pass most.
+ */
+export function planMap(
+  inUse: GroupMap,
+  weights: readonly (readonly number[])[],
+  shape: MapShape,
+  policy: MapPolicy,
+): MapPlanned {
+  const sets = inUse.map((ranks, set) => startWorking(ranks, weights[set] ?? []));
+  const skews = (): number => sets.reduce((sum, { loads }) => sum + skewOf(loads), 0) / sets.length;
+  const skewBefore = skews();
+  const planned = (inUse[0] ?? []).map(() => 0);
+  const open = new Set(sets.map((_set, i) => i));
+  let copies = 0;
+  for (let change = 0; change < MOST_CHANGES * sets.length && open.size > 0; change += 1) {
+    const [set = 0] = [...open].sort(
+      (a, b) => skewOf(sets[b]?.loads ?? []) - skewOf(sets[a]?.loads ?? []),
+    );
+    const working = sets[set];
+    const best =
+      working === undefined ? null : findBest(working, { shape, policy, planned });
+    if (working === undefined || best === null) {
+      open.delete(set);
+    } else {
+      const copying = apply(working, best);
+      copies += copying.length;
+      copying.forEach((rank) => {
+        planned[rank] = (planned[rank] ?? 0) + 1;
+      });
+    }
+  }
+  return {
+    map: sets.map(({ ranks }) => ranks.map((experts) => [...experts].sort((a, b) => a - b))),
+    copies,
+    skewBefore,
+    skewAfter: skews(),
+  };
+}
--- /dev/null
+++ b/src/coordination/MapSwitch.ts
@@ -0,0 +1,400 @@
+/**
+ * Change of the expert map of a group whose ranks switch at a pass that each was armed for: all of
+ * them must go over before the same pass, though orders get lost, or are carried out seconds later.
+ *
+ * One rank is told to hold the group before the pass of the switch, and that is confirmed before the
+ * first rank is armed; it is released only once every rank is seen armed. So the pass can't begin
+ * while ranks differ, whatever became of any order. Each try has a version and a pass of its own:
+ * an order of an earlier try that is carried out late meets a version that is no longer prepared or
+ * a pass that has begun, and changes nothing. The coordinator sends what the newest reports lack
+ * again and again, and believes reports, never the fate of its orders.
+ */
+import type { EngineOrder, GroupMap, OrderResult, RankReport } from '../protocol/index.js';
+
+/** Where a coordinator stands. */
+export type MapSwitchPhase =
+  /** Without a lease. */
+  | 'off'
+  /** Waits for a report of every rank, all of one epoch. */
+  | 'observing'
+  | 'idle'
+  /** Makes an unfinished change of a predecessor impossible before the group goes on. */
+  | 'voiding'
+  | 'preparing'
+  | 'holding'
+  | 'arming'
+  | 'releasing';
+
+/** A report with the time at which it was taken in, ms. */
+export interface SeenReport {
+  readonly report: RankReport;
+  readonly at: number;
+}
+
+/** What a coordinator knows. */
+export interface MapSwitchState {
+  readonly ranks: number;
+  /** Rank on the coordinator's own host, which holds the group. */
+  readonly own: number;
+  readonly phase: MapSwitchPhase;
+  readonly token: number;
+  /** When the lease was gained, or a new epoch seen: older reports say nothing. */
+  readonly since: number;
+  readonly epoch: number;
+  readonly reports: readonly (SeenReport | null)[];
+  /** Version in the making, its map, and the pass before which it is switched to. */
+  readonly version: number;
+  readonly map: GroupMap | null;
+  readonly step: number;
+  /** Tries under this token; part of each version. */
+  readonly tries: number;
+  /** Orders on their way: by rank, when they were sent. */
+  readonly sentAt: readonly (number | null)[];
+  /** Orders without an answer lately, which lengthen the way to the switch. */
+  readonly unknowns: number;
+  readonly startedAt: number;
+}
+
+/** What goes in. */
+export type MapSwitchInput =
+  | { readonly type: 'gained'; readonly token: number }
+  | { readonly type: 'lost' }
+  | { readonly type: 'report'; readonly rank: number; readonly report: RankReport }
+  | { readonly type: 'answer'; readonly rank: number; readonly result: OrderResult }
+  | { readonly type: 'propose'; readonly map: GroupMap }
+  /** The map in use, as the ranks list it; needs no copies, so it serves to void a change. */
+  | { readonly type: 'mapInUse'; readonly map: GroupMap }
+  | { readonly type: 'tick' };
+
+/** What comes out. */
+export type MapSwitchOutput =
+  | { readonly type: 'order'; readonly rank: number; readonly order: EngineOrder }
+  | { readonly type: 'phase'; readonly phase: MapSwitchPhase }
+  /** All ranks use the version; ms since it was proposed. */
+  | { readonly type: 'changed'; readonly version: number; readonly ms: number }
+  /** The group has formed anew, with its first map. */
+  | { readonly type: 'reset'; readonly epoch: number };
+
+/** New state and outputs of a step. */
+export interface MapSwitchStep {
+  readonly state: MapSwitchState;
+  readonly outputs: readonly MapSwitchOutput[];
+}
+
+/** Passes between the hold and the switch: orders take some 20 ms, a pass 45 ms or more. */
+export const LEAD_PASSES = 3;
+
+/** Passes more where orders get lost, each of which is sent again after a timeout. */
+export const LOSSY_LEAD_PASSES = 8;
+
+/** Orders without an answer after which the way is taken for lossy. */
+const LOSSY = 3;
+
+/** An order without an answer is sent again after this long, ms. */
+export const RESEND_MS = 120;
+
+/** Versions of one token; a new token's versions are all higher. */
+export const VERSIONS_PER_TOKEN = 100_000;
+
+/** A coordinator without a lease. */
+export function initMapSwitch(ranks: number, own: number): MapSwitchState {
+  return {
+    ranks,
+    own,
+    phase: 'off',
+    token: 0,
+    since: 0,
+    epoch: -1,
+    reports: Array.from({ length: ranks }, () => null),
+    version: 0,
+    map: null,
+    step: 0,
+    tries: 0,
+    sentAt: Array.from({ length: ranks }, () => null),
+    unknowns: 0,
+    startedAt: 0,
+  };
+}
+
+function enter(state: MapSwitchState, phase: MapSwitchPhase): MapSwitchStep {
+  return state.phase === phase
+    ? { state, outputs: [] }
+    : { state: { ...state, phase }, outputs: [{ type: 'phase', phase }] };
+}
+
+/** Reports of all ranks, if each has one of this epoch; null otherwise. */
+function fullView(state: MapSwitchState): readonly RankReport[] | null {
+  const reports = state.reports.flatMap((seen) =>
+    seen !== null && seen.at >= state.since && seen.report.epoch === state.epoch
+      ? [seen.report]
+      : [],
+  );
+  return reports.length === state.ranks && reports.every(({ open }) => open) ? reports : null;
+}
+
+function newestStep(reports: readonly RankReport[]): number {
+  return Math.max(...reports.map(({ step }) => step));
+}
+
+function nextTry(state: MapSwitchState): Pick<MapSwitchState, 'tries' | 'version'> {
+  const tries = state.tries + 1;
+  return { tries, version: state.token * VERSIONS_PER_TOKEN + tries };
+}
+
+/** All ranks armed for one version and pass: what was begun is as good as done. */
+function isArmedAlike(reports: readonly RankReport[]): boolean {
+  const [first] = reports;
+  return reports.every(
+    ({ armed }) =>
+      armed !== null &&
+      armed.version === first?.armed?.version &&
+      armed.step === first.armed.step,
+  );
+}
+
+/**
+ * Sorts out what a predecessor left.
+ *
+ * Failure: a coordinator dies when some ranks are armed and the group is held, and orders of its own
+ * are still to be carried out. Symptom: released as it is, the group begins a pass with two maps;
+ * left as it is, it stands still. Enough: where all ranks are armed alike the change is finished;
+ * else the group stays held until every rank has prepared a newer version, after which no late order
+ * can arm the old one.
+ */
+function onView(state: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
+  const armed = reports.some((report) => report.armed !== null);
+  const held = reports.some((report) => report.heldStep !== null);
+  if (armed && isArmedAlike(reports)) {
+    const [first] = reports;
+    const version = first?.armed?.version ?? 0;
+    return enter({ ...state, version, step: first?.armed?.step ?? 0 }, 'releasing');
+  }
+  if (armed || held) {
+    const step = reports.find((report) => report.armed !== null)?.armed?.step ?? 0;
+    return enter({ ...state, ...nextTry(state), step }, 'voiding');
+  }
+  return enter(state, 'idle');
+}
+
+function orderPrepare(state: MapSwitchState, report: RankReport): EngineOrder | null {
+  const { epoch, version, map } = state;
+  return report.prepared === version || report.copying || map === null
+    ? null
+    : { kind: 'prepare', epoch, version, map };
+}
+
+type OrderOf = (state: MapSwitchState, report: RankReport, rank: number) => EngineOrder | null;
+
+function orderVoid(state: MapSwitchState, report: RankReport, rank: number): EngineOrder | null {
+  const { epoch } = state;
+  const reports = fullView(state) ?? [];
+  const held = reports.some(({ heldStep }) => heldStep !== null);
+  if (!held && reports.some(({ armed }) => armed !== null)) {
+    return rank === state.own && report.step < state.step
+      ? { kind: 'hold', epoch, step: state.step }
+      : null;
+  }
+  return report.armed === null
+    ? orderPrepare(state, report)
+    : { kind: 'disarm', epoch, version: report.armed.version };
+}
+
+function orderRelease(
+  { epoch }: Pick<MapSwitchState, 'epoch'>,
+  { heldStep }: RankReport,
+): EngineOrder | null {
+  return heldStep === null ? null : { kind: 'release', epoch, step: heldStep };
+}
+
+/** The order that a rank lacks by its newest report, in each phase. */
+const ORDER_OF: Readonly<Partial<Record<MapSwitchPhase, OrderOf>>> = {
+  // A hold that comes late, after its change is over, keeps the group from nothing but work.
+  idle: orderRelease,
+  preparing: (state, report) => orderRelease(state, report) ?? orderPrepare(state, report),
+  voiding: orderVoid,
+  holding: ({ epoch, step, own }, report, rank) => {
+    if (rank !== own || report.heldStep === step) {
+      return null;
+    }
+    return orderRelease({ epoch }, report) ?? { kind: 'hold', epoch, step };
+  },
+  arming: ({ epoch, version, step }, { armed }) =>
+    armed?.version === version && armed.step === step
+      ? null
+      : { kind: 'arm', epoch, version, step },
+  releasing: orderRelease,
+};
+
+function sendOrders(state: MapSwitchState, now: number): MapSwitchStep {
+  const orderOf = ORDER_OF[state.phase];
+  if (orderOf === undefined) {
+    return { state, outputs: [] };
+  }
+  const sentAt = [...state.sentAt];
+  const outputs = state.reports.flatMap((seen, rank): readonly MapSwitchOutput[] => {
+    const sent = sentAt[rank] ?? null;
+    const waits = sent !== null && now - sent < RESEND_MS;
+    const valid = seen !== null && seen.at >= state.since && seen.report.epoch === state.epoch;
+    const order = waits || !valid ? null : orderOf(state, seen.report, rank);
+    if (order === null) {
+      return [];
+    }
+    sentAt[rank] = now;
+    return [{ type: 'order', rank, order }];
+  });
+  return { state: { ...state, sentAt }, outputs };
+}
+
+function choosePass(state: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
+  const lead = state.unknowns >= LOSSY ? LOSSY_LEAD_PASSES : LEAD_PASSES;
+  // Each pass is used once: a late order for an earlier try must find that it has begun.
+  const step = Math.max(newestStep(reports) + lead, state.step + 1);
+  return enter({ ...state, step }, 'holding');
+}
+
+type Advance = (state: MapSwitchState, reports: readonly RankReport[], now: number) => MapSwitchStep;
+
+const stay: Advance = (state) => ({ state, outputs: [] });
+
+function afterRelease(
+  state: MapSwitchState,
+  reports: readonly RankReport[],
+  now: number,
+): MapSwitchStep {
+  if (reports.some(({ mapVersion }) => mapVersion !== state.version)) {
+    return { state, outputs: [] };
+  }
+  const step = enter({ ...state, unknowns: Math.max(0, state.unknowns - 1) }, 'idle');
+  const { version, startedAt } = state;
+  return {
+    state: step.state,
+    outputs: [...step.outputs, { type: 'changed', version, ms: now - startedAt }],
+  };
+}
+
+/** What follows from a view of all ranks, by phase. */
+const ADVANCE: Readonly<Partial<Record<MapSwitchPhase, Advance>>> = {
+  observing: onView,
+  voiding: (state, reports) =>
+    reports.every(({ armed, prepared }) => armed === null && prepared === state.version)
+      ? enter(state, 'idle')
+      : { state, outputs: [] },
+  preparing: (state, reports) =>
+    reports.every(({ prepared }) => prepared === state.version)
+      ? choosePass(state, reports)
+      : { state, outputs: [] },
+  holding: (state, reports) => {
+    if (reports[state.own]?.heldStep === state.step) {
+      return enter(state, 'arming');
+    }
+    return newestStep(reports) >= state.step
+      ? choosePass(state, reports)
+      : { state, outputs: [] };
+  },
+  arming: (state, reports) => {
+    const done = reports.every(
+      ({ armed }) => armed?.version === state.version && armed.step === state.step,
+    );
+    return done ? enter(state, 'releasing') : { state, outputs: [] };
+  },
+  releasing: afterRelease,
+};
+
+/** Goes through as many phases as the view allows, then sends what is lacking. */
+function proceed(step: MapSwitchStep, now: number): MapSwitchStep {
+  const { state } = step;
+  const reports = fullView(state);
+  const advanced = reports === null ? null : (ADVANCE[state.phase] ?? stay)(state, reports, now);
+  if (advanced !== null && advanced.state.phase !== state.phase) {
+    const fresh = { ...advanced.state, sentAt: state.sentAt.map(() => null) };
+    return proceed({ state: fresh, outputs: [...step.outputs, ...advanced.outputs] }, now);
+  }
+  const sent = sendOrders(advanced?.state ?? state, now);
+  return { state: sent.state, outputs: [...step.outputs, ...sent.outputs] };
+}
+
+/** The group has formed anew: maps, orders and holds are all forgotten. */
+function onEpoch(state: MapSwitchState, epoch: number, now: number): MapSwitchStep {
+  const next: MapSwitchState = {
+    ...state,
+    epoch,
+    since: now,
+    reports: state.reports.map(() => null),
+    step: 0,
+    map: null,
+    sentAt: state.sentAt.map(() => null),
+  };
+  const observing = enter(next, 'observing');
+  return { ...observing, outputs: [...observing.outputs, { type: 'reset', epoch }] };
+}
+
+function onReport(
+  state: MapSwitchState,
+  { rank, report }: Extract<MapSwitchInput, { type: 'report' }>,
+  now: number,
+): MapSwitchStep {
+  if (state.phase === 'off' || report.epoch < state.epoch) {
+    return { state, outputs: [] };
+  }
+  const step: MapSwitchStep =
+    report.epoch > state.epoch ? onEpoch(state, report.epoch, now) : { state, outputs: [] };
+  const reports = step.state.reports.map((seen, i) => (i === rank ? { report, at: now } : seen));
+  return proceed({ ...step, state: { ...step.state, reports } }, now);
+}
+
+function onGained(
+  state: MapSwitchState,
+  { token }: Extract<MapSwitchInput, { type: 'gained' }>,
+  now: number,
+): MapSwitchStep {
+  const fresh = initMapSwitch(state.ranks, state.own);
+  return enter({ ...fresh, token, since: now }, 'observing');
+}
+
+function onAnswer(
+  state: MapSwitchState,
+  { rank, result }: Extract<MapSwitchInput, { type: 'answer' }>,
+): MapSwitchStep {
+  const unknowns = result === 'unknown' ? Math.min(2 * LOSSY, state.unknowns + 1) : state.unknowns;
+  // The next report tells whether it is lacking still; one that failed at once isn't repeated at once.
+  const sentAt = state.sentAt.map((at, i) => (i === rank && result === 'unknown' ? null : at));
+  return { state: { ...state, unknowns, sentAt }, outputs: [] };
+}
+
+type Handlers = {
+  readonly [T in MapSwitchInput['type']]: (
+    state: MapSwitchState,
+    input: Extract<MapSwitchInput, { type: T }>,
+    now: number,
+  ) => MapSwitchStep;
+};
+
+const HANDLERS: Handlers = {
+  gained: onGained,
+  lost: (state) => enter(state, 'off'),
+  report: onReport,
+  answer: onAnswer,
+  mapInUse: (state, { map }, now) =>
+    state.phase === 'observing' || state.phase === 'voiding'
+      ? proceed({ state: { ...state, map }, outputs: [] }, now)
+      : { state, outputs: [] },
+  propose: (state, { map }, now) =>
+    state.phase === 'idle'
+      ? proceed(enter({ ...state, ...nextTry(state), map, startedAt: now }, 'preparing'), now)
+      : { state, outputs: [] },
+  tick: (state, _input, now) => proceed({ state, outputs: [] }, now),
+};
+
+/** One step of a coordinator. */
+export function stepMapSwitch(
+  state: MapSwitchState,
+  input: MapSwitchInput,
+  now: number,
+): MapSwitchStep {
+  const handler = HANDLERS[input.type] as (
+    state: MapSwitchState,
+    input: MapSwitchInput,
+    now: number,
+  ) => MapSwitchStep;
+  return handler(state, input, now);
+}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -147,6 +147,7 @@
   isFresh,
   proveFresh,
   UNPROVEN,
+  type ClockReading,
   type FreshnessState,
 } from './Freshness.js';
 export {
@@ -156,3 +157,19 @@
   type RetryAllowance,
   type RetryBudgetState,
 } from './RetryBudget.js';
+export {
+  expectedLoad,
+  initDemand,
+  takeCounts,
+  type DemandState,
+  type ExpertCounts,
+} from './DemandEstimate.js';
+export { planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
+export {
+  initMapSwitch,
+  stepMapSwitch,
+  type MapSwitchInput,
+  type MapSwitchOutput,
+  type MapSwitchPhase,
+  type MapSwitchState,
+} from './MapSwitch.js';
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -98,6 +98,7 @@
           now: runtime.now,
           publish: (records) => peers.publish(records),
           controls: () => peers.controls,
+          publishLoad: (load) => peers.publishLoad(load),
         }),
     ).singleton(),
     consensus: asFunction(
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,7 +1,7 @@
 /** Links of a control process to the others, and the forming of a cluster over them. */
 import type { Logger } from 'pino';
 import type { ConsensusMessage } from '../coordination/index.js';
-import type { ControlAddress, DirectoryDelta, MemberRecord } from '../protocol/index.js';
+import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
 import {
   TransportLinkClient,
   type Address,
@@ -94,6 +94,7 @@
       },
       'control.identity': () => this.identity,
       'control.found': async (params) => this.#onFound(params as { voters: readonly string[] }),
+      'control.load': (params) => hub().onGroupLoad(params as GroupLoad),
       'control.directory': (params) => {
         const { from, ...delta } = params as DirectoryDelta & { from: string };
         hub().onPeer(from, delta);
@@ -120,6 +121,11 @@
     this.#clients.forEach((client) => client.notify('control.directory', delta));
   }
 
+  /** Sends a group's load to all. */
+  publishLoad(load: GroupLoad): void {
+    this.#clients.forEach((client) => client.notify('control.load', load));
+  }
+
   /** Calls a method at a control process by name. */
   async request(name: string, method: string, params: unknown): Promise<unknown> {
     const client = this.#clients.get(name);
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -21,6 +21,7 @@
 import type {
   ControlAddress,
   DirectoryDelta,
+  GroupLoad,
   HelloMessage,
   HelloReply,
   MemberRecord,
@@ -39,6 +40,8 @@
   readonly publish: (records: readonly MemberRecord[]) => void;
   /** Control processes that a process which attaches is told of. */
   readonly controls: () => readonly ControlAddress[];
+  /** Sends a group's load to the other control processes. */
+  readonly publishLoad: (load: GroupLoad) => void;
 }
 
 /** What a control process tells of one process attached to it. */
@@ -114,6 +117,11 @@
         const { held } = params as { held: number };
         this.#roll({ type: 'gap', id: link.peer, held });
       },
+      'config.whole': () => this.#rollout.config,
+      'group.load': (params) => {
+        this.onGroupLoad(params as GroupLoad);
+        this.#options.publishLoad(params as GroupLoad);
+      },
       'config.applied': (params, link) => {
         this.#applied.set(link.peer, (params as { index: number }).index);
       },
@@ -148,6 +156,15 @@
     this.#member({ type: 'announce', record });
   }
 
+  /** Passes a group's load on to the entry processes attached here. */
+  onGroupLoad(load: GroupLoad): void {
+    this.#links.forEach(({ link, record }) => {
+      if (record.role === 'entry') {
+        link.notify('group.load', load);
+      }
+    });
+  }
+
   /** News from another control process. */
   onPeer(from: string, delta: DirectoryDelta): void {
     this.#member({ type: delta.full ? 'peerFull' : 'peer', from, records: delta.records });
@@ -215,15 +232,22 @@
       );
     });
     this.#links.forEach(({ sender, record }) => {
-      const concerning = record.role === 'entry' ? this.#concerning(record, records) : [];
+      const concerning = this.#concerning(record, records);
       if (concerning.length > 0) {
         sender.notify('directory', { full: false, records: concerning } satisfies DirectoryDelta);
       }
     });
   }
 
-  /** An entry process is told of its own region: work never spills out of it. */
+  /**
+   * An entry process is told of its own region: work never spills out of it. An endpoint process is
+   * told of its group's other processes.
+   */
   #concerning(record: MemberRecord, records: readonly MemberRecord[]): readonly MemberRecord[] {
+    if (record.role !== 'entry') {
+      const group = record.offer?.group;
+      return records.filter(({ offer }) => group !== undefined && offer?.group === group);
+    }
     const own = this.#regions.get(record.zone);
     return records.filter(({ zone }) => {
       const region = this.#regions.get(zone);
@@ -232,8 +256,8 @@
   }
 
   #sendDirectory({ sender, record }: Attached): void {
-    if (record.role === 'entry') {
-      const records = this.#concerning(record, [...this.#membership.directory.values()]);
+    const records = this.#concerning(record, [...this.#membership.directory.values()]);
+    if (record.role === 'entry' || records.length > 0) {
       sender.notify('directory', { full: true, records } satisfies DirectoryDelta);
     }
   }
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -4,6 +4,7 @@
   ConfigDelta,
   ControlAddress,
   DirectoryDelta,
+  GroupLoad,
   HelloMessage,
   HelloReply,
   MemberRecord,
@@ -23,6 +24,7 @@
   readonly random: () => number;
   readonly onConfig: (config: ConfigState) => void;
   readonly onDirectory: (delta: DirectoryDelta) => void;
+  readonly onGroupLoad?: (load: GroupLoad) => void;
   /** Called once attached, after each new link. */
   readonly onUp?: () => void;
 }
@@ -51,6 +53,7 @@
         config: (delta, link) => this.#onConfig(delta as ConfigDelta, link),
         directory: (delta) => options.onDirectory(delta as DirectoryDelta),
         'config.fetch': () => this.#config,
+        'group.load': (load) => options.onGroupLoad?.(load as GroupLoad),
       }),
       onUp: async (link) => this.#hello(link),
     });
@@ -75,6 +78,11 @@
     this.#client.notify('member.announce', this.#record);
   }
 
+  /** Sends without an answer; lost while there is no link. */
+  notify(method: string, params: unknown): void {
+    this.#client.notify(method, params);
+  }
+
   /** Calls a method of the control process. */
   async request(method: string, params: unknown, timeoutMs?: number): Promise<unknown> {
     return this.#client.request(method, params, timeoutMs);
--- a/src/daemon/DaemonRuntime.ts
+++ b/src/daemon/DaemonRuntime.ts
@@ -1,12 +1,12 @@
 /** What every role shares: log, clock, randomness, metrics and the signals of its life. */
 import { randomInt } from 'node:crypto';
-import { uptime } from 'node:os';
 import Koa, { type Context } from 'koa';
 import { pino, type Logger } from 'pino';
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
+import type { ClockReading } from '../coordination/index.js';
 import { RequestError } from '../protocol/index.js';
 
 /** Shared means of one process. */
@@ -17,8 +17,8 @@
   readonly rng: RandomGenerator;
   /** ms on the local monotonic clock. */
   readonly now: () => number;
-  /** ms on a clock that runs on while the host is suspended; for leases, never for timers. */
-  readonly bootNow: () => number;
+  /** Both clocks at once, for leases that must not outlast a suspended host. */
+  readonly clocks: () => ClockReading;
   /** Number from 0 to 1. */
   readonly random: () => number;
   /** Incarnation of this process: rises with each start, as far as the clock does. */
@@ -38,7 +38,7 @@
     registry,
     rng,
     now: () => performance.now(),
-    bootNow: () => uptime() * 1_000,
+    clocks: () => ({ steady: performance.now(), wall: Date.now() }),
     random: () => uniformFloat64(rng),
     incarnation: Date.now(),
   };
--- /dev/null
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -0,0 +1,319 @@
+/** Task that coordinates one group under its lease: reads the ranks, plans maps and switches them. */
+import { Counter, Gauge } from 'prom-client';
+import {
+  expectedLoad,
+  initDemand,
+  initMapSwitch,
+  mayCoordinate,
+  planMap,
+  stepMapSwitch,
+  takeCounts,
+  type DemandState,
+  type MapPolicy,
+  type MapShape,
+  type MapSwitchInput,
+  type MapSwitchOutput,
+  type MapSwitchState,
+} from '../../coordination/index.js';
+import type { GroupLoad, GroupMap, RankCounts, RankReport } from '../../protocol/index.js';
+import type { DaemonCoordinator } from '../DaemonCoordinator.js';
+import type { Runtime } from '../DaemonRuntime.js';
+import type { DirectRankPeers } from './DirectRankPeers.js';
+
+/** What the task needs. */
+export interface DirectCoordinatorOptions {
+  readonly group: string;
+  readonly ranks: number;
+  readonly own: number;
+  readonly lease: DaemonCoordinator;
+  readonly peers: DirectRankPeers;
+  readonly runtime: Runtime;
+  /** Shape of maps and what a change must be worth; null until a configuration says. */
+  readonly policy: () => { readonly shape: MapShape; readonly policy: MapPolicy } | null;
+  /** Tells the entry processes of the group's load. */
+  readonly publish: (load: GroupLoad) => void;
+}
+
+/** How often counts are read: a few hundred thousand choices at the usual rate. In ms. */
+const COUNTS_MS = 250;
+
+/** How often reports are read while a change is under way, ms. */
+const REPORT_MS = 60;
+
+/** How often unfinished orders are looked at, ms. */
+export const COORDINATOR_TICK_MS = 20;
+
+/** A change that took off less of the skew than this isn't worth its orders. */
+const LEAST_GAIN = 0.03;
+
+/** Coordinator of one group. */
+export class DirectCoordinator {
+  readonly #options: DirectCoordinatorOptions;
+
+  readonly #changes: Counter;
+
+  readonly #copies: Counter;
+
+  #switch: MapSwitchState;
+
+  #demand: DemandState;
+
+  #map: GroupMap | null = null;
+
+  #proposed: GroupMap | null = null;
+
+  #askedAt: (number | null)[];
+
+  #counts: (RankCounts | null)[];
+
+  #reports: (RankReport | null)[];
+
+  #countsAt = 0;
+
+  #pass: { readonly step: number; readonly at: number } | null = null;
+
+  #passMs: number | null = null;
+
+  #skew = 1;
+
+  constructor(options: DirectCoordinatorOptions) {
+    this.#options = options;
+    const { ranks, own, runtime } = options;
+    this.#switch = initMapSwitch(ranks, own);
+    this.#demand = initDemand(ranks);
+    this.#askedAt = Array.from({ length: ranks }, () => null);
+    this.#counts = Array.from({ length: ranks }, () => null);
+    this.#reports = Array.from({ length: ranks }, () => null);
+    const registers = [runtime.registry];
+    this.#changes = new Counter({
+      name: 'laburnumgauge_map_changes_total',
+      help: 'Expert maps taken into use',
+      registers,
+    });
+    this.#copies = new Counter({
+      name: 'laburnumgauge_map_copies_total',
+      help: 'Experts that ranks were told to copy',
+      registers,
+    });
+    const skew = (): number => this.#skew;
+    // eslint-disable-next-line no-new
+    new Gauge({
+      name: 'laburnumgauge_step_skew',
+      help: 'Largest over mean rank load, averaged over sets, of the demand seen lately',
+      registers,
+      collect() {
+        this.set(skew());
+      },
+    });
+  }
+
+  /** Follows the lease, asks the ranks and plans. To be called every {@link COORDINATOR_TICK_MS}. */
+  tick(): void {
+    this.#followLease();
+    if (this.#switch.phase === 'off') {
+      return;
+    }
+    const now = this.#options.runtime.now();
+    const dueCounts = now - this.#countsAt >= COUNTS_MS;
+    const busy = this.#switch.phase !== 'idle';
+    if (dueCounts) {
+      this.#takeCounts(now);
+    }
+    this.#askedAt.forEach((askedAt, rank) => {
+      const dueReport = busy && askedAt !== null && now - askedAt >= REPORT_MS;
+      if (dueCounts || dueReport || askedAt === null) {
+        this.#ask(rank, dueCounts, now);
+      }
+    });
+    this.#input({ type: 'tick' });
+  }
+
+  #followLease(): void {
+    const { lease, runtime } = this.#options;
+    const view = lease.lease;
+    const holds = mayCoordinate(view, runtime.now());
+    const token = view.held?.token ?? 0;
+    if (holds && this.#switch.token !== token) {
+      this.#map = null;
+      this.#input({ type: 'gained', token });
+    } else if (!holds && this.#switch.phase !== 'off') {
+      this.#input({ type: 'lost' });
+      this.#switch = { ...this.#switch, token: 0 };
+    }
+  }
+
+  #ask(rank: number, withCounts: boolean, now: number): void {
+    const { token } = this.#switch;
+    const withExperts = this.#map === null;
+    this.#askedAt[rank] = now;
+    this.#options.peers
+      .ask(rank, { token, withCounts, withExperts })
+      .then((reply) => {
+        if (reply.fenced || token !== this.#switch.token) {
+          return;
+        }
+        this.#counts[rank] = reply.counts ?? this.#counts[rank] ?? null;
+        if (reply.experts !== null) {
+          this.#onExperts(rank, reply.report.epoch, reply.experts);
+        }
+        this.#onReport(rank, reply.report);
+      })
+      .catch((err: unknown) => {
+        this.#options.runtime.log.debug({ rank, err: (err as Error).message }, 'no report');
+      });
+  }
+
+  readonly #experts = new Map<
+    number,
+    { readonly epoch: number; readonly experts: readonly (readonly number[])[] }
+  >();
+
+  /** Puts the map in use together from what each rank holds of it. */
+  #onExperts(rank: number, epoch: number, experts: readonly (readonly number[])[]): void {
+    this.#experts.set(rank, { epoch, experts });
+    const { ranks } = this.#options;
+    const known = Array.from({ length: ranks }, (_item, i) => this.#experts.get(i));
+    if (this.#map !== null || known.some((item) => item === undefined || item.epoch !== epoch)) {
+      return;
+    }
+    const sets = experts.length;
+    this.#map = Array.from({ length: sets }, (_set, s) =>
+      known.map((item) => item?.experts[s] ?? []),
+    );
+    this.#experts.clear();
+    this.#input({ type: 'mapInUse', map: this.#map });
+  }
+
+  #onReport(rank: number, report: RankReport): void {
+    this.#reports[rank] = report;
+    if (rank === this.#options.own) {
+      this.#observePass(report);
+    }
+    this.#input({ type: 'report', rank, report });
+  }
+
+  #observePass({ step }: RankReport): void {
+    const now = this.#options.runtime.now();
+    const before = this.#pass;
+    if (before === null || step < before.step || now - before.at > 2 * COUNTS_MS) {
+      this.#pass = { step, at: now };
+      this.#passMs = null;
+    } else if (now - before.at >= COUNTS_MS * 0.8) {
+      const passes = step - before.step;
+      this.#passMs = passes === 0 ? null : (now - before.at) / passes;
+      this.#pass = { step, at: now };
+    }
+  }
+
+  #takeCounts(now: number): void {
+    this.#countsAt = now;
+    const counts = this.#counts.map((item) => item?.counts ?? null);
+    this.#demand = takeCounts(this.#demand, counts);
+    this.#publish();
+    this.#plan();
+  }
+
+  #publish(): void {
+    const { group, publish } = this.#options;
+    const reports = this.#reports;
+    if (reports.every((report) => report === null)) {
+      return;
+    }
+    publish({
+      group,
+      open: reports.every((report) => report?.open === true),
+      active: reports.map((report) => report?.active ?? 0),
+      queued: reports.map((report) => report?.queued ?? 0),
+      passMs: this.#passMs,
+      skew: this.#skew,
+    });
+  }
+
+  #plan(): void {
+    const { policy, runtime } = this.#options;
+    const limits = policy();
+    const weights = expectedLoad(this.#demand);
+    if (limits === null || weights === null || this.#map === null) {
+      return;
+    }
+    const begun = runtime.now();
+    const planned = planMap(this.#map, weights, limits.shape, limits.policy);
+    this.#skew = planned.skewBefore;
+    const gain = planned.skewBefore - planned.skewAfter;
+    if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
+      return;
+    }
+    runtime.log.info(
+      {
+        event: 'plan',
+        group: this.#options.group,
+        copies: planned.copies,
+        skewBefore: Number(planned.skewBefore.toFixed(3)),
+        skewAfter: Number(planned.skewAfter.toFixed(3)),
+        intervals: this.#demand.intervals.length,
+        shifts: this.#demand.shifts,
+        planMs: Math.round(runtime.now() - begun),
+      },
+      'new expert map',
+    );
+    this.#copies.inc(planned.copies);
+    this.#proposed = planned.map;
+    this.#input({ type: 'propose', map: planned.map });
+  }
+
+  #input(input: MapSwitchInput): void {
+    const { state, outputs } = stepMapSwitch(this.#switch, input, this.#options.runtime.now());
+    this.#switch = state;
+    outputs.forEach((output) => this.#perform(output));
+  }
+
+  #perform(output: MapSwitchOutput): void {
+    const { group, runtime } = this.#options;
+    const { log } = runtime;
+    switch (output.type) {
+      case 'order':
+        this.#order(output);
+        return;
+      case 'phase':
+        log.info(
+          { event: 'map', group, phase: output.phase, version: this.#switch.version, step: this.#switch.step },
+          'map change',
+        );
+        return;
+      case 'changed':
+        this.#changes.inc();
+        this.#map = this.#proposed;
+        this.#proposed = null;
+        log.info({ event: 'map_changed', group, version: output.version, ms: output.ms }, 'map in use');
+        return;
+      default:
+        this.#map = null;
+        this.#proposed = null;
+        this.#experts.clear();
+        this.#demand = initDemand(this.#options.ranks);
+        this.#counts = this.#counts.map(() => null);
+        log.warn({ event: 'group_reset', group, epoch: output.epoch }, 'the group formed anew');
+    }
+  }
+
+  #order({ rank, order }: Extract<MapSwitchOutput, { type: 'order' }>): void {
+    const { lease, peers, runtime } = this.#options;
+    const { token } = this.#switch;
+    // Looked at before each order: a process that was frozen must not act on an old lease.
+    if (!mayCoordinate(lease.lease, runtime.now())) {
+      return;
+    }
+    peers
+      .order(rank, { token, order })
+      .then((reply) => {
+        if (reply.fenced || token !== this.#switch.token) {
+          return;
+        }
+        this.#input({ type: 'answer', rank, result: reply.result });
+        if (reply.report !== null) {
+          this.#onReport(rank, reply.report);
+        }
+      })
+      .catch(() => this.#input({ type: 'answer', rank, result: 'unknown' }));
+  }
+}
--- /dev/null
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -0,0 +1,194 @@
+/** Endpoint process beside an engine that callers reach directly: it serves the engine's rank. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { MapPolicy, MapShape } from '../../coordination/index.js';
+import type {
+  DirectoryDelta,
+  DocumentDialect,
+  EngineCosts,
+  MemberRecord,
+  RankReport,
+} from '../../protocol/index.js';
+import type { ConfigState } from '../../state/index.js';
+import { parseAddress, serveLinks, type Address } from '../../transport/index.js';
+import { DaemonCoordinator } from '../DaemonCoordinator.js';
+import { DaemonHubLink } from '../DaemonHubLink.js';
+import { every, type Runtime } from '../DaemonRuntime.js';
+import type { ControlTarget } from '../DaemonSettings.js';
+import { COORDINATOR_TICK_MS, DirectCoordinator } from './DirectCoordinator.js';
+import { textOfDocument } from './DirectDocument.js';
+import { DirectRank, type EnginePort } from './DirectRank.js';
+import { DirectRankPeers } from './DirectRankPeers.js';
+
+/** Settings of the process. */
+export interface DirectEndpointSettings {
+  readonly id: string;
+  readonly zone: string;
+  readonly link: Address;
+  /** Service that the engine beside this process serves. */
+  readonly service: string;
+  readonly controls: readonly ControlTarget[];
+  /** Experts that one change may bring a rank, over all sets. */
+  readonly policy: MapPolicy;
+}
+
+/** Fleet under which the processes beside engines are announced; no request is routed to it. */
+const RANK_FLEET = 'ranks';
+
+/** Processes of a group that ask for its lease: one an AZ is enough for any of them to be lost. */
+const CANDIDATES = 3;
+
+/** How often the engine is asked for its group until it has one, ms. */
+const GROUP_POLL_MS = 500;
+
+/** How often the configuration is read by the coordinator; the engines' costs hardly change. ms. */
+const CONFIG_MS = 10_000;
+
+const LEASE_TICK_MS = 100;
+
+/** Asks the engine until it is part of a group. */
+async function findGroup(
+  engine: EnginePort,
+  signal: AbortSignal,
+): Promise<(RankReport & { readonly group: string }) | null> {
+  while (!signal.aborted) {
+    // eslint-disable-next-line no-await-in-loop
+    const report = await engine.report().catch(() => null);
+    if (report !== null && report.group !== null) {
+      return { ...report, group: report.group };
+    }
+    // eslint-disable-next-line no-await-in-loop
+    await delay(GROUP_POLL_MS, undefined, { signal }).catch(() => undefined);
+  }
+  return null;
+}
+
+/** Addresses of the other processes of a group, by rank. */
+class GroupMembers {
+  readonly #records = new Map<string, MemberRecord>();
+
+  take({ records }: DirectoryDelta): void {
+    records.forEach((record) => this.#records.set(record.id, record));
+  }
+
+  get addresses(): ReadonlyMap<number, Address> {
+    const found = new Map<number, Address>();
+    this.#records.forEach(({ offer, address, status }) => {
+      const rank = offer?.ranks?.[0];
+      const parsed = parseAddress(address);
+      if (rank !== undefined && parsed !== undefined && status === 'serving') {
+        found.set(rank, parsed);
+      }
+    });
+    return found;
+  }
+}
+
+/** Reads from the configuration what limits a change of map. */
+class MapLimits {
+  readonly #cfg: DirectEndpointSettings;
+
+  readonly #documents: DocumentDialect;
+
+  #costs: EngineCosts | null = null;
+
+  constructor(cfg: DirectEndpointSettings, documents: DocumentDialect) {
+    this.#cfg = cfg;
+    this.#documents = documents;
+  }
+
+  get value(): { readonly shape: MapShape; readonly policy: MapPolicy } | null {
+    const costs = this.#costs;
+    return costs === null
+      ? null
+      : {
+          shape: { slotsPerRank: costs.slotsPerRank, mostNew: costs.mostNew },
+          policy: this.#cfg.policy,
+        };
+  }
+
+  async read(hubLink: DaemonHubLink): Promise<void> {
+    const config = (await hubLink.request('config.whole', {})) as ConfigState;
+    const text = textOfDocument(config.entries);
+    const plan = text === null ? null : this.#documents.readPlan(text);
+    const spec = plan?.services.find(({ name }) => name === this.#cfg.service);
+    this.#costs = spec?.engine ?? this.#costs;
+  }
+}
+
+/** Runs an endpoint process until the signal. */
+export async function runDirectEndpoint(
+  cfg: DirectEndpointSettings,
+  engine: EnginePort,
+  documents: DocumentDialect,
+  runtime: Runtime,
+  signal: AbortSignal,
+): Promise<void> {
+  const { log } = runtime;
+  const rank = new DirectRank(engine, log);
+  await serveLinks({ address: cfg.link, handlers: rank.handlers, signal });
+  const first = await findGroup(engine, signal);
+  if (first === null) {
+    return;
+  }
+  const { group, rank: own, ranks } = first;
+  log.info({ event: 'rank', group, rank: own, ranks }, 'rank of a group');
+  const members = new GroupMembers();
+  const peers = new DirectRankPeers(own, rank, signal, runtime.random);
+  const hubLink = new DaemonHubLink({
+    targets: cfg.controls,
+    record: {
+      id: cfg.id,
+      role: 'endpoint',
+      zone: cfg.zone,
+      address: `${cfg.link.host}:${cfg.link.port}`,
+      incarnation: runtime.incarnation,
+      version: 0,
+      status: 'serving',
+      offer: { fleet: RANK_FLEET, service: cfg.service, slots: 1, group, ranks: [own] },
+    },
+    log,
+    signal,
+    random: runtime.random,
+    onConfig: () => undefined,
+    onDirectory: (delta) => members.take(delta),
+  });
+  if (own % Math.ceil(ranks / CANDIDATES) !== 0) {
+    return;
+  }
+  const lease = new DaemonCoordinator({
+    // The incarnation tells a process from its past life, whose lease it must wait out.
+    self: `${cfg.id}@${runtime.incarnation}`,
+    group,
+    hubLink,
+    log,
+    now: runtime.now,
+  });
+  const limits = new MapLimits(cfg, documents);
+  const coordinator = new DirectCoordinator({
+    group,
+    ranks,
+    own,
+    lease,
+    peers,
+    runtime,
+    policy: () => limits.value,
+    publish: (load) => hubLink.notify('group.load', load),
+  });
+  every(LEASE_TICK_MS, signal, () => {
+    if (hubLink.isUp) {
+      lease.tick();
+    }
+    if (lease.lease.held !== null) {
+      peers.follow(members.addresses);
+    }
+  });
+  every(COORDINATOR_TICK_MS, signal, () => coordinator.tick());
+  let readAt = -Infinity;
+  every(GROUP_POLL_MS, signal, () => {
+    const due = limits.value === null || runtime.now() - readAt > CONFIG_MS;
+    if (lease.lease.held !== null && hubLink.isUp && due) {
+      readAt = runtime.now();
+      limits.read(hubLink).catch((err: unknown) => log.warn({ err }, 'configuration not read'));
+    }
+  });
+}
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -165,7 +165,7 @@
     }
     this.#askedAt = now;
     this.#asking = true;
-    const askedAt = this.#runtime.bootNow();
+    const askedAt = this.#runtime.clocks();
     this.#hubLink
       .request('config.newest', {}, ASK_TIMEOUT_MS)
       .then((index) => {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -18,6 +18,7 @@
   takeRetryOf,
   UNPROVEN,
   updateRouting,
+  type ClockReading,
   type DirectFailure,
   type DirectVerdict,
   type FreshnessState,
@@ -128,7 +129,7 @@
   /** Whether the configuration held here is proven to be the newest, as far as keys need it. */
   get isFresh(): boolean {
     const leaseMs = this.#options.revokeMs * FRESHNESS_SHARE;
-    return isFresh(this.#freshness, this.#options.runtime.bootNow(), leaseMs);
+    return isFresh(this.#freshness, this.#options.runtime.clocks(), leaseMs);
   }
 
   /** What is missing to serve, or `ready`. */
@@ -156,7 +157,7 @@
   }
 
   /** A leader with a fresh quorum has named the newest configuration, asked for at `askedAt`. */
-  onNewest(index: number, askedAt: number): void {
+  onNewest(index: number, askedAt: ClockReading): void {
     this.#freshness = proveFresh(this.#freshness, index, askedAt);
   }
 
--- /dev/null
+++ b/src/daemon/direct/DirectRank.ts
@@ -0,0 +1,102 @@
+/** What an endpoint process does for the rank on its own host: reports, counts and fenced orders. */
+import type { Logger } from 'pino';
+import type {
+  EngineOrder,
+  OrderResult,
+  RankCounts,
+  RankReport,
+} from '../../protocol/index.js';
+import type { LinkHandlers } from '../../transport/index.js';
+
+/** How the engine on this host is spoken to; its adapter implements this. */
+export interface EnginePort {
+  report(): Promise<RankReport>;
+  counts(): Promise<RankCounts>;
+  /** Experts of this rank in the map in use, by set. */
+  experts(): Promise<readonly (readonly number[])[]>;
+  order(order: EngineOrder): Promise<OrderResult>;
+}
+
+/** A coordinator's question. */
+export interface RankAsk {
+  readonly token: number;
+  readonly withCounts: boolean;
+  readonly withExperts: boolean;
+}
+
+/** Answer to a {@link RankAsk}; `fenced` where a newer coordinator has been heard. */
+export type RankReply =
+  | { readonly fenced: true }
+  | {
+      readonly fenced: false;
+      readonly report: RankReport;
+      readonly counts: RankCounts | null;
+      readonly experts: readonly (readonly number[])[] | null;
+    };
+
+/** A coordinator's order. */
+export interface RankOrderAsk {
+  readonly token: number;
+  readonly order: EngineOrder;
+}
+
+/** What became of an order, with what the rank reports after it. */
+export type RankOrderReply =
+  | { readonly fenced: true }
+  | { readonly fenced: false; readonly result: OrderResult; readonly report: RankReport | null };
+
+/**
+ * The rank on this host.
+ *
+ * Failure: a coordinator that was replaced wakes up and goes on with its change. Symptom: its orders
+ * mix with its successor's. Enough: once a coordinator with a higher token has asked for a report,
+ * neither report nor order is given to a lower one, so the old one can't learn what it would need to
+ * release the group.
+ */
+export class DirectRank {
+  readonly #engine: EnginePort;
+
+  readonly #log: Logger;
+
+  #highest = 0;
+
+  constructor(engine: EnginePort, log: Logger) {
+    this.#engine = engine;
+    this.#log = log;
+  }
+
+  get handlers(): LinkHandlers {
+    return {
+      'rank.ask': async (params) => this.ask(params as RankAsk),
+      'rank.order': async (params) => this.order(params as RankOrderAsk),
+    };
+  }
+
+  async ask({ token, withCounts, withExperts }: RankAsk): Promise<RankReply> {
+    if (this.#isFenced(token)) {
+      return { fenced: true };
+    }
+    const report = await this.#engine.report();
+    const counts = withCounts ? await this.#engine.counts() : null;
+    const experts = withExperts ? await this.#engine.experts() : null;
+    return this.#isFenced(token) ? { fenced: true } : { fenced: false, report, counts, experts };
+  }
+
+  async order({ token, order }: RankOrderAsk): Promise<RankOrderReply> {
+    if (this.#isFenced(token)) {
+      return { fenced: true };
+    }
+    const result = await this.#engine.order(order);
+    const { kind } = order;
+    const version = 'version' in order ? order.version : null;
+    const step = 'step' in order ? order.step : null;
+    this.#log.info({ event: 'order', token, kind, version, step, result }, 'order to the engine');
+    const report = await this.#engine.report().catch(() => null);
+    return this.#isFenced(token) ? { fenced: true } : { fenced: false, result, report };
+  }
+
+  #isFenced(token: number): boolean {
+    this.#highest = Math.max(this.#highest, token);
+    return token < this.#highest;
+  }
+}
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -118,6 +118,8 @@
   readonly prepared: number | null;
   /** Version armed, and the pass from which it is used; null for none. */
   readonly armed: { readonly version: number; readonly step: number } | null;
+  /** Whether weights are being copied for a version that isn't prepared yet. */
+  readonly copying: boolean;
   /** Pass before which the group waits for this rank's release; null for none. */
   readonly heldStep: number | null;
   /** Requests that run, and that wait. */
@@ -134,6 +136,20 @@
   readonly counts: readonly (readonly number[])[];
 }
 
+/** Load of a group, as its coordinator saw it a moment ago. */
+export interface GroupLoad {
+  readonly group: string;
+  /** Whether all ranks take part; a broken group runs nothing. */
+  readonly open: boolean;
+  /** Requests that run, and that wait, by rank. */
+  readonly active: readonly number[];
+  readonly queued: readonly number[];
+  /** Time of a pass lately, ms; null where the group was idle. */
+  readonly passMs: number | null;
+  /** Largest over mean rank load, averaged over sets. */
+  readonly skew: number;
+}
+
 /** `map[set][rank]` lists the experts of a rank. */
 export type GroupMap = readonly (readonly (readonly number[])[])[];
 
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -52,6 +52,7 @@
   CallerLimits,
   EngineCosts,
   EngineOrder,
+  GroupLoad,
   GroupMap,
   KeyedCustomer,
   OrderResult,
