--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -21,6 +21,31 @@
   readonly gainPerCopy: number;
 }
 
+/** Part of the longest pause from which on a pass is worth making shorter. */
+const EASY_SHARE = 0.5;
+
+/** Part of the longest pause from which on shorter passes are worth whatever they cost. */
+const PRESSED_SHARE = 0.8;
+
+/** Gain a copy must bring where passes are only just worth making shorter. */
+const EASY_GAIN = 0.03;
+
+/**
+ * What a copied expert must gain now; null where passes are short enough as they are.
+ *
+ * Failure: the map follows each shift though the group has time to spare. Symptom: copies cost more
+ * than even ranks bring. Enough: answers are late only where a pass comes near the longest pause, so
+ * the nearer it comes, the less a copy must gain.
+ */
+export function gainWanted(passMs: number | null, pauseMs: number, least: number): number | null {
+  const share = (passMs ?? 0) / pauseMs;
+  if (share < EASY_SHARE) {
+    return null;
+  }
+  const eased = Math.max(0, (PRESSED_SHARE - share) / (PRESSED_SHARE - EASY_SHARE));
+  return least + (EASY_GAIN - least) * Math.min(1, eased);
+}
+
 /** A planned map with the figures that its log line needs. */
 export interface MapPlanned {
   readonly map: GroupMap;
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -134,15 +134,21 @@
   return Math.max(0, state.allowance - ownAt(state, own));
 }
 
-/** Requests at a rank, by the last load and what this process has done since. */
+/**
+ * Weight of what others run at a rank, by the last load. All processes see the same load, so in full it
+ * would draw them all to one rank; what this process runs itself counts in full and at once.
+ */
+const OTHERS_WEIGHT = 0.4;
+
+/** Requests at a rank as they weigh on the choice. */
 export function workAt(
   state: PlaceGroup,
   { endpoint, rank }: PlaceRank,
   own: ReadonlyMap<string, number>,
 ): number {
-  const since = (own.get(endpoint) ?? 0) - (state.ownAtLoad.get(endpoint) ?? 0);
   const reported = (state.load?.active[rank] ?? 0) + (state.load?.queued[rank] ?? 0);
-  return Math.max(0, reported + since);
+  const others = Math.max(0, reported - (state.ownAtLoad.get(endpoint) ?? 0));
+  return (own.get(endpoint) ?? 0) + OTHERS_WEIGHT * others;
 }
 
 /** A rank elsewhere must have this much less work to be worth bytes between AZs. */
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -164,7 +164,7 @@
   type DemandState,
   type ExpertCounts,
 } from './DemandEstimate.js';
-export { planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
+export { gainWanted, planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
 export {
   initMapSwitch,
   stepMapSwitch,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -54,6 +54,9 @@
 /** Time of connections and forwarding to the first event, ms. */
 const FIRST_EXTRA_MS = 30;
 
+/** Where nobody waits, places are logged this often, ms. */
+const QUIET_LOG_MS = 2_000;
+
 interface Waiter {
   readonly waiting: WaitingRequest;
   readonly resolve: (verdict: PlaceVerdict) => void;
@@ -91,6 +94,8 @@
 
   #entryHosts = 1;
 
+  #loggedAt = -Infinity;
+
   #counter = 0;
 
   constructor(zone: string, runtime: Runtime, modelOf: (service: string) => ModelService | null) {
@@ -137,11 +142,39 @@
         const { now, random } = this.#runtime;
         const next = takeLoad(group, load, this.#own, rules, now(), random());
         this.#replaceGroup(service, next);
+        this.#logLoad(service, next);
         this.#pump(service);
       }
     });
   }
 
+  /** Tells what the places rest on: while requests wait, and now and then else. */
+  #logLoad(service: string, { group, load, allowance, limit, passMs }: PlaceGroup): void {
+    const now = this.#runtime.now();
+    const waiting = this.#services.get(service)?.queue.length ?? 0;
+    if (waiting === 0 && now - this.#loggedAt < QUIET_LOG_MS) {
+      return;
+    }
+    this.#loggedAt = now;
+    const sum = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
+    this.#log.info(
+      {
+        event: 'places',
+        group,
+        open: load?.open ?? false,
+        active: sum(load?.active ?? []),
+        queued: sum(load?.queued ?? []),
+        passMs: Math.round(passMs),
+        skew: Number((load?.skew ?? 1).toFixed(2)),
+        limit: Math.round(limit),
+        allowance,
+        own: sum([...this.#own.values()]),
+        waiting,
+      },
+      'places at a group',
+    );
+  }
+
   /** Asks for a place; resolves at once where the service has no groups. */
   async acquire(req: PlaceRequest, signal: AbortSignal): Promise<PlaceVerdict> {
     const state = this.#services.get(req.service);
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -1,12 +1,12 @@
 /** One attempt of a request at an endpoint: sends it and sorts what comes back. */
 import type { IncomingHttpHeaders } from 'node:http';
-import type { Pool } from 'undici';
 import type { DirectFailure } from '../../coordination/index.js';
 import type { AnswerHead, HttpDialect } from '../../protocol/index.js';
 import {
   findEvents,
   startCall,
   type CallListener,
+  type EndpointPool,
   type OutgoingCall,
   type RunningCall,
 } from '../../transport/index.js';
@@ -42,7 +42,7 @@
 
 /** What an attempt needs. */
 export interface AttemptOptions {
-  readonly pool: Pool;
+  readonly pool: EndpointPool;
   readonly call: OutgoingCall;
   readonly dialect: HttpDialect;
   /** Id that the answer must echo. */
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -5,6 +5,7 @@
   initDemand,
   initMapSwitch,
   mayCoordinate,
+  gainWanted,
   planMap,
   stepMapSwitch,
   takeCounts,
@@ -20,6 +21,14 @@
 import type { Runtime } from '../DaemonRuntime.js';
 import type { DirectRankPeers } from './DirectRankPeers.js';
 
+/** What limits a change of map. */
+export interface MapTerms {
+  readonly shape: MapShape;
+  readonly policy: MapPolicy;
+  /** Longest pause between two events of a stream that is on time, ms. */
+  readonly pauseMs: number;
+}
+
 /** What the task needs. */
 export interface DirectCoordinatorOptions {
   readonly group: string;
@@ -29,7 +38,7 @@
   readonly peers: DirectRankPeers;
   readonly runtime: Runtime;
   /** Shape of maps and what a change must be worth; null until a configuration says. */
-  readonly policy: () => { readonly shape: MapShape; readonly policy: MapPolicy } | null;
+  readonly policy: () => MapTerms | null;
   /** Tells the entry processes of the group's load. */
   readonly publish: (load: GroupLoad) => void;
 }
@@ -37,6 +46,9 @@
 /** How often counts are read: a few hundred thousand choices at the usual rate. In ms. */
 const COUNTS_MS = 250;
 
+/** Counts that take longer than this to come are left to the next round, ms. */
+const ROUND_MS = 80;
+
 /** How often reports are read while a change is under way, ms. */
 const REPORT_MS = 60;
 
@@ -70,6 +82,9 @@
 
   #countsAt = 0;
 
+  /** Ranks whose counts of this round are still to come. */
+  #awaited = new Set<number>();
+
   #pass: { readonly step: number; readonly at: number } | null = null;
 
   #passMs: number | null = null;
@@ -117,7 +132,10 @@
     const dueCounts = now - this.#countsAt >= COUNTS_MS;
     const busy = this.#switch.phase !== 'idle';
     if (dueCounts) {
-      this.#takeCounts(now);
+      this.#countsAt = now;
+      this.#awaited = new Set(this.#askedAt.keys());
+    } else if (this.#awaited.size > 0 && now - this.#countsAt >= ROUND_MS) {
+      this.#endRound();
     }
     this.#askedAt.forEach((askedAt, rank) => {
       const dueReport = busy && askedAt !== null && now - askedAt >= REPORT_MS;
@@ -157,6 +175,9 @@
           this.#onExperts(rank, reply.report.epoch, reply.experts);
         }
         this.#onReport(rank, reply.report);
+        if (withCounts && this.#awaited.delete(rank) && this.#awaited.size === 0) {
+          this.#endRound();
+        }
       })
       .catch((err: unknown) => {
         this.#options.runtime.log.debug({ rank, err: (err as Error).message }, 'no report');
@@ -205,8 +226,9 @@
     }
   }
 
-  #takeCounts(now: number): void {
-    this.#countsAt = now;
+  /** All ranks have answered, or those that haven't are late: works with what is there. */
+  #endRound(): void {
+    this.#awaited.clear();
     const counts = this.#counts.map((item) => item?.counts ?? null);
     this.#demand = takeCounts(this.#demand, counts);
     this.#publish();
@@ -237,7 +259,9 @@
       return;
     }
     const begun = runtime.now();
-    const planned = planMap(this.#map, weights, limits.shape, limits.policy);
+    const wanted = gainWanted(this.#passMs, limits.pauseMs, limits.policy.gainPerCopy);
+    const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
+    const planned = planMap(this.#map, weights, limits.shape, adjusted);
     this.#skew = planned.skewBefore;
     const gain = planned.skewBefore - planned.skewAfter;
     if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -1,6 +1,6 @@
 /** Endpoint process beside an engine that callers reach directly: it serves the engine's rank. */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { MapPolicy, MapShape } from '../../coordination/index.js';
+import type { MapPolicy } from '../../coordination/index.js';
 import type {
   DirectoryDelta,
   DocumentDialect,
@@ -14,7 +14,8 @@
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { every, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
-import { COORDINATOR_TICK_MS, DirectCoordinator } from './DirectCoordinator.js';
+import { USUAL_PAUSE_MS } from './DirectAdmission.js';
+import { COORDINATOR_TICK_MS, DirectCoordinator, type MapTerms } from './DirectCoordinator.js';
 import { textOfDocument } from './DirectDocument.js';
 import { DirectRank, type EnginePort } from './DirectRank.js';
 import { DirectRankPeers } from './DirectRankPeers.js';
@@ -91,18 +92,21 @@
 
   #costs: EngineCosts | null = null;
 
+  #pauseMs = USUAL_PAUSE_MS;
+
   constructor(cfg: DirectEndpointSettings, documents: DocumentDialect) {
     this.#cfg = cfg;
     this.#documents = documents;
   }
 
-  get value(): { readonly shape: MapShape; readonly policy: MapPolicy } | null {
+  get value(): MapTerms | null {
     const costs = this.#costs;
     return costs === null
       ? null
       : {
           shape: { slotsPerRank: costs.slotsPerRank, mostNew: costs.mostNew },
           policy: this.#cfg.policy,
+          pauseMs: this.#pauseMs,
         };
   }
 
@@ -112,6 +116,10 @@
     const plan = text === null ? null : this.#documents.readPlan(text);
     const spec = plan?.services.find(({ name }) => name === this.#cfg.service);
     this.#costs = spec?.engine ?? this.#costs;
+    const pauses = (plan?.routes ?? [])
+      .filter(({ targets }) => targets.some(({ service }) => service === this.#cfg.service))
+      .flatMap(({ pauseMs }) => (pauseMs === null ? [] : [pauseMs]));
+    this.#pauseMs = pauses.length === 0 ? this.#pauseMs : Math.min(...pauses);
   }
 }
 
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -61,6 +61,15 @@
 /** A leaving process waits this long with nothing in progress: callers' connections drain. In ms. */
 const LINGER_MS = 1_200;
 
+/** A platform that asks each second takes a process that isn't ready out within this time. In ms. */
+const ROTATION_MS = 2_500;
+
+/** A leaving process takes streams for this long: later ones may last beyond its end. In ms. */
+const LAST_STREAM_MS = 2_600;
+
+/** A plain call that a leaving process takes must have this much time until its end, ms. */
+const LAST_CALL_MS = 1_500;
+
 /** Entry process. */
 class DirectEntry {
   readonly #cfg: DirectEntrySettings;
@@ -77,6 +86,8 @@
 
   #askedAt = -Infinity;
 
+  #leavingSince: number | null = null;
+
   #server: Server | null = null;
 
   constructor(
@@ -143,15 +154,21 @@
   async leave(): Promise<void> {
     this.#state.isLeaving = true;
     this.#hubLink.announce({ status: 'leaving' });
-    const until = this.#runtime.now() + this.#cfg.graceMs - GRACE_MARGIN_MS;
-    let idleSince = this.#runtime.now();
-    while (this.#runtime.now() < until) {
-      const { inProgress } = this.#state;
-      if (inProgress > 0) {
-        idleSince = this.#runtime.now();
-      } else if (this.#runtime.now() - idleSince > LINGER_MS) {
+    const begun = this.#runtime.now();
+    this.#leavingSince = begun;
+    let idleSince = begun;
+    while (this.#leftMs > 0) {
+      const now = this.#runtime.now();
+      const isOut = now - begun > ROTATION_MS;
+      if (this.#state.inProgress > 0) {
+        idleSince = now;
+      } else if (isOut && now - idleSince > LINGER_MS) {
         break;
       }
+      if (isOut) {
+        // Callers that hold them would send their next request into our end.
+        this.#server?.closeIdleConnections();
+      }
       // eslint-disable-next-line no-await-in-loop
       await delay(50);
     }
@@ -160,6 +177,35 @@
     this.#server?.closeIdleConnections();
   }
 
+  /** Time until this leaving process ends, ms; without end for one that stays. */
+  get #leftMs(): number {
+    const since = this.#leavingSince;
+    return since === null
+      ? Infinity
+      : since + this.#cfg.graceMs - GRACE_MARGIN_MS - this.#runtime.now();
+  }
+
+  /**
+   * Refuses what a leaving process can't see through.
+   *
+   * Failure: a caller sends a long stream on a kept connection when the process is about to end.
+   * Symptom: the stream is cut by its end. Enough: such a request is refused as not run, at once, and
+   * the caller sends it elsewhere.
+   */
+  #checkStay(route: Route): void {
+    const since = this.#leavingSince;
+    if (since === null) {
+      return;
+    }
+    const tooLate =
+      route.kind === 'stream'
+        ? this.#runtime.now() - since > LAST_STREAM_MS
+        : this.#leftMs < LAST_CALL_MS;
+    if (tooLate) {
+      throw new RequestError('leaving', 'this process is about to end');
+    }
+  }
+
   #tick(): void {
     this.#state.tick();
     this.#state.admission.tick();
@@ -240,7 +286,7 @@
         startedAt,
         objectiveMs: route.objectiveMs,
         deadline,
-        tokens: head.expectedTokens ?? null,
+        tokens: head.tokens?.answer ?? head.expectedTokens,
         returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
       },
       gone.signal,
@@ -271,6 +317,7 @@
     const head = this.#state.dialect.readRequest(req.headers);
     const body = await readBody(req);
     const { route, customer } = this.#authorize(req, head.key);
+    this.#checkStay(route);
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     return {
       req,
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -1,6 +1,5 @@
 /** Task state of an entry process that calls endpoints directly: configuration, members, budgets. */
 import { Counter, Gauge, Histogram } from 'prom-client';
-import type { Pool } from 'undici';
 import {
   countFirst,
   EMPTY_RETRY_BUDGET,
@@ -34,7 +33,7 @@
   MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import { openPool } from '../../transport/index.js';
+import { openPool, type EndpointPool } from '../../transport/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DirectAdmission, USUAL_PAUSE_MS, type ModelService } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
@@ -63,7 +62,7 @@
 export class DirectEntryState {
   readonly #options: DirectEntryOptions;
 
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, EndpointPool>();
 
   readonly #gone = new Map<string, number>();
 
@@ -326,7 +325,7 @@
     return this.#options.http.eventId(start < 0 ? events : events.subarray(start + 2));
   }
 
-  pool(endpoint: MemberRecord): Pool {
+  pool(endpoint: MemberRecord): EndpointPool {
     const known = this.#pools.get(endpoint.id);
     if (known !== undefined) {
       return known;
@@ -373,7 +372,7 @@
     [...this.#pools].forEach(([id, pool]) => {
       if (!view.has(id) || this.#gone.has(id)) {
         this.#pools.delete(id);
-        pool.close().catch(() => undefined);
+        pool.pool.close().catch(() => undefined);
       }
     });
   }
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -1,6 +1,7 @@
 /** One HTTP call to an endpoint, by undici, with what is needed to tell whether it was sent. */
 import type { IncomingHttpHeaders } from 'node:http';
-import { Pool } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Pool } from 'undici';
 
 /** A call as it goes out. */
 export interface OutgoingCall {
@@ -34,16 +35,49 @@
 const IDLE_MS = 4_000;
 
 /** Connections to one endpoint. */
-export function openPool(origin: string, connections: number): Pool {
-  return new Pool(origin, {
+export interface EndpointPool {
+  readonly pool: Pool;
+  /** Whether one of its sockets is failing right now. */
+  readonly isFailing: () => boolean;
+}
+
+/**
+ * Opens connections to one endpoint as calls need them.
+ *
+ * Failure: an answer without a length ends with its connection, and that is reset half way. Symptom:
+ * the client library takes the reset for the end, and a caller gets half an answer as whole. Enough:
+ * the socket's error is seen before the library's own handler ends the answer in the same turn, so an
+ * end that comes while a socket fails is known to be none.
+ */
+export function openPool(origin: string, connections: number): EndpointPool {
+  let failing = false;
+  const connector = buildConnector({ timeout: CONNECT_MS });
+  const watch = (socket: Socket): void => {
+    socket.on('error', () => {
+      failing = true;
+      setImmediate(() => {
+        failing = false;
+      });
+    });
+  };
+  const pool = new Pool(origin, {
     connections,
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_MS,
     keepAliveMaxTimeout: IDLE_MS * 4,
-    connect: { timeout: CONNECT_MS },
+    connect: (options, callback) => {
+      connector(options, (...result) => {
+        const [, socket] = result;
+        if (socket !== null) {
+          watch(socket);
+        }
+        callback(...result);
+      });
+    },
   });
+  return { pool, isFailing: () => failing };
 }
 
 function toText(raw: unknown): readonly string[] {
@@ -53,7 +87,11 @@
 }
 
 /** Sends a call. */
-export function startCall(pool: Pool, call: OutgoingCall, listener: CallListener): RunningCall {
+export function startCall(
+  { pool, isFailing }: EndpointPool,
+  call: OutgoingCall,
+  listener: CallListener,
+): RunningCall {
   let sent = false;
   let over = false;
   let stop: ((err: Error) => void) | null = null;
@@ -83,7 +121,12 @@
       }
     },
     onResponseEnd: () => {
-      if (finish()) {
+      if (!finish()) {
+        return;
+      }
+      if (isFailing()) {
+        listener.onError(new Error('the connection was reset before the end of the answer'), true);
+      } else {
         listener.onEnd();
       }
     },
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -4,6 +4,7 @@
   openPool,
   startCall,
   type CallListener,
+  type EndpointPool,
   type OutgoingCall,
   type RunningCall,
 } from './TransportCall.js';
