--- a/fakes/FakeLockstep.ts
+++ b/fakes/FakeLockstep.ts
@@ -34,7 +34,9 @@
       ? { ...rank, highest: version, prepared: { version, map: JSON.stringify(map) } }
       : null,
   arm: (rank, { version, step }, begun) =>
-    rank.prepared?.version === version && step > begun ? { ...rank, armed: { version, step } } : null,
+    rank.prepared?.version === version && step > begun
+      ? { ...rank, armed: { version, step } }
+      : null,
   disarm: (rank, { version }) =>
     rank.armed?.version === version ? { ...rank, armed: null } : null,
   hold: (rank, { step }, begun) =>
@@ -75,11 +77,7 @@
     if (rank === undefined || order.epoch !== this.#epoch) {
       return false;
     }
-    const take = TAKE[order.kind] as (
-      state: Rank,
-      item: EngineOrder,
-      step: number,
-    ) => Rank | null;
+    const take = TAKE[order.kind] as (state: Rank, item: EngineOrder, step: number) => Rank | null;
     const next = take(rank, order, this.#step);
     if (next !== null) {
       this.#ranks = this.#ranks.map((other, i) => (i === at ? next : other));
@@ -96,7 +94,13 @@
     this.#step = next;
     this.#ranks = this.#ranks.map((rank) =>
       rank.armed !== null && rank.prepared !== null && rank.armed.step <= next
-        ? { ...rank, version: rank.armed.version, map: rank.prepared.map, armed: null, prepared: null }
+        ? {
+            ...rank,
+            version: rank.armed.version,
+            map: rank.prepared.map,
+            armed: null,
+            prepared: null,
+          }
         : rank,
     );
     if (new Set(this.#ranks.map(({ version, map }) => `${version} ${map}`)).size > 1) {
--- a/src/coordination/DemandEstimate.ts
+++ b/src/coordination/DemandEstimate.ts
@@ -51,10 +51,17 @@
 function distance(a: Interval, b: Interval): number {
   const perSet = a.counts.map((set, i) => {
     const other = b.counts[i] ?? [];
-    const totalA = Math.max(1, set.reduce((sum, count) => sum + count, 0));
-    const totalB = Math.max(1, other.reduce((sum, count) => sum + count, 0));
+    const totalA = Math.max(
+      1,
+      set.reduce((sum, count) => sum + count, 0),
+    );
+    const totalB = Math.max(
+      1,
+      other.reduce((sum, count) => sum + count, 0),
+    );
     return (
-      set.reduce((sum, count, e) => sum + Math.abs(count / totalA - (other[e] ?? 0) / totalB), 0) / 2
+      set.reduce((sum, count, e) => sum + Math.abs(count / totalA - (other[e] ?? 0) / totalB), 0) /
+      2
     );
   });
   return perSet.reduce((sum, part) => sum + part, 0) / Math.max(1, perSet.length);
--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -241,7 +241,10 @@
         return;
       }
       const touched = loadsAfter(working, change);
-      const before = powerSum([...touched.keys()].map((rank) => loads[rank] ?? 0), mean);
+      const before = powerSum(
+        [...touched.keys()].map((rank) => loads[rank] ?? 0),
+        mean,
+      );
       const after = Math.max(0, total - before + powerSum(touched.values(), mean));
       const gain = peak - (after / loads.length) ** (1 / PEAK_ORDER);
       const perCopy = gain / Math.max(0.5, copiesOf(working, change));
@@ -314,8 +317,7 @@
       (a, b) => skewOf(sets[b]?.loads ?? []) - skewOf(sets[a]?.loads ?? []),
     );
     const working = sets[set];
-    const best =
-      working === undefined ? null : findBest(working, { shape, policy, planned });
+    const best = working === undefined ? null : findBest(working, { shape, policy, planned });
     if (working === undefined || best === null) {
       open.delete(set);
     } else {
--- a/src/coordination/MapSwitch.ts
+++ b/src/coordination/MapSwitch.ts
@@ -146,9 +146,7 @@
   const [first] = reports;
   return reports.every(
     ({ armed }) =>
-      armed !== null &&
-      armed.version === first?.armed?.version &&
-      armed.step === first.armed.step,
+      armed !== null && armed.version === first?.armed?.version && armed.step === first.armed.step,
   );
 }
 
@@ -252,7 +250,11 @@
   return enter({ ...state, step }, 'holding');
 }
 
-type Advance = (state: MapSwitchState, reports: readonly RankReport[], now: number) => MapSwitchStep;
+type Advance = (
+  state: MapSwitchState,
+  reports: readonly RankReport[],
+  now: number,
+) => MapSwitchStep;
 
 const stay: Advance = (state) => ({ state, outputs: [] });
 
@@ -287,9 +289,7 @@
     if (reports[state.own]?.heldStep === state.step) {
       return enter(state, 'arming');
     }
-    return newestStep(reports) >= state.step
-      ? choosePass(state, reports)
-      : { state, outputs: [] };
+    return newestStep(reports) >= state.step ? choosePass(state, reports) : { state, outputs: [] };
   },
   arming: (state, reports) => {
     const done = reports.every(
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -7,12 +7,7 @@
  * new request where one of its own has ended; what others leave unused is shared out by the next report.
  */
 import type { EngineCosts, GroupLoad } from '../protocol/index.js';
-import {
-  passCorrection,
-  passTime,
-  USUAL_CORRECTION,
-  writersWithin,
-} from './EngineModel.js';
+import { passCorrection, passTime, USUAL_CORRECTION, writersWithin } from './EngineModel.js';
 
 /** One rank's endpoint. */
 export interface PlaceRank {
@@ -180,10 +175,7 @@
   }
   const scored = best.ranks.map((rank) => ({
     endpoint: rank.endpoint,
-    score:
-      workAt(best.state, rank, own) +
-      (rank.zone === zone ? 0 : REMOTE_WORK) +
-      random() * 0.5,
+    score: workAt(best.state, rank, own) + (rank.zone === zone ? 0 : REMOTE_WORK) + random() * 0.5,
   }));
   return scored.reduce((a, b) => (b.score < a.score ? b : a)).endpoint;
 }
--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -84,7 +84,12 @@
 }
 
 /** Whether it can be answered by its deadline if it is sent after so long. */
-function canEnd(request: WaitingRequest, outlook: QueueOutlook, now: number, waitMs: number): boolean {
+function canEnd(
+  request: WaitingRequest,
+  outlook: QueueOutlook,
+  now: number,
+  waitMs: number,
+): boolean {
   const end = now + waitMs + outlook.firstMs + outlook.writeMs(request.tokens);
   return end + MARGIN_MS <= request.deadline;
 }
--- a/src/coordination/__tests__/unit/MapSwitch.test.ts
+++ b/src/coordination/__tests__/unit/MapSwitch.test.ts
@@ -38,7 +38,12 @@
   | { readonly kind: 'reform' }
   | { readonly kind: 'tick'; readonly who: number }
   /** A coordinator hears ranks and sends what they lack; bits tell who is heard and what is answered. */
-  | { readonly kind: 'round'; readonly who: number; readonly heard: number; readonly answered: number };
+  | {
+      readonly kind: 'round';
+      readonly who: number;
+      readonly heard: number;
+      readonly answered: number;
+    };
 
 /** A group, two coordinators of which the newer fences the older, and orders on their way. */
 class World {
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -116,9 +116,7 @@
     service: asFunction(
       ({ consensus }: Cradle) => new DaemonControlService(consensus, runtime.log, runtime.now),
     ).singleton(),
-    newest: asFunction(
-      () => new SharedRead(async () => newestIndex(container.cradle)),
-    ).singleton(),
+    newest: asFunction(() => new SharedRead(async () => newestIndex(container.cradle))).singleton(),
   });
   return container.cradle;
 }
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -309,8 +309,7 @@
     return {
       free: Math.max(0, free),
       ratePerMs: open ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
-      firstMs:
-        FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
+      firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
     };
   }
--- a/src/daemon/direct/DirectAnswer.ts
+++ b/src/daemon/direct/DirectAnswer.ts
@@ -4,7 +4,11 @@
 import type { WholeAnswer } from './DirectAttempt.js';
 
 /** Passes an endpoint's answer on, byte for byte. */
-export function sendWhole(res: ServerResponse, { head, body }: WholeAnswer, headers: string[]): void {
+export function sendWhole(
+  res: ServerResponse,
+  { head, body }: WholeAnswer,
+  headers: string[],
+): void {
   res.writeHead(head.status, [...headers, 'Content-Length', String(body.length)]);
   res.end(body);
 }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -1,10 +1,6 @@
 /** One caller's request at an entry process: its attempts and the one answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import {
-  judgeFailure,
-  type DirectProgress,
-  type DirectVerdict,
-} from '../../coordination/index.js';
+import { judgeFailure, type DirectProgress, type DirectVerdict } from '../../coordination/index.js';
 import {
   RequestError,
   type KeyedCustomer,
@@ -248,7 +244,10 @@
         this.#finish('refused');
       },
       fail: () => {
-        const error = new RequestError('outcome_unknown', 'the endpoint was lost and may have run it');
+        const error = new RequestError(
+          'outcome_unknown',
+          'the endpoint was lost and may have run it',
+        );
         sendError(res, error, null, this.#state.isLeaving);
         this.#finish('failed');
       },
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -300,7 +300,13 @@
         return;
       case 'phase':
         log.info(
-          { event: 'map', group, phase: output.phase, version: this.#switch.version, step: this.#switch.step },
+          {
+            event: 'map',
+            group,
+            phase: output.phase,
+            version: this.#switch.version,
+            step: this.#switch.step,
+          },
           'map change',
         );
         return;
@@ -308,7 +314,10 @@
         this.#changes.inc();
         this.#map = this.#proposed;
         this.#proposed = null;
-        log.info({ event: 'map_changed', group, version: output.version, ms: output.ms }, 'map in use');
+        log.info(
+          { event: 'map_changed', group, version: output.version, ms: output.ms },
+          'map in use',
+        );
         return;
       default:
         this.#map = null;
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -255,11 +255,7 @@
     this.#routing = updateRouting(this.#routing, { type: 'sent', id }, this.now());
   }
 
-  onDone(
-    service: string,
-    id: string,
-    result: 'whole' | 'refused' | 'failed' | 'cancelled',
-  ): void {
+  onDone(service: string, id: string, result: 'whole' | 'refused' | 'failed' | 'cancelled'): void {
     this.admission.onDone(service, id);
     this.#routing = updateRouting(this.#routing, { type: 'done', id, result }, this.now());
   }
--- a/src/daemon/direct/DirectRank.ts
+++ b/src/daemon/direct/DirectRank.ts
@@ -1,11 +1,6 @@
 /** What an endpoint process does for the rank on its own host: reports, counts and fenced orders. */
 import type { Logger } from 'pino';
-import type {
-  EngineOrder,
-  OrderResult,
-  RankCounts,
-  RankReport,
-} from '../../protocol/index.js';
+import type { EngineOrder, OrderResult, RankCounts, RankReport } from '../../protocol/index.js';
 import type { LinkHandlers } from '../../transport/index.js';
 
 /** How the engine on this host is spoken to; its adapter implements this. */
--- a/src/daemon/direct/DirectRankPeers.ts
+++ b/src/daemon/direct/DirectRankPeers.ts
@@ -1,15 +1,6 @@
 /** A coordinator's way to each rank of its group: over links, and directly to its own. */
-import {
-  TransportLinkClient,
-  type Address,
-} from '../../transport/index.js';
-import type {
-  DirectRank,
-  RankAsk,
-  RankOrderAsk,
-  RankOrderReply,
-  RankReply,
-} from './DirectRank.js';
+import { TransportLinkClient, type Address } from '../../transport/index.js';
+import type { DirectRank, RankAsk, RankOrderAsk, RankOrderReply, RankReply } from './DirectRank.js';
 
 /** An answer later than this is as good as none: a pass takes some 50 ms. In ms. */
 const ASK_MS = 400;
@@ -24,7 +15,10 @@
 
   readonly #random: () => number;
 
-  readonly #links = new Map<number, { readonly key: string; readonly client: TransportLinkClient }>();
+  readonly #links = new Map<
+    number,
+    { readonly key: string; readonly client: TransportLinkClient }
+  >();
 
   readonly #stops = new Map<number, AbortController>();
 
--- a/src/state/StateRoutes.ts
+++ b/src/state/StateRoutes.ts
@@ -20,7 +20,9 @@
   return {
     plan,
     byHost,
-    byKey: new Map(plan.customers.flatMap((customer) => customer.keys.map((key) => [key, customer]))),
+    byKey: new Map(
+      plan.customers.flatMap((customer) => customer.keys.map((key) => [key, customer])),
+    ),
     services: new Map(plan.services.map((service) => [service.name, service])),
   };
 }
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -70,7 +70,7 @@
     connect: (options, callback) => {
       connector(options, (...result) => {
         const [, socket] = result;
-        if (socket !== null) {
+        if (socket) {
           watch(socket);
         }
         callback(...result);
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -19,6 +19,10 @@
   type LinkHandlers,
   type LinkSwitch,
 } from './TransportLink.js';
-export { TransportLinkClient, type LinkClientOptions, type LinkTarget } from './TransportLinkClient.js';
+export {
+  TransportLinkClient,
+  type LinkClientOptions,
+  type LinkTarget,
+} from './TransportLinkClient.js';
 export { serveLinks, type LinkServerOptions } from './TransportLinkServer.js';
 export { PART_BYTES, PartsSender, withParts, type Pace } from './TransportParts.js';
