--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,11 +8,57 @@
   ['src/coordination', ['src/transport', 'src/daemon', 'src/cli']],
   ['src/transport', ['src/state', 'src/coordination', 'src/daemon', 'src/cli']],
   ['src/cli', ['src/coordination', 'src/state', 'src/daemon']],
-  ['src', ['fakes', 'tools', 'bench', 'spec']],
+  ['src', ['platform', 'fakes', 'tools', 'bench', 'spec']],
+  ['fakes', ['platform']],
+  ['spec', ['platform']],
+  ['bench', ['platform']],
 ];
 
+/** Names of the users' platform: headers, paths and fields that only `platform/` may know. */
+const PLATFORM_WORDS = [
+  'attempt-id',
+  'at-server',
+  'deadline-ms',
+  'expect-instance',
+  'expect-version',
+  'instance-id',
+  'length-hint',
+  'not-executed',
+  'prefix-hash',
+  'request-urgency',
+  'server-seal',
+  'token-count',
+  'weight-versions',
+  'apiKeys',
+  'expertFraction',
+  'heartbeatAddr',
+  'itlTargetMs',
+  'kvCapacity',
+  'per_seq_ms',
+  'preloaded',
+  'sloMs',
+  '/laburnumgauge/',
+];
+
+const WORDS_PATTERN = PLATFORM_WORDS.join('|').replaceAll('/', '\\u002F');
+
+/** Selectors that find a platform's word in a string, a template or a property's name. */
+const PLATFORM_SELECTORS = [
+  `Literal[value=/^(${WORDS_PATTERN})/i]`,
+  `TemplateElement[value.raw=/${WORDS_PATTERN}/i]`,
+  `Identifier[name=/^(${PLATFORM_WORDS.filter((word) => /^\w+$/.test(word)).join('|')})$/]`,
+].map((selector) => ({
+  selector,
+  message: 'a word of the platform: decode it in platform/ into a field of our own',
+}));
+
+/** What the style guide itself restricts; the rule takes one list. */
+const BASE_SYNTAX = [...configs.base.recommended, ...configs.base.typescript]
+  .flatMap(({ rules: own }) => own?.['no-restricted-syntax'] ?? [])
+  .filter((option) => typeof option === 'object');
+
 export default [
-  { ignores: ['dist/**', 'node_modules/**', '.quickstart/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', '.quickstart/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -51,5 +97,9 @@
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate'],
     },
   },
+  {
+    files: ['src/**/*.ts', 'fakes/**/*.ts', 'spec/**/*.ts', 'bench/**/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...BASE_SYNTAX, ...PLATFORM_SELECTORS] },
+  },
   prettier,
 ];
--- a/src/coordination/__tests__/unit/MapSwitch.test.ts
+++ b/fakes/__tests__/unit/MapSwitch.test.ts
@@ -1,15 +1,15 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { FakeLockstep } from '../../../../fakes/FakeLockstep.js';
-import type { EngineOrder, GroupMap } from '../../../protocol/index.js';
+import { FakeLockstep } from '../../FakeLockstep.js';
+import type { EngineOrder, GroupMap } from '../../../src/protocol/index.js';
 import {
   initMapSwitch,
   stepMapSwitch,
   type MapSwitchInput,
   type MapSwitchOutput,
   type MapSwitchState,
-} from '../../index.js';
+} from '../../../src/coordination/index.js';
 
 const RANKS = 3;
 
@@ -115,14 +115,14 @@
     const coordinator = this.#pick(who);
     this.#now += 150;
     for (let rank = 0; rank < RANKS; rank += 1) {
-      if ((heard >> rank) % 2 === 1) {
+      if (Math.floor(heard / 2 ** rank) % 2 === 1) {
         this.#report(coordinator, rank);
       }
     }
     this.#input(coordinator, { type: 'tick' });
     const mine = this.#open.filter(({ from }) => from === coordinator);
     mine.forEach((order, i) => {
-      this.#deliver(this.#open.indexOf(order), (answered >> i) % 2 === 1);
+      this.#deliver(this.#open.indexOf(order), Math.floor(answered / 2 ** i) % 2 === 1);
     });
   }
 
--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -274,8 +274,9 @@
     ...(isNew(working, to, expert) ? [to] : []),
     ...(from !== null && drop !== null && isNew(working, from, drop) ? [from] : []),
   ];
+  const { loads, added } = working;
   loadsAfter(working, change).forEach((load, rank) => {
-    working.loads[rank] = load;
+    loads[rank] = load;
   });
   place(working, to, expert);
   if (from !== null) {
@@ -288,7 +289,7 @@
     }
   }
   copying.forEach((rank) => {
-    working.added[rank] = (working.added[rank] ?? 0) + 1;
+    added[rank] = (added[rank] ?? 0) + 1;
   });
   return copying;
 }
--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -57,6 +57,9 @@
 /** Longest wait that a request is taken in for, ms: by then a burst of some seconds is half over. */
 const MOST_WAIT_MS = 2_500;
 
+/** Longest wait of a request that has come back, ms: half of what an outage of a rank takes. */
+const MOST_RETURNED_WAIT_MS = 2_000;
+
 /** Where nothing is begun at all, callers are asked to come back after this long, ms. */
 const STALLED_RETRY_MS = 1_500;
 
@@ -116,23 +119,6 @@
   return Math.min(latest, 100 + drained * (0.5 + random));
 }
 
-/** Takes a request in, or refuses it at once if it can't be answered behind those that wait. */
-export function enqueue(
-  queue: StreamQueue,
-  request: WaitingRequest,
-  outlook: QueueOutlook,
-  now: number,
-  random: number,
-): QueueStep {
-  const ahead = queue.filter((other) => compare(other, request, outlook, now) <= 0).length;
-  const waitMs = waitBehind(ahead, outlook);
-  if (waitMs > MOST_WAIT_MS || !canEnd(request, outlook, now, waitMs)) {
-    const retryAfterMs = returnAfter(request, queue.length, outlook, now, random);
-    return { queue, admitted: [], refused: [{ id: request.id, retryAfterMs }] };
-  }
-  return pump([...queue, request], outlook, now, random);
-}
-
 /** Begins what there are places for, and refuses what can't be answered any more. */
 export function pump(
   queue: StreamQueue,
@@ -140,7 +126,12 @@
   now: number,
   random: number,
 ): QueueStep {
-  const hopeless = queue.filter((request) => !canEnd(request, outlook, now, 0));
+  const isStalled = outlook.free < 1 && outlook.ratePerMs === 0;
+  const hopeless = queue.filter(
+    (request) =>
+      !canEnd(request, outlook, now, 0) ||
+      (isStalled && now - request.arrivedAt > MOST_RETURNED_WAIT_MS),
+  );
   const hopeful = queue.filter((request) => !hopeless.includes(request));
   const order = [...hopeful].sort((a, b) => compare(a, b, outlook, now));
   const admitted = order.slice(0, Math.max(0, Math.floor(outlook.free)));
@@ -153,3 +144,22 @@
     })),
   };
 }
+
+/** Takes a request in, or refuses it at once if it can't be answered behind those that wait. */
+export function enqueue(
+  queue: StreamQueue,
+  request: WaitingRequest,
+  outlook: QueueOutlook,
+  now: number,
+  random: number,
+): QueueStep {
+  const ahead = queue.filter((other) => compare(other, request, outlook, now) <= 0).length;
+  const expected = waitBehind(ahead, outlook);
+  // Who came back has no further try: it waits for what may come, within its own bound.
+  const waitMs = request.returned ? Math.min(expected, MOST_RETURNED_WAIT_MS) : expected;
+  if (waitMs > MOST_WAIT_MS || !canEnd(request, outlook, now, waitMs)) {
+    const retryAfterMs = returnAfter(request, queue.length, outlook, now, random);
+    return { queue, admitted: [], refused: [{ id: request.id, retryAfterMs }] };
+  }
+  return pump([...queue, request], outlook, now, random);
+}
--- a/src/daemon/DaemonConsensus.ts
+++ b/src/daemon/DaemonConsensus.ts
@@ -2,6 +2,7 @@
  * Task that owns a control process's replica: its data folder, its log and the replicated state.
  * It reads a mailbox, one batch at a time, and syncs before it sends.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { Logger } from 'pino';
 import {
@@ -33,6 +34,9 @@
 /** How long a proposal or read may take before its caller is told that it is open. In ms. */
 const WAIT_MS = 2_500;
 
+/** How often a disk that refuses writes is tried again, ms. */
+const DISK_RETRY_MS = 150;
+
 /** What the task needs. */
 export interface ConsensusTaskOptions {
   readonly folder: StateDataFolder;
@@ -139,8 +143,7 @@
     if (!this.#running && !this.#dead) {
       this.#running = true;
       this.#drain().catch((err: unknown) => {
-        // A disk that refuses a write can't be promised on: the process must end.
-        this.#options.log.fatal({ err }, 'the data folder failed');
+        this.#options.log.fatal({ err }, 'the replica failed');
         this.#dead = true;
         process.exitCode = 1;
         process.kill(process.pid, 'SIGTERM');
@@ -203,7 +206,7 @@
       const outputs = inputs.flatMap((input) => this.#step(input));
       // One batch after another: the sync below is what the next batch's promises rest on.
       // eslint-disable-next-line no-await-in-loop
-      await this.#persist(outputs);
+      await this.#persistAtLast(outputs);
       outputs.forEach((output) => this.#performers[output.type]?.(output as never));
       this.#compact();
     }
@@ -216,6 +219,34 @@
     return outputs;
   }
 
+  /**
+   * Syncs a batch, however long that takes.
+   *
+   * Failure: a full disk refuses every write for seconds. Symptom: a replica that ends because of it
+   * takes its hub down too, and comes back to the same disk. Enough: until its batch is synced a
+   * replica sends nothing, which to the others is a replica that is down; they elect another leader.
+   */
+  async #persistAtLast(outputs: readonly ConsensusOutput[]): Promise<void> {
+    let failures = 0;
+    for (;;) {
+      try {
+        // eslint-disable-next-line no-await-in-loop
+        await this.#persist(outputs);
+        if (failures > 0) {
+          this.#options.log.info({ event: 'disk', failures }, 'the data folder takes writes again');
+        }
+        return;
+      } catch (err) {
+        if (failures === 0) {
+          this.#options.log.error({ event: 'disk', err }, 'the data folder refuses writes');
+        }
+        failures += 1;
+        // eslint-disable-next-line no-await-in-loop
+        await delay(DISK_RETRY_MS);
+      }
+    }
+  }
+
   async #persist(outputs: readonly ConsensusOutput[]): Promise<void> {
     const snapshots = outputs.some(({ type }) => type === 'persistSnapshot');
     if (snapshots) {
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -21,7 +21,7 @@
       dataFolder: cfg['data-folder'],
       compactEvery: cfg['compact-every'],
       founders: cfg.control.map(({ name }) => name),
-      targets: cfg.control,
+      targets: () => cfg.control,
       locate: (name) => cfg.control.find((target) => target.name === name)?.address,
       testSwitch,
     },
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -43,7 +43,7 @@
   /** The processes that found a cluster together; null where this one must only join. */
   readonly founders: readonly string[] | null;
   /** Control processes known from settings. */
-  readonly targets: readonly ControlTarget[];
+  readonly targets: () => readonly ControlTarget[];
   /** Address of a control process that only the log names, where its name tells it. */
   readonly locate: (name: string) => Address | undefined;
   readonly testSwitch: DaemonTestSwitch;
@@ -61,6 +61,44 @@
   readonly newest: SharedRead<number>;
 }
 
+/** Calls a service at the leader, wherever it is. Rejects if there is none or it is out of reach. */
+async function atLeader<T>(
+  { consensus, peers }: Cradle,
+  method: string,
+  params: unknown,
+  local: () => Promise<T>,
+): Promise<T> {
+  const { role, leader } = consensus.state;
+  if (role === 'leader') {
+    return local();
+  }
+  if (leader === null) {
+    throw new Error('no leader');
+  }
+  return (await peers.request(replicaName(leader), method, params)) as T;
+}
+
+/** Index of the newest configuration, once this replica holds all that was accepted before. */
+async function newestIndex(cradle: Cradle): Promise<number> {
+  const { consensus, runtime } = cradle;
+  const until = runtime.now() + READ_MS;
+  const index = await Promise.race([
+    atLeader<number | null>(cradle, 'leader.readIndex', {}, async () => consensus.readIndex()),
+    delay(READ_MS, null, { ref: false }),
+  ]);
+  if (index === null) {
+    throw new Error('no leader with a quorum answered');
+  }
+  while (consensus.control.index < index) {
+    if (runtime.now() > until) {
+      throw new Error('this replica is behind');
+    }
+    // eslint-disable-next-line no-await-in-loop
+    await delay(CATCH_UP_MS);
+  }
+  return consensus.control.config.index;
+}
+
 function compose(
   cfg: ControlCoreOptions,
   runtime: Runtime,
@@ -121,23 +159,6 @@
   return container.cradle;
 }
 
-/** Calls a service at the leader, wherever it is. Rejects if there is none or it is out of reach. */
-async function atLeader<T>(
-  { consensus, peers }: Cradle,
-  method: string,
-  params: unknown,
-  local: () => Promise<T>,
-): Promise<T> {
-  const { role, leader } = consensus.state;
-  if (role === 'leader') {
-    return local();
-  }
-  if (leader === null) {
-    throw new Error('no leader');
-  }
-  return (await peers.request(replicaName(leader), method, params)) as T;
-}
-
 function leaderHandlers({ service, consensus }: Cradle): LinkHandlers {
   return {
     'leader.replace': async (params) => service.replace(params as ReplaceAsk),
@@ -148,27 +169,6 @@
   };
 }
 
-/** Index of the newest configuration, once this replica holds all that was accepted before. */
-async function newestIndex(cradle: Cradle): Promise<number> {
-  const { consensus, runtime } = cradle;
-  const until = runtime.now() + READ_MS;
-  const index = await Promise.race([
-    atLeader<number | null>(cradle, 'leader.readIndex', {}, async () => consensus.readIndex()),
-    delay(READ_MS, null, { ref: false }),
-  ]);
-  if (index === null) {
-    throw new Error('no leader with a quorum answered');
-  }
-  while (consensus.control.index < index) {
-    if (runtime.now() > until) {
-      throw new Error('this replica is behind');
-    }
-    // eslint-disable-next-line no-await-in-loop
-    await delay(CATCH_UP_MS);
-  }
-  return consensus.control.config.index;
-}
-
 async function submitAnywhere(cradle: Cradle, manifest: Manifest): Promise<SubmitReply> {
   try {
     return await atLeader(cradle, 'leader.submit', manifest, async () =>
@@ -240,13 +240,13 @@
   readonly replica: string;
   readonly consensus: DaemonConsensus;
   readonly hub: DaemonHub;
-  submit(manifest: Manifest): Promise<SubmitReply>;
+  submit: (manifest: Manifest) => Promise<SubmitReply>;
   /** Replaces a fleet's configuration by a document. */
-  replace(ask: ReplaceAsk): Promise<SubmitReply>;
+  replace: (ask: ReplaceAsk) => Promise<SubmitReply>;
   /** The newest configuration. Rejects where this process can't be sure which that is. */
-  readNewest(): Promise<ConfigState>;
+  readNewest: () => Promise<ConfigState>;
   /** What each control process in reach tells of itself, this one first. */
-  status(): Promise<readonly ControlStatus[]>;
+  status: () => Promise<readonly ControlStatus[]>;
 }
 
 function replaceAnywhere(cradle: Cradle): ControlCore['replace'] {
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -33,7 +33,7 @@
   /** The processes that found a cluster together; null where this one must only join. */
   readonly founders: readonly string[] | null;
   /** Control processes known from settings. */
-  readonly targets: readonly ControlTarget[];
+  readonly targets: () => readonly ControlTarget[];
   /** Address of a control process that only the log names, where its name tells it. */
   readonly locate: (name: string) => Address | undefined;
   readonly now: () => number;
@@ -65,7 +65,7 @@
 
   constructor(options: ControlPeersOptions) {
     this.#options = options;
-    options.targets.forEach((target) => this.#connect(target));
+    options.targets().forEach((target) => this.#connect(target));
   }
 
   /** Control processes known here, this one first. */
@@ -193,7 +193,9 @@
 
   /** Keeps a link to each member of the log; ends those to hosts that no longer are. */
   #follow(): void {
-    const { consensus, targets, locate, self } = this.#options;
+    const { consensus, locate, self } = this.#options;
+    const targets = this.#options.targets();
+    targets.forEach((target) => this.#connect(target));
     const { voters, learners } = consensus().state.members;
     const members = [...voters, ...learners].map(replicaName);
     members.forEach((name) => {
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -23,6 +23,9 @@
 /** Submissions that race are worked out anew this often before the caller is asked to resend. */
 const SUBMIT_TRIES = 4;
 
+/** A voter that the leader hasn't heard for this long may be replaced by a newcomer, ms. */
+const SILENT_VOTER_MS = 5_000;
+
 /** A replica's name: its id without the part that a new data folder changes. */
 export function replicaName(replica: string): string {
   return replica.split('.')[0] ?? replica;
@@ -201,12 +204,19 @@
     return result !== null;
   }
 
+  #isSilent(id: string): boolean {
+    const { state } = this.#consensus;
+    const heardAt = state.progress[id]?.heardAt;
+    return id !== state.id && heardAt !== undefined && this.#now() - heardAt > SILENT_VOTER_MS;
+  }
+
   /**
    * Promotes learners that have caught up, then drops the voters whose place they took.
    *
    * Failure: a replica loses its data folder. Symptom: as an empty voter it could vote twice in a
    * term, or count as holding what it forgot. Enough: it returns under a new identity without a
-   * vote, gets one only with the whole log, and voters change one at a time.
+   * vote, gets one only with the whole log, and voters change one at a time. A voter that is silent
+   * gives way to a newcomer that is ready: else a host replaced for good would count in each quorum.
    */
   async tendMembers(): Promise<void> {
     const { state } = this.#consensus;
@@ -225,6 +235,13 @@
       return;
     }
     const ready = learners.find((id) => (state.progress[id]?.match ?? 0) >= state.commit);
+    const silent = voters.find((id) => this.#isSilent(id));
+    if (ready !== undefined && silent !== undefined && voters.length > 1) {
+      const kept = voters.filter((id) => id !== silent);
+      await this.#consensus.changeMembers({ voters: kept, learners });
+      this.#log.info({ event: 'voter', dropped: silent, for: ready }, 'silent voter dropped');
+      return;
+    }
     if (ready !== undefined && state.commit > 0) {
       await this.#consensus.changeMembers({
         voters: [...voters, ready],
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -45,7 +45,7 @@
     hubLink: asFunction(
       () =>
         new DaemonHubLink({
-          targets: preferOwn(cfg.control, cfg['zone-control']),
+          targets: () => preferOwn(cfg.control, cfg['zone-control']),
           record: {
             id: cfg.id,
             role: 'endpoint',
--- a/src/daemon/DaemonEntry.ts
+++ b/src/daemon/DaemonEntry.ts
@@ -37,7 +37,7 @@
     hubLink: asFunction(
       ({ state }: Cradle) =>
         new DaemonHubLink({
-          targets: preferOwn(cfg.control, cfg['zone-control']),
+          targets: () => preferOwn(cfg.control, cfg['zone-control']),
           record: {
             id: cfg.id,
             role: 'entry',
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -17,7 +17,7 @@
 /** What the task needs. */
 export interface HubLinkOptions {
   /** Control processes known from settings, in order of preference. */
-  readonly targets: readonly ControlTarget[];
+  readonly targets: () => readonly ControlTarget[];
   readonly record: MemberRecord;
   readonly log: Logger;
   readonly signal: AbortSignal;
@@ -113,7 +113,8 @@
    * some of the control processes, and these tell of the rest.
    */
   #targets(): readonly ControlTarget[] {
-    const { targets, record } = this.#options;
+    const { record } = this.#options;
+    const targets = this.#options.targets();
     if (this.#controls.length === 0) {
       return targets;
     }
--- a/src/daemon/DaemonRuntime.ts
+++ b/src/daemon/DaemonRuntime.ts
@@ -25,13 +25,48 @@
   readonly incarnation: number;
 }
 
+/** Bytes of log lines that are written at once, and how long fewer wait, ms. */
+const LOG_BATCH_BYTES = 4_096;
+const LOG_FLUSH_MS = 200;
+
+/** Bytes of log lines kept while nobody reads them; later lines are dropped. */
+const LOG_KEPT_BYTES = 1_048_576;
+
+/**
+ * Standard output for the log.
+ *
+ * Failure: whoever reads the log stops reading. Symptom: a write blocks, and every request with it.
+ * Enough: lines are written in the background, and dropped once a megabyte waits.
+ */
+function openLog(): ReturnType<typeof pino.destination> {
+  const out = pino.destination({
+    sync: false,
+    minLength: LOG_BATCH_BYTES,
+    maxLength: LOG_KEPT_BYTES,
+  });
+  setInterval(() => out.flush(), LOG_FLUSH_MS).unref();
+  process.once('exit', () => {
+    try {
+      // The process ends with this event: nothing asynchronous would be carried out any more.
+      // eslint-disable-next-line n/no-sync
+      out.flushSync();
+    } catch {
+      // Nothing can be written any more, and nobody is left to tell.
+    }
+  });
+  return out;
+}
+
 /** Makes the means of a process. */
 export function createRuntime(id: string, role: string, level: string): Runtime {
   const seed = randomInt(2 ** 31);
   const rng = xoroshiro128plus(seed);
   const registry = new Registry();
   collectDefaultMetrics({ register: registry });
-  const log = pino({ level, base: { id, role }, timestamp: pino.stdTimeFunctions.isoTime });
+  const log = pino(
+    { level, base: { id, role }, timestamp: pino.stdTimeFunctions.isoTime },
+    openLog(),
+  );
   log.info({ event: 'start', seed, pid: process.pid }, 'starting');
   return {
     log,
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -33,11 +33,11 @@
 /** What a request hears of its attempt. */
 export interface AttemptListener {
   /** Whole events of a stream, one or more; `raw` are the headers of its answer. */
-  onEvents(bytes: Buffer, answer: Pick<WholeAnswer, 'head' | 'raw'>): void;
+  onEvents: (bytes: Buffer, answer: Pick<WholeAnswer, 'head' | 'raw'>) => void;
   /** The stream has ended after a whole event. */
-  onStreamEnd(): void;
-  onWhole(answer: WholeAnswer): void;
-  onFailure(failure: AttemptFailure): void;
+  onStreamEnd: () => void;
+  onWhole: (answer: WholeAnswer) => void;
+  onFailure: (failure: AttemptFailure) => void;
 }
 
 /** What an attempt needs. */
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -171,7 +171,6 @@
     }
     this.#lastEvent = this.#state.lastEventId(bytes) ?? this.#lastEvent;
     res.write(bytes);
-    this.#state.onEvent(this.#spec, this.#sent?.endpoint.id ?? '');
   }
 
   #onStreamEnd(): void {
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -46,6 +46,9 @@
 /** How often counts are read: a few hundred thousand choices at the usual rate. In ms. */
 const COUNTS_MS = 250;
 
+/** An older report tells nothing of whether the group is open, ms. */
+const FRESH_REPORT_MS = 700;
+
 /** Counts that take longer than this to come are left to the next round, ms. */
 const ROUND_MS = 80;
 
@@ -80,6 +83,8 @@
 
   #reports: (RankReport | null)[];
 
+  readonly #reportedAt: number[] = [];
+
   #countsAt = 0;
 
   /** Ranks whose counts of this round are still to come. */
@@ -194,7 +199,7 @@
     this.#experts.set(rank, { epoch, experts });
     const { ranks } = this.#options;
     const known = Array.from({ length: ranks }, (_item, i) => this.#experts.get(i));
-    if (this.#map !== null || known.some((item) => item === undefined || item.epoch !== epoch)) {
+    if (this.#map !== null || known.some((item) => item?.epoch !== epoch)) {
       return;
     }
     const sets = experts.length;
@@ -207,6 +212,7 @@
 
   #onReport(rank: number, report: RankReport): void {
     this.#reports[rank] = report;
+    this.#reportedAt[rank] = this.#options.runtime.now();
     if (rank === this.#options.own) {
       this.#observePass(report);
     }
@@ -238,12 +244,14 @@
   #publish(): void {
     const { group, publish } = this.#options;
     const reports = this.#reports;
-    if (reports.every((report) => report === null)) {
+    const since = this.#options.runtime.now() - FRESH_REPORT_MS;
+    const fresh = reports.filter((_report, rank) => (this.#reportedAt[rank] ?? -Infinity) > since);
+    if (fresh.length === 0) {
       return;
     }
     publish({
       group,
-      open: reports.every((report) => report?.open === true),
+      open: fresh.every((report) => report?.open === true),
       active: reports.map((report) => report?.active ?? 0),
       queued: reports.map((report) => report?.queued ?? 0),
       passMs: this.#passMs,
--- a/src/daemon/direct/DirectDocument.ts
+++ b/src/daemon/direct/DirectDocument.ts
@@ -5,10 +5,12 @@
 /** Fleet of everything that a document declares. */
 export const DIRECT_FLEET = 'direct';
 
+/** A document of some 100 KB takes a ms or two, a few times a minute: not worth another turn. */
 const DOCUMENT_KEY = 'document';
 
 /** Entries that hold a document. */
 export function entriesOfDocument(text: string): ConfigEntries {
+  // eslint-disable-next-line n/no-sync
   return { [DOCUMENT_KEY]: deflateRawSync(text).toString('base64') };
 }
 
@@ -16,6 +18,7 @@
 export function textOfDocument(entries: ConfigEntries): string | null {
   const packed = entries[DOCUMENT_KEY];
   return typeof packed === 'string'
-    ? inflateRawSync(Buffer.from(packed, 'base64')).toString('utf8')
+    ? // eslint-disable-next-line n/no-sync
+      inflateRawSync(Buffer.from(packed, 'base64')).toString('utf8')
     : null;
 }
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -1,22 +1,14 @@
 /** Endpoint process beside an engine that callers reach directly: it serves the engine's rank. */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { MapPolicy } from '../../coordination/index.js';
-import type {
-  DirectoryDelta,
-  DocumentDialect,
-  EngineCosts,
-  MemberRecord,
-  RankReport,
-} from '../../protocol/index.js';
-import type { ConfigState } from '../../state/index.js';
-import { parseAddress, serveLinks, type Address } from '../../transport/index.js';
+import type { DocumentDialect, RankReport } from '../../protocol/index.js';
+import { serveLinks, type Address } from '../../transport/index.js';
 import { DaemonCoordinator } from '../DaemonCoordinator.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { every, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
-import { USUAL_PAUSE_MS } from './DirectAdmission.js';
-import { COORDINATOR_TICK_MS, DirectCoordinator, type MapTerms } from './DirectCoordinator.js';
-import { textOfDocument } from './DirectDocument.js';
+import { COORDINATOR_TICK_MS, DirectCoordinator } from './DirectCoordinator.js';
+import { DirectGroupMembers } from './DirectGroupMembers.js';
+import { DirectMapTerms } from './DirectMapTerms.js';
 import { DirectRank, type EnginePort } from './DirectRank.js';
 import { DirectRankPeers } from './DirectRankPeers.js';
 
@@ -27,9 +19,8 @@
   readonly link: Address;
   /** Service that the engine beside this process serves. */
   readonly service: string;
-  readonly controls: readonly ControlTarget[];
-  /** Experts that one change may bring a rank, over all sets. */
-  readonly policy: MapPolicy;
+  /** Control processes that the settings name now. */
+  readonly controls: () => readonly ControlTarget[];
 }
 
 /** Fleet under which the processes beside engines are announced; no request is routed to it. */
@@ -63,66 +54,6 @@
   return null;
 }
 
-/** Addresses of the other processes of a group, by rank. */
-class GroupMembers {
-  readonly #records = new Map<string, MemberRecord>();
-
-  take({ records }: DirectoryDelta): void {
-    records.forEach((record) => this.#records.set(record.id, record));
-  }
-
-  get addresses(): ReadonlyMap<number, Address> {
-    const found = new Map<number, Address>();
-    this.#records.forEach(({ offer, address, status }) => {
-      const rank = offer?.ranks?.[0];
-      const parsed = parseAddress(address);
-      if (rank !== undefined && parsed !== undefined && status === 'serving') {
-        found.set(rank, parsed);
-      }
-    });
-    return found;
-  }
-}
-
-/** Reads from the configuration what limits a change of map. */
-class MapLimits {
-  readonly #cfg: DirectEndpointSettings;
-
-  readonly #documents: DocumentDialect;
-
-  #costs: EngineCosts | null = null;
-
-  #pauseMs = USUAL_PAUSE_MS;
-
-  constructor(cfg: DirectEndpointSettings, documents: DocumentDialect) {
-    this.#cfg = cfg;
-    this.#documents = documents;
-  }
-
-  get value(): MapTerms | null {
-    const costs = this.#costs;
-    return costs === null
-      ? null
-      : {
-          shape: { slotsPerRank: costs.slotsPerRank, mostNew: costs.mostNew },
-          policy: this.#cfg.policy,
-          pauseMs: this.#pauseMs,
-        };
-  }
-
-  async read(hubLink: DaemonHubLink): Promise<void> {
-    const config = (await hubLink.request('config.whole', {})) as ConfigState;
-    const text = textOfDocument(config.entries);
-    const plan = text === null ? null : this.#documents.readPlan(text);
-    const spec = plan?.services.find(({ name }) => name === this.#cfg.service);
-    this.#costs = spec?.engine ?? this.#costs;
-    const pauses = (plan?.routes ?? [])
-      .filter(({ targets }) => targets.some(({ service }) => service === this.#cfg.service))
-      .flatMap(({ pauseMs }) => (pauseMs === null ? [] : [pauseMs]));
-    this.#pauseMs = pauses.length === 0 ? this.#pauseMs : Math.min(...pauses);
-  }
-}
-
 /** Runs an endpoint process until the signal. */
 export async function runDirectEndpoint(
   cfg: DirectEndpointSettings,
@@ -140,7 +71,7 @@
   }
   const { group, rank: own, ranks } = first;
   log.info({ event: 'rank', group, rank: own, ranks }, 'rank of a group');
-  const members = new GroupMembers();
+  const members = new DirectGroupMembers();
   const peers = new DirectRankPeers(own, rank, signal, runtime.random);
   const hubLink = new DaemonHubLink({
     targets: cfg.controls,
@@ -171,7 +102,7 @@
     log,
     now: runtime.now,
   });
-  const limits = new MapLimits(cfg, documents);
+  const limits = new DirectMapTerms(cfg.service, documents);
   const coordinator = new DirectCoordinator({
     group,
     ranks,
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -25,7 +25,8 @@
   readonly callers: Address;
   readonly readiness: Address;
   readonly metrics: Address;
-  readonly controls: readonly ControlTarget[];
+  /** Control processes that the settings name now. */
+  readonly controls: () => readonly ControlTarget[];
   readonly revokeMs: number;
   /** Time from the signal to the end by force, ms. */
   readonly graceMs: number;
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -260,11 +260,6 @@
     this.#routing = updateRouting(this.#routing, { type: 'done', id, result }, this.now());
   }
 
-  /** An event of a stream went out. */
-  onEvent(_spec: DirectSpec, _endpoint: string): void {
-    // Observed pauses feed the engine's model.
-  }
-
   /**
    * Takes what a failed attempt proves. Another instance at the address means that this one is gone:
    * the hub may still list it for as long as its heartbeats' lease runs.
--- a/src/daemon/direct/DirectRank.ts
+++ b/src/daemon/direct/DirectRank.ts
@@ -5,11 +5,11 @@
 
 /** How the engine on this host is spoken to; its adapter implements this. */
 export interface EnginePort {
-  report(): Promise<RankReport>;
-  counts(): Promise<RankCounts>;
+  report: () => Promise<RankReport>;
+  counts: () => Promise<RankCounts>;
   /** Experts of this rank in the map in use, by set. */
-  experts(): Promise<readonly (readonly number[])[]>;
-  order(order: EngineOrder): Promise<OrderResult>;
+  experts: () => Promise<readonly (readonly number[])[]>;
+  order: (order: EngineOrder) => Promise<OrderResult>;
 }
 
 /** A coordinator's question. */
--- a/src/protocol/ProtocolDialect.ts
+++ b/src/protocol/ProtocolDialect.ts
@@ -51,18 +51,18 @@
 
 /** How a platform's HTTP messages are read and written. */
 export interface HttpDialect {
-  readRequest(headers: IncomingHttpHeaders): RequestHead;
+  readRequest: (headers: IncomingHttpHeaders) => RequestHead;
   /** Headers of the request as it is passed on. */
-  writeForward(raw: RawHeaders, forward: ForwardHead): string[];
-  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerHead;
+  writeForward: (raw: RawHeaders, forward: ForwardHead) => string[];
+  readAnswer: (status: number, headers: IncomingHttpHeaders) => AnswerHead;
   /** Headers of the answer as it is passed back, without those of one connection. */
-  writeAnswer(raw: RawHeaders): string[];
+  writeAnswer: (raw: RawHeaders) => string[];
   /** Id of a stream's event; null if it has none. */
-  eventId(event: Buffer): string | null;
+  eventId: (event: Buffer) => string | null;
 }
 
 /** How a platform's configuration documents are read. */
 export interface DocumentDialect {
   /** @throws {FindingsError} with all that is wrong with the document. */
-  readPlan(text: string): RoutePlan;
+  readPlan: (text: string) => RoutePlan;
 }
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -51,7 +51,7 @@
   /** Prompt tokens read in a ms. */
   readonly readTokensPerMs: number;
   /** Part of a token's work that is done by experts, 0 to 1. */
-  readonly expertFraction: number;
+  readonly expertShare: number;
   /** Sets of layers that share one expert map. */
   readonly sets: number;
   /** Experts of a set. */
--- a/src/state/StateDataFolder.ts
+++ b/src/state/StateDataFolder.ts
@@ -115,12 +115,19 @@
 
   #handle: FileHandle;
 
+  /** Bytes of the journal that were synced; a failed write may have left more behind them. */
+  #size: number;
+
+  #isTorn = false;
+
   private constructor(
     journal: string,
     identity: Identity,
     recovered: readonly unknown[],
     handle: FileHandle,
+    size: number,
   ) {
+    this.#size = size;
     this.#journal = journal;
     this.#identity = identity;
     this.#recovered = recovered;
@@ -144,7 +151,7 @@
       await handle.sync();
     }
     await syncDirectory(folder);
-    return new StateDataFolder(journal, identity, records, handle);
+    return new StateDataFolder(journal, identity, records, handle, end);
   }
 
   get identity(): Identity {
@@ -156,17 +163,36 @@
     return this.#recovered;
   }
 
-  /** Appends records and syncs them: one write and one sync for all. */
+  /**
+   * Appends records and syncs them: one write and one sync for all. After a failure the same records
+   * may be appended again.
+   *
+   * Failure: a full disk takes a part of a frame, and a later append stands behind it. Symptom: at the
+   * next start the journal ends at the torn frame, and what was answered for is lost. Enough: what a
+   * failed append may have left is cut off before the next one.
+   */
   async append(records: readonly unknown[]): Promise<void> {
-    await this.#handle.appendFile(frame(records));
+    if (this.#isTorn) {
+      await this.#handle.truncate(this.#size);
+      this.#isTorn = false;
+    }
+    const data = frame(records);
+    this.#isTorn = true;
+    await this.#handle.appendFile(data);
     await this.#handle.datasync();
+    this.#isTorn = false;
+    this.#size += data.length;
   }
 
   /** Replaces the whole journal, atomically: after a crash either the old or the new is there. */
   async rewrite(records: readonly unknown[]): Promise<void> {
-    await writeSynced(this.#journal, frame(records));
-    await this.#handle.close();
+    const data = frame(records);
+    await writeSynced(this.#journal, data);
+    const before = this.#handle;
     this.#handle = await open(this.#journal, 'a');
+    this.#size = data.length;
+    this.#isTorn = false;
+    await before.close();
   }
 
   async close(): Promise<void> {
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -14,18 +14,18 @@
 
 /** What happens to a call, in order; after `onEnd` or `onError` nothing follows. */
 export interface CallListener {
-  onHead(status: number, headers: IncomingHttpHeaders, raw: readonly string[]): void;
-  onData(chunk: Buffer): void;
+  onHead: (status: number, headers: IncomingHttpHeaders, raw: readonly string[]) => void;
+  onData: (chunk: Buffer) => void;
   /** The answer is whole by its framing. */
-  onEnd(): void;
+  onEnd: () => void;
   /** `sent` is false only where not a byte of the call has left. */
-  onError(err: Error, sent: boolean): void;
+  onError: (err: Error, sent: boolean) => void;
 }
 
 /** A call under way. */
 export interface RunningCall {
   /** Ends it and its connection; nothing more is heard of it. */
-  abort(): void;
+  abort: () => void;
 }
 
 /** How long a connection may take to be made, ms: some hundred round trips between AZs. */
@@ -100,7 +100,7 @@
     over = true;
     return first;
   };
-  pool.dispatch(call as Parameters<Pool['dispatch']>[0], {
+  pool.dispatch(call, {
     onRequestStart: (controller) => {
       sent = true;
       stop = (err) => controller.abort(err);
