--- /dev/null
+++ b/src/coordination/__tests__/unit/DemandEstimate.test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { expectedLoad, initDemand, takeCounts, type DemandState } from '../../index.js';
+
+const EXPERTS = 8;
+
+function add(counts: readonly number[], hot: number): readonly number[] {
+  return counts.map((count, e) => count + (e === hot ? 4_000 : 500));
+}
+
+/** Runs intervals in which an expert is hot, on two ranks whose counts rise together. */
+function run(state: DemandState, from: readonly number[], hots: readonly number[]) {
+  let counts = from;
+  let next = state;
+  hots.forEach((hot) => {
+    counts = add(counts, hot);
+    next = takeCounts(next, [[counts], [counts]]);
+  });
+  return { state: next, counts };
+}
+
+const ZERO = Array.from({ length: EXPERTS }, () => 0);
+
+describe('DemandEstimate', () => {
+  it('knows nothing before two readings', () => {
+    assert.equal(expectedLoad(initDemand(2)), null);
+    assert.equal(expectedLoad(run(initDemand(2), ZERO, [1]).state), null);
+  });
+
+  // Demand shifts at once. Were what came before still counted, the map would be planned for experts
+  // that nobody asks for any more, for as long as the memory lasts.
+  it('forgets what came before a shift', () => {
+    const before = run(initDemand(2), ZERO, [1, 1, 1, 1]);
+    const after = run(before.state, before.counts, [6]);
+    assert.equal(after.state.shifts, 1);
+    const [load = []] = expectedLoad(after.state) ?? [];
+    assert.equal(load.indexOf(Math.max(...load)), 6);
+    assert.ok((load[1] ?? 1) < 0.15);
+  });
+
+  it('takes steady demand for steady', () => {
+    assert.equal(run(initDemand(2), ZERO, [1, 1, 1, 1, 1, 1]).state.shifts, 0);
+  });
+
+  // A rank restarts and counts from zero. The difference is negative, and would make its experts look
+  // as if nobody wanted them.
+  it('starts anew with a rank whose counts went back', () => {
+    const before = run(initDemand(2), ZERO, [1, 1, 1]);
+    const restarted = takeCounts(before.state, [[add(before.counts, 1)], [add(ZERO, 1)]]);
+    const [load = []] = expectedLoad(restarted) ?? [];
+    assert.ok(load.every((share) => share >= 0));
+    assert.equal(load.indexOf(Math.max(...load)), 1);
+  });
+
+  it('goes on without a rank that did not answer', () => {
+    const before = run(initDemand(2), ZERO, [1, 1]);
+    const next = takeCounts(before.state, [[add(before.counts, 1)], null]);
+    assert.equal(next.intervals.length, before.state.intervals.length + 1);
+  });
+});
--- /dev/null
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import type { GroupMap } from '../../../protocol/index.js';
+import { gainWanted, planMap, type MapPolicy, type MapShape } from '../../index.js';
+
+const RANKS = 12;
+const EXPERTS = 96;
+const SETS = 3;
+const SHAPE: MapShape = { slotsPerRank: 11, mostNew: 4 };
+const POLICY: MapPolicy = { mostNewPerRank: 12, gainPerCopy: 0.004 };
+
+/** Experts in turn over the ranks, each once. */
+const FIRST: GroupMap = Array.from({ length: SETS }, () =>
+  Array.from({ length: RANKS }, (_rank, rank) =>
+    Array.from({ length: EXPERTS / RANKS }, (_slot, i) => rank + i * RANKS),
+  ),
+);
+
+function zipf(shift: number): readonly number[] {
+  return Array.from({ length: EXPERTS }, (_item, e) => 1 / (1 + ((e * 37 + shift) % EXPERTS)));
+}
+
+const WEIGHTS = [zipf(0), zipf(11), zipf(23)];
+
+/** Copies that each rank makes between two maps, by set. */
+function copiesByRank(from: GroupMap, to: GroupMap): readonly (readonly number[])[] {
+  return to.map((ranks, set) =>
+    ranks.map((experts, rank) => experts.filter((e) => !from[set]?.[rank]?.includes(e)).length),
+  );
+}
+
+describe('planMap', () => {
+  it('evens out a skewed demand within a few copies', () => {
+    const planned = planMap(FIRST, WEIGHTS, SHAPE, POLICY);
+    assert.ok(planned.skewBefore > 2);
+    assert.ok(planned.skewAfter < 1.15, `${planned.skewAfter}`);
+    assert.ok(planned.copies <= RANKS * SHAPE.mostNew * SETS);
+  });
+
+  // An engine refuses a map that brings a rank too many new experts, holds too many, or lacks one: the
+  // refusal at one rank would leave the rest with a version that can never be used.
+  it('always plans a map that the ranks take', () => {
+    const weight = fc.double({ min: 0, max: 1, noNaN: true });
+    const weights = fc.array(fc.array(weight, { minLength: EXPERTS, maxLength: EXPERTS }), {
+      minLength: SETS,
+      maxLength: SETS,
+    });
+    fc.assert(
+      fc.property(weights, weights, (first, second) => {
+        const before = planMap(FIRST, first, SHAPE, POLICY).map;
+        const { map, copies } = planMap(before, second, SHAPE, POLICY);
+        map.forEach((ranks) => {
+          assert.equal(new Set(ranks.flat()).size, EXPERTS);
+          ranks.forEach((experts) => {
+            assert.ok(experts.length <= SHAPE.slotsPerRank);
+            assert.equal(new Set(experts).size, experts.length);
+          });
+        });
+        const byRank = copiesByRank(before, map);
+        byRank.forEach((ranks) => ranks.forEach((n) => assert.ok(n <= SHAPE.mostNew)));
+        assert.equal(
+          byRank.flat().reduce((a, b) => a + b, 0),
+          copies,
+        );
+      }),
+      { seed: 5, numRuns: 40 },
+    );
+  });
+
+  it('changes nothing where nothing is gained', () => {
+    const even = [0, 1, 2].map(() => Array.from({ length: EXPERTS }, () => 1));
+    assert.equal(planMap(FIRST, even, SHAPE, POLICY).copies, 0);
+    assert.equal(planMap(FIRST, WEIGHTS, SHAPE, { ...POLICY, gainPerCopy: Infinity }).copies, 0);
+  });
+
+  it('keeps to the copies that a rank may make in one change', () => {
+    const { map } = planMap(FIRST, WEIGHTS, SHAPE, { ...POLICY, mostNewPerRank: 3 });
+    const byRank = copiesByRank(FIRST, map);
+    const totals = byRank[0]?.map((_n, rank) =>
+      byRank.reduce((sum, ranks) => sum + (ranks[rank] ?? 0), 0),
+    );
+    assert.ok((totals ?? []).every((total) => total <= 3));
+  });
+});
+
+describe('gainWanted', () => {
+  it('asks for more the easier the passes are, and for nothing where they are short', () => {
+    assert.equal(gainWanted(50, 120, 0.004), null);
+    assert.equal(gainWanted(null, 120, 0.004), null);
+    assert.equal(gainWanted(110, 120, 0.004), 0.004);
+    const easy = gainWanted(65, 120, 0.004) ?? 0;
+    const pressed = gainWanted(85, 120, 0.004) ?? 0;
+    assert.ok(easy > pressed && pressed > 0.004);
+  });
+});
--- /dev/null
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  enqueue,
+  pump,
+  type QueueOutlook,
+  type StreamQueue,
+  type WaitingRequest,
+} from '../../index.js';
+
+const BUSY: QueueOutlook = {
+  free: 0,
+  ratePerMs: 0.005,
+  firstMs: 150,
+  writeMs: (tokens) => (tokens / 5) * 60,
+};
+
+function request(id: number, change: Partial<WaitingRequest> = {}): WaitingRequest {
+  return {
+    id,
+    priority: 1,
+    arrivedAt: 0,
+    objectiveAt: 400,
+    deadline: 8_000,
+    tokens: 140,
+    returned: false,
+    ...change,
+  };
+}
+
+function waitAll(requests: readonly WaitingRequest[], outlook = BUSY): StreamQueue {
+  return requests.reduce<StreamQueue>(
+    (queue, item) => enqueue(queue, item, outlook, 0, 0.5).queue,
+    [],
+  );
+}
+
+describe('StreamQueue', () => {
+  it('begins at once while there are places', () => {
+    const step = enqueue([], request(1), { ...BUSY, free: 2 }, 0, 0.5);
+    assert.deepEqual(step.admitted, [1]);
+  });
+
+  // Load pattern: a group was slow for a second, and a queue has formed. Requests in front can no
+  // longer be on time; those that just came can. First come, first served would make all late.
+  it('lets those that can still be on time go first, the rest after them', () => {
+    const queue = waitAll([
+      request(1, { objectiveAt: 100 }),
+      request(2, { objectiveAt: 900 }),
+      request(3, { objectiveAt: 700 }),
+    ]);
+    const step = pump(queue, { ...BUSY, free: 2 }, 200, 0.5);
+    assert.deepEqual(step.admitted, [3, 2]);
+    assert.deepEqual(pump(step.queue, { ...BUSY, free: 1 }, 210, 0.5).admitted, [1]);
+  });
+
+  it('puts the more urgent before the less', () => {
+    const queue = waitAll([request(1, { priority: 2 }), request(2, { priority: 0 })]);
+    assert.deepEqual(pump(queue, { ...BUSY, free: 1 }, 10, 0.5).admitted, [2]);
+  });
+
+  // Load pattern: a burst brings more than can be served by its deadline. What would wait in vain is
+  // told at once, while its caller can still come back, and comes back once the queue has drained.
+  it('refuses at once what it can not begin in time', () => {
+    const queue = waitAll(Array.from({ length: 12 }, (_item, i) => request(i)));
+    const step = enqueue(queue, request(99), BUSY, 0, 0.5);
+    assert.equal(step.refused.length, 1);
+    const [refusal] = step.refused;
+    assert.ok((refusal?.retryAfterMs ?? 0) > 500);
+    assert.ok((refusal?.retryAfterMs ?? Infinity) <= 8_000 / 3);
+  });
+
+  it('refuses at once what can not end by its deadline', () => {
+    const step = enqueue([], request(1, { deadline: 1_500 }), { ...BUSY, free: 5 }, 0, 0.5);
+    assert.equal(step.refused.length, 1);
+  });
+
+  // A group is down for two seconds. Who was refused before has no further try: it waits for the group
+  // a while, where a new request is sent away to come back.
+  it('lets those wait that have come back, for a bounded time', () => {
+    const down = { ...BUSY, ratePerMs: 0 };
+    assert.equal(enqueue([], request(1), down, 0, 0.5).refused.length, 1);
+    const { queue } = enqueue([], request(2, { returned: true }), down, 0, 0.5);
+    assert.equal(queue.length, 1);
+    assert.equal(pump(queue, down, 1_500, 0.5).refused.length, 0);
+    assert.equal(pump(queue, down, 2_500, 0.5).refused.length, 1);
+  });
+
+  it('spreads returns', () => {
+    const down = { ...BUSY, ratePerMs: 0 };
+    const after = [0, 0.5, 1].map(
+      (random) => enqueue([], request(1), down, 0, random).refused[0]?.retryAfterMs ?? 0,
+    );
+    assert.equal(new Set(after).size, 3);
+  });
+});
