--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -52,12 +52,20 @@
 export function openPool(origin: string, connections: number): EndpointPool {
   let failing = false;
   const connector = buildConnector({ timeout: CONNECT_MS });
+  const fail = (): void => {
+    failing = true;
+    setImmediate(() => {
+      failing = false;
+    });
+  };
   const watch = (socket: Socket): void => {
-    socket.on('error', () => {
-      failing = true;
-      setImmediate(() => {
-        failing = false;
-      });
+    socket.on('error', fail);
+    // The reset may have been reported to another call on the socket; what is read then is an end
+    // like any other, but a connection that was reset has no peer any more.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) {
+        fail();
+      }
     });
   };
   const pool = new Pool(origin, {
