Outages: nothing more is sent into a group that stands still, callers come back later; silent processes beside engines are passed over

Change: engines are asked directly after 0.5 s; a rank that blames another closes its group; stall seen by passes that no longer begin; waits end before the caller's patience; leases of coordinators 1.2 s. Not measured yet.

--- a/src/coordination/Lease.ts
+++ b/src/coordination/Lease.ts
@@ -9,13 +9,13 @@
  * How long a lease lasts from the moment its holder asked for it. A coordinator that dies leaves its
  * group without one for this long, and demand shifts within seconds. In ms.
  */
-export const LEASE_MS = 1_500;
+export const LEASE_MS = 1_200;
 
 /** A holder renews this long after its last request. In ms. */
-export const RENEW_MS = 400;
+export const RENEW_MS = 300;
 
 /** A rival waits this much longer than the lease, for clocks that run at different speeds. ms. */
-export const LEASE_MARGIN_MS = 300;
+export const LEASE_MARGIN_MS = 200;
 
 /** What an endpoint process knows of its group's lease. */
 export interface LeaseView {
--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -17,6 +17,8 @@
   /** Until when a first event is on time, ms. */
   readonly objectiveAt: number;
   readonly deadline: number;
+  /** Until when its caller waits for a first event, ms. */
+  readonly patientUntil: number;
   /** Tokens that its answer is expected to have. */
   readonly tokens: number;
   /** Whether it was refused before, as the time it has left tells. */
@@ -54,14 +56,8 @@
 /** Time beyond its expected end that a request must have left: estimates of length are rough. In ms. */
 const MARGIN_MS = 300;
 
-/** Longest wait that a request is taken in for, ms: by then a burst of some seconds is half over. */
-const MOST_WAIT_MS = 2_500;
-
-/** Longest wait of a request that has come back, ms: half of what an outage of a rank takes. */
-const MOST_RETURNED_WAIT_MS = 2_000;
-
-/** Where nothing is begun at all, callers are asked to come back after this long, ms. */
-const STALLED_RETRY_MS = 1_500;
+/** Part of that time over which returns are spread where nothing is begun at all. */
+const STALLED_SPREAD = 0.25;
 
 /** Part of the time that a caller has left at which it comes back at the latest. */
 const RETURN_SHARE = 0.3;
@@ -86,15 +82,19 @@
     : Number(b.returned) - Number(a.returned) || a.arrivedAt - b.arrivedAt;
 }
 
-/** Whether it can be answered by its deadline if it is sent after so long. */
+/**
+ * Whether it can be answered if it is sent after so long: its first event before the caller leaves,
+ * its last by the deadline.
+ */
 function canEnd(
   request: WaitingRequest,
   outlook: QueueOutlook,
   now: number,
   waitMs: number,
 ): boolean {
-  const end = now + waitMs + outlook.firstMs + outlook.writeMs(request.tokens);
-  return end + MARGIN_MS <= request.deadline;
+  const first = now + waitMs + outlook.firstMs;
+  const end = first + outlook.writeMs(request.tokens);
+  return first <= request.patientUntil && end + MARGIN_MS <= request.deadline;
 }
 
 /** Expected wait behind so many others, ms. */
@@ -105,18 +105,20 @@
 
 /**
  * When a refused request should come back: once those that wait now have been begun, later ones later,
- * and while it still has time for an answer.
+ * and while it still has time for an answer. Where nothing is begun at all nobody knows when that will
+ * be, and the later a caller comes back, the likelier the service serves again.
  */
-function returnAfter(
-  request: WaitingRequest,
+export function returnAfter(
+  leftMs: number,
   waiting: number,
   outlook: QueueOutlook,
-  now: number,
   random: number,
 ): number {
-  const drained = Math.min(STALLED_RETRY_MS, waitBehind(waiting, outlook));
-  const latest = Math.max(50, (request.deadline - now) * RETURN_SHARE);
-  return Math.min(latest, 100 + drained * (0.5 + random));
+  const latest = Math.max(50, leftMs * RETURN_SHARE);
+  if (outlook.ratePerMs === 0) {
+    return latest * (1 - STALLED_SPREAD * random);
+  }
+  return Math.min(latest, 100 + waitBehind(waiting, outlook) * (0.5 + random));
 }
 
 /** Begins what there are places for, and refuses what can't be answered any more. */
@@ -126,12 +128,7 @@
   now: number,
   random: number,
 ): QueueStep {
-  const isStalled = outlook.free < 1 && outlook.ratePerMs === 0;
-  const hopeless = queue.filter(
-    (request) =>
-      !canEnd(request, outlook, now, 0) ||
-      (isStalled && now - request.arrivedAt > MOST_RETURNED_WAIT_MS),
-  );
+  const hopeless = queue.filter((request) => !canEnd(request, outlook, now, 0));
   const hopeful = queue.filter((request) => !hopeless.includes(request));
   const order = [...hopeful].sort((a, b) => compare(a, b, outlook, now));
   const admitted = order.slice(0, Math.max(0, Math.floor(outlook.free)));
@@ -140,7 +137,7 @@
     admitted: admitted.map(({ id }) => id),
     refused: hopeless.map((request) => ({
       id: request.id,
-      retryAfterMs: returnAfter(request, queue.length, outlook, now, random),
+      retryAfterMs: returnAfter(request.deadline - now, queue.length, outlook, random),
     })),
   };
 }
@@ -156,9 +153,9 @@
   const ahead = queue.filter((other) => compare(other, request, outlook, now) <= 0).length;
   const expected = waitBehind(ahead, outlook);
   // Who came back has no further try: it waits for what may come, within its own bound.
-  const waitMs = request.returned ? Math.min(expected, MOST_RETURNED_WAIT_MS) : expected;
-  if (waitMs > MOST_WAIT_MS || !canEnd(request, outlook, now, waitMs)) {
-    const retryAfterMs = returnAfter(request, queue.length, outlook, now, random);
+  const waitMs = request.returned ? 0 : expected;
+  if (!canEnd(request, outlook, now, waitMs)) {
+    const retryAfterMs = returnAfter(request.deadline - now, queue.length, outlook, random);
     return { queue, admitted: [], refused: [{ id: request.id, retryAfterMs }] };
   }
   return pump([...queue, request], outlook, now, random);
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -22,6 +22,7 @@
     arrivedAt: 0,
     objectiveAt: 400,
     deadline: 8_000,
+    patientUntil: 2_000,
     tokens: 140,
     returned: false,
     ...change,
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -196,6 +196,7 @@
 export {
   enqueue,
   pump,
+  returnAfter,
   type QueueOutlook,
   type QueueRefusal,
   type QueueStep,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -8,6 +8,7 @@
   initPlaces,
   ownAt,
   pump,
+  returnAfter,
   takeLoad,
   writeTime,
   type PlaceGroup,
@@ -31,6 +32,7 @@
   /** Time to the first event that is on time, ms. */
   readonly objectiveMs: number;
   readonly deadline: number;
+  readonly patienceMs: number;
   readonly tokens: number | null;
   readonly returned: boolean;
 }
@@ -190,6 +192,7 @@
       arrivedAt: req.startedAt,
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
+      patientUntil: req.startedAt + req.patienceMs,
       tokens: req.tokens ?? model.costs.usualAnswer,
       returned: req.returned,
     };
@@ -250,13 +253,28 @@
   }
 
   /** When a request that no endpoint could take should come back, ms; null where that isn't known. */
-  retryAfter(service: string): number | null {
+  retryAfter(service: string, leftMs: number): number | null {
     const outlook = this.#outlook(service);
-    if (outlook === null) {
-      return null;
-    }
     const waiting = this.#services.get(service)?.queue.length ?? 0;
-    return 200 + Math.min(1_500, waiting / Math.max(outlook.ratePerMs, 1e-3));
+    return outlook === null ? null : returnAfter(leftMs, waiting, outlook, this.#runtime.random());
+  }
+
+  /**
+   * Takes what a refusal proves: a rank that blames another one stands for its whole group.
+   *
+   * Failure: one rank of a group is dead, and all others refuse. Symptom: each request is tried at one
+   * rank after the other, and the retries of all services are gone. Enough: the group counts as broken
+   * until a newer load says otherwise.
+   */
+  onGroupBroken(endpoint: string): void {
+    this.#services.forEach(({ groups }, service) => {
+      groups.forEach((group) => {
+        if (group.load !== null && group.ranks.some((rank) => rank.endpoint === endpoint)) {
+          const load = { ...group.load, open: false };
+          this.#replaceGroup(service, { ...group, load, allowance: 0 });
+        }
+      });
+    });
   }
 
   #setGroups(service: string, found: ReadonlyMap<string, readonly PlaceRank[]>): void {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -220,16 +220,19 @@
       this.#mayHaveRun = true;
     }
     const { service, head } = this.#spec;
-    const verdict = judgeFailure(failure, this.#progress(), this.#unsent, () =>
-      this.#state.takeRetry(service),
-    );
     this.#state.onAttemptFailed(endpoint, failed);
+    const verdict = judgeFailure(
+      failure,
+      this.#progress(),
+      this.#unsent,
+      () => this.#state.canRoute(service, this.#tried) && this.#state.takeRetry(service),
+    );
     this.#state.logAttempt(head.id, endpoint.id, failure, reason, verdict);
     this.#conclude(verdict, answer);
   }
 
   #conclude(verdict: DirectVerdict, answer: WholeAnswer | null): void {
-    const { res, service } = this.#spec;
+    const { res, service, deadline } = this.#spec;
     const handlers: Readonly<Record<DirectVerdict, () => void>> = {
       retry: () => this.#send(),
       pass: () => {
@@ -239,7 +242,9 @@
       },
       refuse: () => {
         const error = new RequestError('no_endpoint', 'no endpoint could take the request');
-        sendError(res, error, this.#state.retryAfter(service), this.#state.isLeaving);
+        const leftMs = deadline - this.#state.now();
+        const retryAfter = this.#state.retryAfter(service, leftMs);
+        sendError(res, error, retryAfter, this.#state.isLeaving);
         this.#finish('refused');
       },
       fail: () => {
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -43,6 +43,9 @@
   readonly publish: (load: GroupLoad) => void;
 }
 
+/** Without a new pass for this long a group with work is stalled, ms: three of the longest passes. */
+const STALL_MS = 650;
+
 /** How often counts are read: a few hundred thousand choices at the usual rate. In ms. */
 const COUNTS_MS = 250;
 
@@ -94,6 +97,11 @@
 
   #passMs: number | null = null;
 
+  #lastStep = -1;
+
+  /** When a pass was last seen to have begun. */
+  #steppedAt = 0;
+
   #skew = 1;
 
   constructor(options: DirectCoordinatorOptions) {
@@ -158,6 +166,7 @@
     const token = view.held?.token ?? 0;
     if (holds && this.#switch.token !== token) {
       this.#map = null;
+      this.#options.peers.begin();
       this.#input({ type: 'gained', token });
     } else if (!holds && this.#switch.phase !== 'off') {
       this.#input({ type: 'lost' });
@@ -219,9 +228,13 @@
     this.#input({ type: 'report', rank, report });
   }
 
-  #observePass({ step }: RankReport): void {
+  #observePass({ step, active }: RankReport): void {
     const now = this.#options.runtime.now();
     const before = this.#pass;
+    if (active === 0 || step !== this.#lastStep) {
+      this.#lastStep = step;
+      this.#steppedAt = now;
+    }
     if (before === null || step < before.step || now - before.at > 2 * COUNTS_MS) {
       this.#pass = { step, at: now };
       this.#passMs = null;
@@ -232,6 +245,23 @@
     }
   }
 
+  /**
+   * Whether the group has begun no pass for a while though requests run.
+   *
+   * Failure: a rank is dead, and the engines wait for it before they say so. Symptom: requests go on
+   * being sent into a group that answers none. Enough: passes that no longer begin show it at once.
+   */
+  get #isStalled(): boolean {
+    const report = this.#reports[this.#options.own];
+    const now = this.#options.runtime.now();
+    return (
+      report !== null &&
+      report !== undefined &&
+      report.active > 0 &&
+      now - this.#steppedAt > STALL_MS
+    );
+  }
+
   /** All ranks have answered, or those that haven't are late: works with what is there. */
   #endRound(): void {
     this.#awaited.clear();
@@ -251,7 +281,7 @@
     }
     publish({
       group,
-      open: fresh.every((report) => report?.open === true),
+      open: fresh.every((report) => report?.open === true) && !this.#isStalled,
       active: reports.map((report) => report?.active ?? 0),
       queued: reports.map((report) => report?.queued ?? 0),
       passMs: this.#passMs,
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -10,7 +10,7 @@
 import { DirectGroupMembers } from './DirectGroupMembers.js';
 import { DirectMapTerms } from './DirectMapTerms.js';
 import { DirectRank, type EnginePort } from './DirectRank.js';
-import { DirectRankPeers } from './DirectRankPeers.js';
+import { DirectRankPeers, type OpenEngine } from './DirectRankPeers.js';
 
 /** Settings of the process. */
 export interface DirectEndpointSettings {
@@ -58,6 +58,7 @@
 export async function runDirectEndpoint(
   cfg: DirectEndpointSettings,
   engine: EnginePort,
+  openEngine: OpenEngine,
   documents: DocumentDialect,
   runtime: Runtime,
   signal: AbortSignal,
@@ -72,7 +73,7 @@
   const { group, rank: own, ranks } = first;
   log.info({ event: 'rank', group, rank: own, ranks }, 'rank of a group');
   const members = new DirectGroupMembers();
-  const peers = new DirectRankPeers(own, rank, signal, runtime.random);
+  const peers = new DirectRankPeers(own, rank, signal, runtime, openEngine);
   const hubLink = new DaemonHubLink({
     targets: cfg.controls,
     record: {
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -287,6 +287,7 @@
         startedAt,
         objectiveMs: route.objectiveMs,
         deadline,
+        patienceMs: route.patienceMs,
         tokens: head.tokens?.answer ?? head.expectedTokens,
         returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
       },
@@ -305,7 +306,7 @@
 
   #refuse(req: IncomingMessage, res: ServerResponse, err: RequestError): void {
     const { id } = this.#state.dialect.readRequest(req.headers);
-    const retryAfter = err.status === 503 ? this.#state.retryAfter('') : null;
+    const retryAfter = err.status === 503 ? this.#state.retryAfter('', 0) : null;
     this.#runtime.log.info(
       { event: 'refuse', request: id, code: err.code, reason: err.message, path: req.url },
       'refused',
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -250,6 +250,12 @@
     return decision.endpoint;
   }
 
+  /** Whether an endpoint is left for another attempt. */
+  canRoute(service: string, exclude: readonly string[]): boolean {
+    const ranked = this.admission.choose(service, exclude);
+    return ranked === undefined || ranked !== null;
+  }
+
   onSent(service: string, id: string): void {
     this.admission.onSent(service, id);
     this.#routing = updateRouting(this.#routing, { type: 'sent', id }, this.now());
@@ -264,7 +270,11 @@
    * Takes what a failed attempt proves. Another instance at the address means that this one is gone:
    * the hub may still list it for as long as its heartbeats' lease runs.
    */
-  onAttemptFailed(endpoint: MemberRecord, { wrongInstance }: AttemptFailure): void {
+  onAttemptFailed(endpoint: MemberRecord, failed: AttemptFailure): void {
+    const { wrongInstance, faultyInstance } = failed;
+    if (faultyInstance !== null && faultyInstance !== endpoint.id) {
+      this.admission.onGroupBroken(endpoint.id);
+    }
     if (wrongInstance) {
       this.#gone.set(endpoint.id, this.now());
       this.#setView(this.#view);
@@ -299,9 +309,9 @@
   }
 
   /** When a caller that is refused should come back, ms. */
-  retryAfter(service: string): number {
-    const known = this.admission.retryAfter(service) ?? RETRY_AFTER_MS;
-    return known * (0.5 + this.#options.runtime.random());
+  retryAfter(service: string, leftMs: number): number {
+    const usual = RETRY_AFTER_MS * (0.5 + this.#options.runtime.random());
+    return this.admission.retryAfter(service, leftMs) ?? usual;
   }
 
   /** Headers of an endpoint's answer as they go to the caller. */
--- a/src/daemon/direct/DirectRankPeers.ts
+++ b/src/daemon/direct/DirectRankPeers.ts
@@ -1,11 +1,39 @@
 /** A coordinator's way to each rank of its group: over links, and directly to its own. */
 import { TransportLinkClient, type Address } from '../../transport/index.js';
-import type { DirectRank, RankAsk, RankOrderAsk, RankOrderReply, RankReply } from './DirectRank.js';
+import type { Runtime } from '../DaemonRuntime.js';
+import {
+  DirectRank,
+  type EnginePort,
+  type RankAsk,
+  type RankOrderAsk,
+  type RankOrderReply,
+  type RankReply,
+} from './DirectRank.js';
 
 /** An answer later than this is as good as none: a pass takes some 50 ms. In ms. */
 const ASK_MS = 400;
 
-/** Links to the ranks of a group; they end with the signal. */
+/** A process beside an engine that hasn't answered for this long is passed over, ms. */
+const PASSED_OVER_MS = 500;
+
+/** Opens the engine of a rank by the address of the process beside it. */
+export type OpenEngine = (beside: Address) => EnginePort;
+
+/** A rank's process, and its engine for when that doesn't answer. */
+interface RankLink {
+  readonly key: string;
+  readonly client: TransportLinkClient;
+  readonly engine: DirectRank;
+}
+
+/**
+ * Links to the ranks of a group; they end with the signal.
+ *
+ * Failure: the process beside an engine is frozen or dead while the group is held. Symptom: the group
+ * stands still until it is back, for nobody can tell whether its rank is armed. Enough: after half a
+ * second the engine itself is asked and ordered. What the passed over process may still hand on when it
+ * wakes is an order that is carried out late, which a change of map bears anyway.
+ */
 export class DirectRankPeers {
   readonly #own: number;
 
@@ -13,20 +41,29 @@
 
   readonly #signal: AbortSignal;
 
-  readonly #random: () => number;
+  readonly #runtime: Runtime;
 
-  readonly #links = new Map<
-    number,
-    { readonly key: string; readonly client: TransportLinkClient }
-  >();
+  readonly #openEngine: OpenEngine;
+
+  /** When each rank's process last answered. */
+  readonly #answeredAt = new Map<number, number>();
+
+  readonly #links = new Map<number, RankLink>();
 
   readonly #stops = new Map<number, AbortController>();
 
-  constructor(own: number, rank: DirectRank, signal: AbortSignal, random: () => number) {
+  constructor(
+    own: number,
+    rank: DirectRank,
+    signal: AbortSignal,
+    runtime: Runtime,
+    openEngine: OpenEngine,
+  ) {
     this.#own = own;
     this.#rank = rank;
     this.#signal = signal;
-    this.#random = random;
+    this.#runtime = runtime;
+    this.#openEngine = openEngine;
   }
 
   /** Follows the group's members: a link to each but the own rank. */
@@ -39,16 +76,30 @@
     });
   }
 
+  /** Begins to be asked again after a time without: silence until now tells nothing. */
+  begin(): void {
+    this.#answeredAt.forEach((_at, rank) => this.#answeredAt.set(rank, this.#runtime.now()));
+  }
+
   async ask(rank: number, ask: RankAsk): Promise<RankReply> {
-    return rank === this.#own
-      ? this.#rank.ask(ask)
-      : ((await this.#request(rank, 'rank.ask', ask)) as RankReply);
+    if (rank === this.#own) {
+      return this.#rank.ask(ask);
+    }
+    // Counts read from another host slow the group down: those of this rank are done without.
+    const direct = this.#passedOver(rank);
+    return direct === null
+      ? ((await this.#request(rank, 'rank.ask', ask)) as RankReply)
+      : direct.ask({ ...ask, withCounts: false });
   }
 
   async order(rank: number, ask: RankOrderAsk): Promise<RankOrderReply> {
-    return rank === this.#own
-      ? this.#rank.order(ask)
-      : ((await this.#request(rank, 'rank.order', ask)) as RankOrderReply);
+    if (rank === this.#own) {
+      return this.#rank.order(ask);
+    }
+    const direct = this.#passedOver(rank);
+    return direct === null
+      ? ((await this.#request(rank, 'rank.order', ask)) as RankOrderReply)
+      : direct.order(ask);
   }
 
   async #request(rank: number, method: string, params: unknown): Promise<unknown> {
@@ -56,7 +107,26 @@
     if (link === undefined) {
       throw new Error(`no process known for rank ${rank}`);
     }
-    return link.client.request(method, params, ASK_MS);
+    const answer = await link.client.request(method, params, ASK_MS);
+    this.#answeredAt.set(rank, this.#runtime.now());
+    return answer;
+  }
+
+  /** The engine of a rank whose process doesn't answer; null where that does. */
+  #passedOver(rank: number): DirectRank | null {
+    const link = this.#links.get(rank);
+    const answeredAt = this.#answeredAt.get(rank);
+    if (link === undefined || answeredAt === undefined) {
+      return null;
+    }
+    if (this.#runtime.now() - answeredAt < PASSED_OVER_MS) {
+      return null;
+    }
+    // Asked all the same, so that it is seen when it is back.
+    this.#request(rank, 'rank.ask', { token: 0, withCounts: false, withExperts: false }).catch(
+      () => undefined,
+    );
+    return link.engine;
   }
 
   #connect(rank: number, key: string, address: Address): void {
@@ -66,10 +136,13 @@
       targets: () => [{ name: key, address }],
       handlers: {},
       signal: AbortSignal.any([this.#signal, stop.signal]),
-      jitter: this.#random,
+      jitter: this.#runtime.random,
       onUp: async () => undefined,
     });
     this.#stops.set(rank, stop);
-    this.#links.set(rank, { key, client });
+    const engine = new DirectRank(this.#openEngine(address), this.#runtime.log);
+    this.#links.set(rank, { key, client, engine });
+    // A process that is gone from the start has this long to be heard.
+    this.#answeredAt.set(rank, this.#runtime.now());
   }
 }
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -27,6 +27,8 @@
   readonly objectiveMs: number;
   /** Longest pause between two events of a stream that is still on time, ms; null for no aim. */
   readonly pauseMs: number | null;
+  /** Callers of a stream leave when no event has come for this long, also before the first, ms. */
+  readonly patienceMs: number;
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
