--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -1,9 +1,10 @@
 /**
  * Requests of one model service that wait at an entry process for a place.
  *
- * Load pattern: a burst, or a group that is slow for seconds, brings more than can be served on time.
- * Those that can still be on time go first, the earliest useful deadline first; those that no longer
- * can are served late when places are left, for a late answer is worth about half and a refused one
+ * Load pattern: a burst, or a group that is slow or gone for seconds, brings more than can be served on
+ * time. Those that were refused and came back go first, for they have no further try; then those that
+ * can still be on time, the earliest useful deadline first; those that no longer can are served late
+ * when places are left, for a late answer is worth about half and a refused one
  * nothing. What can't be answered by its deadline any more is refused at once, with a time to come
  * back at which the queue will have drained.
  */
@@ -67,8 +68,16 @@
   return now + outlook.firstMs <= request.objectiveAt;
 }
 
-/** On time before late; among those on time the earliest deadline, among the late who came back. */
+/**
+ * Who came back before all others, then on time before late, the earliest deadline first.
+ *
+ * A caller that came back is late already, has no further try, and has little time left; a new one that
+ * gives way to it may still be answered late, or come back itself. Once no queue is left nobody gives way.
+ */
 function compare(a: WaitingRequest, b: WaitingRequest, outlook: QueueOutlook, now: number): number {
+  if (a.returned !== b.returned) {
+    return a.returned ? -1 : 1;
+  }
   const onTimeA = isOnTime(a, outlook, now);
   const onTimeB = isOnTime(b, outlook, now);
   if (onTimeA !== onTimeB) {
@@ -77,9 +86,7 @@
   if (a.priority !== b.priority) {
     return a.priority - b.priority;
   }
-  return onTimeA
-    ? a.objectiveAt - b.objectiveAt
-    : Number(b.returned) - Number(a.returned) || a.arrivedAt - b.arrivedAt;
+  return onTimeA ? a.objectiveAt - b.objectiveAt : a.arrivedAt - b.arrivedAt;
 }
 
 /**
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -60,6 +60,16 @@
     assert.deepEqual(pump(queue, { ...BUSY, free: 1 }, 10, 0.5).admitted, [2]);
   });
 
+  // A group was down for seconds, and its callers come back as it opens, among new ones. Sent behind
+  // the new ones they would miss their deadline, and have no further try.
+  it('lets those that came back go before all others', () => {
+    const queue = waitAll([
+      request(1, { objectiveAt: 900 }),
+      request(2, { returned: true, objectiveAt: 100, deadline: 5_000 }),
+    ]);
+    assert.deepEqual(pump(queue, { ...BUSY, free: 1 }, 200, 0.5).admitted, [2]);
+  });
+
   // Load pattern: a burst brings more than can be served by its deadline. What would wait in vain is
   // told at once, while its caller can still come back, and comes back once the queue has drained.
   it('refuses at once what it can not begin in time', () => {
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -160,6 +160,7 @@
 export {
   expectedLoad,
   initDemand,
+  restartDemand,
   takeCounts,
   type DemandState,
   type ExpertCounts,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -7,6 +7,7 @@
   mayCoordinate,
   gainWanted,
   planMap,
+  restartDemand,
   stepMapSwitch,
   takeCounts,
   type DemandState,
@@ -61,6 +62,9 @@
 /** How often unfinished orders are looked at, ms. */
 export const COORDINATOR_TICK_MS = 20;
 
+/** Time after a group has formed anew in which its map is planned from what was liked before, ms. */
+const ANEW_MS = 1_500;
+
 /** A change that took off less of the skew than this isn't worth its orders. */
 const LEAST_GAIN = 0.03;
 
@@ -88,6 +92,8 @@
 
   readonly #reportedAt: number[] = [];
 
+  #resetAt = -Infinity;
+
   #countsAt = 0;
 
   /** Ranks whose counts of this round are still to come. */
@@ -297,7 +303,7 @@
       return;
     }
     const begun = runtime.now();
-    const wanted = gainWanted(this.#passMs, limits.pauseMs, limits.policy.gainPerCopy);
+    const wanted = this.#wanted(limits);
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
     const planned = planMap(this.#map, weights, limits.shape, adjusted);
     this.#skew = planned.skewBefore;
@@ -323,6 +329,15 @@
     this.#input({ type: 'propose', map: planned.map });
   }
 
+  /**
+   * What a copy must gain now. A group that has just formed anew uses its first map, and the demand that
+   * was there before is still there: waiting for its passes to grow long again would lose a second.
+   */
+  #wanted({ pauseMs, policy }: MapTerms): number | null {
+    const isAnew = this.#options.runtime.now() - this.#resetAt < ANEW_MS;
+    return isAnew ? policy.gainPerCopy : gainWanted(this.#passMs, pauseMs, policy.gainPerCopy);
+  }
+
   #input(input: MapSwitchInput): void {
     const { state, outputs } = stepMapSwitch(this.#switch, input, this.#options.runtime.now());
     this.#switch = state;
@@ -361,7 +376,8 @@
         this.#map = null;
         this.#proposed = null;
         this.#experts.clear();
-        this.#demand = initDemand(this.#options.ranks);
+        this.#demand = restartDemand(this.#demand);
+        this.#resetAt = runtime.now();
         this.#counts = this.#counts.map(() => null);
         log.warn({ event: 'group_reset', group, epoch: output.epoch }, 'the group formed anew');
     }
