--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -90,7 +90,12 @@
 
   #reports: (RankReport | null)[];
 
-  readonly #reportedAt: number[] = [];
+  /** Newest report of any rank, of the newest epoch, and when it came. */
+  #newest: RankReport | null = null;
+
+  #newestAt = -Infinity;
+
+  #publishedOpen = false;
 
   #resetAt = -Infinity;
 
@@ -227,11 +232,23 @@
 
   #onReport(rank: number, report: RankReport): void {
     this.#reports[rank] = report;
-    this.#reportedAt[rank] = this.#options.runtime.now();
+    if (this.#newest === null || report.epoch >= this.#newest.epoch) {
+      this.#newest = report;
+      this.#newestAt = this.#options.runtime.now();
+    }
     if (rank === this.#options.own) {
       this.#observePass(report);
     }
     this.#input({ type: 'report', rank, report });
+    // Told at once: callers wait at the entry hosts, and lose their last try within a second or two.
+    if (this.#isOpen !== this.#publishedOpen) {
+      this.#publish();
+    }
+  }
+
+  /** Whether the group answers, by the newest report of any rank: all ranks tell of the whole group. */
+  get #isOpen(): boolean {
+    return this.#newest !== null && this.#newest.open && !this.#isStalled;
   }
 
   #observePass({ step, active }: RankReport): void {
@@ -280,14 +297,13 @@
   #publish(): void {
     const { group, publish } = this.#options;
     const reports = this.#reports;
-    const since = this.#options.runtime.now() - FRESH_REPORT_MS;
-    const fresh = reports.filter((_report, rank) => (this.#reportedAt[rank] ?? -Infinity) > since);
-    if (fresh.length === 0) {
+    if (this.#newest === null || this.#options.runtime.now() - this.#newestAt > FRESH_REPORT_MS) {
       return;
     }
+    this.#publishedOpen = this.#isOpen;
     publish({
       group,
-      open: fresh.every((report) => report?.open === true) && !this.#isStalled,
+      open: this.#publishedOpen,
       active: reports.map((report) => report?.active ?? 0),
       queued: reports.map((report) => report?.queued ?? 0),
       passMs: this.#passMs,
@@ -378,6 +394,8 @@
         this.#experts.clear();
         this.#demand = restartDemand(this.#demand);
         this.#resetAt = runtime.now();
+        this.#pass = null;
+        this.#passMs = null;
         this.#counts = this.#counts.map(() => null);
         log.warn({ event: 'group_reset', group, epoch: output.epoch }, 'the group formed anew');
     }
