--- /dev/null
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import type { EngineCosts, GroupLoad, MemberRecord } from '../../../../protocol/index.js';
+import type { Runtime } from '../../../DaemonRuntime.js';
+import { DirectAdmission, type PlaceRequest } from '../../DirectAdmission.js';
+
+const COSTS: EngineCosts = {
+  slots: 2,
+  stepsPerPass: 5,
+  stepMs: 6,
+  writerMs: 0.5,
+  contextMsPerK: 0,
+  readTokensPerMs: 60,
+  expertShare: 0.85,
+  sets: 1,
+  experts: 4,
+  slotsPerRank: 2,
+  mostNew: 1,
+  usualPrompt: 600,
+  usualAnswer: 100,
+};
+
+function engine(n: number): MemberRecord {
+  return {
+    id: `e${n}`,
+    role: 'endpoint',
+    zone: 'z1',
+    address: `10.0.0.${n}:80`,
+    incarnation: 1,
+    version: 1,
+    status: 'serving',
+    offer: { fleet: 'direct', service: 's', slots: 2 },
+  };
+}
+
+function beside(n: number): MemberRecord {
+  return {
+    ...engine(n),
+    id: `side${n}`,
+    address: `10.0.0.${n}:7340`,
+    offer: { fleet: 'ranks', service: 's', slots: 1, group: 'g', ranks: [n - 1] },
+  };
+}
+
+function load(active: number, open = true): GroupLoad {
+  return { group: 'g', open, active: [active, active], queued: [0, 0], passMs: 40, skew: 1 };
+}
+
+const REQUEST: PlaceRequest = {
+  request: 'r',
+  service: 's',
+  priority: 1,
+  startedAt: 0,
+  objectiveMs: 400,
+  deadline: 8_000,
+  patienceMs: 2_000,
+  tokens: 100,
+  returned: false,
+};
+
+function openAdmission(): DirectAdmission {
+  const runtime = { log: pino({ level: 'silent' }), now: () => 0, random: () => 0 };
+  const admission = new DirectAdmission('z1', runtime as unknown as Runtime, () => ({
+    costs: COSTS,
+    pauseMs: 120,
+  }));
+  admission.setMembers([engine(1), engine(2), beside(1), beside(2)], 1);
+  return admission;
+}
+
+const STAYS = new AbortController().signal;
+
+describe('DirectAdmission', () => {
+  it('finds the rank of an endpoint by the process beside it', () => {
+    const admission = openAdmission();
+    admission.onLoad(load(0));
+    assert.ok(['e1', 'e2'].includes(admission.choose('s', []) ?? ''));
+    assert.equal(admission.choose('s', ['e1']), 'e2');
+    assert.equal(admission.choose('plain', []), undefined);
+  });
+
+  // All ranks refuse because one is dead. Sent to one after the other, each request would burn the
+  // retries of its service, and all would be refused in the end.
+  it('leaves a group alone whose ranks blame another, until it is open again', async () => {
+    const admission = openAdmission();
+    admission.onLoad(load(0));
+    admission.onGroupBroken('e1');
+    assert.equal(admission.choose('s', []), null);
+    const refused = await admission.acquire(REQUEST, STAYS);
+    assert.equal(refused.granted, false);
+    admission.onLoad(load(0));
+    assert.notEqual(admission.choose('s', []), null);
+  });
+
+  // A caller came back while its group was down and waits. Once the group is open it must be let in at
+  // once, not at the next look at the queue.
+  it('lets those in that wait as soon as the group is open', async () => {
+    const admission = openAdmission();
+    admission.onLoad(load(0, false));
+    const waiting = admission.acquire({ ...REQUEST, returned: true }, STAYS);
+    assert.equal(admission.waiting, 1);
+    admission.onLoad(load(0));
+    assert.deepEqual(await waiting, { granted: true });
+  });
+
+  it('frees the place in the queue of a caller that is gone', async () => {
+    const admission = openAdmission();
+    admission.onLoad(load(0, false));
+    const gone = new AbortController();
+    const waiting = admission.acquire({ ...REQUEST, returned: true }, gone.signal);
+    gone.abort();
+    assert.equal((await waiting).granted, false);
+    assert.equal(admission.waiting, 0);
+  });
+});
--- a/src/state/__tests__/unit/StateDataFolder.test.ts
+++ b/src/state/__tests__/unit/StateDataFolder.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
-import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { mkdtemp, open, readFile, rm, writeFile } from 'node:fs/promises';
 import os from 'node:os';
 import path from 'node:path';
-import { afterEach, beforeEach, describe, it } from 'node:test';
+import { afterEach, beforeEach, describe, it, mock } from 'node:test';
 import { StateCorruptError, StateDataFolder } from '../../index.js';
 
 describe('StateDataFolder', () => {
@@ -86,3 +86,30 @@
     assert.deepEqual(await recover(), [{ n: 9 }, { n: 10 }]);
   });
 });
+
+describe('StateDataFolder on a disk that refuses writes', () => {
+  // A disk is full for some seconds: the write of a record reaches the file, its sync fails, and the
+  // replica appends the same record again once it can. At the next start the record must be there once;
+  // twice, or with a torn frame in between, the log would be read wrongly or not at all.
+  it('keeps a record once that was appended again after a failure', async () => {
+    const folder = await mkdtemp(path.join(os.tmpdir(), 'lg-full-'));
+    const data = await StateDataFolder.open(folder, 'c1');
+    await data.append(['first']);
+    const probe = await open(path.join(folder, 'journal.bin'), 'r');
+    const handles = Object.getPrototypeOf(probe) as { datasync: () => Promise<void> };
+    const refused = mock.method(handles, 'datasync', async () => {
+      throw Object.assign(new Error('no space left on device'), { code: 'ENOSPC' });
+    });
+    await assert.rejects(data.append(['second']), /no space/);
+    await assert.rejects(data.append(['second']), /no space/);
+    refused.mock.restore();
+    await data.append(['second']);
+    await data.append(['third']);
+    await probe.close();
+    await data.close();
+    const again = await StateDataFolder.open(folder, 'c1');
+    assert.deepEqual(again.recovered, ['first', 'second', 'third']);
+    await again.close();
+    await rm(folder, { recursive: true });
+  });
+});
