--- a/tools/UnitResults.ts
+++ b/tools/UnitResults.ts
@@ -24,7 +24,7 @@
 const RESULT = /^\s*(not )?ok \d+ - (.*?)(?: # .*)?$/;
 
 /** A suite that failed because of its tests says so in the block behind its line. */
-const BY_CONTENT = /failureType: 'subtestsFailed'/;
+const BY_CONTENT = "failureType: 'subtestsFailed'";
 
 /** Reads KNOWN-RED.txt; empty lines are left out. */
 export function parseKnownReds(text: string): readonly KnownRed[] {
@@ -51,7 +51,7 @@
       if (last !== null) {
         failed.add(last);
       }
-    } else if (last !== null && line.includes('failureType: \'subtestsFailed\'')) {
+    } else if (last !== null && line.includes(BY_CONTENT)) {
       failed.delete(last);
     }
   });
