Voters that are gone for good are dropped though no newcomer waits; nothing is served before a first proof

A silent voter was dropped only where a learner was ready, and there was none any more, so the dead one counted for good: quorum 3 of 4 with 3 alive.

An entry process handles nothing before its first proof of the newest configuration in this life.

--- a/src/coordination/Freshness.ts
+++ b/src/coordination/Freshness.ts
@@ -63,6 +63,18 @@
   return { ...state, open: { index: newest, askedAt } };
 }
 
+/**
+ * Tells whether the configuration held was the newest at some time in this life of the process.
+ *
+ * Failure: hosts return after an outage to control processes of which too few are left to know what was
+ * accepted last. Symptom: requests that need no key are handled by a configuration older than one that was
+ * acknowledged. Enough: before its first proof a process handles nothing; after it, its configuration
+ * never goes back.
+ */
+export function isProven({ provenAt }: FreshnessState): boolean {
+  return provenAt !== null;
+}
+
 /** Tells whether the lease holds now. */
 export function isFresh(state: FreshnessState, now: ClockReading, leaseMs: number): boolean {
   const { provenAt } = state;
--- /dev/null
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { nextVoterChange } from '../../index.js';
+import { ConsensusCluster } from '../utils/ConsensusCluster.js';
+
+const MEMBERS = { voters: ['a.1', 'b.1', 'c.1'], learners: [] };
+
+/** How often a leader looks after its voters, ms. */
+const TEND_MS = 100;
+
+/** Lets time pass; the leader takes hosts that aren't members in, and looks after its voters. */
+function run(cluster: ConsensusCluster, ms: number): void {
+  const until = cluster.now + ms;
+  while (cluster.now < until) {
+    const next = cluster.now + TEND_MS;
+    cluster.settle(() => cluster.now >= next);
+    const { leader } = cluster;
+    if (leader !== undefined) {
+      const { voters, learners } = leader.members;
+      const newcomer = cluster.ids.find((id) => !voters.includes(id) && !learners.includes(id));
+      const members =
+        newcomer === undefined
+          ? nextVoterChange(leader, cluster.now)?.members
+          : { voters, learners: [...learners, newcomer] };
+      if (members !== undefined) {
+        cluster.input(leader.id, { type: 'members', id: 'm', members });
+      }
+    }
+  }
+}
+
+function accept(cluster: ConsensusCluster, command: string): void {
+  cluster.settle(() => cluster.leader !== undefined);
+  cluster.input(cluster.leader?.id ?? '', { type: 'propose', id: command, command });
+  cluster.settle(() => [...cluster.committed.values()].some((text) => text.includes(command)));
+}
+
+/** All hosts lose power at once, and one of them its disk. */
+function wipeOneAndStopAll(cluster: ConsensusCluster, lost: string, successor: string): void {
+  cluster.dropAll();
+  cluster.remove(lost);
+  cluster.ids.forEach((id) => cluster.restart(id));
+  cluster.add(successor);
+}
+
+describe('nextVoterChange', () => {
+  // The operator gets no answer any more, and callers are refused for good. A host is replaced by an
+  // empty one, which is taken in at once, while the one that is gone still counts; seven seconds later
+  // another loses its disk as all lose power. Two of four voters are left, and no leader is elected.
+  it('accepts again after a host was replaced and another has lost its disk', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    accept(cluster, 'first');
+    const gone = cluster.leader?.id ?? '';
+    cluster.remove(gone);
+    cluster.add('d.1');
+    run(cluster, 7_000);
+    accept(cluster, 'second');
+    const lost = cluster.leader?.id ?? '';
+    wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
+    run(cluster, 4_000);
+    accept(cluster, 'third');
+    assert.equal(cluster.leader?.members.voters.length, 3);
+  });
+
+  // Hosts are replaced, lose their disks or are silent for a while, one after the other, with time
+  // between the losses for the next to be borne. Whatever was accepted stays, and more is accepted.
+  it('bears one loss after the other', () => {
+    const loss = fc.record({
+      kind: fc.constantFrom('replaced', 'wiped', 'restarted', 'wipedInTheDark'),
+      at: fc.nat(2),
+      afterMs: fc.integer({ min: 5_000, max: 9_000 }),
+    });
+    fc.assert(
+      fc.property(fc.array(loss, { minLength: 1, maxLength: 6 }), (losses) => {
+        const cluster = new ConsensusCluster(MEMBERS);
+        losses.forEach(({ kind, at, afterMs }, n) => {
+          accept(cluster, `command ${n}`);
+          const id = cluster.ids[at % cluster.ids.length] ?? '';
+          const handlers: Readonly<Record<string, () => void>> = {
+            replaced: () => {
+              cluster.remove(id);
+              cluster.add(`new${n}.1`);
+            },
+            wiped: () => {
+              cluster.remove(id);
+              cluster.add(`${id.split('.')[0] ?? ''}.${n + 2}`);
+            },
+            restarted: () => cluster.restart(id),
+            wipedInTheDark: () =>
+              wipeOneAndStopAll(cluster, id, `${id.split('.')[0] ?? ''}.${n + 2}`),
+          };
+          handlers[kind]?.();
+          run(cluster, afterMs);
+        });
+        accept(cluster, 'last');
+        losses.forEach((_loss, n) =>
+          assert.ok([...cluster.committed.values()].some((text) => text.includes(`command ${n}`))),
+        );
+      }),
+      { seed: 20_261_203, numRuns: 60 },
+    );
+  });
+
+  it('keeps three voters though one is silent, and drops one of four', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    accept(cluster, 'first');
+    const [silent = ''] = cluster.ids.filter((id) => id !== cluster.leader?.id);
+    cluster.remove(silent);
+    run(cluster, 8_000);
+    assert.equal(cluster.leader?.members.voters.length, 3);
+    cluster.add('d.1');
+    run(cluster, 1_000);
+    assert.deepEqual(
+      [...(cluster.leader?.members.voters ?? [])].sort(),
+      [...MEMBERS.voters.filter((id) => id !== silent), 'd.1'].sort(),
+    );
+  });
+});
--- /dev/null
+++ b/src/coordination/__tests__/utils/ConsensusCluster.ts
@@ -0,0 +1,154 @@
+/** Replicas of the log on a simulated network, for tests. */
+import assert from 'node:assert/strict';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import {
+  initConsensus,
+  stepConsensus,
+  type ConsensusEntry,
+  type ConsensusInput,
+  type ConsensusMembers,
+  type ConsensusMessage,
+  type ConsensusOutput,
+  type ConsensusRecovery,
+  type ConsensusState,
+} from '../../index.js';
+
+interface Packet {
+  readonly from: string;
+  readonly to: string;
+  readonly message: ConsensusMessage;
+}
+
+/** Replicas over a network that loses, doubles and reorders, with disks that keep what is synced. */
+export class ConsensusCluster {
+  now = 0;
+
+  packets: Packet[] = [];
+
+  readonly committed = new Map<number, string>();
+
+  readonly leaders = new Map<number, string>();
+
+  readonly #rng = xoroshiro128plus(7);
+
+  readonly #disks = new Map<string, ConsensusRecovery>();
+
+  readonly #states = new Map<string, ConsensusState>();
+
+  constructor(members: ConsensusMembers) {
+    [...members.voters, ...members.learners].forEach((id) => this.add(id, members));
+  }
+
+  /** Replicas that run. */
+  get ids(): readonly string[] {
+    return [...this.#states.keys()];
+  }
+
+  /** Starts a replica with an empty disk, or with one that names the members of a first start. */
+  add(id: string, members: ConsensusMembers = { voters: [], learners: [] }): void {
+    const snapshot = { index: 0, term: 0, members, image: [] };
+    this.#disks.set(id, { hard: { term: 0, vote: null }, snapshot, log: [] });
+    this.restart(id);
+  }
+
+  /** Ends a replica for good, disk included. */
+  remove(id: string): void {
+    this.#states.delete(id);
+    this.#disks.delete(id);
+  }
+
+  state(id: string): ConsensusState {
+    return this.#states.get(id) as ConsensusState;
+  }
+
+  get leader(): ConsensusState | undefined {
+    return this.ids.map((id) => this.state(id)).find(({ role }) => role === 'leader');
+  }
+
+  /** Starts a replica from its disk: all else it knew is gone. */
+  restart(id: string): void {
+    const recovery = this.#disks.get(id) as ConsensusRecovery;
+    this.#states.set(id, initConsensus(id, recovery, { now: this.now, rng: this.#rng }));
+  }
+
+  input(id: string, input: ConsensusInput): readonly ConsensusOutput[] {
+    const { state, outputs } = stepConsensus(this.state(id), input, {
+      now: this.now,
+      rng: this.#rng,
+    });
+    this.#states.set(id, state);
+    outputs.forEach((output) => this.#perform(id, output));
+    return outputs;
+  }
+
+  deliver(at: number): void {
+    const packet = this.packets[at % Math.max(1, this.packets.length)];
+    if (packet !== undefined) {
+      this.input(packet.to, { type: 'message', from: packet.from, message: packet.message });
+    }
+  }
+
+  /** Lets time pass at one replica. */
+  tick(id: string, ms: number): void {
+    this.now += ms;
+    this.input(id, { type: 'tick' });
+  }
+
+  drop(at: number): void {
+    this.packets = this.packets.filter((_packet, i) => i !== at % this.packets.length);
+  }
+
+  /** Loses all that is on its way. */
+  dropAll(): void {
+    this.packets = [];
+  }
+
+  /** Runs on without faults until a condition holds. */
+  settle(done: () => boolean): void {
+    for (let i = 0; i < 4_000 && !done(); i += 1) {
+      this.now += 10;
+      this.ids.forEach((id) => this.input(id, { type: 'tick' }));
+      const packets = this.packets.filter(({ to }) => this.#states.has(to));
+      this.packets = [];
+      packets.forEach(({ from, to, message }) =>
+        this.input(to, { type: 'message', from, message }),
+      );
+    }
+    assert.ok(done(), 'did not settle');
+  }
+
+  #perform(id: string, output: ConsensusOutput): void {
+    const disk = this.#disks.get(id) as ConsensusRecovery;
+    const handlers: Readonly<Partial<Record<ConsensusOutput['type'], (out: never) => void>>> = {
+      persistHard: ({ hard }: Extract<ConsensusOutput, { type: 'persistHard' }>) =>
+        this.#disks.set(id, { ...disk, hard }),
+      persistEntries: ({ from, entries }: Extract<ConsensusOutput, { type: 'persistEntries' }>) => {
+        const kept = disk.log.filter(({ index }) => index < from);
+        this.#disks.set(id, { ...disk, log: [...kept, ...entries] });
+      },
+      persistSnapshot: ({ snapshot }: Extract<ConsensusOutput, { type: 'persistSnapshot' }>) => {
+        const log = this.state(id).log.filter(({ index }) => index > snapshot.index);
+        this.#disks.set(id, { ...disk, snapshot, log });
+      },
+      send: ({ to, message }: Extract<ConsensusOutput, { type: 'send' }>) => {
+        this.packets.push({ from: id, to, message });
+      },
+      commit: ({ entries }: Extract<ConsensusOutput, { type: 'commit' }>) => this.#commit(entries),
+      role: ({ role, term }: Extract<ConsensusOutput, { type: 'role' }>) => {
+        if (role === 'leader') {
+          assert.equal(this.leaders.get(term) ?? id, id, `two leaders in term ${term}`);
+          this.leaders.set(term, id);
+        }
+      },
+    };
+    handlers[output.type]?.(output as never);
+  }
+
+  #commit(entries: readonly ConsensusEntry[]): void {
+    entries.forEach(({ index, term, payload }) => {
+      const text = JSON.stringify([term, payload]);
+      assert.equal(this.committed.get(index) ?? text, text, `two entries at index ${index}`);
+      this.committed.set(index, text);
+    });
+  }
+}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -33,6 +33,7 @@
   ConsensusState,
   ConsensusStep,
 } from './ConsensusTypes.js';
+export { nextVoterChange, replicaName, type VoterChange } from './ConsensusVoters.js';
 export {
   initGate,
   REMEMBER_MS,
@@ -145,6 +146,7 @@
   FRESHNESS_SHARE,
   holdConfig,
   isFresh,
+  isProven,
   proveFresh,
   UNPROVEN,
   type ClockReading,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,6 +1,7 @@
 /** A control process without its outward API: a replica of the log, and hub of its AZ's processes. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { replicaName } from '../coordination/index.js';
 import type { Manifest, SubmitReply } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
@@ -9,7 +10,6 @@
 import { DaemonControlPeers } from './DaemonControlPeers.js';
 import {
   DaemonControlService,
-  replicaName,
   type LeaseAsk,
   type LeaseReply,
   type ReplaceAsk,
@@ -24,6 +24,12 @@
 const HUB_TICK_MS = 500;
 const FORM_MS = 500;
 
+/**
+ * How often the leader looks whether a learner has caught up or a voter is gone, ms. Until a lost disk is
+ * made up for, the next one counts double; a look costs some microseconds.
+ */
+const TEND_MS = 100;
+
 /**
  * How long a read of the newest index may take: some hundred round trips between AZs. Longer ones mean
  * that the leader is gone, and whoever asks does better to ask elsewhere. In ms.
@@ -233,6 +239,8 @@
   });
   every(FORM_MS, signal, () => {
     quietly(peers.form());
+  });
+  every(TEND_MS, signal, () => {
     quietly(service.tendMembers());
   });
 }
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,6 +1,6 @@
 /** Links of a control process to the others, and the forming of a cluster over them. */
 import type { Logger } from 'pino';
-import type { ConsensusMessage } from '../coordination/index.js';
+import { replicaName, type ConsensusMessage } from '../coordination/index.js';
 import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
 import {
   TransportLinkClient,
@@ -9,7 +9,6 @@
   type LinkSwitch,
 } from '../transport/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
-import { replicaName } from './DaemonControlService.js';
 import type { DaemonHub } from './DaemonHub.js';
 import type { ControlTarget } from './DaemonSettings.js';
 
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -5,7 +5,9 @@
   initLeaseKeeper,
   isOutOfTouch,
   mayGrant,
+  nextVoterChange,
   renewLease,
+  replicaName,
   type LeaseKeeperState,
 } from '../coordination/index.js';
 import type { ConfigEntries, LeaseGrant, Manifest, SubmitReply } from '../protocol/index.js';
@@ -23,14 +25,6 @@
 /** Submissions that race are worked out anew this often before the caller is asked to resend. */
 const SUBMIT_TRIES = 4;
 
-/** A voter that the leader hasn't heard for this long may be replaced by a newcomer, ms. */
-const SILENT_VOTER_MS = 5_000;
-
-/** A replica's name: its id without the part that a new data folder changes. */
-export function replicaName(replica: string): string {
-  return replica.split('.')[0] ?? replica;
-}
-
 /** A question about a lease. `observe` only asks who holds it. */
 export interface LeaseAsk {
   readonly group: string;
@@ -66,6 +60,9 @@
 
   #keptInTerm = 0;
 
+  /** Whether a change of members is on its way. */
+  #tending = false;
+
   constructor(consensus: DaemonConsensus, log: Logger, now: () => number) {
     this.#consensus = consensus;
     this.#log = log;
@@ -204,50 +201,21 @@
     return result !== null;
   }
 
-  #isSilent(id: string): boolean {
-    const { state } = this.#consensus;
-    const heardAt = state.progress[id]?.heardAt;
-    return id !== state.id && heardAt !== undefined && this.#now() - heardAt > SILENT_VOTER_MS;
-  }
-
-  /**
-   * Promotes learners that have caught up, then drops the voters whose place they took.
-   *
-   * Failure: a replica loses its data folder. Symptom: as an empty voter it could vote twice in a
-   * term, or count as holding what it forgot. Enough: it returns under a new identity without a
-   * vote, gets one only with the whole log, and voters change one at a time. A voter that is silent
-   * gives way to a newcomer that is ready: else a host replaced for good would count in each quorum.
-   */
+  /** Makes learners voters, and drops voters that are gone; see {@link nextVoterChange}. */
   async tendMembers(): Promise<void> {
     const { state } = this.#consensus;
-    if (state.role !== 'leader') {
+    const change = state.role === 'leader' ? nextVoterChange(state, this.#now()) : null;
+    if (change === null || this.#tending) {
       return;
     }
-    const { voters, learners } = state.members;
-    const newest = voters.filter((id, i) =>
-      voters.slice(i + 1).every((other) => replicaName(other) !== replicaName(id)),
+    this.#tending = true;
+    const result = await this.#consensus.changeMembers(change.members);
+    this.#tending = false;
+    const { replica, reason } = change;
+    const { voters } = change.members;
+    this.#log.info(
+      { event: 'voters', replica, reason, voters, committed: result !== null },
+      'voters change',
     );
-    if (newest.length < voters.length) {
-      const dropped = voters.find((id) => !newest.includes(id));
-      const kept = voters.filter((id) => id !== dropped);
-      await this.#consensus.changeMembers({ voters: kept, learners });
-      this.#log.info({ event: 'voter', dropped }, 'voter dropped');
-      return;
-    }
-    const ready = learners.find((id) => (state.progress[id]?.match ?? 0) >= state.commit);
-    const silent = voters.find((id) => this.#isSilent(id));
-    if (ready !== undefined && silent !== undefined && voters.length > 1) {
-      const kept = voters.filter((id) => id !== silent);
-      await this.#consensus.changeMembers({ voters: kept, learners });
-      this.#log.info({ event: 'voter', dropped: silent, for: ready }, 'silent voter dropped');
-      return;
-    }
-    if (ready !== undefined && state.commit > 0) {
-      await this.#consensus.changeMembers({
-        voters: [...voters, ready],
-        learners: learners.filter((id) => id !== ready),
-      });
-      this.#log.info({ event: 'voter', promoted: ready }, 'learner promoted');
-    }
   }
 }
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -357,8 +357,8 @@
     req: IncomingMessage,
     key: string | null,
   ): { readonly route: Route; readonly customer: KeyedCustomer | null } {
-    const { routes, isFresh, mayDeny } = this.#state;
-    if (routes === null) {
+    const { routes, isFresh, isProven, mayDeny } = this.#state;
+    if (routes === null || !isProven) {
       throw new RequestError('not_ready', this.#state.readiness);
     }
     const route = findRoute(routes, req.headers.host ?? '', req.url ?? '/');
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -6,6 +6,7 @@
   holdConfig,
   initRouting,
   isFresh,
+  isProven,
   mergeDelta,
   proveFresh,
   pruneView,
@@ -138,6 +139,11 @@
     return isFresh(this.#freshness, this.#options.runtime.clocks(), leaseMs);
   }
 
+  /** Whether the configuration held here was proven to be the newest since this process began. */
+  get isProven(): boolean {
+    return isProven(this.#freshness);
+  }
+
   /** Whether a key or path that this process doesn't know is unknown to the newest configuration too. */
   get mayDeny(): boolean {
     return isFresh(this.#freshness, this.#options.runtime.clocks(), DENIAL_MS);
