--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -147,6 +147,7 @@
     const same =
       this.#membership.attached.has(record.id) &&
       known?.status === record.status &&
+      known.incarnation === record.incarnation &&
       known.address === record.address;
     this.#member(same ? { type: 'heard', ids: [record.id] } : { type: 'hello', record });
   }
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -73,10 +73,16 @@
 /** Where nothing tells when a place is free, callers come back after about this long. In ms. */
 const RETRY_AFTER_MS = 400;
 
+/** Key of one life of an endpoint: a later one under the same id has nothing in common with it. */
+function lifeOf({ id, incarnation }: MemberRecord): string {
+  return `${id}@${incarnation}`;
+}
+
 /** State of the process; each part is replaced whole. */
 export class DirectEntryState {
   readonly #options: DirectEntryOptions;
 
+  /** Connections and proofs of an end, by life of an endpoint. */
   readonly #pools = new Map<string, EndpointPool>();
 
   readonly #gone = new Map<string, number>();
@@ -287,7 +293,7 @@
       this.admission.onGroupBroken(endpoint.id);
     }
     if (wrongInstance) {
-      this.#gone.set(endpoint.id, this.now());
+      this.#gone.set(lifeOf(endpoint), this.now());
       this.#setView(this.#view);
     }
   }
@@ -338,13 +344,13 @@
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
-    const known = this.#pools.get(endpoint.id);
+    const known = this.#pools.get(lifeOf(endpoint));
     if (known !== undefined) {
       return known;
     }
     const connections = this.#connectionsTo(endpoint);
     const pool = openPool(`http://${endpoint.address}`, connections);
-    this.#pools.set(endpoint.id, pool);
+    this.#pools.set(lifeOf(endpoint), pool);
     return pool;
   }
 
@@ -357,7 +363,7 @@
 
   #setView(view: MembershipView): void {
     this.#view = view;
-    const serving = servingMembers(view).filter(({ id }) => !this.#gone.has(id));
+    const serving = servingMembers(view).filter((record) => !this.#gone.has(lifeOf(record)));
     this.#entryHosts = serving.filter(({ role }) => role === 'entry').length;
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
@@ -381,9 +387,10 @@
 
   /** Closes the connections to endpoints that are out of the view; what runs on them may end. */
   #closePools(view: MembershipView): void {
-    [...this.#pools].forEach(([id, pool]) => {
-      if (!view.has(id) || this.#gone.has(id)) {
-        this.#pools.delete(id);
+    const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
+    [...this.#pools].forEach(([life, pool]) => {
+      if (!lives.has(life) || this.#gone.has(life)) {
+        this.#pools.delete(life);
         pool.pool.close().catch(() => undefined);
       }
     });
