A request that a broken group refused waits for the group instead of trying its other ranks

Cause (log of an entry host): at 15.5 s the engines of a group that lost an AZ say that they haven't run what they were sent; each request then went to a second rank of the same group, which refused it too, and its caller was sent away for the last time.

--- a/src/coordination/DirectAttempts.ts
+++ b/src/coordination/DirectAttempts.ts
@@ -21,6 +21,8 @@
 export type DirectVerdict =
   /** Send it to another endpoint; a stream that has begun goes on after its last event. */
   | 'retry'
+  /** Wait for a place again: no endpoint of the service can take it now, and one soon may. */
+  | 'wait'
   /** Pass the endpoint's own failure on. */
   | 'pass'
   /** Refuse it: it has not run and never will. */
@@ -42,6 +44,8 @@
   /** Whether the caller has been sent a part of a stream, and whether that can go on elsewhere. */
   readonly begun: boolean;
   readonly canResume: boolean;
+  /** Whether all groups of the service are closed, as far as is known. */
+  readonly isClosed: boolean;
   /** Time left, ms. */
   readonly leftMs: number;
 }
@@ -63,6 +67,19 @@
   return sends < maxSends && (repeatable || failure === 'notRun');
 }
 
+/**
+ * Whether a request goes back to wait for a place.
+ *
+ * Failure: a rank of a group is lost, and all others say that they haven't run what they were sent.
+ * Symptom: the second try is spent on another rank of the same group, and the caller's last one on coming
+ * back while the group is still closed. Enough: the request waits for the group as long as its caller does,
+ * as if it had come while the group was closed.
+ */
+function mayWait(failure: DirectFailure, progress: DirectProgress): boolean {
+  const { isClosed, begun, mayHaveRun, sends, maxSends } = progress;
+  return failure === 'notRun' && isClosed && !begun && !mayHaveRun && sends < maxSends;
+}
+
 /**
  * Judges a failed attempt. `takeRetry` takes from the service's budget, and is asked only where a
  * retry would follow; an attempt that was never sent costs nothing of it.
@@ -73,6 +90,9 @@
   unsent: number,
   takeRetry: () => boolean,
 ): DirectVerdict {
+  if (mayWait(failure, progress)) {
+    return 'wait';
+  }
   if (mayRetry(failure, progress, unsent) && (failure === 'unsent' || takeRetry())) {
     return 'retry';
   }
--- a/src/coordination/__tests__/unit/DirectAttempts.test.ts
+++ b/src/coordination/__tests__/unit/DirectAttempts.test.ts
@@ -9,6 +9,7 @@
   mayHaveRun: false,
   begun: false,
   canResume: false,
+  isClosed: false,
   leftMs: 5_000,
 };
 
@@ -67,6 +68,18 @@
     assert.equal(asked, 1);
   });
 
+  // A rank of a group is lost; an engine refuses what it hasn't run. Another rank of the same group would
+  // refuse it as well: it waits for the group, and costs no retry until it is sent again.
+  it('lets wait what was not run while all groups are closed', () => {
+    const unasked = (): boolean => assert.fail('the budget was asked');
+    const closed = { ...FIRST, isClosed: true };
+    assert.equal(judgeFailure('notRun', closed, 0, unasked), 'wait');
+    assert.equal(judge('notRun', { isClosed: true, sends: 2 }), 'refuse');
+    assert.equal(judge('lost', { isClosed: true, mayHaveRun: true }), 'fail');
+    assert.equal(judge('notRun', { isClosed: true, mayHaveRun: true, sends: 2 }), 'fail');
+    assert.equal(judge('broken', { isClosed: true, begun: true }), 'cut');
+  });
+
   it('does not try without time left', () => {
     assert.equal(judge('notRun', { leftMs: 20 }), 'refuse');
   });
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -210,6 +210,12 @@
     });
   }
 
+  /** Whether the service has groups and none of them answers. */
+  isClosed(service: string): boolean {
+    const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
+    return groups.length > 0 && groups.every(({ load }) => load !== null && !load.open);
+  }
+
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
   choose(service: string, exclude: readonly string[]): string | null | undefined {
     const groups = this.#services.get(service)?.groups;
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -9,9 +9,13 @@
   type Route,
 } from '../../protocol/index.js';
 import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
+import type { PlaceRequest } from './DirectAdmission.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import { sendError, sendWhole } from './DirectAnswer.js';
 
+/** A request with less of its route's time than this was refused before and has come back. */
+const RETURNED_SHARE = 0.97;
+
 /** A request that was taken in. */
 export interface DirectSpec {
   readonly req: IncomingMessage;
@@ -26,6 +30,22 @@
   readonly deadline: number;
 }
 
+/** What a request asks of admission. */
+export function placeRequestOf(spec: DirectSpec): PlaceRequest {
+  const { head, route, service, customer, startedAt, deadline } = spec;
+  return {
+    request: head.id,
+    service,
+    priority: customer?.priority ?? route.priority,
+    startedAt,
+    objectiveMs: route.objectiveMs,
+    deadline,
+    patienceMs: route.patienceMs,
+    tokens: head.tokens?.answer ?? head.expectedTokens,
+    returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
+  };
+}
+
 /** How a request ended; written to the log and counted. */
 export type DirectOutcome =
   'whole' | 'passed' | 'refused' | 'failed' | 'cut' | 'timeout' | 'callerGone';
@@ -64,6 +84,9 @@
 
   #timer: NodeJS.Timeout | null = null;
 
+  /** Ends a wait for a place when the request is over. */
+  readonly #over = new AbortController();
+
   #finished: ((outcome: DirectOutcome) => void) | null = null;
 
   constructor(state: DirectEntryState, spec: DirectSpec) {
@@ -109,6 +132,40 @@
   #finish(outcome: DirectOutcome): void {
     this.#finished?.(outcome);
     this.#finished = null;
+    this.#over.abort();
+  }
+
+  /** Waits for a place again, and sends the request anew, or refuses it with the time to come back. */
+  async #waitAndSend(): Promise<void> {
+    const { service, head } = this.#spec;
+    const { admission } = this.#state;
+    this.#tried.length = 0;
+    const verdict = await admission.acquire(placeRequestOf(this.#spec), this.#over.signal);
+    if (this.#isOver) {
+      if (verdict.granted) {
+        admission.onUnused(service);
+      }
+      return;
+    }
+    const isAllowed = verdict.granted && this.#state.takeRetry(service);
+    this.#state.logWait(head.id, service, verdict, isAllowed);
+    if (isAllowed) {
+      this.#send();
+      return;
+    }
+    if (verdict.granted) {
+      admission.onUnused(service);
+    }
+    this.#refuse(verdict.granted ? null : verdict.retryAfterMs);
+  }
+
+  /** Refuses the request: it has not run. Without a time to come back the state's own is named. */
+  #refuse(retryAfterMs: number | null): void {
+    const { res, service, deadline } = this.#spec;
+    const error = new RequestError('no_endpoint', 'no endpoint could take the request');
+    const after = retryAfterMs ?? this.#state.retryAfter(service, deadline - this.#state.now());
+    sendError(res, error, after, this.#state.isLeaving);
+    this.#finish('refused');
   }
 
   #send(): void {
@@ -206,7 +263,7 @@
   }
 
   #progress(): DirectProgress {
-    const { route, deadline } = this.#spec;
+    const { route, service, deadline } = this.#spec;
     const isStream = route.kind === 'stream';
     return {
       repeatable: route.kind === 'idempotent' || (isStream && route.resumable),
@@ -215,6 +272,7 @@
       mayHaveRun: this.#mayHaveRun,
       begun: this.#begun,
       canResume: isStream && route.resumable && this.#lastEvent !== null,
+      isClosed: this.#state.admission.isClosed(service),
       leftMs: deadline - this.#state.now(),
     };
   }
@@ -245,21 +303,21 @@
   }
 
   #conclude(verdict: DirectVerdict, answer: WholeAnswer | null): void {
-    const { res, service, deadline } = this.#spec;
+    const { res } = this.#spec;
     const handlers: Readonly<Record<DirectVerdict, () => void>> = {
       retry: () => this.#send(),
+      wait: () => {
+        this.#waitAndSend().catch((err: unknown) => {
+          this.#state.logFault(this.#spec.head.id, err);
+          this.#refuse(null);
+        });
+      },
       pass: () => {
         if (answer !== null) {
           this.#onWhole(answer, 'passed');
         }
       },
-      refuse: () => {
-        const error = new RequestError('no_endpoint', 'no endpoint could take the request');
-        const leftMs = deadline - this.#state.now();
-        const retryAfter = this.#state.retryAfter(service, leftMs);
-        sendError(res, error, retryAfter, this.#state.isLeaving);
-        this.#finish('refused');
-      },
+      refuse: () => this.#refuse(null),
       fail: () => {
         const error = new RequestError(
           'outcome_unknown',
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -14,7 +14,8 @@
 import { aborted, createApp, every, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
 import { sendError } from './DirectAnswer.js';
-import { DirectCall, type DirectSpec } from './DirectCall.js';
+import type { PlaceVerdict } from './DirectAdmission.js';
+import { DirectCall, placeRequestOf, type DirectSpec } from './DirectCall.js';
 import { DirectEntryState, type CallTimes } from './DirectEntryState.js';
 import type { RetryAllowance } from '../../coordination/index.js';
 
@@ -44,9 +45,6 @@
 /** How often waiting requests are looked at, ms: short against the objective. */
 const QUEUE_TICK_MS = 25;
 
-/** A request with less of its route's time than this was refused before and has come back. */
-const RETURNED_SHARE = 0.97;
-
 /** How often the newest configuration is asked for: several times within the shortest lease. In ms. */
 const ASK_MS = 700;
 
@@ -286,25 +284,12 @@
   }
 
   /** Waits for a place at the service, as long as its caller does. */
-  async #acquire({ res, head, route, service, customer, startedAt, deadline }: DirectSpec) {
+  async #acquire(spec: DirectSpec): Promise<PlaceVerdict> {
     const gone = new AbortController();
     const onClose = (): void => gone.abort();
-    res.once('close', onClose);
-    const verdict = await this.#state.admission.acquire(
-      {
-        request: head.id,
-        service,
-        priority: customer?.priority ?? route.priority,
-        startedAt,
-        objectiveMs: route.objectiveMs,
-        deadline,
-        patienceMs: route.patienceMs,
-        tokens: head.tokens?.answer ?? head.expectedTokens,
-        returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
-      },
-      gone.signal,
-    );
-    res.off('close', onClose);
+    spec.res.once('close', onClose);
+    const verdict = await this.#state.admission.acquire(placeRequestOf(spec), gone.signal);
+    spec.res.off('close', onClose);
     return verdict;
   }
 
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -35,7 +35,12 @@
 import { openPool, type EndpointPool } from '../../transport/index.js';
 import { EntryMetrics } from '../DaemonEntryMetrics.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import { DirectAdmission, USUAL_PAUSE_MS, type ModelService } from './DirectAdmission.js';
+import {
+  DirectAdmission,
+  USUAL_PAUSE_MS,
+  type ModelService,
+  type PlaceVerdict,
+} from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
 import type { DirectOutcome, DirectSpec } from './DirectCall.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
@@ -311,6 +316,17 @@
     );
   }
 
+  /** A fault of this process met a request. */
+  logFault(request: string, err: unknown): void {
+    this.#options.runtime.log.error({ event: 'fault', request, err }, 'request failed here');
+  }
+
+  /** A request that an endpoint didn't run has waited for a place again. */
+  logWait(request: string, service: string, verdict: PlaceVerdict, retry: boolean): void {
+    const { granted } = verdict;
+    this.#options.runtime.log.info({ event: 'waited', request, service, granted, retry }, 'waited');
+  }
+
   countFirst(service: string): void {
     const { retries } = this.#options;
     const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
