A group that opens anew is planned for at once, also by a successor, and its places follow the skew of its map

Cause (log of the side hosts): the successor of a coordinator knew nothing of the demand and planned 0.45 s after the opening from its first counts; the second map, the first even one, was in use after 2.05 s. A load with ranks not heard yet counted them as idle, and short passes of a few writers offered all places under a skew of 3.7.

--- a/src/coordination/DemandEstimate.ts
+++ b/src/coordination/DemandEstimate.ts
@@ -124,3 +124,34 @@
   });
   return sums;
 }
+
+/** Expected load as other processes of a group keep it: by set, a byte an expert. */
+export type PackedDemand = readonly Uint8Array[];
+
+/** Largest packed share; the hottest expert of a set has it. */
+const PACKED_MAX = 255;
+
+/** Packs expected shares; one expert in 255 of the hottest is the finest difference kept. */
+export function packDemand(weights: readonly (readonly number[])[]): PackedDemand {
+  return weights.map((set) => {
+    const most = Math.max(...set, Number.MIN_VALUE);
+    return Uint8Array.from(set, (weight) => Math.round((weight / most) * PACKED_MAX));
+  });
+}
+
+/**
+ * Takes over what a predecessor expected, as one interval that weighs as little as any that counts.
+ *
+ * Failure: a coordinator is lost with its group, and its successor has seen no requests yet. Symptom: the
+ * group opens with its first map, whose largest rank has 3.7 times the mean, and 1.2 s go until an even one is
+ * in use. Enough: demand outlasts the group, so the successor plans from it at the opening; the first counts
+ * of its own outweigh it, or show that it has shifted.
+ */
+export function adoptDemand(state: DemandState, packed: PackedDemand): DemandState {
+  const sums = packed.map((set) => set.reduce((sum, share) => sum + share, 0));
+  const perSet = LEAST_TOTAL / Math.max(1, packed.length);
+  const counts = packed.map((set, s) =>
+    Array.from(set, (share) => (share / Math.max(1, sums[s] ?? 1)) * perSet),
+  );
+  return { ...state, intervals: [{ counts, total: LEAST_TOTAL }] };
+}
--- a/src/coordination/EngineModel.ts
+++ b/src/coordination/EngineModel.ts
@@ -38,6 +38,16 @@
   return Math.min(MOST_CORRECTION, Math.max(1, observedMs / passTime(costs, writers)));
 }
 
+/**
+ * Expected over declared time of a pass when one rank has so many times the mean of the experts' work: all
+ * ranks wait for it, set by set. Worked out for ranks full of writers, where it matters.
+ */
+export function skewCorrection(costs: EngineCosts, skew: number): number {
+  const writing = writerCost(costs) * costs.slots;
+  const waiting = writing * costs.expertShare * Math.max(0, skew - 1);
+  return 1 + waiting / (costs.stepMs + writing);
+}
+
 /** Writers on each rank that keep a pass under a time; may be a fraction, and below 0. */
 export function writersWithin(costs: EngineCosts, correction: number, ms: number): number {
   return (ms / (correction * costs.stepsPerPass) - costs.stepMs) / writerCost(costs);
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -7,7 +7,13 @@
  * new request where one of its own has ended; what others leave unused is shared out by the next report.
  */
 import type { EngineCosts, GroupLoad } from '../protocol/index.js';
-import { passCorrection, passTime, USUAL_CORRECTION, writersWithin } from './EngineModel.js';
+import {
+  passCorrection,
+  passTime,
+  skewCorrection,
+  USUAL_CORRECTION,
+  writersWithin,
+} from './EngineModel.js';
 
 /** One rank's endpoint. */
 export interface PlaceRank {
@@ -83,6 +89,19 @@
   };
 }
 
+/**
+ * What makes passes longer than declared.
+ *
+ * Failure: a group that has just opened has few writers, its passes are short, and its map is uneven.
+ * Symptom: all places are given at once, and half a second later a pass takes longer than the longest
+ * pause, so that all these streams are late. Enough: the skew of the map in use tells how long passes
+ * will be with all places taken.
+ */
+function loadCorrection({ costs }: PlaceRules, writers: number, load: GroupLoad): number {
+  const observed = passCorrection(costs, writers, load.passMs);
+  return Math.max(observed, skewCorrection(costs, load.skew));
+}
+
 /** Takes a group's load; `random` from 0 to 1 decides on the fraction of a place. */
 export function takeLoad(
   state: PlaceGroup,
@@ -95,7 +114,7 @@
   const ranks = Math.max(1, load.active.length);
   const running = sum(load.active) + sum(load.queued);
   const writers = sum(load.active) / ranks;
-  const correction = passCorrection(rules.costs, writers, load.passMs);
+  const correction = loadCorrection(rules, writers, load);
   const limit = load.open ? ranks * limitWriters(rules, correction) : 0;
   const ownRunning = sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
   const free = limit - running;
--- a/src/coordination/__tests__/unit/DemandEstimate.test.ts
+++ b/src/coordination/__tests__/unit/DemandEstimate.test.ts
@@ -1,6 +1,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { expectedLoad, initDemand, takeCounts, type DemandState } from '../../index.js';
+import {
+  adoptDemand,
+  expectedLoad,
+  initDemand,
+  packDemand,
+  takeCounts,
+  type DemandState,
+} from '../../index.js';
 
 const EXPERTS = 8;
 
@@ -57,4 +64,18 @@
     const next = takeCounts(before.state, [[add(before.counts, 1)], null]);
     assert.equal(next.intervals.length, before.state.intervals.length + 1);
   });
+
+  // A coordinator is lost with its group; its successor has seen no requests when the group opens. Without
+  // what the other expected it would leave the first map in use until counts are in, a second too late.
+  it('hands the demand on to a successor, whose own counts then outweigh it', () => {
+    const before = run(initDemand(2), ZERO, [1, 1, 1, 1]);
+    const packed = packDemand(expectedLoad(before.state) ?? []);
+    const adopted = adoptDemand(initDemand(2), packed);
+    const [expected = []] = expectedLoad(before.state) ?? [];
+    const [handed = []] = expectedLoad(adopted) ?? [];
+    const sum = expected.reduce((total, share) => total + share, 0);
+    handed.forEach((share, e) => assert.ok(Math.abs(share - (expected[e] ?? 0) / sum) < 0.01));
+    const [after = []] = expectedLoad(run(adopted, ZERO, [6, 6]).state) ?? [];
+    assert.equal(after.indexOf(Math.max(...after)), 6);
+  });
 });
--- a/src/coordination/__tests__/unit/Places.test.ts
+++ b/src/coordination/__tests__/unit/Places.test.ts
@@ -140,4 +140,16 @@
     assert.ok(Math.max(...own.values()) <= 4, `${Math.max(...own.values())}`);
     assert.ok(chosen.filter((endpoint) => endpoint === 'e0').length >= 35);
   });
+
+  // Load pattern: a group opens after an outage with its first map, and more callers wait than it has
+  // places. Its few writers make short passes; given all places at once, the fullest rank would make each
+  // pass longer than the longest pause, and every stream late.
+  it('offers fewer places while the map in use is uneven', () => {
+    const offered = (skew: number): number =>
+      takeLoad(START, { ...load(0, 25), skew }, NONE, RULES, 0, 0).limit;
+    assert.equal(offered(1), RANKS.length * COSTS.slots);
+    const uneven = offered(6);
+    assert.ok(uneven < RANKS.length * COSTS.slots);
+    assert.ok(uneven >= RANKS.length * 2);
+  });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -160,12 +160,15 @@
   type RetryBudgetState,
 } from './RetryBudget.js';
 export {
+  adoptDemand,
   expectedLoad,
   initDemand,
+  packDemand,
   restartDemand,
   takeCounts,
   type DemandState,
   type ExpertCounts,
+  type PackedDemand,
 } from './DemandEstimate.js';
 export { gainWanted, planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
 export { initMapSwitch, PREPARE_MS, stepMapSwitch } from './MapSwitch.js';
@@ -185,6 +188,7 @@
 export {
   passCorrection,
   passTime,
+  skewCorrection,
   USUAL_CORRECTION,
   writersWithin,
   writeTime,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -1,6 +1,7 @@
 /** Task that coordinates one group under its lease: reads the ranks, plans maps and switches them. */
 import { Counter, Gauge } from 'prom-client';
 import {
+  adoptDemand,
   expectedLoad,
   initDemand,
   initMapSwitch,
@@ -8,6 +9,7 @@
   gainWanted,
   mayCoordinate,
   NO_PASSES,
+  packDemand,
   planMap,
   restartDemand,
   restartPasses,
@@ -25,6 +27,7 @@
 import type { GroupLoad, GroupMap, RankCounts, RankReport } from '../../protocol/index.js';
 import type { DaemonCoordinator } from '../DaemonCoordinator.js';
 import type { Runtime } from '../DaemonRuntime.js';
+import type { GroupOutlook } from './DirectRank.js';
 import type { DirectRankPeers } from './DirectRankPeers.js';
 
 /** What limits a change of map. */
@@ -45,6 +48,10 @@
   readonly runtime: Runtime;
   /** Shape of maps and what a change must be worth; null until a configuration says. */
   readonly policy: () => MapTerms | null;
+  /** Ranks whose processes may coordinate the group. */
+  readonly isCandidate: (rank: number) => boolean;
+  /** What another coordinator expected after this process had that token. */
+  readonly outlookSince: (token: number) => GroupOutlook | null;
   /** Tells the entry processes of the group's load. */
   readonly publish: (load: GroupLoad) => void;
 }
@@ -64,6 +71,9 @@
 /** How often unfinished orders are looked at, ms. */
 export const COORDINATOR_TICK_MS = 20;
 
+/** Version of the map that a group has when it forms anew. */
+const FIRST_MAP = 0;
+
 /** Time after a group has formed anew in which its map is planned from what was liked before, ms. */
 const ANEW_MS = 1_500;
 
@@ -113,6 +123,16 @@
 
   #skew = 1;
 
+  /** Skew under a group's first map, which it has again each time it forms anew. */
+  #firstSkew = 1;
+
+  #lastToken = 0;
+
+  #plannedAt = -Infinity;
+
+  /** Sent to the other candidates with the next round of counts; null where nothing was seen yet. */
+  #outlook: GroupOutlook | null = null;
+
   constructor(options: DirectCoordinatorOptions) {
     this.#options = options;
     const { ranks, own, runtime } = options;
@@ -174,6 +194,7 @@
     const holds = mayCoordinate(view, runtime.now());
     const token = view.held?.token ?? 0;
     if (holds && this.#switch.token !== token) {
+      this.#adopt(token);
       this.#map = null;
       this.#options.peers.begin();
       this.#input({ type: 'gained', token });
@@ -183,12 +204,25 @@
     }
   }
 
+  /** Takes over what another coordinator has seen since this process last was one. */
+  #adopt(token: number): void {
+    const outlook = this.#options.outlookSince(this.#lastToken);
+    this.#lastToken = token;
+    if (outlook !== null) {
+      this.#demand = adoptDemand(this.#demand, outlook.demand);
+      this.#firstSkew = outlook.firstSkew;
+    }
+  }
+
   #ask(rank: number, withCounts: boolean, now: number): void {
+    const { isCandidate, own, peers } = this.#options;
     const { token } = this.#switch;
     const withExperts = this.#map === null;
+    const tells = withCounts && rank !== own && isCandidate(rank);
+    const outlook = tells ? this.#outlook : null;
     this.#askedAt[rank] = now;
-    this.#options.peers
-      .ask(rank, { token, withCounts, withExperts })
+    peers
+      .ask(rank, { token, withCounts, withExperts, outlook })
       .then((reply) => {
         if (reply.fenced || token !== this.#switch.token) {
           return;
@@ -238,6 +272,7 @@
       this.#passes = watchPass(this.#passes, report, this.#options.runtime.now());
     }
     this.#input({ type: 'report', rank, report });
+    this.#planAnew();
     // Told at once: callers wait at the entry hosts, and lose their last try within a second or two.
     if (this.#isOpen !== this.#publishedOpen) {
       this.#publish();
@@ -249,6 +284,10 @@
     return this.#newest !== null && this.#newest.open && !this.#isStalled;
   }
 
+  get #usesFirstMap(): boolean {
+    return this.#newest?.mapVersion === FIRST_MAP;
+  }
+
   get #isStalled(): boolean {
     return isStalled(this.#passes, this.#options.runtime.now());
   }
@@ -264,7 +303,8 @@
 
   #publish(): void {
     const { group, publish } = this.#options;
-    const reports = this.#reports;
+    const active = this.#known(({ active: writers }) => writers);
+    const queued = this.#known(({ queued: waiting }) => waiting);
     if (this.#newest === null || this.#options.runtime.now() - this.#newestAt > FRESH_REPORT_MS) {
       return;
     }
@@ -272,13 +312,32 @@
     publish({
       group,
       open: this.#publishedOpen,
-      active: reports.map((report) => report?.active ?? 0),
-      queued: reports.map((report) => report?.queued ?? 0),
+      active,
+      queued,
       passMs: this.#passes.passMs,
       skew: this.#skew,
     });
   }
 
+  /** A group that has formed anew gets its first plan as soon as its map is known, before any counts. */
+  #planAnew(): void {
+    if (this.#switch.phase === 'idle' && this.#map !== null && this.#plannedAt < this.#resetAt) {
+      this.#plan();
+    }
+  }
+
+  /**
+   * A figure of each rank's report, the mean of the others where there is none.
+   *
+   * Failure: a new coordinator has heard a few ranks yet. Symptom: with nothing for the others, the group
+   * looks empty, and many times its places are given. Enough: ranks of a group run alike.
+   */
+  #known(figureOf: (report: RankReport) => number): readonly number[] {
+    const figures = this.#reports.flatMap((report) => (report === null ? [] : [figureOf(report)]));
+    const mean = figures.reduce((sum, figure) => sum + figure, 0) / Math.max(1, figures.length);
+    return this.#reports.map((report) => (report === null ? mean : figureOf(report)));
+  }
+
   #plan(): void {
     const { policy, runtime } = this.#options;
     const limits = policy();
@@ -287,10 +346,14 @@
       return;
     }
     const begun = runtime.now();
+    const isFirst = this.#plannedAt < this.#resetAt && this.#usesFirstMap;
+    this.#plannedAt = begun;
     const wanted = this.#wanted(limits);
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
     const planned = planMap(this.#map, weights, limits.shape, adjusted);
     this.#skew = planned.skewBefore;
+    this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
+    this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
     const gain = planned.skewBefore - planned.skewAfter;
     if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
       return;
@@ -366,6 +429,7 @@
         this.#forgetMap();
         this.#demand = restartDemand(this.#demand);
         this.#resetAt = runtime.now();
+        this.#skew = this.#usesFirstMap ? this.#firstSkew : this.#skew;
         this.#passes = restartPasses(this.#passes);
         this.#counts = this.#counts.map(() => null);
         log.warn({ event: 'group_reset', group, epoch: output.epoch }, 'the group formed anew');
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -94,7 +94,8 @@
     onConfig: () => undefined,
     onDirectory: (delta) => members.take(delta),
   });
-  if (own % Math.ceil(ranks / CANDIDATES) !== 0) {
+  const isCandidate = (n: number): boolean => n % Math.ceil(ranks / CANDIDATES) === 0;
+  if (!isCandidate(own)) {
     return;
   }
   const lease = new DaemonCoordinator({
@@ -114,6 +115,8 @@
     peers,
     runtime,
     policy: () => limits.value,
+    isCandidate,
+    outlookSince: (token) => rank.outlookSince(token),
     publish: (load) => hubLink.notify('group.load', load),
   });
   every(LEASE_TICK_MS, signal, () => {
--- a/src/daemon/direct/DirectRank.ts
+++ b/src/daemon/direct/DirectRank.ts
@@ -1,5 +1,6 @@
 /** What an endpoint process does for the rank on its own host: reports, counts and fenced orders. */
 import type { Logger } from 'pino';
+import type { PackedDemand } from '../../coordination/index.js';
 import type { EngineOrder, OrderResult, RankCounts, RankReport } from '../../protocol/index.js';
 import type { LinkHandlers } from '../../transport/index.js';
 
@@ -17,6 +18,15 @@
   readonly token: number;
   readonly withCounts: boolean;
   readonly withExperts: boolean;
+  /** What the coordinator expects, for whoever may succeed it; null where nothing is new. */
+  readonly outlook: GroupOutlook | null;
+}
+
+/** What a coordinator of a group leaves to its successor. */
+export interface GroupOutlook {
+  readonly demand: PackedDemand;
+  /** Largest over mean load under a group's first map. */
+  readonly firstSkew: number;
 }
 
 /** Answer to a {@link RankAsk}; `fenced` where a newer coordinator has been heard. */
@@ -55,6 +65,9 @@
 
   #highest = 0;
 
+  /** What the last coordinator expected, with its token. */
+  #outlook: { readonly token: number; readonly outlook: GroupOutlook } | null = null;
+
   constructor(engine: EnginePort, log: Logger) {
     this.#engine = engine;
     this.#log = log;
@@ -67,10 +80,18 @@
     };
   }
 
-  async ask({ token, withCounts, withExperts }: RankAsk): Promise<RankReply> {
+  /** What a coordinator with a higher token than this one expected; null where none was heard. */
+  outlookSince(token: number): GroupOutlook | null {
+    return this.#outlook !== null && this.#outlook.token > token ? this.#outlook.outlook : null;
+  }
+
+  async ask({ token, withCounts, withExperts, outlook }: RankAsk): Promise<RankReply> {
     if (this.#isFenced(token)) {
       return { fenced: true };
     }
+    if (outlook !== null) {
+      this.#outlook = { token, outlook };
+    }
     const report = await this.#engine.report();
     const counts = withCounts ? await this.#engine.counts() : null;
     const experts = withExperts ? await this.#engine.experts() : null;
--- a/src/daemon/direct/DirectRankPeers.ts
+++ b/src/daemon/direct/DirectRankPeers.ts
@@ -127,9 +127,12 @@
       return null;
     }
     // Asked all the same, so that it is seen when it is back.
-    this.#request(rank, 'rank.ask', { token: 0, withCounts: false, withExperts: false }).catch(
-      () => undefined,
-    );
+    this.#request(rank, 'rank.ask', {
+      token: 0,
+      withCounts: false,
+      withExperts: false,
+      outlook: null,
+    }).catch(() => undefined);
     return link.engine;
   }
 
