A rank's word that its group is broken counts though no load comes any more

Cause (log of an entry host): the coordinator was lost with its AZ, so that the last load grew old after 1.5 s; a group without a load passed for open, and a rank's word closed only groups with a load. From 15.5 to 17.3 s each request went to ranks that refused it.

--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -29,6 +29,8 @@
   readonly load: GroupLoad | null;
   /** When the load came, ms. */
   readonly loadAt: number;
+  /** When a rank said that the group is broken, ms; null where a load since then says otherwise. */
+  readonly brokenAt: number | null;
   /** Requests that this process runs at each endpoint when the load came. */
   readonly ownAtLoad: ReadonlyMap<string, number>;
   /** Requests that this process may run at the group until the next load. */
@@ -82,6 +84,7 @@
     ranks,
     load: null,
     loadAt: -Infinity,
+    brokenAt: null,
     ownAtLoad: new Map(),
     allowance: Math.ceil(limit / Math.max(1, rules.entryHosts)),
     limit,
@@ -124,6 +127,7 @@
     ...state,
     load,
     loadAt: now,
+    brokenAt: load.open ? null : state.brokenAt,
     ownAtLoad: new Map(own),
     allowance: Math.floor(kept + part + random),
     limit,
@@ -131,11 +135,31 @@
   };
 }
 
-/** The group's state once its load is too old to count. */
+/**
+ * Takes what a refusal proves: the whole group is broken.
+ *
+ * Failure: the group's coordinator is lost together with one of its ranks, so that no load tells of it.
+ * Symptom: what is known of the group grows old, it passes for open, and each request and its second try
+ * go to ranks that refuse them. Enough: a rank's word counts as long as a load would.
+ */
+export function breakPlaces(state: PlaceGroup, now: number): PlaceGroup {
+  return { ...state, brokenAt: now, allowance: 0, limit: 0 };
+}
+
+/** Whether the group answers, as far as is known. */
+export function isOpenGroup({ load, brokenAt }: PlaceGroup): boolean {
+  return brokenAt === null && (load === null || load.open);
+}
+
+/** The group's state once its load, or a rank's word that it is broken, is too old to count. */
 export function agePlaces(state: PlaceGroup, rules: PlaceRules, now: number): PlaceGroup {
-  return state.load !== null && now - state.loadAt > LOAD_VALID_MS
-    ? initPlaces(state.group, state.ranks, rules)
-    : state;
+  const { load, loadAt, brokenAt } = state;
+  if (brokenAt !== null && now - brokenAt <= LOAD_VALID_MS) {
+    return state;
+  }
+  const isOld = load !== null && now - loadAt > LOAD_VALID_MS;
+  const isOver = brokenAt !== null && load === null;
+  return isOld || isOver ? initPlaces(state.group, state.ranks, rules) : state;
 }
 
 /** Requests that this process runs at a group. */
@@ -190,7 +214,7 @@
   exclude: readonly string[],
 ): readonly Candidate[] {
   const usable = groups
-    .filter(({ load }) => load === null || load.open)
+    .filter(isOpenGroup)
     .filter(({ ranks }) => ranks.some(({ endpoint }) => !exclude.includes(endpoint)));
   const withPlaces = usable.filter((state) => freeAt(state, own) > 0);
   return (withPlaces.length > 0 ? withPlaces : usable).flatMap((state) =>
--- a/src/coordination/__tests__/unit/Places.test.ts
+++ b/src/coordination/__tests__/unit/Places.test.ts
@@ -5,9 +5,11 @@
 import type { EngineCosts, GroupLoad } from '../../../protocol/index.js';
 import {
   agePlaces,
+  breakPlaces,
   chooseRank,
   freeAt,
   initPlaces,
+  isOpenGroup,
   LOAD_VALID_MS,
   passTime,
   takeLoad,
@@ -152,4 +154,16 @@
     assert.ok(uneven < RANKS.length * COSTS.slots);
     assert.ok(uneven >= RANKS.length * 2);
   });
+
+  // A group's coordinator is lost together with one of its ranks. No load comes any more, and a rank says
+  // that the group is broken. Requests must not be sent there once the last load has grown old.
+  it('keeps a broken group closed though its load grows old, for a while', () => {
+    const open = takeLoad(START, load(2, 45), NONE, RULES, 0, 0);
+    const broken = breakPlaces(open, 1_400);
+    const aged = (now: number): boolean => isOpenGroup(agePlaces(broken, RULES, now));
+    assert.deepEqual([1_400, 1_600, 2_800, 3_000].map(aged), [false, false, false, true]);
+    assert.equal(isOpenGroup(agePlaces(breakPlaces(START, 0), RULES, 1_000)), false);
+    assert.equal(isOpenGroup(agePlaces(breakPlaces(START, 0), RULES, 1_600)), true);
+    assert.equal(isOpenGroup(takeLoad(broken, load(0, null), NONE, RULES, 1_500, 0)), true);
+  });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -195,9 +195,11 @@
 } from './EngineModel.js';
 export {
   agePlaces,
+  breakPlaces,
   chooseRank,
   freeAt,
   initPlaces,
+  isOpenGroup,
   LOAD_VALID_MS,
   ownAt,
   takeLoad,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -2,10 +2,12 @@
 import type { Logger } from 'pino';
 import {
   agePlaces,
+  breakPlaces,
   chooseRank,
   enqueue,
   freeAt,
   initPlaces,
+  isOpenGroup,
   ownAt,
   pump,
   returnAfter,
@@ -155,7 +157,7 @@
   #logLoad(service: string, state: PlaceGroup): void {
     const { group, load, allowance, limit, passMs } = state;
     const now = this.#runtime.now();
-    const open = load?.open ?? false;
+    const open = load !== null && isOpenGroup(state);
     const waiting = this.#services.get(service)?.queue.length ?? 0;
     const logged = this.#logged.get(group);
     if (waiting === 0 && logged?.open === open && now - logged.at < QUIET_LOG_MS) {
@@ -213,7 +215,7 @@
   /** Whether the service has groups and none of them answers. */
   isClosed(service: string): boolean {
     const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    return groups.length > 0 && groups.every(({ load }) => load !== null && !load.open);
+    return groups.length > 0 && !groups.some(isOpenGroup);
   }
 
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
@@ -279,11 +281,10 @@
   onGroupBroken(endpoint: string): void {
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
-        if (group.load !== null && group.ranks.some((rank) => rank.endpoint === endpoint)) {
-          const load = { ...group.load, open: false };
-          const closed = { ...group, load, allowance: 0 };
-          this.#replaceGroup(service, closed);
-          this.#logLoad(service, closed);
+        if (group.ranks.some((rank) => rank.endpoint === endpoint)) {
+          const broken = breakPlaces(group, this.#runtime.now());
+          this.#replaceGroup(service, broken);
+          this.#logLoad(service, broken);
         }
       });
     });
@@ -335,7 +336,7 @@
     const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
     const { costs } = model;
     const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
-    const open = groups.some(({ load }) => load === null || load.open);
+    const open = groups.some(isOpenGroup);
     return {
       free: Math.max(0, free),
       ratePerMs: open ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
