--- a/src/coordination/DirectAttempts.ts
+++ b/src/coordination/DirectAttempts.ts
@@ -70,14 +70,15 @@
 /**
  * Whether a request goes back to wait for a place.
  *
- * Failure: a rank of a group is lost, and all others say that they haven't run what they were sent.
+ * Failure: a rank of a group is lost, and all others refuse or drop what they were sent.
  * Symptom: the second try is spent on another rank of the same group, and the caller's last one on coming
  * back while the group is still closed. Enough: the request waits for the group as long as its caller does,
  * as if it had come while the group was closed.
  */
 function mayWait(failure: DirectFailure, progress: DirectProgress): boolean {
-  const { isClosed, begun, mayHaveRun, sends, maxSends } = progress;
-  return failure === 'notRun' && isClosed && !begun && !mayHaveRun && sends < maxSends;
+  const { isClosed, begun, mayHaveRun, repeatable, sends, maxSends } = progress;
+  const mayRunAgain = repeatable || (failure === 'notRun' && !mayHaveRun);
+  return isClosed && !begun && mayRunAgain && failure !== 'failed' && sends < maxSends;
 }
 
 /**
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -151,6 +151,32 @@
   return brokenAt === null && (load === null || load.open);
 }
 
+/** What this process sees of its own streams at a group. */
+export interface OwnStreams {
+  /** Streams whose first event has come and whose last hasn't. */
+  readonly writing: number;
+  /** When an event of any of them came last, ms. */
+  readonly eventAt: number;
+}
+
+/** Passes without an event of any own stream after which a group with writers stands still. */
+const SILENT_PASSES = 4;
+
+/** The least time for that, ms: events come in bunches when a host is busy, and prompts lengthen a pass. */
+const SILENT_MS = 300;
+
+/**
+ * Whether a group stands still: each pass brings an event of each stream, and none has come for several.
+ *
+ * Failure: a rank is out of reach, and the others wait for it before they say so, 1.5 s. Symptom: what is
+ * sent meanwhile may have run when it comes back broken, so that nobody may tell its caller to return, and
+ * it is lost. Enough: what comes after 0.3 s of silence waits here instead, and hasn't run.
+ */
+export function isStandingStill(state: PlaceGroup, own: OwnStreams, now: number): boolean {
+  const silence = Math.max(SILENT_MS, SILENT_PASSES * state.passMs);
+  return own.writing > 0 && now - own.eventAt > silence;
+}
+
 /** The group's state once its load, or a rank's word that it is broken, is too old to count. */
 export function agePlaces(state: PlaceGroup, rules: PlaceRules, now: number): PlaceGroup {
   const { load, loadAt, brokenAt } = state;
--- a/src/coordination/__tests__/unit/DirectAttempts.test.ts
+++ b/src/coordination/__tests__/unit/DirectAttempts.test.ts
@@ -78,6 +78,10 @@
     assert.equal(judge('lost', { isClosed: true, mayHaveRun: true }), 'fail');
     assert.equal(judge('notRun', { isClosed: true, mayHaveRun: true, sends: 2 }), 'fail');
     assert.equal(judge('broken', { isClosed: true, begun: true }), 'cut');
+    const repeatable = { isClosed: true, mayHaveRun: true, repeatable: true };
+    assert.equal(judge('lost', repeatable), 'wait');
+    assert.equal(judge('lost', { ...repeatable, sends: 2 }), 'fail');
+    assert.equal(judge('failed', repeatable), 'retry');
   });
 
   it('does not try without time left', () => {
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -8,11 +8,13 @@
   freeAt,
   initPlaces,
   isOpenGroup,
+  isStandingStill,
   ownAt,
   pump,
   returnAfter,
   takeLoad,
   writeTime,
+  type OwnStreams,
   type PlaceGroup,
   type PlaceRank,
   type PlaceRules,
@@ -93,6 +95,9 @@
   /** Requests of this process in progress, by endpoint. */
   readonly #own = new Map<string, number>();
 
+  /** Streams of this process that are being written, by endpoint, and when an event of one came. */
+  readonly #streams = new Map<string, OwnStreams>();
+
   /** Granted places whose request isn't sent yet, by service. */
   readonly #granted = new Map<string, number>();
 
@@ -215,7 +220,33 @@
   /** Whether the service has groups and none of them answers. */
   isClosed(service: string): boolean {
     const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    return groups.length > 0 && !groups.some(isOpenGroup);
+    return groups.length > 0 && !groups.some((group) => this.#answers(group));
+  }
+
+  /** Whether a group answers: by what is told of it, and by the own streams there. */
+  #answers(group: PlaceGroup): boolean {
+    const streams = group.ranks.flatMap(({ endpoint }) => this.#streams.get(endpoint) ?? []);
+    const own: OwnStreams = {
+      writing: streams.reduce((sum, { writing }) => sum + writing, 0),
+      eventAt: Math.max(-Infinity, ...streams.map(({ eventAt }) => eventAt)),
+    };
+    return isOpenGroup(group) && !isStandingStill(group, own, this.#runtime.now());
+  }
+
+  /** An event of a stream has come; `begins` where it is the first. */
+  onEvent(endpoint: string, begins: boolean): void {
+    const writing = (this.#streams.get(endpoint)?.writing ?? 0) + Number(begins);
+    this.#streams.set(endpoint, { writing, eventAt: this.#runtime.now() });
+  }
+
+  /** A stream that had begun is over. */
+  onStreamOver(endpoint: string): void {
+    const known = this.#streams.get(endpoint);
+    if (known !== undefined && known.writing > 1) {
+      this.#streams.set(endpoint, { ...known, writing: known.writing - 1 });
+    } else {
+      this.#streams.delete(endpoint);
+    }
   }
 
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
@@ -225,7 +256,8 @@
       return undefined;
     }
     const { random } = this.#runtime;
-    return chooseRank([...groups.values()], this.#own, this.#zone, exclude, random);
+    const open = [...groups.values()].filter((group) => this.#answers(group));
+    return chooseRank(open, this.#own, this.#zone, exclude, random);
   }
 
   onSent(service: string, endpoint: string): void {
@@ -327,8 +359,9 @@
       return null;
     }
     const groups = [...state.groups.values()];
+    const answering = groups.filter((group) => this.#answers(group));
     const granted = this.#granted.get(service) ?? 0;
-    const free = groups.reduce((total, group) => total + freeAt(group, this.#own), 0) - granted;
+    const free = answering.reduce((sum, group) => sum + freeAt(group, this.#own), 0) - granted;
     const places = groups.reduce(
       (total, group) => total + Math.max(group.allowance, ownAt(group, this.#own)),
       0,
@@ -336,10 +369,9 @@
     const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
     const { costs } = model;
     const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
-    const open = groups.some(isOpenGroup);
     return {
       free: Math.max(0, free),
-      ratePerMs: open ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
+      ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
     };
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -54,6 +54,8 @@
 interface Sent {
   readonly endpoint: MemberRecord;
   readonly attempt: DirectAttempt;
+  /** Whether an event of it has come. */
+  readonly writes: boolean;
 }
 
 /** Runs one request to its end. */
@@ -156,7 +158,11 @@
     if (verdict.granted) {
       admission.onUnused(service);
     }
-    this.#refuse(verdict.granted ? null : verdict.retryAfterMs);
+    if (this.#mayHaveRun) {
+      this.#conclude('fail', null);
+    } else {
+      this.#refuse(verdict.granted ? null : verdict.retryAfterMs);
+    }
   }
 
   /** Refuses the request: it has not run. Without a time to come back the state's own is named. */
@@ -204,7 +210,7 @@
         onFailure: (failure) => this.#onFailure(failure),
       },
     });
-    this.#sent = { endpoint, attempt };
+    this.#sent = { endpoint, attempt, writes: false };
   }
 
   /** Without an endpoint left: refused if nothing can have run, failed otherwise. */
@@ -217,6 +223,9 @@
     const sent = this.#sent;
     this.#sent = null;
     if (sent !== null) {
+      if (sent.writes) {
+        this.#state.admission.onStreamOver(sent.endpoint.id);
+      }
       this.#state.onDone(this.#spec.service, sent.endpoint.id, result);
       if (result === 'cancelled') {
         sent.attempt.abort();
@@ -230,6 +239,10 @@
     }
     const { res } = this.#spec;
     const now = this.#state.now();
+    if (this.#sent !== null) {
+      this.#state.admission.onEvent(this.#sent.endpoint.id, !this.#sent.writes);
+      this.#sent = { ...this.#sent, writes: true };
+    }
     if (!this.#begun) {
       this.#begun = true;
       this.#firstAt = now;
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -60,8 +60,8 @@
   returned: false,
 };
 
-function openAdmission(log = pino({ level: 'silent' })): DirectAdmission {
-  const runtime = { log, now: () => 0, random: () => 0 };
+function openAdmission(log = pino({ level: 'silent' }), now = (): number => 0): DirectAdmission {
+  const runtime = { log, now, random: () => 0 };
   const admission = new DirectAdmission('z1', runtime as unknown as Runtime, () => ({
     costs: COSTS,
     pauseMs: 120,
@@ -133,4 +133,25 @@
     assert.equal((await waiting).granted, false);
     assert.equal(admission.waiting, 0);
   });
+
+  // A rank is out of reach, and the others don't say so for a second and a half. What comes meanwhile must
+  // wait, not be sent: it would be dropped half run, and nobody could tell its caller that it has not run.
+  it('sends nothing into a group whose own streams have all fallen silent', async () => {
+    let now = 0;
+    const admission = openAdmission(pino({ level: 'silent' }), () => now);
+    admission.onLoad(load(1));
+    admission.onEvent('e1', true);
+    now = 250;
+    assert.notEqual(admission.choose('s', []), null);
+    now = 700;
+    assert.equal(admission.choose('s', []), null);
+    const waiting = admission.acquire({ ...REQUEST, startedAt: now, deadline: 8_700 }, STAYS);
+    assert.equal(admission.waiting, 1);
+    admission.onEvent('e1', false);
+    admission.tick();
+    assert.equal((await waiting).granted, true);
+    admission.onStreamOver('e1');
+    now = 1_400;
+    assert.notEqual(admission.choose('s', []), null);
+  });
 });
