--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -172,7 +172,8 @@
     }
     const now = this.#options.runtime.now();
     const dueCounts = now - this.#countsAt >= COUNTS_MS;
-    const busy = this.#switch.phase !== 'idle';
+    // Without the map in use nothing can be planned: it isn't left to the next round of counts.
+    const busy = this.#switch.phase !== 'idle' || this.#map === null;
     if (dueCounts) {
       this.#countsAt = now;
       this.#awaited = new Set(this.#askedAt.keys());
