--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -123,6 +123,10 @@
     return this.#longestPauseMs;
   }
 
+  get lastEvent(): string | null {
+    return this.#lastEvent;
+  }
+
   get attempts(): number {
     return this.#sends + this.#unsent;
   }
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -70,7 +70,7 @@
 const LAST_CALL_MS = 1_500;
 
 /** A request that went to no endpoint. */
-const UNSENT: CallTimes = { firstMs: null, longestPauseMs: 0, attempts: 0 };
+const UNSENT: CallTimes = { firstMs: null, longestPauseMs: 0, lastEvent: null, attempts: 0 };
 
 /** Entry process. */
 class DirectEntry {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -63,6 +63,8 @@
   readonly firstMs: number | null;
   /** Longest pause between two events of a stream, ms. */
   readonly longestPauseMs: number;
+  /** Id of the last event that was passed on; null where there was none. */
+  readonly lastEvent: string | null;
   readonly attempts: number;
 }
 
@@ -210,7 +212,7 @@
   }
 
   end(spec: DirectSpec, outcome: DirectOutcome, times: CallTimes): void {
-    const { firstMs, longestPauseMs, attempts } = times;
+    const { firstMs, longestPauseMs, lastEvent, attempts } = times;
     this.#inProgress -= 1;
     this.#metrics.onEnded(outcome);
     if (firstMs !== null) {
@@ -229,6 +231,9 @@
         attempts,
         firstMs: firstMs === null ? null : Math.round(firstMs),
         pauseMs: Math.round(longestPauseMs),
+        lastEvent,
+        mostTokens: head.tokens?.answer ?? null,
+        hintTokens: head.expectedTokens,
         ms,
       },
       'answered',
