Trial: answers are expected to be as long as their callers guess

Hypothesis: each caller allows 240 tokens for answers of 70 on average (seen in the log), so that requests with two or three seconds left are refused as too late though one would do.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -185,6 +185,7 @@
   MapSwitchState,
 } from './MapSwitchTypes.js';
 export {
+  expectedAnswer,
   passCorrection,
   passTime,
   skewCorrection,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -5,6 +5,7 @@
   breakPlaces,
   chooseRank,
   enqueue,
+  expectedAnswer,
   freeAt,
   initPlaces,
   isOpenGroup,
@@ -37,7 +38,9 @@
   readonly objectiveMs: number;
   readonly deadline: number;
   readonly patienceMs: number;
-  readonly tokens: number | null;
+  /** Tokens of the answer as its caller guesses, and at most; null where it doesn't say. */
+  readonly guessTokens: number | null;
+  readonly mostTokens: number | null;
   readonly returned: boolean;
 }
 
@@ -204,7 +207,7 @@
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
       patientUntil: req.startedAt + req.patienceMs,
-      tokens: req.tokens ?? model.costs.usualAnswer,
+      tokens: expectedAnswer(model.costs, req.guessTokens, req.mostTokens),
       returned: req.returned,
     };
     return new Promise((resolve) => {
