--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -13,6 +13,7 @@
   ownAt,
   pump,
   returnAfter,
+  settledPassTime,
   takeLoad,
   writeTime,
   type OwnStreams,
@@ -369,9 +370,12 @@
       (total, group) => total + Math.max(group.allowance, ownAt(group, this.#own)),
       0,
     );
-    const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
     const { costs } = model;
-    const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
+    const mean = (timeOf: (group: PlaceGroup) => number): number =>
+      groups.reduce((total, group) => total + timeOf(group), 0) / groups.length;
+    const passMs = mean((group) => group.passMs);
+    const settledMs = mean((group) => settledPassTime(group, costs));
+    const writeMs = (tokens: number): number => writeTime(costs, tokens, settledMs);
     return {
       free: Math.max(0, free),
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
