--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -143,7 +143,12 @@
  * go to ranks that refuse them. Enough: a rank's word counts as long as a load would.
  */
 export function breakPlaces(state: PlaceGroup, now: number): PlaceGroup {
-  return { ...state, brokenAt: now, allowance: 0, limit: 0 };
+  return { ...state, brokenAt: now };
+}
+
+/** The group is heard again: an event of a stream has come from it. */
+export function mendPlaces(state: PlaceGroup): PlaceGroup {
+  return state.brokenAt === null ? state : { ...state, brokenAt: null };
 }
 
 /** Whether the group answers, as far as is known. */
@@ -170,7 +175,8 @@
  *
  * Failure: a rank is out of reach, and the others wait for it before they say so, 1.5 s. Symptom: what is
  * sent meanwhile may have run when it comes back broken, so that nobody may tell its caller to return, and
- * it is lost. Enough: what comes after 0.3 s of silence waits here instead, and hasn't run.
+ * it is lost; or it hangs in a connection to the rank that is out of reach until its caller leaves. Enough:
+ * after 0.3 s of silence the group counts as broken, and what comes waits here instead, and hasn't run.
  */
 export function isStandingStill(state: PlaceGroup, own: OwnStreams, now: number): boolean {
   const silence = Math.max(SILENT_MS, SILENT_PASSES * state.passMs);
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -201,6 +201,7 @@
   initPlaces,
   isOpenGroup,
   isStandingStill,
+  mendPlaces,
   settledPassTime,
   LOAD_VALID_MS,
   ownAt,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -10,6 +10,7 @@
   initPlaces,
   isOpenGroup,
   isStandingStill,
+  mendPlaces,
   ownAt,
   pump,
   returnAfter,
@@ -194,6 +195,7 @@
 
   /** Asks for a place; resolves at once where the service has no groups. */
   async acquire(req: PlaceRequest, signal: AbortSignal): Promise<PlaceVerdict> {
+    this.#listen();
     const state = this.#services.get(req.service);
     const outlook = this.#outlook(req.service);
     const model = this.#modelOf(req.service);
@@ -224,23 +226,46 @@
   /** Whether the service has groups and none of them answers. */
   isClosed(service: string): boolean {
     const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    return groups.length > 0 && !groups.some((group) => this.#answers(group));
+    return groups.length > 0 && !groups.some(isOpenGroup);
   }
 
-  /** Whether a group answers: by what is told of it, and by the own streams there. */
-  #answers(group: PlaceGroup): boolean {
-    const streams = group.ranks.flatMap(({ endpoint }) => this.#streams.get(endpoint) ?? []);
-    const own: OwnStreams = {
-      writing: streams.reduce((sum, { writing }) => sum + writing, 0),
-      eventAt: Math.max(-Infinity, ...streams.map(({ eventAt }) => eventAt)),
-    };
-    return isOpenGroup(group) && !isStandingStill(group, own, this.#runtime.now());
+  /** Looks at the own streams of each group: where all of them have fallen silent it is broken. */
+  #listen(): void {
+    const now = this.#runtime.now();
+    this.#services.forEach(({ groups }, service) => {
+      groups.forEach((group) => {
+        const streams = group.ranks.flatMap(({ endpoint }) => this.#streams.get(endpoint) ?? []);
+        const own: OwnStreams = {
+          writing: streams.reduce((sum, { writing }) => sum + writing, 0),
+          eventAt: Math.max(-Infinity, ...streams.map(({ eventAt }) => eventAt)),
+        };
+        if (isStandingStill(group, own, now)) {
+          this.#break(service, group);
+        }
+      });
+    });
+  }
+
+  #break(service: string, group: PlaceGroup): void {
+    const broken = breakPlaces(group, this.#runtime.now());
+    this.#replaceGroup(service, broken);
+    this.#logLoad(service, broken);
   }
 
   /** An event of a stream has come; `begins` where it is the first. */
   onEvent(endpoint: string, begins: boolean): void {
     const writing = (this.#streams.get(endpoint)?.writing ?? 0) + Number(begins);
     this.#streams.set(endpoint, { writing, eventAt: this.#runtime.now() });
+    this.#services.forEach(({ groups }, service) => {
+      groups.forEach((group) => {
+        const heard =
+          group.brokenAt !== null && group.ranks.some((rank) => rank.endpoint === endpoint);
+        if (heard) {
+          this.#replaceGroup(service, mendPlaces(group));
+          this.#pump(service);
+        }
+      });
+    });
   }
 
   /** A stream that had begun is over. */
@@ -260,8 +285,7 @@
       return undefined;
     }
     const { random } = this.#runtime;
-    const open = [...groups.values()].filter((group) => this.#answers(group));
-    return chooseRank(open, this.#own, this.#zone, exclude, random);
+    return chooseRank([...groups.values()], this.#own, this.#zone, exclude, random);
   }
 
   onSent(service: string, endpoint: string): void {
@@ -286,6 +310,7 @@
 
   /** Looks at those that wait: time alone may change what can still be answered. */
   tick(): void {
+    this.#listen();
     this.#services.forEach(({ groups }, service) => {
       const rules = this.#rules(service);
       if (rules !== null) {
@@ -318,9 +343,7 @@
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
         if (group.ranks.some((rank) => rank.endpoint === endpoint)) {
-          const broken = breakPlaces(group, this.#runtime.now());
-          this.#replaceGroup(service, broken);
-          this.#logLoad(service, broken);
+          this.#break(service, group);
         }
       });
     });
@@ -363,7 +386,7 @@
       return null;
     }
     const groups = [...state.groups.values()];
-    const answering = groups.filter((group) => this.#answers(group));
+    const answering = groups.filter(isOpenGroup);
     const granted = this.#granted.get(service) ?? 0;
     const free = answering.reduce((sum, group) => sum + freeAt(group, this.#own), 0) - granted;
     const places = groups.reduce(
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -145,6 +145,7 @@
     now = 250;
     assert.notEqual(admission.choose('s', []), null);
     now = 700;
+    admission.tick();
     assert.equal(admission.choose('s', []), null);
     const waiting = admission.acquire({ ...REQUEST, startedAt: now, deadline: 8_700 }, STAYS);
     assert.equal(admission.waiting, 1);
