--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -48,8 +48,7 @@
 
 /** A place, or a refusal with when to come back. */
 export type PlaceVerdict =
-  | { readonly granted: true; readonly onTime: boolean }
-  | { readonly granted: false; readonly retryAfterMs: number };
+  { readonly granted: true } | { readonly granted: false; readonly retryAfterMs: number };
 
 /** What a service of model engines declares, with the pause that its routes aim at. */
 export interface ModelService {
@@ -67,10 +66,10 @@
 const FIRST_EXTRA_MS = 30;
 
 /**
- * Part of the places that late requests may have though those that can be on time would fill all: late
- * ones that came back have no further try.
+ * Arrivals for which places are kept free of late requests, ms: about the time until the first answers of
+ * a group that has just opened end.
  */
-const LEAST_LATE = 0.1;
+const KEEP_MS = 500;
 
 /** Arrivals are counted over this long, ms: some hundred of them at an entry process. */
 const ARRIVALS_MS = 3_000;
@@ -113,9 +112,6 @@
   /** Streams of this process that are being written, by endpoint, and when an event of one came. */
   readonly #streams = new Map<string, OwnStreams>();
 
-  /** Requests that were begun on time and run, by service. */
-  readonly #onTime = new Map<string, number>();
-
   /** When new requests came lately, by service. */
   readonly #arrivals = new Map<string, readonly number[]>();
 
@@ -216,7 +212,7 @@
     const outlook = this.#outlook(req.service);
     const model = this.#modelOf(req.service);
     if (state === undefined || outlook === null || model === null) {
-      return { granted: true, onTime: false };
+      return { granted: true };
     }
     this.#counter += 1;
     if (!req.returned) {
@@ -420,30 +416,15 @@
     const passMs = mean((group) => group.passMs);
     const settledMs = mean((group) => settledPassTime(group, costs));
     const writeMs = (tokens: number): number => writeTime(costs, tokens, settledMs);
-    const firstMs =
-      FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS;
     return {
       free: Math.max(0, free),
-      kept: this.#keptPlaces(service, places, firstMs + writeMs(costs.usualAnswer)),
+      kept: ((this.#arrivals.get(service)?.length ?? 0) * KEEP_MS) / ARRIVALS_MS,
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
-      firstMs,
+      firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
     };
   }
 
-  /**
-   * Places that requests which can be on time will need beside those that they have.
-   *
-   * Load pattern: demand shifts, or a group was down, and late requests fill the places. Each takes as long as
-   * one on time, so that whoever comes is late as well, and the service stays late for ten seconds at a
-   * load that it could bear. Enough: late ones get what those on time leave.
-   */
-  #keptPlaces(service: string, places: number, servedMs: number): number {
-    const ratePerMs = (this.#arrivals.get(service)?.length ?? 0) / ARRIVALS_MS;
-    const most = places * (1 - LEAST_LATE);
-    return Math.max(0, Math.min(most, ratePerMs * servedMs) - (this.#onTime.get(service) ?? 0));
-  }
-
   #pump(service: string): void {
     const state = this.#services.get(service);
     const outlook = state === undefined || state.queue.length === 0 ? null : this.#outlook(service);
@@ -459,26 +440,10 @@
       this.#services.set(service, { ...state, queue });
     }
     this.#granted.set(service, (this.#granted.get(service) ?? 0) + admitted.length);
-    admitted.forEach((id) => this.#grant(service, id));
+    admitted.forEach((id) => this.#settle(id, { granted: true }));
     refused.forEach(({ id, retryAfterMs }) => this.#settle(id, { granted: false, retryAfterMs }));
   }
 
-  #grant(service: string, id: number): void {
-    const { objectiveAt = -Infinity } = this.#waiters.get(id)?.waiting ?? {};
-    const onTime = objectiveAt > this.#runtime.now();
-    if (onTime) {
-      this.#onTime.set(service, (this.#onTime.get(service) ?? 0) + 1);
-    }
-    this.#settle(id, { granted: true, onTime });
-  }
-
-  /** A request with a place is over. */
-  release(service: string, verdict: PlaceVerdict): void {
-    if (verdict.granted && verdict.onTime) {
-      this.#onTime.set(service, Math.max(0, (this.#onTime.get(service) ?? 0) - 1));
-    }
-  }
-
   #settle(id: number, verdict: PlaceVerdict): void {
     this.#waiters.get(id)?.resolve(verdict);
     this.#waiters.delete(id);
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -148,8 +148,6 @@
     const { admission } = this.#state;
     this.#tried.length = 0;
     const verdict = await admission.acquire(placeRequestOf(this.#spec), this.#over.signal);
-    // Late by now: it doesn't count among those on time.
-    admission.release(service, verdict);
     if (this.#isOver) {
       if (verdict.granted) {
         admission.onUnused(service);
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -280,7 +280,6 @@
     this.#state.countFirst(spec.service);
     const call = new DirectCall(this.#state, spec);
     const outcome = await call.run();
-    this.#state.admission.release(spec.service, verdict);
     this.#state.end(spec, outcome, call);
   }
 
