--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -29,8 +29,6 @@
 export interface QueueOutlook {
   /** Places free for this process. */
   readonly free: number;
-  /** Places of these that only requests that can be on time may take. */
-  readonly kept: number;
   /** Requests a ms that this process can begin, from what its places turn over. */
   readonly ratePerMs: number;
   /** Time from sending to the first event, ms. */
@@ -133,24 +131,6 @@
   return Math.min(latest, 100 + waitBehind(waiting, outlook) * (0.5 + random));
 }
 
-/**
- * The first of those that wait, as far as there are places.
- *
- * Load pattern: a group opens, and late requests fill all places within a moment. They end together, a second
- * or two later, and until then everyone who comes is late as well. Enough: late ones leave a few places free.
- */
-function chooseAdmitted(
-  order: readonly WaitingRequest[],
-  outlook: QueueOutlook,
-  now: number,
-): readonly WaitingRequest[] {
-  const places = Math.max(0, Math.floor(outlook.free));
-  const late = order.findIndex((request) => !isOnTime(request, outlook, now));
-  const onTime = late < 0 ? order.length : late;
-  const mostLate = Math.max(0, places - Math.max(onTime, Math.ceil(outlook.kept)));
-  return order.slice(0, Math.min(places, onTime + mostLate));
-}
-
 /** Begins what there are places for, and refuses what can't be answered any more. */
 export function pump(
   queue: StreamQueue,
@@ -161,7 +141,7 @@
   const hopeless = queue.filter((request) => !canEnd(request, outlook, now, 0));
   const hopeful = queue.filter((request) => !hopeless.includes(request));
   const order = [...hopeful].sort((a, b) => compare(a, b, outlook, now));
-  const admitted = chooseAdmitted(order, outlook, now);
+  const admitted = order.slice(0, Math.max(0, Math.floor(outlook.free)));
   return {
     queue: hopeful.filter((request) => !admitted.includes(request)),
     admitted: admitted.map(({ id }) => id),
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -65,15 +65,6 @@
 /** Time of connections and forwarding to the first event, ms. */
 const FIRST_EXTRA_MS = 30;
 
-/**
- * Arrivals for which places are kept free of late requests, ms: about the time until the first answers of
- * a group that has just opened end.
- */
-const KEEP_MS = 500;
-
-/** Arrivals are counted over this long, ms: some hundred of them at an entry process. */
-const ARRIVALS_MS = 3_000;
-
 /** Where nobody waits, places are logged this often, ms. */
 const QUIET_LOG_MS = 2_000;
 
@@ -112,9 +103,6 @@
   /** Streams of this process that are being written, by endpoint, and when an event of one came. */
   readonly #streams = new Map<string, OwnStreams>();
 
-  /** When new requests came lately, by service. */
-  readonly #arrivals = new Map<string, readonly number[]>();
-
   /** Granted places whose request isn't sent yet, by service. */
   readonly #granted = new Map<string, number>();
 
@@ -215,11 +203,6 @@
       return { granted: true };
     }
     this.#counter += 1;
-    if (!req.returned) {
-      const since = req.startedAt - ARRIVALS_MS;
-      const lately = (this.#arrivals.get(req.service) ?? []).filter((at) => at > since);
-      this.#arrivals.set(req.service, [...lately, req.startedAt]);
-    }
     const waiting: WaitingRequest = {
       id: this.#counter,
       priority: req.priority,
@@ -418,7 +401,6 @@
     const writeMs = (tokens: number): number => writeTime(costs, tokens, settledMs);
     return {
       free: Math.max(0, free),
-      kept: ((this.#arrivals.get(service)?.length ?? 0) * KEEP_MS) / ARRIVALS_MS,
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
