--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -2,9 +2,10 @@
  * Requests of one model service that wait at an entry process for a place.
  *
  * Load pattern: a burst, or a group that is slow or gone for seconds, brings more than can be served on
- * time. Those that can still be on time go first, the earliest useful deadline first; then those that were
- * refused and came back, for they have no further try; the others are served late when places are left, for
- * a late answer is worth about half and a refused one nothing. What can't be answered by its deadline any more is refused at once, with a time to come
+ * time. Those that were refused and came back go first, for they have no further try; then those that
+ * can still be on time, the earliest useful deadline first; those that no longer can are served late
+ * when places are left, for a late answer is worth about half and a refused one
+ * nothing. What can't be answered by its deadline any more is refused at once, with a time to come
  * back at which the queue will have drained.
  */
 
@@ -71,21 +72,20 @@
 }
 
 /**
- * On time before late, then who came back, then the earliest deadline first.
+ * Who came back before all others, then on time before late, the earliest deadline first.
  *
- * Load pattern: a group opens after seconds, and those that wait and come back are more than it has places.
- * Served first, they would make everyone who comes meanwhile late as well, who could be on time; those
- * that came back have two seconds to be begun in, and the group ends more streams than new ones come.
+ * A caller that came back is late already, has no further try, and has little time left; a new one that
+ * gives way to it may still be answered late, or come back itself. Once no queue is left nobody gives way.
  */
 function compare(a: WaitingRequest, b: WaitingRequest, outlook: QueueOutlook, now: number): number {
+  if (a.returned !== b.returned) {
+    return a.returned ? -1 : 1;
+  }
   const onTimeA = isOnTime(a, outlook, now);
   const onTimeB = isOnTime(b, outlook, now);
   if (onTimeA !== onTimeB) {
     return onTimeA ? -1 : 1;
   }
-  if (a.returned !== b.returned) {
-    return a.returned ? -1 : 1;
-  }
   if (a.priority !== b.priority) {
     return a.priority - b.priority;
   }
