--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -194,21 +194,6 @@
   return isOld || isOver ? initPlaces(state.group, state.ranks, rules) : state;
 }
 
-/** Skew of a group whose map follows the demand. */
-const EVEN_SKEW = 1.2;
-
-/**
- * Time of a pass once the map is even again, ms: that is half a second away, and an answer takes longer.
- *
- * Failure: a group opens with its first map, and passes take twice as long as they soon will. Symptom: who
- * has come back with little time left is refused, for so it seems too late to be served. Enough: time to
- * write is worked out by the pass that an even map makes.
- */
-export function settledPassTime({ load, passMs }: PlaceGroup, costs: EngineCosts): number {
-  const skew = Math.max(EVEN_SKEW, load?.skew ?? EVEN_SKEW);
-  return (passMs * skewCorrection(costs, EVEN_SKEW)) / skewCorrection(costs, skew);
-}
-
 /** Requests that this process runs at a group. */
 export function ownAt(state: PlaceGroup, own: ReadonlyMap<string, number>): number {
   return sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -202,7 +202,6 @@
   isOpenGroup,
   isStandingStill,
   mendPlaces,
-  settledPassTime,
   LOAD_VALID_MS,
   ownAt,
   takeLoad,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -14,7 +14,6 @@
   ownAt,
   pump,
   returnAfter,
-  settledPassTime,
   takeLoad,
   writeTime,
   type OwnStreams,
@@ -393,12 +392,9 @@
       (total, group) => total + Math.max(group.allowance, ownAt(group, this.#own)),
       0,
     );
+    const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
     const { costs } = model;
-    const mean = (timeOf: (group: PlaceGroup) => number): number =>
-      groups.reduce((total, group) => total + timeOf(group), 0) / groups.length;
-    const passMs = mean((group) => group.passMs);
-    const settledMs = mean((group) => settledPassTime(group, costs));
-    const writeMs = (tokens: number): number => writeTime(costs, tokens, settledMs);
+    const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
     return {
       free: Math.max(0, free),
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
