--- a/src/coordination/EngineModel.ts
+++ b/src/coordination/EngineModel.ts
@@ -57,22 +57,3 @@
 export function writeTime(costs: EngineCosts, tokens: number, passMs: number): number {
   return Math.ceil(tokens / costs.stepsPerPass) * passMs;
 }
-
-/** Least part of the usual answer that is expected: callers' guesses that are far too short are common. */
-const LEAST_ANSWER = 0.5;
-
-/**
- * Tokens that an answer is expected to have: the caller's guess, within what is usual and what it allows.
- *
- * Failure: the most that a caller allows is taken for what it will get. Symptom: that is 240 for answers of
- * 70 on average, so that whoever has come back with three seconds left is refused although a second would
- * do. Enough: guesses are right at the median, and mostly within a factor of two.
- */
-export function expectedAnswer(
-  costs: EngineCosts,
-  guess: number | null,
-  most: number | null,
-): number {
-  const least = costs.usualAnswer * LEAST_ANSWER;
-  return Math.min(most ?? Infinity, Math.max(guess ?? costs.usualAnswer, least));
-}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -185,7 +185,6 @@
   MapSwitchState,
 } from './MapSwitchTypes.js';
 export {
-  expectedAnswer,
   passCorrection,
   passTime,
   skewCorrection,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -5,7 +5,6 @@
   breakPlaces,
   chooseRank,
   enqueue,
-  expectedAnswer,
   freeAt,
   initPlaces,
   isOpenGroup,
@@ -39,9 +38,7 @@
   readonly objectiveMs: number;
   readonly deadline: number;
   readonly patienceMs: number;
-  /** Tokens of the answer as its caller guesses, and at most; null where it doesn't say. */
-  readonly guessTokens: number | null;
-  readonly mostTokens: number | null;
+  readonly tokens: number | null;
   readonly returned: boolean;
 }
 
@@ -209,7 +206,7 @@
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
       patientUntil: req.startedAt + req.patienceMs,
-      tokens: expectedAnswer(model.costs, req.guessTokens, req.mostTokens),
+      tokens: req.tokens ?? model.costs.usualAnswer,
       returned: req.returned,
     };
     return new Promise((resolve) => {
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -56,8 +56,7 @@
   objectiveMs: 400,
   deadline: 8_000,
   patienceMs: 2_000,
-  guessTokens: 100,
-  mostTokens: null,
+  tokens: 100,
   returned: false,
 };
 
