Streams of an entry process stand by themselves; a group that stays silent is logged once

The silence of a group was written down at each look at the queue, forty times a second while callers wait. No change of behaviour otherwise.

--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -15,7 +15,6 @@
   returnAfter,
   takeLoad,
   writeTime,
-  type OwnStreams,
   type PlaceGroup,
   type PlaceRank,
   type PlaceRules,
@@ -27,6 +26,7 @@
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DIRECT_FLEET } from './DirectDocument.js';
+import { DirectStreams } from './DirectStreams.js';
 
 /** A request that asks for a place. */
 export interface PlaceRequest {
@@ -96,8 +96,7 @@
   /** Requests of this process in progress, by endpoint. */
   readonly #own = new Map<string, number>();
 
-  /** Streams of this process that are being written, by endpoint, and when an event of one came. */
-  readonly #streams = new Map<string, OwnStreams>();
+  readonly #streams = new DirectStreams();
 
   /** Granted places whose request isn't sent yet, by service. */
   readonly #granted = new Map<string, number>();
@@ -230,11 +229,7 @@
     const now = this.#runtime.now();
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
-        const streams = group.ranks.flatMap(({ endpoint }) => this.#streams.get(endpoint) ?? []);
-        const own: OwnStreams = {
-          writing: streams.reduce((sum, { writing }) => sum + writing, 0),
-          eventAt: Math.max(-Infinity, ...streams.map(({ eventAt }) => eventAt)),
-        };
+        const own = this.#streams.at(group.ranks.map(({ endpoint }) => endpoint));
         if (isStandingStill(group, own, now)) {
           this.#break(service, group);
         }
@@ -245,13 +240,14 @@
   #break(service: string, group: PlaceGroup): void {
     const broken = breakPlaces(group, this.#runtime.now());
     this.#replaceGroup(service, broken);
-    this.#logLoad(service, broken);
+    if (group.brokenAt === null) {
+      this.#logLoad(service, broken);
+    }
   }
 
   /** An event of a stream has come; `begins` where it is the first. */
   onEvent(endpoint: string, begins: boolean): void {
-    const writing = (this.#streams.get(endpoint)?.writing ?? 0) + Number(begins);
-    this.#streams.set(endpoint, { writing, eventAt: this.#runtime.now() });
+    this.#streams.onEvent(endpoint, begins, this.#runtime.now());
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
         const heard =
@@ -266,12 +262,7 @@
 
   /** A stream that had begun is over. */
   onStreamOver(endpoint: string): void {
-    const known = this.#streams.get(endpoint);
-    if (known !== undefined && known.writing > 1) {
-      this.#streams.set(endpoint, { ...known, writing: known.writing - 1 });
-    } else {
-      this.#streams.delete(endpoint);
-    }
+    this.#streams.onOver(endpoint);
   }
 
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
