A slow rank is planned for with less of the load

Change: the plan weighs a rank's load by the pace that it reports, up to three times the usual. Unit test: the largest load in time falls by a fifth and more.

--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -67,7 +67,10 @@
   readonly weights: readonly number[];
   readonly ranks: Set<number>[];
   readonly holders: Set<number>[];
+  /** Time that each rank takes for its share, in loads of a rank at the usual pace. */
   readonly loads: number[];
+  /** Mean load of the ranks, were all at the usual pace. */
+  readonly mean: number;
   /** What each rank holds in the map in use: bringing one of these back costs no copy. */
   readonly inUse: readonly ReadonlySet<number>[];
   readonly added: number[];
@@ -82,27 +85,40 @@
   readonly from: number | null;
 }
 
-function startWorking(ranks: readonly (readonly number[])[], weights: readonly number[]): Working {
+/** Slower ranks than this are planned for as this slow: their own part of a pass outweighs the experts'. */
+const SLOWEST_PACE = 3;
+
+function paceOf(paces: readonly number[], rank: number): number {
+  return Math.min(SLOWEST_PACE, Math.max(1, paces[rank] ?? 1));
+}
+
+function startWorking(
+  ranks: readonly (readonly number[])[],
+  weights: readonly number[],
+  paces: readonly number[],
+): Working {
   const holders = weights.map(() => new Set<number>());
   ranks.forEach((experts, rank) => experts.forEach((expert) => holders[expert]?.add(rank)));
-  const loads = ranks.map((experts) =>
+  const shares = ranks.map((experts) =>
     experts.reduce(
       (sum, expert) => sum + (weights[expert] ?? 0) / Math.max(1, holders[expert]?.size ?? 1),
       0,
     ),
   );
+  const loads = shares.map((share, rank) => share * paceOf(paces, rank));
+  const mean = shares.reduce((sum, share) => sum + share, 0) / Math.max(1, shares.length);
   return {
     weights,
     ranks: ranks.map((experts) => new Set(experts)),
     holders,
     loads,
+    mean,
     inUse: ranks.map((experts) => new Set(experts)),
     added: ranks.map(() => 0),
   };
 }
 
-function skewOf(loads: readonly number[]): number {
-  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+function skewOf({ loads, mean }: Working): number {
   return mean === 0 ? 1 : Math.max(...loads) / mean;
 }
 
@@ -115,8 +131,11 @@
 
   readonly #touched: number[] = [];
 
-  constructor(ranks: number) {
+  readonly #paces: readonly number[];
+
+  constructor(ranks: number, paces: readonly number[]) {
     this.#by = new Float64Array(ranks);
+    this.#paces = paces;
   }
 
   /** Ranks whose load changes. */
@@ -158,7 +177,7 @@
     if (!this.#touched.includes(rank)) {
       this.#touched.push(rank);
     }
-    this.#by[rank] = (this.#by[rank] ?? 0) + by;
+    this.#by[rank] = (this.#by[rank] ?? 0) + by * paceOf(this.#paces, rank);
   }
 
   #clear(): void {
@@ -233,10 +252,9 @@
 
 /** The change that takes most off the peak for each copy, if any is worth one. */
 function findBest(working: Working, room: Room, shift: LoadShift): Change | null {
-  const { loads } = working;
+  const { loads, mean } = working;
   const order = loads.map((_load, rank) => rank).sort((a, b) => (loads[b] ?? 0) - (loads[a] ?? 0));
   const [hot = 0] = order;
-  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
   const parts = loads.map((load) => peakPart(load, mean));
   const total = parts.reduce((sum, part) => sum + part, 0);
   const peak = (total / loads.length) ** (1 / PEAK_ORDER);
@@ -319,23 +337,29 @@
 /**
  * Plans the next map from each expert's expected load, by set. Sets take turns, the most uneven
  * first, so that the copies that a rank may make go where they shorten the pass most.
+ *
+ * `paces` tells how many times the usual time each rank takes. All ranks wait for the slowest, so that a rank
+ * at half its speed with an even share makes the experts' part of each pass twice as long; it gets half.
  */
 export function planMap(
   inUse: GroupMap,
   weights: readonly (readonly number[])[],
   shape: MapShape,
   policy: MapPolicy,
+  paces: readonly number[] = [],
 ): MapPlanned {
-  const sets = inUse.map((ranks, set) => startWorking(ranks, weights[set] ?? []));
-  const skews = (): number => sets.reduce((sum, { loads }) => sum + skewOf(loads), 0) / sets.length;
+  const sets = inUse.map((ranks, set) => startWorking(ranks, weights[set] ?? [], paces));
+  const skews = (): number => sets.reduce((sum, set) => sum + skewOf(set), 0) / sets.length;
   const skewBefore = skews();
   const planned = (inUse[0] ?? []).map(() => 0);
   const open = new Set(sets.map((_set, i) => i));
-  const shift = new LoadShift(planned.length);
+  const shift = new LoadShift(planned.length, paces);
   for (let change = 0; change < MOST_CHANGES * sets.length && open.size > 0; change += 1) {
-    const [set = 0] = [...open].sort(
-      (a, b) => skewOf(sets[b]?.loads ?? []) - skewOf(sets[a]?.loads ?? []),
-    );
+    const skewAt = (set: number): number => {
+      const working = sets[set];
+      return working === undefined ? 1 : skewOf(working);
+    };
+    const [set = 0] = [...open].sort((a, b) => skewAt(b) - skewAt(a));
     const working = sets[set];
     const best =
       working === undefined ? null : findBest(working, { shape, policy, planned }, shift);
--- a/src/coordination/__tests__/unit/MapPlan.test.ts
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -93,4 +93,15 @@
     const pressed = gainWanted(85, 120, 0.004) ?? 0;
     assert.ok(easy > pressed && pressed > 0.004);
   });
+
+  // A rank turns slow, and all ranks of its group wait for it in every pass. With an even share of the load
+  // it would make each pass as much longer as it is slower; the others have room for a part of it.
+  it('gives a slow rank less of the load', () => {
+    const even = planMap(FIRST, WEIGHTS, SHAPE, POLICY);
+    const paces = FIRST[0]?.map((_experts, rank) => (rank === 0 ? 2 : 1)) ?? [];
+    const asIs = planMap(even.map, WEIGHTS, SHAPE, { ...POLICY, gainPerCopy: Infinity }, paces);
+    const planned = planMap(even.map, WEIGHTS, SHAPE, POLICY, paces);
+    assert.ok(asIs.skewBefore > 1.5);
+    assert.ok(planned.skewAfter < asIs.skewBefore - 0.2);
+  });
 });
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -371,7 +371,8 @@
     this.#plannedAt = begun;
     const wanted = this.#wanted(limits);
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
-    const planned = planMap(this.#map, weights, limits.shape, adjusted);
+    const paces = this.#reports.map((report) => report?.pace ?? 1);
+    const planned = planMap(this.#map, weights, limits.shape, adjusted, paces);
     this.#skew = planned.skewBefore;
     this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
     this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
