--- a/src/coordination/EngineModel.ts
+++ b/src/coordination/EngineModel.ts
@@ -38,20 +38,14 @@
   return Math.min(MOST_CORRECTION, Math.max(1, observedMs / passTime(costs, writers)));
 }
 
-/** How much longer passes take while experts are copied, as the engines declare. */
-const COPYING = 1.15;
-
-/** Prompts that the rank with most of them reads in a pass, on average, under a usual load. */
-const PROMPTS_READ = 1.5;
-
 /**
- * Writers on each rank that keep a pass under a time while one rank has so many times the mean of the
- * experts' work: all ranks wait for it, set by set, and a change of map that copies experts is on its way.
+ * Expected over declared time of a pass when one rank has so many times the mean of the experts' work: all
+ * ranks wait for it, set by set. Worked out for ranks full of writers, where it matters.
  */
-export function writersUnderSkew(costs: EngineCosts, skew: number, ms: number): number {
-  const reading = (PROMPTS_READ * costs.usualPrompt) / costs.readTokensPerMs;
-  const stepMs = (ms / COPYING - reading) / costs.stepsPerPass - costs.stepMs;
-  return stepMs / (writerCost(costs) * (1 + costs.expertShare * Math.max(0, skew - 1)));
+export function skewCorrection(costs: EngineCosts, skew: number): number {
+  const writing = writerCost(costs) * costs.slots;
+  const waiting = writing * costs.expertShare * Math.max(0, skew - 1);
+  return 1 + waiting / (costs.stepMs + writing);
 }
 
 /** Writers on each rank that keep a pass under a time; may be a fraction, and below 0. */
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -10,8 +10,8 @@
 import {
   passCorrection,
   passTime,
+  skewCorrection,
   USUAL_CORRECTION,
-  writersUnderSkew,
   writersWithin,
 } from './EngineModel.js';
 
@@ -92,24 +92,17 @@
   };
 }
 
-/** Skew from which on a map is uneven: it follows the demand to 1.1 to 1.3. */
-const UNEVEN_SKEW = 1.5;
-
 /**
- * Writers on each rank by the passes observed, and by the skew of the map in use.
+ * What makes passes longer than declared.
  *
- * Failure: demand shifts, or a group opens with its first map; passes are still short, since few requests
- * are written under it. Symptom: places are given as before, half a second later a pass takes longer than the
- * longest pause, and all streams in progress are late. Enough: the skew tells how long passes will be. On 16
- * ranks and a skew of 3.2 that is 84 writers instead of 128, for the second until an even map is in use.
+ * Failure: a group that has just opened has few writers, its passes are short, and its map is uneven.
+ * Symptom: all places are given at once, and half a second later a pass takes longer than the longest
+ * pause, so that all these streams are late. Enough: the skew of the map in use tells how long passes
+ * will be with all places taken.
  */
-function limitByLoad(rules: PlaceRules, writers: number, { passMs, skew }: GroupLoad): number {
-  const observed = limitWriters(rules, passCorrection(rules.costs, writers, passMs));
-  if (skew < UNEVEN_SKEW) {
-    return observed;
-  }
-  const expected = writersUnderSkew(rules.costs, skew, rules.pauseMs * PAUSE_SHARE);
-  return Math.min(observed, Math.max(LEAST_WRITERS, expected));
+function loadCorrection({ costs }: PlaceRules, writers: number, load: GroupLoad): number {
+  const observed = passCorrection(costs, writers, load.passMs);
+  return Math.max(observed, skewCorrection(costs, load.skew));
 }
 
 /** Takes a group's load; `random` from 0 to 1 decides on the fraction of a place. */
@@ -124,7 +117,8 @@
   const ranks = Math.max(1, load.active.length);
   const running = sum(load.active) + sum(load.queued);
   const writers = sum(load.active) / ranks;
-  const limit = load.open ? ranks * limitByLoad(rules, writers, load) : 0;
+  const correction = loadCorrection(rules, writers, load);
+  const limit = load.open ? ranks * limitWriters(rules, correction) : 0;
   const ownRunning = sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
   const free = limit - running;
   const part = (Math.max(0, free) / Math.max(1, rules.entryHosts)) * OVERCOMMIT;
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -187,8 +187,8 @@
 export {
   passCorrection,
   passTime,
+  skewCorrection,
   USUAL_CORRECTION,
-  writersUnderSkew,
   writersWithin,
   writeTime,
 } from './EngineModel.js';
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -317,9 +317,8 @@
     this.#awaited.clear();
     const counts = this.#counts.map((item, rank) => (this.#counted.has(rank) ? item : null));
     this.#demand = takeCounts(this.#demand, counts);
-    // Planned first: the load tells the skew that these counts show, a quarter of a second sooner.
-    this.#plan();
     this.#publish();
+    this.#plan();
   }
 
   #publish(): void {
