--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -93,16 +93,17 @@
 }
 
 /**
- * What makes passes longer than declared.
+ * What makes passes longer than declared: what was observed, and until then the skew of the map in use.
  *
- * Failure: a group that has just opened has few writers, its passes are short, and its map is uneven.
- * Symptom: all places are given at once, and half a second later a pass takes longer than the longest
- * pause, so that all these streams are late. Enough: the skew of the map in use tells how long passes
- * will be with all places taken.
+ * Failure: a group has just opened, with its first map. Symptom: all places are given at once, and half a
+ * second later a pass takes longer than the longest pause, so that all these streams are late. Enough: the
+ * skew tells how long passes will be. Once passes are observed they count alone: with the skew beside
+ * them fewer places are given during each shift of demand, and more requests are late for want of one (worth
+ * 0.722 instead of 0.773 where demand shifts every 3.5 s).
  */
 function loadCorrection({ costs }: PlaceRules, writers: number, load: GroupLoad): number {
   const observed = passCorrection(costs, writers, load.passMs);
-  return Math.max(observed, skewCorrection(costs, load.skew));
+  return load.passMs === null ? Math.max(observed, skewCorrection(costs, load.skew)) : observed;
 }
 
 /** Takes a group's load; `random` from 0 to 1 decides on the fraction of a place. */
