--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -326,7 +326,7 @@
       wait: () => {
         this.#waitAndSend().catch((err: unknown) => {
           this.#state.logFault(this.#spec.head.id, err);
-          this.#refuse(null);
+          this.#conclude(this.#hopeless, null);
         });
       },
       pass: () => {
