--- a/src/coordination/__tests__/unit/Places.test.ts
+++ b/src/coordination/__tests__/unit/Places.test.ts
@@ -144,8 +144,8 @@
   });
 
   // Load pattern: a group opens after an outage with its first map, and more callers wait than it has
-  // places. Its few writers make short passes; given all places at once, the fullest rank would make each
-  // pass longer than the longest pause, and every stream late.
+  // places. No pass has been observed yet; given all places at once, the fullest rank would make each pass
+  // longer than the longest pause, and every stream late.
   it('offers fewer places while the map in use is uneven', () => {
     const offered = (skew: number): number =>
       takeLoad(START, { ...load(0, null), skew }, NONE, RULES, 0, 0).limit;
