--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -68,6 +68,13 @@
   return termAt(state, index) === state.term ? commitTo(state, index) : { state, outputs: [] };
 }
 
+/** Voters that have synced an entry, as a leader knows; itself among them. */
+export function holdersOf(state: ConsensusState, index: number): readonly string[] {
+  return state.members.voters.filter(
+    (id) => id === state.id || progressOf(state, id).match >= index,
+  );
+}
+
 /** Appends as leader. */
 export function appendAsLeader(
   state: ConsensusState,
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -22,6 +22,7 @@
 export { ELECTION_TIMEOUT_MS, HEARTBEAT_MS } from './ConsensusConstants.js';
 export { isOutOfTouch } from './ConsensusElection.js';
 export { lastIndex, membersOf } from './ConsensusLog.js';
+export { holdersOf } from './ConsensusReplication.js';
 export type {
   ConsensusContext,
   ConsensusEntry,
--- a/src/daemon/DaemonConsensus.ts
+++ b/src/daemon/DaemonConsensus.ts
@@ -122,6 +122,7 @@
     const known = recovery.log.filter(({ index }) => index <= commit);
     this.#state = { ...this.#state, commit: Math.max(recovery.snapshot.index, commit) };
     this.#applyEntries(known);
+    this.#logRecovered();
   }
 
   get state(): ConsensusState {
@@ -186,6 +187,23 @@
     expireIn(this.#reads);
   }
 
+  /** What was found in the data folder, and whose votes an election needs. */
+  #logRecovered(): void {
+    const { term, commit, members } = this.#state;
+    this.#options.log.info(
+      {
+        event: 'recovered',
+        replica: this.#state.id,
+        records: this.#options.folder.recovered.length,
+        term,
+        last: lastIndex(this.#state),
+        commit,
+        ...members,
+      },
+      'data folder read',
+    );
+  }
+
   #context() {
     return { now: this.#options.now(), rng: this.#options.rng };
   }
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,6 +1,6 @@
 /** Links of a control process to the others, and the forming of a cluster over them. */
 import type { Logger } from 'pino';
-import { replicaName, type ConsensusMessage } from '../coordination/index.js';
+import { replicaName, type ConsensusMessage, type ConsensusState } from '../coordination/index.js';
 import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
 import {
   TransportLinkClient,
@@ -62,6 +62,8 @@
   /** Peers that have said hello, by name. */
   readonly #known = new Map<string, ControlAddress>();
 
+  #leaderlessLoggedAt = -Infinity;
+
   constructor(options: ControlPeersOptions) {
     this.#options = options;
     options.targets().forEach((target) => this.#connect(target));
@@ -187,9 +189,24 @@
     if (state.role === 'leader' || (member && heard)) {
       return;
     }
+    this.#logLeaderless(state);
     await this.requestAll('control.join', { replica: state.id });
   }
 
+  /** Tells at an interval why this replica has no leader: whose votes it got, and whom it reaches. */
+  #logLeaderless({ role, term, votes, members }: ConsensusState): void {
+    const now = this.#options.now();
+    if (now - this.#leaderlessLoggedAt < LEADERLESS_MS) {
+      return;
+    }
+    this.#leaderlessLoggedAt = now;
+    const reached = [...this.#clients].flatMap(([name, { link }]) => (link === null ? [] : [name]));
+    this.#options.log.warn(
+      { event: 'leaderless', role, term, votes, reached, ...members },
+      'no leader is heard',
+    );
+  }
+
   /** Keeps a link to each member of the log; ends those to hosts that no longer are. */
   #follow(): void {
     const { consensus, locate, self } = this.#options;
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -2,6 +2,7 @@
 import type { Logger } from 'pino';
 import {
   countRenewals,
+  holdersOf,
   initLeaseKeeper,
   isOutOfTouch,
   mayGrant,
@@ -128,10 +129,21 @@
       result !== null && result.result === 'accepted'
         ? result
         : { result: 'unavailable', reason: 'not decided in time; submit again' };
-    this.#log.info({ event: 'replace', fleet, version, held, result: reply.result }, 'document');
+    this.#log.info(
+      { event: 'replace', fleet, version, held, result: reply.result, ...this.#proofOf(reply) },
+      'document',
+    );
     return reply;
   }
 
+  /** Which voters have synced what was accepted, and of which voters they are a majority. */
+  #proofOf(reply: SubmitReply): object {
+    const { state } = this.#consensus;
+    return reply.result === 'accepted'
+      ? { holders: holdersOf(state, reply.index), voters: state.members.voters }
+      : {};
+  }
+
   /** Grants or renews a lease, or says who holds it. */
   async askLease(ask: LeaseAsk): Promise<LeaseReply> {
     const { group, holder } = ask;
