Tests that fail: a replaced host still votes when the next disk is lost

Reproduces the incident's end (no leader is ever elected) on the code as it is, in the real log, twice: leaders change between the replacement and the next loss, and two of five hosts are replaced at once.

--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -63,6 +63,54 @@
     assert.equal(cluster.leader?.members.voters.length, 3);
   });
 
+  // After a power loss the operator can read no configuration, and callers are refused until an operator
+  // steps in. The leader's host had been replaced by an empty one; a second later the new leader's process
+  // was killed and came back. Each leader counted the time that the gone host was silent from its own
+  // election, so that it was still one of four voters when another disk was lost: two of four are no quorum.
+  // A successor was the host that accepted last, and with logs the same kind of day shows four voters
+  // between the successor's promotion and the first silence of 3 s that one leader saw.
+  it('accepts again though leaders changed between the replacement and the next lost disk', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    accept(cluster, 'first');
+    cluster.remove(cluster.leader?.id ?? '');
+    run(cluster, 1_000);
+    cluster.add('d.1');
+    run(cluster, 1_000);
+    accept(cluster, 'second');
+    cluster.restart(cluster.leader?.id ?? '');
+    run(cluster, 3_000);
+    accept(cluster, 'third');
+    const lost = cluster.leader?.id ?? '';
+    wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
+    run(cluster, 4_000);
+    accept(cluster, 'fourth');
+    assert.equal(cluster.leader?.members.voters.length, 3);
+  });
+
+  // The same end with more hosts. Five hosts bear the loss of two disks. Two are replaced within a second
+  // and their successors are promoted before the two count as silent: seven voters, an odd number, of which
+  // two are gone for good. Two more disks are lost in the dark, and three of seven elect no leader.
+  it('accepts again after two of five hosts were replaced and two have lost their disks', () => {
+    const cluster = new ConsensusCluster({
+      voters: ['a.1', 'b.1', 'c.1', 'd.1', 'e.1'],
+      learners: [],
+    });
+    accept(cluster, 'first');
+    const gone = cluster.ids.filter((id) => id !== cluster.leader?.id).slice(0, 2);
+    gone.forEach((id) => cluster.remove(id));
+    cluster.add('f.1');
+    cluster.add('g.1');
+    run(cluster, 7_000);
+    accept(cluster, 'second');
+    const [lost = '', other = ''] = cluster.ids;
+    cluster.remove(other);
+    wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
+    cluster.add(`${other.slice(0, 1)}.2`);
+    run(cluster, 4_000);
+    accept(cluster, 'third');
+    assert.equal(cluster.leader?.members.voters.length, 5);
+  });
+
   // Hosts are replaced, lose their disks or are silent for a while, one after the other, with time
   // between the losses for the next to be borne. Whatever was accepted stays, and more is accepted.
   it('bears one loss after the other', () => {
