Voters that are gone are dropped wherever the quorum shrinks, by the links' silence

Each leader counted its silence from its own election; and of an odd number with two gone none was dropped. With two silent voters and a newcomer, quorums fell to as few disks as may be lost.

A silent learner is not promoted.

--- a/src/coordination/ConsensusVoters.ts
+++ b/src/coordination/ConsensusVoters.ts
@@ -15,8 +15,15 @@
  */
 export const SILENT_VOTER_MS = 3_000;
 
-/** Voters that are kept whether they are heard or not: with fewer, two disks wouldn't hold each entry. */
-const LEAST_VOTERS = 3;
+/** What a leader knows beside its own term. */
+export interface VoterView {
+  /** ms on the local monotonic clock. */
+  readonly now: number;
+  /** When this process last heard a replica's host, in whichever term; ms, undefined where it can't tell. */
+  readonly heardAt: (replica: string) => number | undefined;
+  /** Disks that may be lost at once without anything accepted being lost. */
+  readonly lossesBorne: number;
+}
 
 /** A replica's name: its id without the part that a new data folder changes. */
 export function replicaName(replica: string): string {
@@ -30,17 +37,44 @@
   );
 }
 
-function findSilent({ id, members, progress }: ConsensusState, now: number): string | undefined {
-  return members.voters.find((voter) => {
-    const heardAt = progress[voter]?.heardAt;
-    return voter !== id && heardAt !== undefined && now - heardAt > SILENT_VOTER_MS;
-  });
+/**
+ * Tells whether a replica is silent, by its answers in this term or by the links between hosts.
+ *
+ * Failure: leaders change while a host is gone. Symptom: counted from each election anew, its silence is
+ * noticed late or never, and it still votes when the next disk is lost. Enough: links outlive elections.
+ */
+function isSilent({ id, progress }: ConsensusState, replica: string, view: VoterView): boolean {
+  const heard = [progress[replica]?.heardAt, view.heardAt(replica)];
+  return replica !== id && heard.some((at) => at !== undefined && view.now - at > SILENT_VOTER_MS);
+}
+
+/** Voters with which every quorum holds an entry on one more disk than may be lost. */
+function leastVoters({ lossesBorne }: VoterView): number {
+  return 2 * lossesBorne + 1;
+}
+
+/** Tells whether the quorum gets smaller when silent voters are dropped, and stays large enough. */
+function hasSurplus(voters: readonly string[], silent: number, view: VoterView): boolean {
+  const dropped = voters.length % 2 === 0 ? 1 : 2;
+  return silent >= dropped && voters.length - dropped >= leastVoters(view);
 }
 
 function drop({ voters, learners }: ConsensusMembers, replica: string): ConsensusMembers {
   return { voters: voters.filter((id) => id !== replica), learners };
 }
 
+function promote({ voters, learners }: ConsensusMembers, replica: string): ConsensusMembers {
+  return { voters: [...voters, replica], learners: learners.filter((id) => id !== replica) };
+}
+
+/** A learner that is heard and has all that is committed. */
+function findReady(state: ConsensusState, view: VoterView): string | undefined {
+  const { members, progress, commit } = state;
+  return members.learners.find(
+    (id) => commit > 0 && (progress[id]?.match ?? 0) >= commit && !isSilent(state, id, view),
+  );
+}
+
 /**
  * The next change of members, if one is due; voters change one at a time.
  *
@@ -48,30 +82,29 @@
  * count as holding what it forgot. Enough: it returns under a new id without a vote, gets one only with
  * the whole log, and then its old id is dropped.
  *
- * Failure: a host is gone for good, and its successor was taken in before it counted as silent. Symptom:
- * four voters of which one is dead need all others for a quorum; one more lost disk, and nothing is ever
- * accepted again. Enough: of an even number of voters a silent one is dropped also without a newcomer;
- * the quorum among those that are left is no larger than before, so that nothing accepted depends on it.
+ * Failure: hosts are gone for good, and their successors were taken in before they counted as silent.
+ * Symptom: of four voters one is dead, or of seven two, and a quorum needs all but as many others; one more
+ * lost disk, and nothing is ever accepted again. Enough: silent voters are dropped also without a newcomer
+ * wherever that makes the quorum smaller, down to as many as the disks that may be lost ask for.
+ *
+ * Failure: two voters are silent and a newcomer is ready. Symptom: dropping both first leaves quorums that
+ * hold an entry on no more disks than may be lost. Enough: with a voter too few, the newcomer comes first.
  */
-export function nextVoterChange(state: ConsensusState, now: number): VoterChange | null {
-  const { members, progress, commit } = state;
-  const { voters, learners } = members;
+export function nextVoterChange(state: ConsensusState, view: VoterView): VoterChange | null {
+  const { members } = state;
+  const { voters } = members;
   const forgotten = findForgotten(members);
   if (forgotten !== undefined) {
     return { members: drop(members, forgotten), reason: 'forgotten', replica: forgotten };
   }
-  const ready = learners.find((id) => commit > 0 && (progress[id]?.match ?? 0) >= commit);
-  const silent = findSilent(state, now);
-  const isSurplus = voters.length > LEAST_VOTERS && voters.length % 2 === 0;
-  if (silent !== undefined && (isSurplus || (ready !== undefined && voters.length > 1))) {
-    return { members: drop(members, silent), reason: 'silent', replica: silent };
-  }
-  if (ready !== undefined) {
-    const promoted = {
-      voters: [...voters, ready],
-      learners: learners.filter((id) => id !== ready),
-    };
-    return { members: promoted, reason: 'caughtUp', replica: ready };
+  const ready = findReady(state, view);
+  const silent = voters.filter((id) => isSilent(state, id, view));
+  const [gone] = silent;
+  const canSwap = ready !== undefined && voters.length >= leastVoters(view);
+  if (gone !== undefined && (canSwap || hasSurplus(voters, silent.length, view))) {
+    return { members: drop(members, gone), reason: 'silent', replica: gone };
   }
-  return null;
+  return ready === undefined
+    ? null
+    : { members: promote(members, ready), reason: 'caughtUp', replica: ready };
 }
--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { nextVoterChange } from '../../index.js';
+import { nextVoterChange, type VoterView } from '../../index.js';
 import { ConsensusCluster } from '../utils/ConsensusCluster.js';
 
 const MEMBERS = { voters: ['a.1', 'b.1', 'c.1'], learners: [] };
@@ -9,6 +9,15 @@
 /** How often a leader looks after its voters, ms. */
 const TEND_MS = 100;
 
+/** A leader's view, with as many losses borne as the hosts that founded the cluster allow. */
+function viewOf(cluster: ConsensusCluster, leader: string): VoterView {
+  return {
+    now: cluster.now,
+    heardAt: (id) => cluster.heardAt(leader, id),
+    lossesBorne: Math.floor((cluster.founders - 1) / 2),
+  };
+}
+
 /** Lets time pass; the leader takes hosts that aren't members in, and looks after its voters. */
 function run(cluster: ConsensusCluster, ms: number): void {
   const until = cluster.now + ms;
@@ -21,7 +30,7 @@
       const newcomer = cluster.ids.find((id) => !voters.includes(id) && !learners.includes(id));
       const members =
         newcomer === undefined
-          ? nextVoterChange(leader, cluster.now)?.members
+          ? nextVoterChange(leader, viewOf(cluster, leader.id))?.members
           : { voters, learners: [...learners, newcomer] };
       if (members !== undefined) {
         cluster.input(leader.id, { type: 'members', id: 'm', members });
@@ -111,6 +120,28 @@
     assert.equal(cluster.leader?.members.voters.length, 5);
   });
 
+  // A change that was accepted is gone after two disks are lost, which five hosts bear. Two hosts were silent
+  // while a newcomer had caught up: both were dropped before it was promoted, and what the three that were
+  // left accepted stood on two disks.
+  it('keeps quorums of three of five hosts, whoever is silent when newcomers come', () => {
+    const cluster = new ConsensusCluster({
+      voters: ['a.1', 'b.1', 'c.1', 'd.1', 'e.1'],
+      learners: [],
+    });
+    accept(cluster, 'first');
+    const gone = cluster.ids.filter((id) => id !== cluster.leader?.id).slice(0, 2);
+    gone.forEach((id) => cluster.remove(id));
+    run(cluster, 5_000);
+    cluster.add('f.1');
+    const counts = new Set<number>();
+    for (let i = 0; i < 200; i += 1) {
+      run(cluster, 10);
+      counts.add(cluster.leader?.members.voters.length ?? 5);
+    }
+    assert.ok(Math.min(...counts) >= 4, `voters: ${[...counts].join(', ')}`);
+    assert.equal(cluster.leader?.members.voters.includes('f.1'), true);
+  });
+
   // Hosts are replaced, lose their disks or are silent for a while, one after the other, with time
   // between the losses for the next to be borne. Whatever was accepted stays, and more is accepted.
   it('bears one loss after the other', () => {
@@ -118,11 +149,13 @@
       kind: fc.constantFrom('replaced', 'wiped', 'restarted', 'wipedInTheDark'),
       at: fc.nat(2),
       afterMs: fc.integer({ min: 5_000, max: 9_000 }),
+      // A process is killed and comes back at once: that loses nothing, and may come beside any loss.
+      killed: fc.record({ at: fc.nat(2), afterMs: fc.integer({ min: 100, max: 2_000 }) }),
     });
     fc.assert(
       fc.property(fc.array(loss, { minLength: 1, maxLength: 6 }), (losses) => {
         const cluster = new ConsensusCluster(MEMBERS);
-        losses.forEach(({ kind, at, afterMs }, n) => {
+        losses.forEach(({ kind, at, afterMs, killed }, n) => {
           accept(cluster, `command ${n}`);
           const id = cluster.ids[at % cluster.ids.length] ?? '';
           const handlers: Readonly<Record<string, () => void>> = {
@@ -139,7 +172,9 @@
               wipeOneAndStopAll(cluster, id, `${id.split('.')[0] ?? ''}.${n + 2}`),
           };
           handlers[kind]?.();
-          run(cluster, afterMs);
+          run(cluster, killed.afterMs);
+          cluster.restart(cluster.ids[killed.at % cluster.ids.length] ?? '');
+          run(cluster, afterMs - killed.afterMs);
         });
         accept(cluster, 'last');
         losses.forEach((_loss, n) =>
--- a/src/coordination/__tests__/utils/ConsensusCluster.ts
+++ b/src/coordination/__tests__/utils/ConsensusCluster.ts
@@ -35,7 +35,16 @@
 
   readonly #states = new Map<string, ConsensusState>();
 
+  /** When each replica's process began, and when it ended for good. */
+  readonly #startedAt = new Map<string, number>();
+
+  readonly #endedAt = new Map<string, number>();
+
+  /** How many voters there were at the start. */
+  readonly founders: number;
+
   constructor(members: ConsensusMembers) {
+    this.founders = members.voters.length;
     [...members.voters, ...members.learners].forEach((id) => this.add(id, members));
   }
 
@@ -53,6 +62,7 @@
 
   /** Ends a replica for good, disk included. */
   remove(id: string): void {
+    this.#endedAt.set(id, this.now);
     this.#states.delete(id);
     this.#disks.delete(id);
   }
@@ -68,9 +78,16 @@
   /** Starts a replica from its disk: all else it knew is gone. */
   restart(id: string): void {
     const recovery = this.#disks.get(id) as ConsensusRecovery;
+    this.#startedAt.set(id, this.now);
     this.#states.set(id, initConsensus(id, recovery, { now: this.now, rng: this.#rng }));
   }
 
+  /** When one replica's process last heard another over the link between them; it forgets with its end. */
+  heardAt(by: string, id: string): number {
+    const heard = this.#states.has(id) ? this.now : (this.#endedAt.get(id) ?? 0);
+    return Math.max(heard, this.#startedAt.get(by) ?? 0);
+  }
+
   input(id: string, input: ConsensusInput): readonly ConsensusOutput[] {
     const { state, outputs } = stepConsensus(this.state(id), input, {
       now: this.now,
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -34,7 +34,12 @@
   ConsensusState,
   ConsensusStep,
 } from './ConsensusTypes.js';
-export { nextVoterChange, replicaName, type VoterChange } from './ConsensusVoters.js';
+export {
+  nextVoterChange,
+  replicaName,
+  type VoterChange,
+  type VoterView,
+} from './ConsensusVoters.js';
 export {
   initGate,
   REMEMBER_MS,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -48,6 +48,8 @@
   readonly bind: Address;
   readonly dataFolder: string;
   readonly compactEvery: number;
+  /** Disks that may be lost at once without anything accepted being lost. */
+  readonly lossesBorne: number;
   /** The processes that found a cluster together; null where this one must only join. */
   readonly founders: readonly string[] | null;
   /** Control processes known from settings. */
@@ -160,7 +162,14 @@
         }),
     ).singleton(),
     service: asFunction(
-      ({ consensus }: Cradle) => new DaemonControlService(consensus, runtime.log, runtime.now),
+      ({ consensus, peers }: Cradle) =>
+        new DaemonControlService({
+          consensus,
+          log: runtime.log,
+          now: runtime.now,
+          heardAt: (replica) => peers.heardAt(replica),
+          lossesBorne: cfg.lossesBorne,
+        }),
     ).singleton(),
     newest: asFunction(() => new SharedRead(async () => newestIndex(container.cradle))).singleton(),
   });
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -116,6 +116,11 @@
     this.#clients.get(replicaName(to))?.notify('raft', params);
   }
 
+  /** When a replica's host was last heard over the link to it; undefined where there is no such link. */
+  heardAt(replica: string): number | undefined {
+    return this.#clients.get(replicaName(replica))?.heardAt;
+  }
+
   /** Sends news of members to all. */
   publish(records: readonly MemberRecord[]): void {
     const delta = this.#directory(false, records);
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -10,6 +10,7 @@
   renewLease,
   replicaName,
   type LeaseKeeperState,
+  type VoterView,
 } from '../coordination/index.js';
 import type { ConfigEntries, LeaseGrant, Manifest, SubmitReply } from '../protocol/index.js';
 import {
@@ -49,8 +50,20 @@
   readonly entries: ConfigEntries;
 }
 
+/** What the services stand on. */
+export interface ControlServiceOptions {
+  readonly consensus: DaemonConsensus;
+  readonly log: Logger;
+  readonly now: () => number;
+  /** See {@link VoterView}. */
+  readonly heardAt: VoterView['heardAt'];
+  readonly lossesBorne: number;
+}
+
 /** Services that only the leader gives. */
 export class DaemonControlService {
+  readonly #options: ControlServiceOptions;
+
   readonly #consensus: DaemonConsensus;
 
   readonly #log: Logger;
@@ -64,10 +77,11 @@
   /** Whether a change of members is on its way. */
   #tending = false;
 
-  constructor(consensus: DaemonConsensus, log: Logger, now: () => number) {
-    this.#consensus = consensus;
-    this.#log = log;
-    this.#now = now;
+  constructor(options: ControlServiceOptions) {
+    this.#options = options;
+    this.#consensus = options.consensus;
+    this.#log = options.log;
+    this.#now = options.now;
   }
 
   /** Accepts a manifest, or says why not. `accepted` is said only once a quorum has committed. */
@@ -216,7 +230,9 @@
   /** Makes learners voters, and drops voters that are gone; see {@link nextVoterChange}. */
   async tendMembers(): Promise<void> {
     const { state } = this.#consensus;
-    const change = state.role === 'leader' ? nextVoterChange(state, this.#now()) : null;
+    const { heardAt, lossesBorne } = this.#options;
+    const view: VoterView = { now: this.#now(), heardAt, lossesBorne };
+    const change = state.role === 'leader' ? nextVoterChange(state, view) : null;
     if (change === null || this.#tending) {
       return;
     }
--- a/src/transport/TransportLink.ts
+++ b/src/transport/TransportLink.ts
@@ -45,7 +45,9 @@
 
   readonly #closed: Promise<void>;
 
-  #heardAt = performance.now();
+  readonly #openedAt = performance.now();
+
+  #heardAt = this.#openedAt;
 
   #hasHole = false;
 
@@ -96,6 +98,11 @@
     return this.#heardAt;
   }
 
+  /** Whether anything was heard yet: a frozen host's kernel opens connections too. */
+  get hasHeard(): boolean {
+    return this.#heardAt > this.#openedAt;
+  }
+
   /** Bytes received and sent, without headers of lower layers. */
   get bytes(): { readonly received: number; readonly sent: number } {
     return { received: this.#socket.bytesRead, sent: this.#socket.bytesWritten };
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -58,6 +58,9 @@
 
   #dropped = false;
 
+  /** When a peer was last heard on a link that has ended; at first, when this client was made. */
+  #heardBefore = performance.now();
+
   constructor(options: LinkClientOptions) {
     this.#options = options;
     this.#run().catch(() => undefined);
@@ -68,6 +71,11 @@
     return this.#link;
   }
 
+  /** When a peer was last heard, on this link or an earlier one; ms on the local monotonic clock. */
+  get heardAt(): number {
+    return this.#link?.hasHeard === true ? this.#link.heardAt : this.#heardBefore;
+  }
+
   /** Calls a method of the peer. Rejects at once while there is no link. */
   async request(method: string, params: unknown, timeoutMs?: number): Promise<unknown> {
     if (this.#link === null) {
@@ -154,6 +162,7 @@
       return false;
     } finally {
       signal.removeEventListener('abort', onAbort);
+      this.#heardBefore = link?.hasHeard === true ? link.heardAt : this.#heardBefore;
       this.#link = null;
       if (link !== null) {
         onDown?.(link);
