Parts of two links are kept apart

Cause: one buffer per process put the parts of large messages together, whichever link they came by. With links to two hubs at once parts of one message were taken for the other's ('invalid distance too far back'; neither came). Change: a buffer per link.

--- a/src/transport/TransportParts.ts
+++ b/src/transport/TransportParts.ts
@@ -104,25 +104,38 @@
   }
 }
 
-/** Adds to handlers one that puts parts together and hands the whole to the method's own. */
-export function withParts(handlers: LinkHandlers): LinkHandlers {
-  let id = 0;
-  let received: Uint8Array[] = [];
+/** What has come of a message so far. */
+interface Received {
+  readonly id: number;
+  readonly parts: readonly Uint8Array[];
+}
+
+/**
+ * Adds to handlers one that puts parts together and hands the whole to the method's own.
+ *
+ * Failure: a process has links to two hubs while it moves, and both send. Symptom: parts of one message are
+ * taken for the other's, and neither arrives. Enough: each link's parts are kept by themselves; on one link
+ * they come in order.
+ *
+ * @param onProgress called with each part that was taken.
+ */
+export function withParts(
+  handlers: LinkHandlers,
+  onProgress: () => void = () => undefined,
+): LinkHandlers {
+  const byLink = new WeakMap<TransportLink, Received>();
   const onPart: LinkHandler = async (params, link) => {
-    const part = params as Part;
-    if (part.part === 0) {
-      id = part.id;
-      received = [];
-    }
-    // Parts come in order on one link; a new link starts with a new message.
-    if (part.id !== id || part.part !== received.length) {
+    const { id, part, parts, method, bytes } = params as Part;
+    const before = part === 0 ? { id, parts: [] } : byLink.get(link);
+    if (before?.id !== id || before.parts.length !== part) {
       return;
     }
-    received.push(part.bytes);
-    if (received.length === part.parts) {
-      const whole = Buffer.concat(received);
-      received = [];
-      await handlers[part.method]?.(unpack(await inflate(whole)), link);
+    const received = [...before.parts, bytes];
+    byLink.set(link, { id, parts: received });
+    onProgress();
+    if (received.length === parts) {
+      byLink.delete(link);
+      await handlers[method]?.(unpack(await inflate(Buffer.concat(received))), link);
     }
   };
   return { ...handlers, 'link.part': onPart };
--- a/src/transport/__tests__/unit/TransportParts.test.ts
+++ b/src/transport/__tests__/unit/TransportParts.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { PartsSender, type TransportLink } from '../../index.js';
+import { PartsSender, withParts, type TransportLink } from '../../index.js';
 
 describe('PartsSender', () => {
   // Ten configurations come within a second, and the pace lets one go in that time. Callers are served by
@@ -21,3 +21,35 @@
     assert.deepEqual(sent, [0, 10, 99]);
   });
 });
+
+describe('withParts', () => {
+  // A process moves from one hub to another, and both send it a configuration meanwhile. Mixed up, neither
+  // arrives, and callers are served by an older one.
+  it('keeps the parts of two links apart', async () => {
+    const links = ['a', 'b'].map((name) => ({ name }) as unknown as TransportLink);
+    const sent = await Promise.all(
+      links.map(async (_link, i) => {
+        const parts: unknown[] = [];
+        const link = { notify: (_method: string, params: unknown) => parts.push(params) };
+        const text = Array.from({ length: 4_000 }, (_none, n) => (n * 7_919 + i) % 8_191).join(' ');
+        new PartsSender(link as unknown as TransportLink, () => 0).notify('config', text);
+        await delay(50);
+        return { text, parts };
+      }),
+    );
+    const got: unknown[] = [];
+    const handlers = withParts({ config: (text) => got.push(text) });
+    const most = Math.max(...sent.map(({ parts }) => parts.length));
+    for (let n = 0; n < most; n += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await Promise.all(
+        links.map(async (link, i) => {
+          const part = sent[i]?.parts[n];
+          return part === undefined ? undefined : handlers['link.part']?.(part, link);
+        }),
+      );
+    }
+    assert.ok(most > 1);
+    assert.deepEqual(new Set(got), new Set(sent.map(({ text }) => text)));
+  });
+});
