A change that is named and doesn't come is asked for again

Cause: a hub counts a change as sent once it is written to a link. One that was lost on its way (a link that ended, parts that were mixed up) was missing until the next change, though each answer to 'which is the newest' named it. Change: named twice and not here, it is asked for again; four times, another hub is looked for; not while parts of a large change still come. Tests: the watch with a hub that lost it, and with a large one on its way.

--- a/src/daemon/direct/DirectConfigWatch.ts
+++ b/src/daemon/direct/DirectConfigWatch.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps an entry process on the newest configuration: asks its hub which that is, and acts on a hub that is
- * silent, can't tell.
+ * silent, can't tell, or names one that doesn't come.
  */
 import type { Logger } from 'pino';
 import type { ClockReading } from '../../coordination/index.js';
@@ -22,9 +22,15 @@
 /** After questions have failed this often in a row another hub is looked for. */
 const MOST_FAILURES = 2;
 
+/** A change that is named this often and doesn't come is asked for again, and later of another hub. */
+const ASK_AGAIN_AFTER = 2;
+const SEARCH_AFTER = 4;
+
 /** What the watch needs of the link to the hub. */
 export interface ConfigHub {
   readonly isUp: boolean;
+  /** Whether a large message is on its way here. */
+  readonly isReceiving: boolean;
   request: (method: string, params: unknown, timeoutMs?: number) => Promise<unknown>;
   ping: (timeoutMs: number) => Promise<void>;
   /** Looks for another hub beside this one, until `settle`. */
@@ -32,6 +38,8 @@
   settle: () => void;
   /** Leaves this hub for another. */
   reconnect: () => void;
+  /** Has the hub send again all that came after the configuration held. */
+  askAgain: () => void;
 }
 
 /** What the watch stands on. */
@@ -48,6 +56,9 @@
 
   #failures = 0;
 
+  /** Answers in a row that named a configuration that isn't held. */
+  #behind = 0;
+
   #asking = false;
 
   #askedAt = -Infinity;
@@ -96,8 +107,34 @@
   #onAnswer(index: number, askedAt: ClockReading): void {
     const { hub, onNewest } = this.#options;
     this.#failures = 0;
-    onNewest(index, askedAt);
-    hub.settle();
+    if (onNewest(index, askedAt)) {
+      this.#behind = 0;
+      hub.settle();
+      return;
+    }
+    this.#onBehind(index);
+  }
+
+  /**
+   * Failure: a change of the configuration gets lost on its way from a hub that counts it as sent. Symptom: the
+   * older one is in force until the next change, though each answer names the newer. Enough: what is named
+   * and isn't held is asked for again, and then of another hub; but not while a large change is on its way.
+   */
+  #onBehind(index: number): void {
+    const { hub, runtime } = this.#options;
+    this.#askedAt = -Infinity;
+    if (hub.isReceiving) {
+      return;
+    }
+    this.#behind += 1;
+    if (this.#behind === ASK_AGAIN_AFTER) {
+      runtime.log.warn({ event: 'behind', newest: index }, 'a change is asked for again');
+      hub.askAgain();
+    } else if (this.#behind >= SEARCH_AFTER) {
+      this.#behind = 0;
+      runtime.log.warn({ event: 'behind', newest: index }, 'another hub is looked for');
+      hub.searchOther();
+    }
   }
 
   /** A question has failed: it is asked again at once, and of another hub if this one is silent. */
--- a/src/daemon/direct/__tests__/unit/DirectConfigWatch.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectConfigWatch.test.ts
@@ -9,6 +9,8 @@
 class FakeHub implements ConfigHub {
   readonly isUp = true;
 
+  isReceiving = false;
+
   readonly done: string[] = [];
 
   /** What a question gets. */
@@ -36,6 +38,10 @@
   reconnect(): void {
     this.done.push('reconnect');
   }
+
+  askAgain(): void {
+    this.done.push('askAgain');
+  }
 }
 
 /** Asks several times, a tick of a quarter of a second apart, and tells what was done each time. */
@@ -66,6 +72,20 @@
     assert.deepEqual(await run(new FakeHub(), 7, 4), [['settle'], [], [], ['settle']]);
   });
 
+  // A change was accepted, and its delta is lost on the way. The hub counts it as sent; each of its answers
+  // names the change, and callers are served by the older configuration until the next change.
+  it('has a change sent again that is named and does not come', async () => {
+    assert.deepEqual(await run(new FakeHub(), 6, 5), [[], ['askAgain'], [], ['searchOther'], []]);
+  });
+
+  // A change of some twenty kilobytes takes more than a second at the pace of a hub. Asked for again, or begun
+  // anew at another hub, it would never be whole.
+  it('waits for a large change while its parts come', async () => {
+    const hub = new FakeHub();
+    hub.isReceiving = true;
+    assert.deepEqual((await run(hub, 6, 8)).flat(), []);
+  });
+
   // The hub's leader is gone: its answers take long or fail, but it lives. Running from hub to hub would only
   // cost a whole directory each time.
   it('stays at a hub that lives while the leader is gone, until two answers failed', async () => {
