The limit on an attempt to connect is held by a timer of the event loop

An attempt to reach a dark host hung for as long as the kernel tries: an entry host stayed without a hub for seconds, and control hosts that start one after the other after a power loss may not reach each other. Change: a plain timer; the other uses of such signals (calls to engines) hold theirs by a listener and keep it.

--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -1,5 +1,6 @@
 /** Keeps one link up to one of several addresses. */
-import { connect } from 'node:net';
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Address } from './TransportAddress.js';
 import { BEAT, TransportLink, type LinkHandlers, type LinkSwitch } from './TransportLink.js';
@@ -39,23 +40,31 @@
   readonly jitter: () => number;
 }
 
-async function openSocket(address: Address, signal: AbortSignal) {
+/**
+ * Connects.
+ *
+ * Failure: a host is dark and answers nothing. Symptom: the attempt hangs for as long as the kernel tries, and
+ * with it the process that waits for a hub, or two control hosts that could elect a leader. Enough: a timer that
+ * the event loop holds ends it. `AbortSignal.any` holds a timeout signal only weakly: with the first garbage
+ * collection its timer is gone.
+ */
+async function openSocket(address: Address, signal: AbortSignal): Promise<Socket> {
   const socket = connect({ host: address.host, port: address.port });
-  const limit = AbortSignal.any([signal, AbortSignal.timeout(CONNECT_MS)]);
-  await new Promise<void>((resolve, reject) => {
-    const abort = () => {
-      socket.destroy();
-      reject(new Error('connect timed out'));
-    };
-    limit.addEventListener('abort', abort, { once: true });
-    socket.once('error', reject);
-    socket.once('connect', () => {
-      limit.removeEventListener('abort', abort);
-      socket.removeListener('error', reject);
-      resolve();
-    });
-  });
-  return socket;
+  const giveUp = (): void => {
+    socket.destroy(new Error('connect timed out or was given up'));
+  };
+  const timer = setTimeout(giveUp, CONNECT_MS);
+  signal.addEventListener('abort', giveUp);
+  if (signal.aborted) {
+    giveUp();
+  }
+  try {
+    await once(socket, 'connect');
+    return socket;
+  } finally {
+    clearTimeout(timer);
+    signal.removeEventListener('abort', giveUp);
+  }
 }
 
 /** Closes a link when a signal comes; returns its undo. */
