--- a/fakes/__tests__/unit/MapSwitch.test.ts
+++ b/fakes/__tests__/unit/MapSwitch.test.ts
@@ -284,6 +284,42 @@
     assert.ok(outputs.some(({ type }) => type === 'abandoned'));
   });
 
+  // A hold of an earlier change is carried out late, while the next map is being prepared. The rank is released,
+  // and its map must follow at once: it waited a second and a half, the time that a whole map may take on
+  // its way, and all streams of the group went on under a map that demand had left behind.
+  it('prepares a rank at once after it has released it', () => {
+    const group = new FakeLockstep(RANKS);
+    let state = initMapSwitch(RANKS, 0);
+    const sent: string[] = [];
+    const input = (item: MapSwitchInput, now: number): void => {
+      const step = stepMapSwitch(state, item, now);
+      state = step.state;
+      step.outputs.forEach((output) => {
+        if (output.type === 'order' && output.rank === 1) {
+          sent.push(`${now} ${output.order.kind}`);
+        }
+      });
+    };
+    const report = (now: number, heldStep: number | null): void =>
+      [0, 1, 2].forEach((rank) =>
+        input(
+          {
+            type: 'report',
+            rank,
+            report: { ...group.report(rank), heldStep: rank === 1 ? heldStep : null },
+          },
+          now,
+        ),
+      );
+    input({ type: 'gained', token: 1 }, 0);
+    report(10, null);
+    report(15, 40);
+    input({ type: 'propose', map: [[[1], [2], [3]]] }, 20);
+    report(100, null);
+    input({ type: 'tick' }, 140);
+    assert.deepEqual(sent, ['15 release', '140 prepare']);
+  });
+
   // Orders to ranks lose their answers and are carried out seconds later; a coordinator dies and its
   // successor takes over; the group forms anew. Were one rank to begin a pass with another map than
   // the rest, callers would get tokens computed from two maps at once. No schedule may lead there.
--- a/src/coordination/MapSwitch.ts
+++ b/src/coordination/MapSwitch.ts
@@ -9,7 +9,7 @@
  * a pass that has begun, and changes nothing. The coordinator sends what the newest reports lack
  * again and again, and believes reports, never the fate of its orders.
  */
-import type { RankReport } from '../protocol/index.js';
+import type { EngineOrder, RankReport } from '../protocol/index.js';
 import { fullView, ORDER_OF } from './MapSwitchOrders.js';
 import type {
   MapSwitchInput,
@@ -54,7 +54,7 @@
     map: null,
     step: 0,
     tries: 0,
-    sentAt: Array.from({ length: ranks }, () => null),
+    quietUntil: Array.from({ length: ranks }, () => null),
     unknowns: 0,
     startedAt: 0,
   };
@@ -108,25 +108,28 @@
   return enter(state, 'idle');
 }
 
+/** How long to wait for an order's effect: a whole map takes long on its way, all else is short. */
+function resendMsOf({ phase }: MapSwitchState, order: EngineOrder): number {
+  return phase === 'preparing' && order.kind === 'prepare' ? RESEND_MAP_MS : RESEND_MS;
+}
+
 function sendOrders(state: MapSwitchState, now: number): MapSwitchStep {
   const orderOf = ORDER_OF[state.phase];
   if (orderOf === undefined) {
     return { state, outputs: [] };
   }
-  const sentAt = [...state.sentAt];
+  const quietUntil = [...state.quietUntil];
   const outputs = state.reports.flatMap((seen, rank): readonly MapSwitchOutput[] => {
-    const sent = sentAt[rank] ?? null;
-    const resendMs = state.phase === 'preparing' ? RESEND_MAP_MS : RESEND_MS;
-    const waits = sent !== null && now - sent < resendMs;
+    const waits = now < (quietUntil[rank] ?? -Infinity);
     const valid = seen !== null && seen.at >= state.since && seen.report.epoch === state.epoch;
     const order = waits || !valid ? null : orderOf(state, seen.report, rank);
     if (order === null) {
       return [];
     }
-    sentAt[rank] = now;
+    quietUntil[rank] = now + resendMsOf(state, order);
     return [{ type: 'order', rank, order }];
   });
-  return { state: { ...state, sentAt }, outputs };
+  return { state: { ...state, quietUntil }, outputs };
 }
 
 function choosePass(state: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
@@ -209,7 +212,7 @@
   const reports = fullView(state);
   const advanced = reports === null ? null : (ADVANCE[state.phase] ?? stay)(state, reports, now);
   if (advanced !== null && advanced.state.phase !== state.phase) {
-    const fresh = { ...advanced.state, sentAt: state.sentAt.map(() => null) };
+    const fresh = { ...advanced.state, quietUntil: state.quietUntil.map(() => null) };
     return proceed({ state: fresh, outputs: [...step.outputs, ...advanced.outputs] }, now);
   }
   const sent = sendOrders(advanced?.state ?? state, now);
@@ -225,7 +228,7 @@
     reports: state.reports.map(() => null),
     step: 0,
     map: null,
-    sentAt: state.sentAt.map(() => null),
+    quietUntil: state.quietUntil.map(() => null),
   };
   const observing = enter(next, 'observing');
   return { ...observing, outputs: [...observing.outputs, { type: 'reset', epoch }] };
@@ -269,8 +272,10 @@
 ): MapSwitchStep {
   const unknowns = result === 'unknown' ? Math.min(2 * LOSSY, state.unknowns + 1) : state.unknowns;
   // The next report tells whether it is lacking still; one that failed at once isn't repeated at once.
-  const sentAt = state.sentAt.map((at, i) => (i === rank && result === 'unknown' ? null : at));
-  return { state: { ...state, unknowns, sentAt }, outputs: [] };
+  const quietUntil = state.quietUntil.map((at, i) =>
+    i === rank && result === 'unknown' ? null : at,
+  );
+  return { state: { ...state, unknowns, quietUntil }, outputs: [] };
 }
 
 type Handlers = {
--- a/src/coordination/MapSwitchTypes.ts
+++ b/src/coordination/MapSwitchTypes.ts
@@ -38,8 +38,8 @@
   readonly step: number;
   /** Tries of this process; part of each version, so that none is used twice. */
   readonly tries: number;
-  /** Orders on their way: by rank, when they were sent. */
-  readonly sentAt: readonly (number | null)[];
+  /** Orders on their way: by rank, until when no other is sent, ms. */
+  readonly quietUntil: readonly (number | null)[];
   /** Orders without an answer lately, which lengthen the way to the switch. */
   readonly unknowns: number;
   readonly startedAt: number;
