A search among hubs goes on when the silent link ends

Cause (read from the code of the search): a question that ran into its limit dropped the link, and the search with it; then one target after another was tried, the first one first. Change: the search's result is awaited before anything is opened; nothing drops a link any more but its own silence. The new test fails before, passes now.

--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -127,11 +127,6 @@
     this.notify('config.gap', { held: this.#config.index });
   }
 
-  /** Drops the link; the next one goes to another control process. */
-  reconnect(): void {
-    this.#client.dropLink();
-  }
-
   async #hello(link: TransportLink): Promise<void> {
     // A new version refutes a `gone` that was said while this process wasn't heard.
     this.#record = { ...this.#record, version: this.#record.version + 1 };
--- a/src/daemon/direct/DirectConfigWatch.ts
+++ b/src/daemon/direct/DirectConfigWatch.ts
@@ -36,8 +36,6 @@
   /** Looks for another hub beside this one, until `settle`. */
   searchOther: () => void;
   settle: () => void;
-  /** Leaves this hub for another. */
-  reconnect: () => void;
   /** Has the hub send again all that came after the configuration held. */
   askAgain: () => void;
 }
@@ -146,10 +144,7 @@
       { event: 'unproven', failures: this.#failures, err: err.message },
       'newest configuration not confirmed',
     );
-    if (err instanceof LinkTimeoutError) {
-      this.#failures = 0;
-      hub.reconnect();
-    } else if (this.#failures >= MOST_FAILURES) {
+    if (err instanceof LinkTimeoutError || this.#failures >= MOST_FAILURES) {
       this.#failures = 0;
       hub.searchOther();
     }
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -85,7 +85,8 @@
 
   #search: AbortController | null = null;
 
-  #dropped = false;
+  /** Resolves once no search is under way. */
+  #searched: Promise<void> = Promise.resolve();
 
   /** When a peer was last heard on a link that has ended; at first, when this client was made. */
   #heardBefore = performance.now();
@@ -123,15 +124,9 @@
     this.#link?.notify(method, params);
   }
 
-  /** Closes the link because its target is of no use now; the next target is tried first. */
-  dropLink(): void {
-    this.#dropped = true;
-    this.#link?.close();
-  }
-
   /**
    * Looks for another target while this link stays; the first that is up takes its place. Ends with
-   * {@link stopSearch}, or when this link ends.
+   * {@link stopSearch}; if this link ends first, the search goes on.
    */
   searchOther(): void {
     const current = this.#link?.target;
@@ -147,6 +142,8 @@
     const { signal, jitter } = this.#options;
     let failures = 0;
     while (!signal.aborted) {
+      // eslint-disable-next-line no-await-in-loop
+      await this.#searched;
       const targets = this.#options.targets();
       const target = targets[failures % targets.length];
       // One connection at a time, by design: this loop is the owner of the link.
@@ -154,8 +151,8 @@
       const link = this.#takeFound() ?? (await this.#open(target));
       // eslint-disable-next-line no-await-in-loop
       await this.#keep(link);
-      failures = link !== null && !this.#dropped ? 0 : failures + 1;
-      this.#dropped = false;
+      // A target that went silent is likely out of reach still: connecting to it first would hang.
+      failures = link === null || link.wasSilent ? failures + 1 : 0;
       const pause = Math.min(
         BACKOFF_MAX_MS,
         BACKOFF_MS * 2 ** Math.floor(failures / Math.max(1, targets.length)),
@@ -220,10 +217,7 @@
     this.#link = null;
     stop();
     undo();
-    this.stopSearch();
     this.#heardBefore = link.hasHeard ? link.heardAt : this.#heardBefore;
-    // A target that went silent is likely out of reach still: connecting to it first would hang.
-    this.#dropped = this.#dropped || link.wasSilent;
   }
 
   /**
@@ -250,23 +244,18 @@
    * meanwhile. Enough: the link stays until another target has answered, and several are asked side by side.
    */
   #startSearch(targets: readonly LinkTarget[]): void {
-    const current = this.#link;
-    if (current === null || this.#search !== null) {
+    if (this.#link === null || this.#search !== null) {
       return;
     }
     const search = new AbortController();
     this.#search = search;
-    this.#raceFor(targets, search)
-      .then((found) => {
-        this.#search = null;
-        if (found !== null && this.#link === current) {
-          this.#found = found;
-          current.close();
-        } else {
-          found?.close();
-        }
-      })
-      .catch(() => undefined);
+    this.#searched = this.#raceFor(targets, search).then((found) => {
+      this.#search = null;
+      this.#found = found;
+      if (found !== null) {
+        this.#link?.close();
+      }
+    });
   }
 
   /** The first link of several that is up; null where none came up before the search ended. */
--- a/src/transport/__tests__/unit/TransportLinkClient.test.ts
+++ b/src/transport/__tests__/unit/TransportLinkClient.test.ts
@@ -162,6 +162,42 @@
     assert.deepEqual(accepted, [1, 1, 1]);
   });
 
+  // The silent link ends while the search is under way. Given up with it, the search would begin anew with one
+  // target after the other, the dead ones first.
+  it('goes on searching when the link ends meanwhile', async () => {
+    const stop = new AbortController();
+    let frozen = false;
+    const links: TransportLink[] = [];
+    const peers = await Promise.all(
+      [0, 1, 2].map(async (i) =>
+        startPeer(
+          () => frozen && i < 2,
+          () => undefined,
+          stop.signal,
+        ),
+      ),
+    );
+    const client = new TransportLinkClient({
+      targets: () => peers,
+      handlers: {},
+      signal: stop.signal,
+      jitter: () => 0,
+      onUp: async (link) => {
+        links.push(link);
+      },
+    });
+    await waitFor(() => client.link !== null);
+    frozen = true;
+    client.searchOther();
+    links[0]?.close();
+    await waitFor(() => links.length > 1);
+    stop.abort();
+    assert.deepEqual(
+      links.map(({ target }) => target),
+      [peers[0]?.name, peers[2]?.name],
+    );
+  });
+
   // A link was slow, not dead, and its peer answers while another is looked for: the process stays.
   it('stays where it is when the search is ended', async () => {
     const stop = new AbortController();
