--- /dev/null
+++ b/src/daemon/__tests__/utils/FakeDisk.ts
@@ -0,0 +1,40 @@
+/** A control host's disk, for tests. */
+/** A disk that can be made to refuse writes, or to answer none until it is sound again. */
+export class FakeDisk {
+  readonly identity: { readonly replica: string };
+
+  readonly recovered: readonly unknown[] = [];
+
+  #fault: 'full' | 'stalled' | null = null;
+
+  #release: (() => void) | null = null;
+
+  #sound: Promise<void> = Promise.resolve();
+
+  constructor(replica: string) {
+    this.identity = { replica };
+  }
+
+  fail(fault: 'full' | 'stalled'): void {
+    this.#fault = fault;
+    this.#sound = new Promise((resolve) => {
+      this.#release = resolve;
+    });
+  }
+
+  mend(): void {
+    this.#fault = null;
+    this.#release?.();
+  }
+
+  async append(): Promise<void> {
+    if (this.#fault === 'full') {
+      throw new Error('no space left');
+    }
+    await this.#sound;
+  }
+
+  async rewrite(): Promise<void> {
+    await this.append();
+  }
+}
