--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -184,6 +184,34 @@
     assert.equal(cluster.leader?.members.voters.length, 5);
   });
 
+  // Nothing is accepted any more though all hosts are back. One of five is cut off while another's disk is lost and
+  // it comes back empty; the one that was cut off was dropped to make room for it, and when a second disk was
+  // lost, two of four voters were left, and the third host with all that was accepted had no vote.
+  it('keeps the vote of a host that is cut off while two others lose their disks', () => {
+    const cluster = new ConsensusCluster({
+      voters: ['a.1', 'b.1', 'c.1', 'd.1', 'e.1'],
+      learners: [],
+    });
+    accept(cluster, 'first');
+    const [cutOff = '', wiped = '', next = ''] = cluster.ids.filter(
+      (id) => id !== cluster.leader?.id,
+    );
+    cluster.cut(cutOff);
+    run(cluster, 4_000);
+    cluster.remove(wiped);
+    cluster.add(`${wiped.slice(0, 1)}.2`);
+    for (let i = 0; i < 400 && cluster.leader?.members.voters.length === 5; i += 1) {
+      run(cluster, 10);
+    }
+    cluster.remove(next);
+    cluster.add(`${next.slice(0, 1)}.2`);
+    run(cluster, 1_000);
+    cluster.heal();
+    run(cluster, 5_000);
+    accept(cluster, 'second');
+    assert.equal(cluster.leader?.members.voters.length, 5);
+  });
+
   // A change that was accepted is gone after two disks are lost, which five hosts bear. Two hosts were silent
   // while a newcomer had caught up: both were dropped before it was promoted, and what the three that were
   // left accepted stood on two disks.
