A newcomer is promoted before any voter is dropped

Cause: a silent voter made room for a newcomer that was ready, though silent isn't gone: the one that was cut off came back without a vote, and two of four voters were left after a second lost disk. Change: newcomers are promoted first, and a voter is dropped only where that makes the quorum smaller. The window in which one more loss can't be borne is as short as before (one change of members).

--- a/src/coordination/ConsensusVoters.ts
+++ b/src/coordination/ConsensusVoters.ts
@@ -87,8 +87,9 @@
  * lost disk, and nothing is ever accepted again. Enough: silent voters are dropped also without a newcomer
  * wherever that makes the quorum smaller, down to as many as the disks that may be lost ask for.
  *
- * Failure: two voters are silent and a newcomer is ready. Symptom: dropping both first leaves quorums that
- * hold an entry on no more disks than may be lost. Enough: with a voter too few, the newcomer comes first.
+ * Failure: a voter is cut off while another's disk is lost, and a newcomer is ready. Symptom: dropped to make
+ * room, the one that is cut off comes back without a vote, and with the next lost disk too few are left that
+ * have one. Enough: a newcomer is promoted first, and a voter dropped only from the larger number.
  */
 export function nextVoterChange(state: ConsensusState, view: VoterView): VoterChange | null {
   const { members } = state;
@@ -98,13 +99,12 @@
     return { members: drop(members, forgotten), reason: 'forgotten', replica: forgotten };
   }
   const ready = findReady(state, view);
+  if (ready !== undefined) {
+    return { members: promote(members, ready), reason: 'caughtUp', replica: ready };
+  }
   const silent = voters.filter((id) => isSilent(state, id, view));
   const [gone] = silent;
-  const canSwap = ready !== undefined && voters.length >= leastVoters(view);
-  if (gone !== undefined && (canSwap || hasSurplus(voters, silent.length, view))) {
-    return { members: drop(members, gone), reason: 'silent', replica: gone };
-  }
-  return ready === undefined
-    ? null
-    : { members: promote(members, ready), reason: 'caughtUp', replica: ready };
+  return gone !== undefined && hasSurplus(voters, silent.length, view)
+    ? { members: drop(members, gone), reason: 'silent', replica: gone }
+    : null;
 }
