--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -3,6 +3,7 @@
 import { makeLeaseSpec } from './SpecLease.js';
 import { makeMapChangeSpec } from './SpecMapChange.js';
 import { makeRolloutSpec } from './SpecRollout.js';
+import { makeVotersSpec, VOTERS_SAFEGUARDS } from './SpecVoters.js';
 import type { Spec, SpecEvent } from './SpecTypes.js';
 
 /** What `npm run check:model` explores. */
@@ -22,6 +23,17 @@
     { terms: 2, log: 1, crashes: 0, candidates: 'bd', replace: true, start: 'after one commit' },
     ['new identity after a lost disk', 'one voter at a time'],
   ),
+  makeVotersSpec({ hosts: 3, borne: 1, losses: 2, silences: 1, inOrder: false }, [
+    VOTERS_SAFEGUARDS.OUTLIVES,
+    VOTERS_SAFEGUARDS.DROPPED,
+  ]),
+  makeVotersSpec({ hosts: 5, borne: 2, losses: 4, silences: 0, inOrder: true }, [
+    VOTERS_SAFEGUARDS.TWO_OF_ODD,
+    VOTERS_SAFEGUARDS.ENOUGH,
+  ]),
+  makeVotersSpec({ hosts: 5, borne: 2, losses: 2, silences: 1, inOrder: true }, [
+    VOTERS_SAFEGUARDS.NEWCOMER_FIRST,
+  ]),
   makeRolloutSpec({ changes: 3, restarts: 3, processes: 2 }),
   makeLeaseSpec({ grants: 3, restarts: 2 }),
   makeMapChangeSpec({ ranks: 3, proposals: [1, 0] }, [
--- /dev/null
+++ b/spec/SpecVoters.ts
@@ -0,0 +1,292 @@
+/**
+ * Specification of who votes: hosts are replaced or lose their disks, some are silent for a while, leaders
+ * change. The choice is the program's own (`nextVoterChange`); the log below it is taken as given.
+ */
+import {
+  nextVoterChange,
+  type ConsensusMembers,
+  type ConsensusState,
+  type VoterChange,
+} from '../src/coordination/index.js';
+import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+
+/** A replica; its id is its host's name and a count of the host's disks. */
+interface Replica {
+  readonly id: string;
+  /** `gone`: its disk is lost for good. `silent`: out of reach, with its disk. */
+  readonly status: 'sound' | 'silent' | 'gone';
+  /** Whether the leader counts it as silent. */
+  readonly noticed: boolean;
+  /** Whether its disk holds all that was accepted. */
+  readonly holds: boolean;
+}
+
+interface State {
+  readonly replicas: readonly Replica[];
+  readonly members: ConsensusMembers;
+  /** Disks lost that still count: no other may be lost beyond what is borne. */
+  readonly open: number;
+  readonly losses: number;
+  readonly silences: number;
+}
+
+interface Event extends SpecEvent {
+  readonly id?: string;
+  readonly fresh?: string;
+}
+
+/** Bounds of the exploration. */
+export interface VotersBounds {
+  readonly hosts: number;
+  readonly borne: number;
+  readonly losses: number;
+  readonly silences: number;
+  /** Only founders are hit, disks from the first on and silence from the last on: they are all alike. */
+  readonly inOrder: boolean;
+}
+
+const OUTLIVES = 'silence is counted across elections';
+const DROPPED = 'silent voters are dropped where the quorum gets smaller';
+const TWO_OF_ODD = 'two silent voters of an odd number are dropped';
+const NEWCOMER_FIRST = 'newcomers are promoted before any voter is dropped';
+const ENOUGH = 'as many voters stay as the disks that may be lost ask for';
+
+/** Names of the safeguards, for the mutants that the bounds can kill. */
+export const VOTERS_SAFEGUARDS = { OUTLIVES, DROPPED, TWO_OF_ODD, NEWCOMER_FIRST, ENOUGH };
+
+/** When the leader looks, ms; a replica heard at 0 has been silent for long enough. */
+const NOW = 10_000;
+
+function find(state: State, id: string): Replica | undefined {
+  return state.replicas.find((replica) => replica.id === id);
+}
+
+function change(state: State, id: string, to: Partial<Replica>): State {
+  return {
+    ...state,
+    replicas: state.replicas.map((known) => (known.id === id ? { ...known, ...to } : known)),
+  };
+}
+
+function count(state: State, has: (replica: Replica) => boolean): number {
+  return state.members.voters.filter((id) => {
+    const replica = find(state, id);
+    return replica !== undefined && has(replica);
+  }).length;
+}
+
+function hasQuorum(state: State, has: (replica: Replica) => boolean): boolean {
+  return count(state, has) * 2 > state.members.voters.length;
+}
+
+const isSound = ({ status }: Replica): boolean => status === 'sound';
+
+/** A voter that can lead: it holds all that was accepted, and a majority answers it. */
+function leaderOf(state: State): Replica | undefined {
+  return hasQuorum(state, isSound)
+    ? state.replicas.find(
+        (replica) => isSound(replica) && replica.holds && state.members.voters.includes(replica.id),
+      )
+    : undefined;
+}
+
+/** Makes room for a newcomer by dropping a silent voter, if there is one. */
+function makeRoom(state: State): VoterChange | null {
+  const { voters, learners } = state.members;
+  const replica = voters.find((id) => find(state, id)?.noticed === true);
+  return replica === undefined
+    ? null
+    : {
+        members: { voters: voters.filter((id) => id !== replica), learners },
+        reason: 'silent',
+        replica,
+      };
+}
+
+/** What the leader would change next, by the program's own rule. */
+function nextChange(state: State, bounds: VotersBounds, on: Safeguards): VoterChange | null {
+  const leader = leaderOf(state);
+  if (leader === undefined) {
+    return null;
+  }
+  const heard = ({ noticed }: Replica): number => (noticed ? 0 : NOW);
+  const progress = Object.fromEntries(
+    state.replicas.map((replica) => [
+      replica.id,
+      { next: 2, match: replica.holds ? 1 : 0, heardAt: heard(replica), round: 0 },
+    ]),
+  );
+  const view = { id: leader.id, members: state.members, progress, commit: 1 };
+  const found = nextVoterChange(view as unknown as ConsensusState, {
+    now: NOW,
+    heardAt: () => undefined,
+    lossesBorne: on[ENOUGH] === false ? 0 : bounds.borne,
+  });
+  if (found?.reason === 'caughtUp' && on[NEWCOMER_FIRST] === false) {
+    return makeRoom(state) ?? found;
+  }
+  if (found?.reason !== 'silent') {
+    return found;
+  }
+  const isOdd = state.members.voters.length % 2 === 1;
+  const isLeftOut = on[DROPPED] === false || (isOdd && on[TWO_OF_ODD] === false);
+  return isLeftOut ? null : found;
+}
+
+/** Whether a change would be committed: a majority of the new voters is there. */
+function commits(state: State, { members }: VoterChange): boolean {
+  return hasQuorum({ ...state, members }, isSound);
+}
+
+/** The next identity of a host, or of the one that takes its place at another address. */
+function freshIds({ id }: Replica): readonly string[] {
+  const [name = '', disk = ''] = id.split('.');
+  return [`${name}.${Number(disk) + 1}`, `${name}'.0`];
+}
+
+/** Whether all hosts are back and nothing is left to do about the disks that were lost. */
+function isSettled(state: State, bounds: VotersBounds, on: Safeguards): boolean {
+  const hasDue = state.replicas.some(
+    ({ id, status, noticed, holds }) =>
+      (status === 'gone' && !noticed && on[OUTLIVES] !== false) ||
+      status === 'silent' ||
+      (status === 'sound' && !holds) ||
+      (status === 'sound' &&
+        !state.members.voters.includes(id) &&
+        !state.members.learners.includes(id)),
+  );
+  return !hasDue && nextChange(state, bounds, on) === null && leaderOf(state) !== undefined;
+}
+
+/** Drops what no longer matters, so that alike states are one. */
+function tidy(state: State): State {
+  const { voters, learners } = state.members;
+  const named = (id: string): boolean => voters.includes(id) || learners.includes(id);
+  return {
+    ...state,
+    replicas: state.replicas.filter(({ id, status }) => status !== 'gone' || named(id)),
+  };
+}
+
+type Step = (state: State, event: Event, bounds: VotersBounds, on: Safeguards) => State;
+
+const STEPS: Readonly<Record<string, Step>> = {
+  lose: (state, { id = '', fresh = '' }) => {
+    const lost = change(state, id, { status: 'gone', noticed: false, holds: false });
+    const newcomer: Replica = { id: fresh, status: 'sound', noticed: false, holds: false };
+    return {
+      ...lost,
+      replicas: [...lost.replicas, newcomer],
+      open: state.open + 1,
+      losses: state.losses + 1,
+    };
+  },
+  silence: (state, { id = '' }) => ({
+    ...change(state, id, { status: 'silent' }),
+    silences: state.silences + 1,
+  }),
+  back: (state, { id = '' }) => change(state, id, { status: 'sound', noticed: false }),
+  notice: (state, { id = '' }) => change(state, id, { noticed: true }),
+  elect: (state) => ({
+    ...state,
+    replicas: state.replicas.map((replica) => ({ ...replica, noticed: false })),
+  }),
+  join: (state, { id = '' }) => {
+    const { voters, learners } = state.members;
+    return { ...state, members: { voters, learners: [...learners, id] } };
+  },
+  catchUp: (state, { id = '' }) => change(state, id, { holds: true }),
+  // The least that may be waited for: the members of a quorum hold it, the others don't yet.
+  accept: (state) => {
+    const least = Math.floor(state.members.voters.length / 2) + 1;
+    const sound = state.members.voters.filter((id) => find(state, id)?.status === 'sound');
+    const holders = new Set([leaderOf(state)?.id ?? '', ...sound].slice(0, least + 1));
+    const quorum = new Set([...holders].slice(0, least));
+    return {
+      ...state,
+      replicas: state.replicas.map((known) => ({ ...known, holds: quorum.has(known.id) })),
+    };
+  },
+  change: (state, _event, bounds, on) => {
+    const next = nextChange(state, bounds, on);
+    return next === null ? state : tidy({ ...state, members: next.members });
+  },
+  settle: (state) => ({ ...state, open: 0 }),
+};
+
+const NAMES = 'abcdefg';
+
+function founder(at: number): string {
+  return `${NAMES[at] ?? ''}.0`;
+}
+
+/** Whether a replica may be hit next: its disk, or by silence. */
+function isNextHit(state: State, { id }: Replica, bounds: VotersBounds): [boolean, boolean] {
+  return bounds.inOrder
+    ? [id === founder(state.losses), id === founder(bounds.hosts - 1 - state.silences)]
+    : [true, true];
+}
+
+function eventsOf(state: State, bounds: VotersBounds, on: Safeguards): readonly Event[] {
+  const leader = leaderOf(state);
+  const { voters, learners } = state.members;
+  const next = nextChange(state, bounds, on);
+  const mayLose = state.open < bounds.borne && state.losses < bounds.losses;
+  return [
+    ...state.replicas.flatMap((replica): readonly Event[] => {
+      const { id, status, noticed, holds } = replica;
+      const isMember = voters.includes(id) || learners.includes(id);
+      const [isDiskNext, isSilentNext] = isNextHit(state, replica, bounds);
+      return [
+        ...(mayLose && isDiskNext && status !== 'gone' && voters.includes(id)
+          ? freshIds(replica).map((fresh) => ({ type: 'lose', id, fresh }))
+          : []),
+        ...(status === 'sound' && isSilentNext && state.silences < bounds.silences
+          ? [{ type: 'silence', id }]
+          : []),
+        ...(status === 'silent' ? [{ type: 'back', id }] : []),
+        ...(status !== 'sound' && !noticed && leader !== undefined ? [{ type: 'notice', id }] : []),
+        ...(status === 'sound' && !isMember && leader !== undefined ? [{ type: 'join', id }] : []),
+        ...(status === 'sound' && isMember && !holds && leader !== undefined
+          ? [{ type: 'catchUp', id }]
+          : []),
+      ];
+    }),
+    ...(leader === undefined ? [] : [{ type: 'accept' }]),
+    ...(next !== null && commits(state, next) ? [{ type: 'change' }] : []),
+    ...(on[OUTLIVES] === false ? [{ type: 'elect' }] : []),
+    ...(state.open > 0 && isSettled(state, bounds, on) ? [{ type: 'settle' }] : []),
+  ];
+}
+
+function violationsOf(state: State): readonly string[] {
+  const kept = ({ status }: Replica): boolean => status !== 'gone';
+  const canForget = hasQuorum(state, (replica) => kept(replica) && !replica.holds);
+  return [
+    ...(hasQuorum(state, kept) ? [] : ['no leader can be elected any more']),
+    ...(canForget ? ['voters that lack what was accepted can elect a leader'] : []),
+  ];
+}
+
+/** Makes the specification within bounds, with the safeguards whose absence these bounds show. */
+export function makeVotersSpec(
+  bounds: VotersBounds,
+  safeguards: readonly string[],
+): Spec<State, Event> {
+  const voters = Array.from({ length: bounds.hosts }, (_none, i) => founder(i));
+  return {
+    name: `voters of ${bounds.hosts} hosts`,
+    bounds: JSON.stringify(bounds),
+    safeguards,
+    init: {
+      replicas: voters.map((id) => ({ id, status: 'sound', noticed: false, holds: true })),
+      members: { voters, learners: [] },
+      open: 0,
+      losses: 0,
+      silences: 0,
+    },
+    events: (state, on) => eventsOf(state, bounds, on),
+    step: (state, event, on) => STEPS[event.type]?.(state, event, bounds, on) ?? state,
+    violations: violationsOf,
+  };
+}
