Logs tell who looked for a hub, why, and where an attempt ended; a search has its own module

Change: TransportLinkClient reports each attempt that came to nothing with its step, and each search with its reason, targets and result; DaemonHubLink logs both (hub_unreached, hub_search). The test that failed says who is attached where when it fails. Steps of an attempt (TransportLinkConnector) and the race of a search (TransportLinkSearch) stand in modules of their own; no behaviour changes.

--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -70,6 +70,10 @@
         },
       ),
       onUp: async (link) => this.#hello(link),
+      onFailure: (failure) =>
+        options.log.info({ event: 'hub_unreached', ...failure }, 'attempt at a hub failed'),
+      onSearched: (result) =>
+        options.log.info({ event: 'hub_search', ...result }, 'search for a hub ended'),
     });
   }
 
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -1,30 +1,33 @@
 /** Keeps one link up to one of several addresses. */
-import { once } from 'node:events';
-import { connect, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Address } from './TransportAddress.js';
-import { BEAT, TransportLink, type LinkHandlers, type LinkSwitch } from './TransportLink.js';
+import { BEAT, type LinkHandlers, type LinkSwitch, type TransportLink } from './TransportLink.js';
+import {
+  closeWith,
+  LinkConnector,
+  type LinkAttemptFailure,
+  type LinkTarget,
+} from './TransportLinkConnector.js';
+import { raceForLink } from './TransportLinkSearch.js';
 
-const CONNECT_MS = 1_500;
 const BACKOFF_MS = 100;
 const BACKOFF_MAX_MS = 1_000;
 
 /** How often a link to another than the first target is reconsidered. In ms. */
 const RETURN_MS = 5_000;
 
-/**
- * In a search the next target is tried too after this long: some ten round trips between AZs, so that one
- * that is out of reach costs little, and one that is near is alone. In ms.
- */
-const STAGGER_MS = 100;
-
-/** A target that gives no sign of life for this long is left out of a search. In ms. */
-const PING_MS = 1_000;
-
-/** Where a link may lead. */
-export interface LinkTarget {
-  readonly name: string;
-  readonly address: Address;
+/** Why another target is looked for: the present one is of no use, or one that is preferred may be back. */
+export type LinkSearchReason = 'other' | 'return';
+
+/** What a search came to. */
+export interface LinkSearchResult {
+  readonly reason: LinkSearchReason;
+  /** Target of the present link. */
+  readonly from: string;
+  readonly targets: readonly string[];
+  /** Target that was found; null where none was. */
+  readonly found: string | null;
+  /** Whether it was ended before all targets were tried. */
+  readonly stopped: boolean;
 }
 
 /** What a client of links needs. */
@@ -38,46 +41,18 @@
   readonly onUp: (link: TransportLink) => Promise<void>;
   /** Number from 0 to 1, to spread reconnects. */
   readonly jitter: () => number;
-}
-
-/**
- * Connects.
- *
- * Failure: a host is dark and answers nothing. Symptom: the attempt hangs for as long as the kernel tries, and
- * with it the process that waits for a hub, or two control hosts that could elect a leader. Enough: a timer that
- * the event loop holds ends it. `AbortSignal.any` holds a timeout signal only weakly: with the first garbage
- * collection its timer is gone.
- */
-async function openSocket(address: Address, signal: AbortSignal): Promise<Socket> {
-  const socket = connect({ host: address.host, port: address.port });
-  const giveUp = (): void => {
-    socket.destroy(new Error('connect timed out or was given up'));
-  };
-  const timer = setTimeout(giveUp, CONNECT_MS);
-  signal.addEventListener('abort', giveUp);
-  if (signal.aborted) {
-    giveUp();
-  }
-  try {
-    await once(socket, 'connect');
-    return socket;
-  } finally {
-    clearTimeout(timer);
-    signal.removeEventListener('abort', giveUp);
-  }
-}
-
-/** Closes a link when a signal comes; returns its undo. */
-function closeWith(signal: AbortSignal, link: TransportLink): () => void {
-  const onAbort = (): void => link.close();
-  signal.addEventListener('abort', onAbort);
-  return () => signal.removeEventListener('abort', onAbort);
+  /** Called with each attempt that came to nothing, those that were given up included. */
+  readonly onFailure?: (failure: LinkAttemptFailure) => void;
+  /** Called at the end of each search. */
+  readonly onSearched?: (result: LinkSearchResult) => void;
 }
 
 /** A link that is made anew whenever it ends, until the signal. */
 export class TransportLinkClient {
   readonly #options: LinkClientOptions;
 
+  readonly #connector: LinkConnector;
+
   #link: TransportLink | null = null;
 
   /** A link that a search has found, to take the place of the present one. */
@@ -93,6 +68,7 @@
 
   constructor(options: LinkClientOptions) {
     this.#options = options;
+    this.#connector = new LinkConnector(options);
     this.#run().catch(() => undefined);
   }
 
@@ -130,7 +106,8 @@
    */
   searchOther(): void {
     const current = this.#link?.target;
-    this.#startSearch(this.#options.targets().filter(({ name }) => name !== current));
+    const others = this.#options.targets().filter(({ name }) => name !== current);
+    this.#startSearch('other', others);
   }
 
   /** Ends a search: the present link is of use again. */
@@ -174,35 +151,8 @@
   /** Connects to a target and brings the link up; null where that fails. */
   async #open(target: LinkTarget | undefined): Promise<TransportLink | null> {
     const { signal } = this.#options;
-    const link = target === undefined ? null : await this.#connect(target, signal);
-    return link !== null && (await this.#bringUp(link, signal)) ? link : null;
-  }
-
-  async #connect(target: LinkTarget, signal: AbortSignal): Promise<TransportLink | null> {
-    const { handlers, isCut } = this.#options;
-    try {
-      const socket = await openSocket(target.address, signal);
-      const link = new TransportLink(socket, target.name, handlers, isCut);
-      link.target = target.name;
-      return link;
-    } catch {
-      // Out of reach or refused: whoever asked tries the next target, and the backoff bounds how often.
-      return null;
-    }
-  }
-
-  async #bringUp(link: TransportLink, signal: AbortSignal): Promise<boolean> {
-    const undo = closeWith(signal, link);
-    try {
-      await this.#options.onUp(link);
-      return !signal.aborted;
-    } catch {
-      // The peer took no part: as if it were out of reach.
-      link.close();
-      return false;
-    } finally {
-      undo();
-    }
+    const link = target === undefined ? null : await this.#connector.connect(target, signal);
+    return link !== null && (await this.#connector.bringUp(link, signal)) ? link : null;
   }
 
   /** Serves a link to its end. */
@@ -230,7 +180,7 @@
       () => {
         const [first] = targets();
         if (first !== undefined && first.name !== link.target) {
-          this.#startSearch([first]);
+          this.#startSearch('return', [first]);
         }
       },
       RETURN_MS * (0.5 + jitter()),
@@ -243,66 +193,27 @@
    * that gives its link up for another hangs there, and callers are served by an older configuration
    * meanwhile. Enough: the link stays until another target has answered, and several are asked side by side.
    */
-  #startSearch(targets: readonly LinkTarget[]): void {
-    if (this.#link === null || this.#search !== null) {
+  #startSearch(reason: LinkSearchReason, targets: readonly LinkTarget[]): void {
+    const from = this.#link?.target;
+    if (from === undefined || this.#search !== null) {
       return;
     }
     const search = new AbortController();
     this.#search = search;
-    this.#searched = this.#raceFor(targets, search).then((found) => {
+    const signal = AbortSignal.any([this.#options.signal, search.signal]);
+    this.#searched = raceForLink(this.#connector, targets, signal).then((found) => {
       this.#search = null;
       this.#found = found;
+      this.#options.onSearched?.({
+        reason,
+        from,
+        targets: targets.map(({ name }) => name),
+        found: found?.target ?? null,
+        stopped: signal.aborted,
+      });
       if (found !== null) {
         this.#link?.close();
       }
     });
   }
-
-  /** The first link of several that is up; null where none came up before the search ended. */
-  async #raceFor(
-    targets: readonly LinkTarget[],
-    search: AbortController,
-  ): Promise<TransportLink | null> {
-    const signal = AbortSignal.any([this.#options.signal, search.signal]);
-    let found: TransportLink | null = null;
-    // One at a time is brought up, so that no two hubs count this process as theirs.
-    let turn = Promise.resolve();
-    const bringUp = async (link: TransportLink): Promise<void> => {
-      if (found === null && !signal.aborted && (await this.#bringUp(link, signal))) {
-        found = link;
-        search.abort();
-      } else {
-        link.close();
-      }
-    };
-    const tryTarget = async (target: LinkTarget, i: number): Promise<void> => {
-      await delay(i * STAGGER_MS, undefined, { signal }).catch(() => undefined);
-      const link = signal.aborted ? null : await this.#reach(target, signal);
-      if (link !== null) {
-        turn = turn.then(async () => bringUp(link));
-        await turn;
-      }
-    };
-    await Promise.all(targets.map(tryTarget));
-    return found;
-  }
-
-  /** Connects to a target and waits for a sign of life. */
-  async #reach(target: LinkTarget, signal: AbortSignal): Promise<TransportLink | null> {
-    const link = await this.#connect(target, signal);
-    if (link === null) {
-      return null;
-    }
-    const undo = closeWith(signal, link);
-    try {
-      await link.request(BEAT, {}, PING_MS);
-      return link;
-    } catch {
-      // Frozen, or the search has ended.
-      link.close();
-      return null;
-    } finally {
-      undo();
-    }
-  }
 }
--- /dev/null
+++ b/src/transport/TransportLinkSearch.ts
@@ -0,0 +1,44 @@
+/** Looks for a target that answers, several side by side, while another link stays in use. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { TransportLink } from './TransportLink.js';
+import type { LinkConnector, LinkTarget } from './TransportLinkConnector.js';
+
+/**
+ * In a search the next target is tried too after this long: some ten round trips between AZs, so that one
+ * that is out of reach costs little, and one that is near is alone. In ms.
+ */
+const STAGGER_MS = 100;
+
+/** A target that gives no sign of life for this long is left out of a search. In ms. */
+const PING_MS = 1_000;
+
+/** The first link of several that is up; null where none came up before the search ended. */
+export async function raceForLink(
+  connector: LinkConnector,
+  targets: readonly LinkTarget[],
+  stop: AbortSignal,
+): Promise<TransportLink | null> {
+  const over = new AbortController();
+  const signal = AbortSignal.any([stop, over.signal]);
+  let found: TransportLink | null = null;
+  // One at a time is brought up, so that no two hubs count this process as theirs.
+  let turn = Promise.resolve();
+  const bringUp = async (link: TransportLink): Promise<void> => {
+    if (found === null && !signal.aborted && (await connector.bringUp(link, signal))) {
+      found = link;
+      over.abort();
+    } else {
+      link.close();
+    }
+  };
+  const tryTarget = async (target: LinkTarget, i: number): Promise<void> => {
+    await delay(i * STAGGER_MS, undefined, { signal }).catch(() => undefined);
+    const link = signal.aborted ? null : await connector.reach(target, PING_MS, signal);
+    if (link !== null) {
+      turn = turn.then(async () => bringUp(link));
+      await turn;
+    }
+  };
+  await Promise.all(targets.map(tryTarget));
+  return found;
+}
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -22,8 +22,10 @@
 export {
   TransportLinkClient,
   type LinkClientOptions,
-  type LinkTarget,
+  type LinkSearchReason,
+  type LinkSearchResult,
 } from './TransportLinkClient.js';
+export type { LinkAttemptFailure, LinkStage, LinkTarget } from './TransportLinkConnector.js';
 export { LinkTimeoutError } from './TransportLinkTimeoutError.js';
 export { serveLinks, type LinkServerOptions } from './TransportLinkServer.js';
 export { PART_BYTES, PartsSender, withParts, type Pace } from './TransportParts.js';
--- a/tools/__tests__/unit/ControlFailure.test.ts
+++ b/tools/__tests__/unit/ControlFailure.test.ts
@@ -20,7 +20,7 @@
   readonly voters: readonly string[];
   readonly rollout: string;
   readonly configIndex: number;
-  readonly attached: readonly unknown[];
+  readonly attached: readonly { readonly id: string }[];
 }
 
 interface Status {
@@ -52,6 +52,16 @@
     return (await response.body.json()) as Status;
   };
 
+  /** Who is attached where, by each control process's own account, for the message of a failure. */
+  const whoIsWhere = async (): Promise<string> => {
+    const rows = await Promise.all(
+      CONTROLS.map(async (name) => (await status(name)).controls.find((row) => row.name === name)),
+    );
+    return rows
+      .map((row) => `${row?.name}: ${row?.attached.map(({ id }) => id).join(' ')}`)
+      .join('; ');
+  };
+
   const post = async (name: string, route: string, body: string): Promise<unknown> => {
     const response = await request(`http://${http(name)}${route}`, { method: 'POST', body });
     return response.body.json();
@@ -200,7 +210,10 @@
       const own = (await status(cutOff)).controls.find(({ name }) => name === cutOff);
       return own?.attached.length === 2;
     };
-    await waitUntil('all attached to the control process of their AZ', 20_000, attachedHere);
+    const allHere = 'all attached to the control process of their AZ';
+    await waitUntil(allHere, 20_000, attachedHere).catch(async (err: unknown) => {
+      throw new Error(`${(err as Error).message}; ${await whoIsWhere()}`);
+    });
     const held = (await status(cutOff)).configIndex;
     const cut = JSON.stringify({ peers: [cutOff, 'entry-lekki-1', 'lookup-lekki'] });
     await Promise.all(others.map(async (name) => post(name, '/test/cut', cut)));
