Tests that fail: a return to the own hub that is ended, a hub left while it takes the process in

Cause: read from the code: each good answer of the present hub ends any search, a return included, also while another hub takes the process in; and a return under way keeps a search for any other hub from beginning.

--- a/src/transport/__tests__/unit/TransportLinkClient.test.ts
+++ b/src/transport/__tests__/unit/TransportLinkClient.test.ts
@@ -7,6 +7,7 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import {
+  BEAT,
   LinkTimeoutError,
   TransportLink,
   TransportLinkClient,
@@ -60,6 +61,30 @@
   });
 }
 
+/** A target behind a path that delays all bytes. */
+async function startDelay(
+  target: LinkTarget,
+  delayMs: number,
+  signal: AbortSignal,
+): Promise<LinkTarget> {
+  const pass = (from: Socket, to: Socket): void => {
+    from.on('data', (bytes) => setTimeout(() => to.write(bytes), delayMs));
+    from.on('error', () => undefined);
+    from.on('close', () => to.destroy());
+  };
+  const server = createServer((socket) => {
+    const onward = connect(target.address);
+    pass(socket, onward);
+    pass(onward, socket);
+  });
+  signal.addEventListener('abort', () => server.close());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return { name: `slow ${target.name}`, address: { host: '127.0.0.1', port } };
+}
+
 /** Forces garbage collections, which a process that starts or works hard has by itself. */
 function collector(): () => void {
   setFlagsFromString('--expose-gc');
@@ -212,6 +237,77 @@
     stop.abort();
   });
 
+  // A hub restarted and is back; it is slow to give its sign of life. Meanwhile the hub that took the process
+  // in answers each question, and each good answer ends a search for another one. Ended with it, the return
+  // to the own AZ's hub would never be made, and a cut between AZs would find the process at the wrong side.
+  it('returns to the first target though the present one is of use', async () => {
+    const stop = new AbortController();
+    const [first, second] = await startPeers(2, () => false, stop.signal);
+    assert.ok(first !== undefined && second !== undefined);
+    const slow = await startDelay(first, 60, stop.signal);
+    let isBack = false;
+    const client = new TransportLinkClient({
+      targets: () => (isBack ? [slow, second] : [second]),
+      handlers: {},
+      signal: stop.signal,
+      jitter: () => 0,
+      onUp: async () => undefined,
+    });
+    await waitFor(() => client.link !== null);
+    isBack = true;
+    const answers = setInterval(() => client.stopSearch(), 50);
+    await waitFor(() => client.link?.target === slow.name, 8_000).finally(() => {
+      clearInterval(answers);
+      stop.abort();
+    });
+  });
+
+  // A hub went silent for a moment, and another is taking the process in when the first answers again. Ended
+  // there, the search would leave the process with the old hub while the new one counts it as its own, and
+  // calls it gone for all later on.
+  it('moves to the target that is taking it in, though the first is of use again', async () => {
+    const stop = new AbortController();
+    const joined: string[] = [];
+    const peers = await startPeers(2, () => false, stop.signal);
+    const client = startClient(peers, stop.signal, async (link) => {
+      joined.push(link.target);
+      await link.request(BEAT, {});
+      if (joined.length > 1) {
+        client.stopSearch();
+      }
+    });
+    await waitFor(() => client.link !== null);
+    client.searchOther();
+    await waitFor(() => joined.length > 1);
+    await waitFor(() => client.link?.target === peers[1]?.name, 2_000).finally(() => stop.abort());
+  });
+
+  // The process is on its way back to the hub of its AZ, which is slow, when the present hub goes silent. The
+  // search for any other must not wait for the return to be given up.
+  it('looks for another target though a return is under way', async () => {
+    const stop = new AbortController();
+    const [first, second, third] = await startPeers(3, () => false, stop.signal);
+    assert.ok(first !== undefined && second !== undefined && third !== undefined);
+    const slow = await startDelay(first, 900, stop.signal);
+    let isBack = false;
+    let asked = 0;
+    const client = new TransportLinkClient({
+      targets: () => {
+        asked += Number(isBack);
+        return isBack ? [slow, second, third] : [second];
+      },
+      handlers: {},
+      signal: stop.signal,
+      jitter: () => 0,
+      onUp: async () => undefined,
+    });
+    await waitFor(() => client.link !== null);
+    isBack = true;
+    await waitFor(() => asked > 0);
+    client.searchOther();
+    await waitFor(() => client.link?.target === third.name, 800).finally(() => stop.abort());
+  });
+
   // A control host is frozen for good; its kernel still takes connections. Counted as heard with each new
   // link, it would keep its vote, and the next lost disk would leave no quorum.
   it('does not count a frozen peer as heard, however often it takes a connection', async () => {
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -11,6 +11,7 @@
 export { DONE_EVENT, findEvents, FRAMES_TYPE, FrameWriter, readFrames } from './TransportFrames.js';
 export { headerOf, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
 export {
+  BEAT,
   BEAT_MS,
   REPLY_MS,
   SILENT_MS,
