A return to the own hub goes on beside a hub that is of use; who is being taken in is seen through

Cause: one switch ended every search. A good answer of the present hub, each 0.7 s on the users' platform, ended the return to the own AZ's hub as well, and could end it between hello and the move, so that another hub counted the process as its own and later called it gone; a return under way kept a search for any other hub from beginning for up to a second. Change: a search has a reason; an answer ends only one for another hub, never while a target takes the process in; a return gives way to it. It isn't shown that this is what ControlFailure showed once: its entry process asks no hub for the newest, so the test stays listed.

--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -47,6 +47,12 @@
   readonly onSearched?: (result: LinkSearchResult) => void;
 }
 
+/** A search under way. */
+interface LinkSearch {
+  readonly reason: LinkSearchReason;
+  readonly stop: AbortController;
+}
+
 /** A link that is made anew whenever it ends, until the signal. */
 export class TransportLinkClient {
   readonly #options: LinkClientOptions;
@@ -58,7 +64,10 @@
   /** A link that a search has found, to take the place of the present one. */
   #found: TransportLink | null = null;
 
-  #search: AbortController | null = null;
+  #search: LinkSearch | null = null;
+
+  /** Whether another target is to be looked for once the search under way has ended. */
+  #isOtherWanted = false;
 
   /** Resolves once no search is under way. */
   #searched: Promise<void> = Promise.resolve();
@@ -102,17 +111,29 @@
 
   /**
    * Looks for another target while this link stays; the first that is up takes its place. Ends with
-   * {@link stopSearch}; if this link ends first, the search goes on.
+   * {@link stopSearch}; if this link ends first, the search goes on. A return under way gives way: it asks
+   * but one target.
    */
   searchOther(): void {
+    if (this.#search?.reason === 'return') {
+      this.#isOtherWanted = true;
+      this.#search.stop.abort();
+      return;
+    }
     const current = this.#link?.target;
     const others = this.#options.targets().filter(({ name }) => name !== current);
     this.#startSearch('other', others);
   }
 
-  /** Ends a search: the present link is of use again. */
+  /**
+   * Ends a search for another target: the present link is of use again. A return goes on: it asks for a better
+   * link, not for one in place of a useless one.
+   */
   stopSearch(): void {
-    this.#search?.abort();
+    this.#isOtherWanted = false;
+    if (this.#search?.reason === 'other') {
+      this.#search.stop.abort();
+    }
   }
 
   async #run(): Promise<void> {
@@ -198,22 +219,30 @@
     if (from === undefined || this.#search !== null) {
       return;
     }
-    const search = new AbortController();
-    this.#search = search;
-    const signal = AbortSignal.any([this.#options.signal, search.signal]);
-    this.#searched = raceForLink(this.#connector, targets, signal).then((found) => {
-      this.#search = null;
-      this.#found = found;
+    const stop = new AbortController();
+    this.#search = { reason, stop };
+    const signals = { stop: stop.signal, end: this.#options.signal };
+    this.#searched = raceForLink(this.#connector, targets, signals).then((found) => {
       this.#options.onSearched?.({
         reason,
         from,
         targets: targets.map(({ name }) => name),
         found: found?.target ?? null,
-        stopped: signal.aborted,
+        stopped: stop.signal.aborted,
       });
-      if (found !== null) {
-        this.#link?.close();
-      }
+      this.#onSearched(found);
     });
   }
+
+  #onSearched(found: TransportLink | null): void {
+    this.#search = null;
+    this.#found = found;
+    const isOtherWanted = this.#isOtherWanted && found === null;
+    this.#isOtherWanted = false;
+    if (found !== null) {
+      this.#link?.close();
+    } else if (isOtherWanted) {
+      this.searchOther();
+    }
+  }
 }
--- a/src/transport/TransportLinkSearch.ts
+++ b/src/transport/TransportLinkSearch.ts
@@ -12,19 +12,31 @@
 /** A target that gives no sign of life for this long is left out of a search. In ms. */
 const PING_MS = 1_000;
 
-/** The first link of several that is up; null where none came up before the search ended. */
+/** What ends a race: `stop` before a target takes the process in, `end` at any time. */
+export interface RaceSignals {
+  readonly stop: AbortSignal;
+  readonly end: AbortSignal;
+}
+
+/**
+ * The first link of several that is up; null where none came up before the search ended.
+ *
+ * Failure: a search is stopped while a peer takes this process in. Symptom: that peer counts the process as its
+ * own, newer than the one that really has it, and calls it gone for all. Enough: what is being taken in is seen
+ * through; a peer that hangs is bounded by the limit of that step.
+ */
 export async function raceForLink(
   connector: LinkConnector,
   targets: readonly LinkTarget[],
-  stop: AbortSignal,
+  { stop, end }: RaceSignals,
 ): Promise<TransportLink | null> {
   const over = new AbortController();
-  const signal = AbortSignal.any([stop, over.signal]);
+  const signal = AbortSignal.any([stop, end, over.signal]);
   let found: TransportLink | null = null;
   // One at a time is brought up, so that no two hubs count this process as theirs.
   let turn = Promise.resolve();
   const bringUp = async (link: TransportLink): Promise<void> => {
-    if (found === null && !signal.aborted && (await connector.bringUp(link, signal))) {
+    if (found === null && !signal.aborted && (await connector.bringUp(link, end))) {
       found = link;
       over.abort();
     } else {
