Tests that fail: a request given up at a host that stands still is delivered all the same

Cause: a given-up call ends its connection in order; what the kernel holds is delivered once the host wakes.

--- /dev/null
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createInterface } from 'node:readline';
+import { describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { openPool, startCall, type CallListener } from '../../index.js';
+
+/** Prints its port, then for each connection how it ended and how many bytes came on it. */
+const COUNTING_SERVER = `require('net').createServer({ allowHalfOpen: true }, (socket) => {
+  let bytes = 0;
+  socket.on('data', (chunk) => { bytes += chunk.length; });
+  socket.on('end', () => console.log('end ' + bytes));
+  socket.on('error', (err) => console.log(err.code + ' ' + bytes));
+}).listen({ port: 0, host: '127.0.0.1' }, function () { console.log(this.address().port); })`;
+
+const SILENT: CallListener = {
+  onHead: () => undefined,
+  onData: () => undefined,
+  onEnd: () => undefined,
+  onError: () => undefined,
+};
+
+interface CountingServer {
+  readonly child: ChildProcess;
+  readonly origin: string;
+  /** The next line that it prints. */
+  readonly nextLine: () => Promise<string>;
+}
+
+async function startServer(): Promise<CountingServer> {
+  const child = spawn(process.execPath, ['-e', COUNTING_SERVER], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const lines = createInterface({ input: child.stdout });
+  const nextLine = async (): Promise<string> => ((await once(lines, 'line')) as [string])[0];
+  return { child, origin: `http://127.0.0.1:${await nextLine()}`, nextLine };
+}
+
+/** Sends a request of this size to a server that stands still, and gives it up; how the server saw its end. */
+async function giveUpAtStopped(bodyBytes: number): Promise<string> {
+  const { child, origin, nextLine } = await startServer();
+  child.kill('SIGSTOP');
+  const { pool, isFailing } = openPool(origin, 1);
+  const body = Buffer.alloc(bodyBytes);
+  const call = { method: 'POST', path: '/', headers: ['content-length', `${bodyBytes}`], body };
+  const running = startCall({ pool, isFailing }, call, SILENT);
+  await delay(300);
+  running.abort();
+  await delay(100);
+  const line = nextLine();
+  child.kill('SIGCONT');
+  const ending = await line;
+  child.kill('SIGKILL');
+  await pool.destroy();
+  return ending;
+}
+
+describe('startCall', () => {
+  // A caller leaves while its request is on the way to a host that stands still. Taken back by an orderly
+  // close, the request stays with the kernel, which goes on delivering it; the host wakes, reads it whole, and
+  // works for nobody. A reset drops what wasn't delivered, and ends what was.
+  [200, 60_000, 500_000, 4_000_000].forEach((bodyBytes) => {
+    it(`takes a request of ${bodyBytes} bytes back from a host that stands still`, async () => {
+      assert.match(await giveUpAtStopped(bodyBytes), /^ECONNRESET /);
+    });
+  });
+});
