--- a/src/cli/CliClient.ts
+++ b/src/cli/CliClient.ts
@@ -1,6 +1,6 @@
 /** Client of the administration API: any control process answers; the next is tried if one can't. */
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const TIMEOUT_MS = 8_000;
 
--- a/src/cli/CliExplain.ts
+++ b/src/cli/CliExplain.ts
@@ -1,5 +1,5 @@
 /** From a request's id to its cause: joins log lines by request, host and time. Pure. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A log line as any process writes it. */
 export type LogLine = Readonly<Record<string, unknown>> & {
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -1,7 +1,7 @@
 /** The administration API: what the command-line tool and pipelines speak to. */
 import type Koa from 'koa';
 import type { Context } from 'koa';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   FindingsError,
   parseManifestQuickly,
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -2,7 +2,8 @@
 import { serveHttp } from '../transport/index.js';
 import { addAdminApi } from './DaemonAdmin.js';
 import { startControlCore } from './DaemonControlCore.js';
-import { createApp, type Runtime } from './DaemonRuntime.js';
+import { createApp } from './DaemonApp.js';
+import type { Runtime } from './DaemonRuntime.js';
 import type { ControlSettings } from './DaemonSettings.js';
 import { DaemonTestSwitch } from './DaemonTestSwitch.js';
 
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -6,7 +6,8 @@
 import { DaemonCoordinator } from './DaemonCoordinator.js';
 import { DaemonGate } from './DaemonGate.js';
 import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
-import { aborted, createApp, every, type Runtime } from './DaemonRuntime.js';
+import { createApp } from './DaemonApp.js';
+import { aborted, every, type Runtime } from './DaemonRuntime.js';
 import type { EndpointSettings } from './DaemonSettings.js';
 
 const TICK_MS = 500;
--- a/src/daemon/DaemonEntry.ts
+++ b/src/daemon/DaemonEntry.ts
@@ -5,7 +5,8 @@
 import { addCallerApi } from './DaemonEntryApi.js';
 import { DaemonEntryState } from './DaemonEntryState.js';
 import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
-import { createApp, every, type Runtime } from './DaemonRuntime.js';
+import { createApp } from './DaemonApp.js';
+import { every, type Runtime } from './DaemonRuntime.js';
 import type { EntrySettings } from './DaemonSettings.js';
 
 const TICK_MS = 250;
--- a/src/daemon/DaemonEntryApi.ts
+++ b/src/daemon/DaemonEntryApi.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import type Koa from 'koa';
 import type { Context } from 'koa';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Agent } from 'undici';
 import { hashText, serviceKey } from '../coordination/index.js';
 import { CALLER_HEADERS, RequestError } from '../protocol/index.js';
@@ -11,7 +11,8 @@
 import { DaemonEntryCall, type CallSpec } from './DaemonEntryCall.js';
 import type { DaemonEntryState } from './DaemonEntryState.js';
 import type { DaemonHubLink } from './DaemonHubLink.js';
-import { answerError, type Runtime } from './DaemonRuntime.js';
+import { answerError } from './DaemonApp.js';
+import type { Runtime } from './DaemonRuntime.js';
 
 /** Characters of a prompt that decide which endpoint may hold its prefix. */
 const PREFIX_CHARS = 256;
--- a/src/daemon/DaemonEntryCall.ts
+++ b/src/daemon/DaemonEntryCall.ts
@@ -22,7 +22,7 @@
 } from '../protocol/index.js';
 import { FRAMES_TYPE, readFrames } from '../transport/index.js';
 import type { CallerApiOptions } from './DaemonEntryApi.js';
-import { answerError } from './DaemonRuntime.js';
+import { answerError } from './DaemonApp.js';
 
 /** How long a gate may take to acknowledge a revocation before the outcome is unknown. In ms. */
 const REVOKE_MS = 1_000;
--- a/src/daemon/DaemonGate.ts
+++ b/src/daemon/DaemonGate.ts
@@ -18,7 +18,8 @@
 } from '../protocol/index.js';
 import { FRAMES_TYPE, FrameWriter, headerOf, readBody } from '../transport/index.js';
 import { relayEvents, relayWhole } from './DaemonGateRelay.js';
-import { answerError, type Runtime } from './DaemonRuntime.js';
+import { answerError } from './DaemonApp.js';
+import type { Runtime } from './DaemonRuntime.js';
 
 /** What the task needs. */
 export interface GateOptions {
--- a/src/daemon/DaemonRuntime.ts
+++ b/src/daemon/DaemonRuntime.ts
@@ -1,13 +1,11 @@
 /** What every role shares: log, clock, randomness, metrics and the signals of its life. */
 import { randomInt } from 'node:crypto';
-import Koa, { type Context } from 'koa';
 import { pino, type Logger } from 'pino';
 import { collectDefaultMetrics, Counter, Registry } from 'prom-client';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 import type { ClockReading } from '../coordination/index.js';
-import { RequestError } from '../protocol/index.js';
 
 /** Shared means of one process. */
 export interface Runtime {
@@ -105,42 +103,3 @@
     });
   }
 }
-
-/** Reports whether the process is ready, and if not, why. */
-export type ReadinessCheck = () => { readonly ready: boolean; readonly reason: string };
-
-/** Answers an error as JSON, with when to come back where that helps. */
-export function answerError(ctx: Context, err: unknown, requestId?: string): void {
-  const error =
-    err instanceof RequestError ? err : new RequestError('endpoint_failed', (err as Error).message);
-  ctx.status = error.status;
-  if (error.retryAfterSeconds !== undefined) {
-    ctx.set('retry-after', String(error.retryAfterSeconds));
-  }
-  ctx.body = error.toBody(requestId);
-}
-
-/** A koa application with liveness, readiness and metrics. */
-export function createApp(runtime: Runtime, isReady: ReadinessCheck): Koa {
-  const handlers: Readonly<Record<string, (ctx: Context) => Promise<void> | void>> = {
-    '/livez': (ctx) => {
-      ctx.body = 'ok\n';
-    },
-    '/readyz': (ctx) => {
-      const { ready, reason } = isReady();
-      ctx.status = ready ? 200 : 503;
-      ctx.body = `${reason}\n`;
-    },
-    '/metrics': async (ctx) => {
-      ctx.type = runtime.registry.contentType;
-      ctx.body = await runtime.registry.metrics();
-    },
-  };
-  const app = new Koa();
-  app.on('error', (err: Error) => runtime.log.debug({ err: err.message }, 'http error'));
-  app.use(async (ctx, next) => {
-    const handler = ctx.method === 'GET' ? handlers[ctx.path] : undefined;
-    await (handler === undefined ? next() : handler(ctx));
-  });
-  return app;
-}
--- a/src/daemon/DaemonSettings.ts
+++ b/src/daemon/DaemonSettings.ts
@@ -1,5 +1,5 @@
 /** Settings: flags and environment, checked together before anything starts. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { FindingsError, type Finding, type Role } from '../protocol/index.js';
 import { parseAddress, type Address } from '../transport/index.js';
 
--- a/src/daemon/DaemonTestSwitch.ts
+++ b/src/daemon/DaemonTestSwitch.ts
@@ -1,6 +1,6 @@
 /** Test switch: cuts this process off from peers by name, silently. Off unless a setting says so. */
 import type Koa from 'koa';
-import { z } from 'zod';
+import * as z from 'zod';
 import { readBody, type LinkSwitch } from '../transport/index.js';
 
 const cutSchema = z.strictObject({ peers: z.array(z.string()) });
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -11,7 +11,8 @@
 import { findRoute, pickTarget } from '../../state/index.js';
 import { readBody, serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
-import { aborted, createApp, every, type Runtime } from '../DaemonRuntime.js';
+import { createApp } from '../DaemonApp.js';
+import { aborted, every, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
 import { sendError } from './DirectAnswer.js';
 import type { PlaceVerdict } from './DirectAdmission.js';
--- a/src/protocol/ProtocolManifest.ts
+++ b/src/protocol/ProtocolManifest.ts
@@ -1,5 +1,5 @@
 /** The manifest: what operators declare, whole, and submit through their pipeline. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const name = z
   .string()
--- a/tools/ManifestSchema.ts
+++ b/tools/ManifestSchema.ts
@@ -1,6 +1,6 @@
 /** Writes the manifest's JSON Schema from its validator, or checks that it is up to date. */
 import { readFile, writeFile } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import { manifestSchema } from '../src/protocol/index.js';
 
 const FILE = new URL('../manifests/manifest.schema.json', import.meta.url);
