An answer's expected length is the usual one and the caller's guess, not the most that is allowed

Cause: from the log of an outage: in the two seconds after a group opened 244 requests were refused for good while places were free. What callers allow (240 tokens) counted as the length of their answers (70), at the long passes of an opening 4.5 s, more than those that came back had left. Change: expectAnswer: the geometric mean of the usual length and the guess, bounded by what is allowed.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,4 +1,5 @@
 /** Layer `coordination`: the decisions, as pure state machines. */
+export { expectAnswer, type AnswerBounds } from './AnswerLength.js';
 export {
   admit,
   EMPTY_ADMISSION,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -5,6 +5,7 @@
   breakPlaces,
   chooseRank,
   enqueue,
+  expectAnswer,
   freeAt,
   initPlaces,
   isOpenGroup,
@@ -38,7 +39,9 @@
   readonly objectiveMs: number;
   readonly deadline: number;
   readonly patienceMs: number;
-  readonly tokens: number | null;
+  /** Most tokens that its answer may have, and the caller's own guess at them; null where unknown. */
+  readonly mostTokens: number | null;
+  readonly hintTokens: number | null;
   readonly returned: boolean;
 }
 
@@ -205,7 +208,7 @@
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
       patientUntil: req.startedAt + req.patienceMs,
-      tokens: req.tokens ?? model.costs.usualAnswer,
+      tokens: expectAnswer(req, model.costs.usualAnswer),
       returned: req.returned,
     };
     return new Promise((resolve) => {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -41,7 +41,8 @@
     objectiveMs: route.objectiveMs,
     deadline,
     patienceMs: route.patienceMs,
-    tokens: head.tokens?.answer ?? head.expectedTokens,
+    mostTokens: head.tokens?.answer ?? null,
+    hintTokens: head.expectedTokens,
     returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
   };
 }
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -56,7 +56,8 @@
   objectiveMs: 400,
   deadline: 8_000,
   patienceMs: 2_000,
-  tokens: 100,
+  mostTokens: 100,
+  hintTokens: null,
   returned: false,
 };
 
