A group that has formed anew is opened once its ranks take an even map

Cause: from logs: after an outage a group opens with its first map (skew 3.5), is given 73 places in place of 128, and for 1.4 s all that is begun is late.

--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -8,6 +8,7 @@
   expectedLoad,
   initDemand,
   initMapSwitch,
+  isOpening,
   isStalled,
   gainWanted,
   mayCoordinate,
@@ -196,6 +197,7 @@
       }
     });
     this.#input({ type: 'tick' });
+    this.#publishIfTurned();
   }
 
   /** Ranks whose counts are read: all of a small group, a part of a large one. */
@@ -293,7 +295,11 @@
     }
     this.#input({ type: 'report', rank, report });
     this.#planAnew();
-    // Told at once: callers wait at the entry hosts, and lose their last try within a second or two.
+    this.#publishIfTurned();
+  }
+
+  /** Told at once: callers wait at the entry hosts, and lose their last try within a second or two. */
+  #publishIfTurned(): void {
     if (this.#isOpen !== this.#publishedOpen) {
       this.#publish();
     }
@@ -301,7 +307,18 @@
 
   /** Whether the group answers, by the newest report of any rank: all ranks tell of the whole group. */
   get #isOpen(): boolean {
-    return this.#newest !== null && this.#newest.open && !this.#isStalled;
+    return this.#newest !== null && this.#newest.open && !this.#isStalled && !this.#isOpening;
+  }
+
+  get #isOpening(): boolean {
+    const view = {
+      usesFirstMap: this.#usesFirstMap,
+      formedAt: this.#resetAt,
+      plannedAt: this.#plannedAt,
+      hasDemand: this.#demand.intervals.length > 0,
+      phase: this.#switch.phase,
+    };
+    return isOpening(view, this.#options.runtime.now());
   }
 
   get #usesFirstMap(): boolean {
@@ -323,11 +340,11 @@
 
   #publish(): void {
     const { group, publish } = this.#options;
-    const active = this.#known(({ active: writers }) => writers);
-    const queued = this.#known(({ queued: waiting }) => waiting);
     if (this.#newest === null || this.#options.runtime.now() - this.#newestAt > FRESH_REPORT_MS) {
       return;
     }
+    const active = this.#known(({ active: writers }) => writers);
+    const queued = this.#known(({ queued: waiting }) => waiting);
     this.#publishedOpen = this.#isOpen;
     publish({
       group,
