A rank that answers nothing while others of its group do is passed over

Change: an endpoint that owes an answer for 0.5 s more than its group's last event is passed over while another rank is left, and for 2 s after a request there was given up.

--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -268,6 +268,13 @@
     this.#streams.onOver(endpoint);
   }
 
+  /** A request is over that had no event; `givenUp` where nothing at all came from the endpoint. */
+  onUnanswered(service: string, endpoint: string, givenUp: boolean): void {
+    const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
+    const isSilent = groups.some((group) => this.#silentAt(group).includes(endpoint));
+    this.#streams.onUnanswered(endpoint, givenUp && isSilent, this.#runtime.now());
+  }
+
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
   choose(service: string, exclude: readonly string[]): string | null | undefined {
     const groups = this.#services.get(service)?.groups;
@@ -275,10 +282,21 @@
       return undefined;
     }
     const { random } = this.#runtime;
-    return chooseRank([...groups.values()], this.#own, this.#zone, exclude, random);
+    const all = [...groups.values()];
+    const silent = all.flatMap((group) => this.#silentAt(group));
+    const choose = (without: readonly string[]): string | null =>
+      chooseRank(all, this.#own, this.#zone, without, random);
+    // One that is silent is better than none: its group may have stood still, and go on.
+    return choose([...exclude, ...silent]) ?? (silent.length > 0 ? choose(exclude) : null);
+  }
+
+  #silentAt({ ranks }: PlaceGroup): readonly string[] {
+    const endpoints = ranks.map(({ endpoint }) => endpoint);
+    return this.#streams.silentAmong(endpoints, this.#runtime.now());
   }
 
   onSent(service: string, endpoint: string): void {
+    this.#streams.onSent(endpoint, this.#runtime.now());
     this.#own.set(endpoint, (this.#own.get(endpoint) ?? 0) + 1);
     this.#granted.set(service, Math.max(0, (this.#granted.get(service) ?? 0) - 1));
   }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -228,8 +228,11 @@
     const sent = this.#sent;
     this.#sent = null;
     if (sent !== null) {
+      const { admission } = this.#state;
       if (sent.writes) {
-        this.#state.admission.onStreamOver(sent.endpoint.id);
+        admission.onStreamOver(sent.endpoint.id);
+      } else {
+        admission.onUnanswered(this.#spec.service, sent.endpoint.id, result === 'cancelled');
       }
       this.#state.onDone(this.#spec.service, sent.endpoint.id, result);
       if (result === 'cancelled') {
--- a/src/daemon/direct/DirectStreams.ts
+++ b/src/daemon/direct/DirectStreams.ts
@@ -1,14 +1,77 @@
 /** The streams that an entry process is being sent, by endpoint: what tells first that a group stands still. */
 import type { OwnStreams } from '../../coordination/index.js';
 
+/**
+ * An endpoint that has answered nothing for this long, with a request sent to it, is silent: three of the longest
+ * passes, in which a prompt is read too. In ms.
+ */
+const SILENT_ENDPOINT_MS = 500;
+
+/** A silent endpoint is tried again this long after the last request there was given up, ms: a caller's patience. */
+const TRY_AGAIN_MS = 2_000;
+
+/** Requests sent to an endpoint that it has not answered. */
+interface Unanswered {
+  /** When they were sent, oldest first, ms. */
+  readonly sentAt: readonly number[];
+  /** Until when the endpoint is passed over in any case, ms. */
+  readonly shunnedUntil: number;
+}
+
+const NONE_UNANSWERED: Unanswered = { sentAt: [], shunnedUntil: -Infinity };
+
 /** Streams in progress; task state of an entry process. */
 export class DirectStreams {
   readonly #streams = new Map<string, OwnStreams>();
 
+  readonly #unanswered = new Map<string, Unanswered>();
+
+  onSent(endpoint: string, now: number): void {
+    const { sentAt, shunnedUntil } = this.#unanswered.get(endpoint) ?? NONE_UNANSWERED;
+    this.#unanswered.set(endpoint, { sentAt: [...sentAt, now], shunnedUntil });
+  }
+
+  /** A request is over that had no event; `shuns` where the endpoint, silent, kept it until it was given up. */
+  onUnanswered(endpoint: string, shuns: boolean, now: number): void {
+    const { sentAt, shunnedUntil } = this.#unanswered.get(endpoint) ?? NONE_UNANSWERED;
+    const until = shuns ? now + TRY_AGAIN_MS : shunnedUntil;
+    if (sentAt.length > 1 || until > now) {
+      this.#unanswered.set(endpoint, { sentAt: sentAt.slice(1), shunnedUntil: until });
+    } else {
+      this.#unanswered.delete(endpoint);
+    }
+  }
+
+  /**
+   * Endpoints of one group that answer nothing while others of it do.
+   *
+   * Failure: the host of one rank stands still; its engine goes on with the group and sends nothing. Symptom: one
+   * request after the other is sent there, for it has the least work, and waits until its caller leaves. Enough:
+   * it is passed over while any other rank is left, until it answers, and then tried with one request now and then.
+   * Where all are silent the group stands still, and none of them is to blame.
+   */
+  silentAmong(endpoints: readonly string[], now: number): readonly string[] {
+    const groupHeardAt = this.at(endpoints).eventAt;
+    return endpoints.filter((endpoint) => {
+      const { sentAt, shunnedUntil } = this.#unanswered.get(endpoint) ?? NONE_UNANSWERED;
+      const heardAt = this.#streams.get(endpoint)?.eventAt ?? -Infinity;
+      const [oldest = Infinity] = sentAt;
+      const waits = groupHeardAt - Math.max(oldest, heardAt) > SILENT_ENDPOINT_MS;
+      return now < shunnedUntil || waits;
+    });
+  }
+
   /** An event has come; `begins` where it is a stream's first. */
   onEvent(endpoint: string, begins: boolean, now: number): void {
     const writing = (this.#streams.get(endpoint)?.writing ?? 0) + Number(begins);
     this.#streams.set(endpoint, { writing, eventAt: now });
+    const { sentAt } = this.#unanswered.get(endpoint) ?? NONE_UNANSWERED;
+    const left = begins ? sentAt.slice(1) : sentAt;
+    if (left.length > 0) {
+      this.#unanswered.set(endpoint, { ...NONE_UNANSWERED, sentAt: left });
+    } else {
+      this.#unanswered.delete(endpoint);
+    }
   }
 
   /** A stream that had begun is over. */
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -156,4 +156,54 @@
     now = 1_400;
     assert.notEqual(admission.choose('s', []), null);
   });
+
+  // The host of one rank stands still, and its engine sends nothing, while the group goes on. It has the least work,
+  // so one request after the other is sent there; each waits until its caller leaves, two seconds later.
+  it('passes over a rank that answers nothing while others do', () => {
+    let now = 0;
+    const admission = openAdmission(pino({ level: 'silent' }), () => now);
+    const chosen = (): string | null | undefined => admission.choose('s', []);
+    admission.onLoad(load(0));
+    admission.onSent('s', 'e1');
+    admission.onSent('s', 'e2');
+    admission.onSent('s', 'e2');
+    admission.onEvent('e2', true);
+    admission.onEvent('e2', true);
+    now = 300;
+    admission.onEvent('e2', false);
+    assert.equal(chosen(), 'e1');
+    now = 600;
+    assert.equal(chosen(), 'e1');
+    admission.onEvent('e2', false);
+    assert.equal(chosen(), 'e2');
+    now = 2_000;
+    admission.onUnanswered('s', 'e1', true);
+    admission.onDone('s', 'e1');
+    assert.equal(chosen(), 'e2');
+    assert.equal(admission.choose('s', ['e2']), 'e1');
+    now = 4_100;
+    assert.equal(chosen(), 'e1');
+    admission.onSent('s', 'e1');
+    now = 4_700;
+    admission.onEvent('e2', false);
+    assert.equal(chosen(), 'e2');
+    admission.onEvent('e1', true);
+    assert.equal(chosen(), 'e1');
+  });
+
+  // A group stands still as a whole, and refuses what it was sent a second and a half later. None of its ranks is
+  // to blame: passed over once it is open again, some would leave all the work to the rest.
+  it('passes over no rank of a group that stood still', () => {
+    let now = 0;
+    const admission = openAdmission(pino({ level: 'silent' }), () => now);
+    admission.onLoad(load(0));
+    admission.onSent('s', 'e1');
+    admission.onSent('s', 'e2');
+    admission.onEvent('e2', true);
+    now = 1_500;
+    admission.onUnanswered('s', 'e1', false);
+    admission.onDone('s', 'e1');
+    admission.onLoad(load(0));
+    assert.equal(admission.choose('s', []), 'e1');
+  });
 });
