Reverted: the expected length of an answer

Conclusion: the most that callers allow, taken for the length, sheds load while passes are long. Before the true length can count, new work must be shed by the time of a pass; until then it makes all streams late.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,5 +1,4 @@
 /** Layer `coordination`: the decisions, as pure state machines. */
-export { expectAnswer, type AnswerBounds } from './AnswerLength.js';
 export { isOpening, type OpeningView } from './GroupOpening.js';
 export {
   admit,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -5,7 +5,6 @@
   breakPlaces,
   chooseRank,
   enqueue,
-  expectAnswer,
   freeAt,
   initPlaces,
   isOpenGroup,
@@ -39,9 +38,7 @@
   readonly objectiveMs: number;
   readonly deadline: number;
   readonly patienceMs: number;
-  /** Most tokens that its answer may have, and the caller's own guess at them; null where unknown. */
-  readonly mostTokens: number | null;
-  readonly hintTokens: number | null;
+  readonly tokens: number | null;
   readonly returned: boolean;
 }
 
@@ -208,7 +205,7 @@
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
       patientUntil: req.startedAt + req.patienceMs,
-      tokens: expectAnswer(req, model.costs.usualAnswer),
+      tokens: req.tokens ?? model.costs.usualAnswer,
       returned: req.returned,
     };
     return new Promise((resolve) => {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -41,8 +41,7 @@
     objectiveMs: route.objectiveMs,
     deadline,
     patienceMs: route.patienceMs,
-    mostTokens: head.tokens?.answer ?? null,
-    hintTokens: head.expectedTokens,
+    tokens: head.tokens?.answer ?? head.expectedTokens,
     returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
   };
 }
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -56,8 +56,7 @@
   objectiveMs: 400,
   deadline: 8_000,
   patienceMs: 2_000,
-  mostTokens: 100,
-  hintTokens: null,
+  tokens: 100,
   returned: false,
 };
 
