--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -1,5 +1,4 @@
 /** Layer `coordination`: the decisions, as pure state machines. */
-export { isOpening, type OpeningView } from './GroupOpening.js';
 export {
   admit,
   EMPTY_ADMISSION,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -8,7 +8,6 @@
   expectedLoad,
   initDemand,
   initMapSwitch,
-  isOpening,
   isStalled,
   gainWanted,
   mayCoordinate,
@@ -199,7 +198,6 @@
       }
     });
     this.#input({ type: 'tick' });
-    this.#publishIfTurned();
   }
 
   /** Ranks whose counts are read: all of a small group, those nearby of a large one. */
@@ -297,11 +295,7 @@
     }
     this.#input({ type: 'report', rank, report });
     this.#planAnew();
-    this.#publishIfTurned();
-  }
-
-  /** Told at once: callers wait at the entry hosts, and lose their last try within a second or two. */
-  #publishIfTurned(): void {
+    // Told at once: callers wait at the entry hosts, and lose their last try within a second or two.
     if (this.#isOpen !== this.#publishedOpen) {
       this.#publish();
     }
@@ -309,18 +303,7 @@
 
   /** Whether the group answers, by the newest report of any rank: all ranks tell of the whole group. */
   get #isOpen(): boolean {
-    return this.#newest !== null && this.#newest.open && !this.#isStalled && !this.#isOpening;
-  }
-
-  get #isOpening(): boolean {
-    const view = {
-      usesFirstMap: this.#usesFirstMap,
-      formedAt: this.#resetAt,
-      plannedAt: this.#plannedAt,
-      hasDemand: this.#demand.intervals.length > 0,
-      phase: this.#switch.phase,
-    };
-    return isOpening(view, this.#options.runtime.now());
+    return this.#newest !== null && this.#newest.open && !this.#isStalled;
   }
 
   get #usesFirstMap(): boolean {
@@ -342,11 +325,11 @@
 
   #publish(): void {
     const { group, publish } = this.#options;
+    const active = this.#known(({ active: writers }) => writers);
+    const queued = this.#known(({ queued: waiting }) => waiting);
     if (this.#newest === null || this.#options.runtime.now() - this.#newestAt > FRESH_REPORT_MS) {
       return;
     }
-    const active = this.#known(({ active: writers }) => writers);
-    const queued = this.#known(({ queued: waiting }) => waiting);
     this.#publishedOpen = this.#isOpen;
     publish({
       group,
