A group's first map is replaced as soon as demand is seen

Cause: from logs: on the small twin of the large site the first plan came 1.42 s after traffic began, from four intervals of counts: copies had to wait until passes were near the longest pause. Half of the answers of the first two seconds were late. Change: gainWanted doesn't ask for long passes while the first map is in use.

--- a/src/coordination/__tests__/unit/MapPlan.test.ts
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -2,7 +2,13 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import type { GroupMap } from '../../../protocol/index.js';
-import { gainWanted, planMap, type MapPolicy, type MapShape } from '../../index.js';
+import {
+  gainWanted,
+  planMap,
+  type MapPolicy,
+  type MapShape,
+  type PassOutlook,
+} from '../../index.js';
 
 const RANKS = 12;
 const EXPERTS = 96;
@@ -84,13 +90,26 @@
   });
 });
 
+/** A group that has had a planned map for long. */
+function settled(passMs: number | null): PassOutlook {
+  return { passMs, pauseMs: 120, usesFirstMap: false, formedMsAgo: Infinity };
+}
+
 describe('gainWanted', () => {
+  // Traffic begins on a group with its first map. Its passes are still short, and half of a second later most
+  // answers are late by their pauses; a map that is planned only then is in use another second later.
+  it('waits for no long passes while the group uses its first map, or has just formed', () => {
+    assert.equal(gainWanted({ ...settled(30), usesFirstMap: true }, 0.004), 0.004);
+    assert.equal(gainWanted({ ...settled(null), formedMsAgo: 900 }, 0.004), 0.004);
+    assert.equal(gainWanted({ ...settled(30), formedMsAgo: 1_600 }, 0.004), null);
+  });
+
   it('asks for more the easier the passes are, and for nothing where they are short', () => {
-    assert.equal(gainWanted(50, 120, 0.004), null);
-    assert.equal(gainWanted(null, 120, 0.004), null);
-    assert.equal(gainWanted(110, 120, 0.004), 0.004);
-    const easy = gainWanted(65, 120, 0.004) ?? 0;
-    const pressed = gainWanted(85, 120, 0.004) ?? 0;
+    assert.equal(gainWanted(settled(50), 0.004), null);
+    assert.equal(gainWanted(settled(null), 0.004), null);
+    assert.equal(gainWanted(settled(110), 0.004), 0.004);
+    const easy = gainWanted(settled(65), 0.004) ?? 0;
+    const pressed = gainWanted(settled(85), 0.004) ?? 0;
     assert.ok(easy > pressed && pressed > 0.004);
   });
 
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -175,7 +175,14 @@
   type ExpertCounts,
   type PackedDemand,
 } from './DemandEstimate.js';
-export { gainWanted, planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
+export {
+  gainWanted,
+  planMap,
+  type MapPlanned,
+  type MapPolicy,
+  type MapShape,
+  type PassOutlook,
+} from './MapPlan.js';
 export { initMapSwitch, PREPARE_MS, stepMapSwitch } from './MapSwitch.js';
 export {
   isStalled,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -81,9 +81,6 @@
 /** Version of the map that a group has when it forms anew. */
 const FIRST_MAP = 0;
 
-/** Time after a group has formed anew in which its map is planned from what was liked before, ms. */
-const ANEW_MS = 1_500;
-
 /**
  * A change that takes less off the skew than this isn't worth its time: it keeps the group busy for half a
  * second, in which a shift of demand can't be answered, and shortens passes by some 2 ms.
@@ -399,15 +396,15 @@
     this.#input({ type: 'propose', map: planned.map });
   }
 
-  /**
-   * What a copy must gain now. A group that has just formed anew uses its first map, and the demand that
-   * was there before is still there: waiting for its passes to grow long again would lose a second.
-   */
+  /** What a copy must gain now; null where passes are short enough. */
   #wanted({ pauseMs, policy }: MapTerms): number | null {
-    const isAnew = this.#options.runtime.now() - this.#resetAt < ANEW_MS;
-    return isAnew
-      ? policy.gainPerCopy
-      : gainWanted(this.#passes.passMs, pauseMs, policy.gainPerCopy);
+    const outlook = {
+      passMs: this.#passes.passMs,
+      pauseMs,
+      usesFirstMap: this.#usesFirstMap,
+      formedMsAgo: this.#options.runtime.now() - this.#resetAt,
+    };
+    return gainWanted(outlook, policy.gainPerCopy);
   }
 
   #input(input: MapSwitchInput): void {
