--- a/src/coordination/DemandCounts.ts
+++ b/src/coordination/DemandCounts.ts
@@ -52,37 +52,11 @@
   );
 }
 
-/** Some of the ranks given, evenly spread. */
-function spread(ranks: readonly number[], count: number): readonly number[] {
-  const most = Math.min(ranks.length, count);
-  return Array.from(
-    { length: most },
-    (_item, i) => ranks[Math.floor((i * ranks.length) / most)] ?? 0,
-  );
-}
-
 /**
- * Ranks whose counts are read: all where they fit, else those near the coordinator, then others, evenly spread.
- * Requests come to all ranks alike, so that a part of them tells the demand. Always the same ranks, for counts of a
- * round must be of the same time.
- *
- * Load pattern: a group of 64 ranks over five AZs, of which some ten are read. Bytes between AZs are dear, and
- * counts are most of them; an AZ alone has thirteen ranks, whose counts cross none.
+ * Ranks whose counts are read, evenly spread: requests come to all ranks alike, so that a part of them
+ * tells the demand. Always the same ranks, for counts of a round must be of the same time.
  */
-export function countedRanks(
-  ranks: number,
-  expertsInAll: number,
-  near: ReadonlySet<number>,
-): ReadonlySet<number> {
+export function countedRanks(ranks: number, expertsInAll: number): ReadonlySet<number> {
   const most = Math.max(1, Math.min(ranks, Math.floor(ROUND_BYTES / Math.max(1, expertsInAll))));
-  const all = Array.from({ length: ranks }, (_item, rank) => rank);
-  const chosen = spread(
-    all.filter((rank) => near.has(rank)),
-    most,
-  );
-  const rest = spread(
-    all.filter((rank) => !near.has(rank)),
-    most - chosen.length,
-  );
-  return new Set([...chosen, ...rest]);
+  return new Set(Array.from({ length: most }, (_item, i) => Math.floor((i * ranks) / most)));
 }
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -55,8 +55,6 @@
   readonly policy: () => MapTerms | null;
   /** Ranks whose processes may coordinate the group. */
   readonly isCandidate: (rank: number) => boolean;
-  /** Ranks in the zone of this process, its own included. */
-  readonly near: () => ReadonlySet<number>;
   /** What another coordinator expected after this process had that token. */
   readonly outlookSince: (token: number) => GroupOutlook | null;
   /** Tells the entry processes of the group's load. */
@@ -197,10 +195,10 @@
     this.#input({ type: 'tick' });
   }
 
-  /** Ranks whose counts are read: all of a small group, those nearby of a large one. */
+  /** Ranks whose counts are read: all of a small group, a part of a large one. */
   get #toCount(): ReadonlySet<number> {
-    const { near, policy, ranks } = this.#options;
-    return countedRanks(ranks, policy()?.expertsInAll ?? 0, near());
+    const terms = this.#options.policy();
+    return countedRanks(this.#options.ranks, terms?.expertsInAll ?? 0);
   }
 
   #followLease(): void {
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -116,7 +116,6 @@
     runtime,
     policy: () => limits.value,
     isCandidate,
-    near: () => new Set([own, ...members.ranksIn(cfg.zone)]),
     outlookSince: (token) => rank.outlookSince(token),
     publish: (load) => hubLink.notify('group.load', load),
   });
--- a/src/daemon/direct/DirectGroupMembers.ts
+++ b/src/daemon/direct/DirectGroupMembers.ts
@@ -21,12 +21,4 @@
     });
     return found;
   }
-
-  /** Ranks whose processes are in a zone. */
-  ranksIn(zone: string): ReadonlySet<number> {
-    const ranks = [...this.#records.values()].flatMap((record) =>
-      record.zone === zone ? (record.offer?.ranks ?? []) : [],
-    );
-    return new Set(ranks);
-  }
 }
