--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -54,6 +54,14 @@
   cluster.add(successor);
 }
 
+/** All lose power, the leader its disk; what is left must accept again. */
+function recoverWithoutLeader(cluster: ConsensusCluster, command: string): void {
+  const lost = cluster.leader?.id ?? '';
+  wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
+  run(cluster, 4_000);
+  accept(cluster, command);
+}
+
 type Loss = 'behind' | 'replaced' | 'wiped' | 'dark';
 
 /** All orders of some items. */
@@ -175,10 +183,7 @@
     cluster.add('d.1');
     run(cluster, 7_000);
     accept(cluster, 'second');
-    const lost = cluster.leader?.id ?? '';
-    wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
-    run(cluster, 4_000);
-    accept(cluster, 'third');
+    recoverWithoutLeader(cluster, 'third');
     assert.equal(cluster.leader?.members.voters.length, 3);
   });
 
@@ -199,10 +204,7 @@
     cluster.restart(cluster.leader?.id ?? '');
     run(cluster, 3_000);
     accept(cluster, 'third');
-    const lost = cluster.leader?.id ?? '';
-    wipeOneAndStopAll(cluster, lost, `${lost.slice(0, 1)}.2`);
-    run(cluster, 4_000);
-    accept(cluster, 'fourth');
+    recoverWithoutLeader(cluster, 'fourth');
     assert.equal(cluster.leader?.members.voters.length, 3);
   });
 
--- a/src/transport/__tests__/unit/TransportLinkClient.test.ts
+++ b/src/transport/__tests__/unit/TransportLinkClient.test.ts
@@ -14,6 +14,14 @@
   type LinkTarget,
 } from '../../index.js';
 
+/** Listens on a free port; the port. */
+async function listenOn(server: Server): Promise<number> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return (server.address() as AddressInfo).port;
+}
+
 /** A peer that answers signs of life, or is frozen: its kernel takes connections, nobody reads them. */
 async function startPeer(isFrozen: () => boolean, accepted: () => void, signal: AbortSignal) {
   const server = createServer((socket) => {
@@ -22,10 +30,7 @@
     signal.addEventListener('abort', () => link.close());
   });
   signal.addEventListener('abort', () => server.close());
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+  const port = await listenOn(server);
   return { name: `${port}`, address: { host: '127.0.0.1', port } };
 }
 
@@ -47,13 +52,14 @@
   );
 }
 
+/** A client of some targets, or of those that are asked for again with each connection. */
 function startClient(
-  targets: readonly LinkTarget[],
+  targets: readonly LinkTarget[] | (() => readonly LinkTarget[]),
   signal: AbortSignal,
   onUp: (link: TransportLink) => Promise<void> = async () => undefined,
 ): TransportLinkClient {
   return new TransportLinkClient({
-    targets: () => targets,
+    targets: typeof targets === 'function' ? targets : () => targets,
     handlers: {},
     signal,
     jitter: () => 0,
@@ -78,10 +84,7 @@
     pass(onward, socket);
   });
   signal.addEventListener('abort', () => server.close());
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
+  const port = await listenOn(server);
   return { name: `slow ${target.name}`, address: { host: '127.0.0.1', port } };
 }
 
@@ -246,13 +249,7 @@
     assert.ok(first !== undefined && second !== undefined);
     const slow = await startDelay(first, 60, stop.signal);
     let isBack = false;
-    const client = new TransportLinkClient({
-      targets: () => (isBack ? [slow, second] : [second]),
-      handlers: {},
-      signal: stop.signal,
-      jitter: () => 0,
-      onUp: async () => undefined,
-    });
+    const client = startClient(() => (isBack ? [slow, second] : [second]), stop.signal);
     await waitFor(() => client.link !== null);
     isBack = true;
     const answers = setInterval(() => client.stopSearch(), 50);
@@ -291,16 +288,10 @@
     const slow = await startDelay(first, 900, stop.signal);
     let isBack = false;
     let asked = 0;
-    const client = new TransportLinkClient({
-      targets: () => {
-        asked += Number(isBack);
-        return isBack ? [slow, second, third] : [second];
-      },
-      handlers: {},
-      signal: stop.signal,
-      jitter: () => 0,
-      onUp: async () => undefined,
-    });
+    const client = startClient(() => {
+      asked += Number(isBack);
+      return isBack ? [slow, second, third] : [second];
+    }, stop.signal);
     await waitFor(() => client.link !== null);
     isBack = true;
     await waitFor(() => asked > 0);
@@ -337,18 +328,10 @@
       accepted += 1;
       setTimeout(() => socket.destroy(), 5);
     });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    const { port } = server.address() as AddressInfo;
+    const port = await listenOn(server);
     const stop = new AbortController();
-    const client = new TransportLinkClient({
-      targets: () => [{ name: 'peer', address: { host: '127.0.0.1', port } }],
-      handlers: {},
-      signal: stop.signal,
-      jitter: () => 0,
-      onUp: async () => undefined,
-    });
+    const peer = { name: 'peer', address: { host: '127.0.0.1', port } };
+    const client = startClient([peer], stop.signal);
     while (accepted < 8) {
       // eslint-disable-next-line no-await-in-loop
       await delay(20);
@@ -377,21 +360,15 @@
         socket.on('error', () => undefined);
       });
       servers.push(server);
-      await new Promise<void>((resolve) => {
-        server.listen(0, '127.0.0.1', resolve);
-      });
-      return (server.address() as AddressInfo).port;
+      return listenOn(server);
     };
     const ports = [await listen('silent'), await listen('other')];
     const stop = new AbortController();
-    const client = new TransportLinkClient({
-      targets: () =>
-        ports.map((port, i) => ({ name: `${i}`, address: { host: '127.0.0.1', port } })),
-      handlers: {},
-      signal: stop.signal,
-      jitter: () => 0,
-      onUp: async () => undefined,
-    });
+    const targets = ports.map((port, i) => ({
+      name: `${i}`,
+      address: { host: '127.0.0.1', port },
+    }));
+    const client = startClient(targets, stop.signal);
     while (order.length < 2) {
       // eslint-disable-next-line no-await-in-loop
       await delay(20);
