A silent rank is looked for only where an answer is owed

Cause: found in reading the change again: each request looked at all ranks of all groups (192 on the large site), though one that owes no answer is never silent. Change: only endpoints with an answer owed or shunned are looked at; the same ones are found. Conclusion: behaviour as before.

--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -268,8 +268,8 @@
   /** A request is over that had no event; `givenUp` where nothing at all came from the endpoint. */
   onUnanswered(service: string, endpoint: string, givenUp: boolean): void {
     const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    const isSilent = groups.some((group) => this.#silentAt(group).includes(endpoint));
-    this.#streams.onUnanswered(endpoint, givenUp && isSilent, this.#runtime.now());
+    const shuns = givenUp && groups.some((group) => this.#silentAt(group).includes(endpoint));
+    this.#streams.onUnanswered(endpoint, shuns, this.#runtime.now());
   }
 
   /** The endpoint for a request by its group's places; undefined where the service has no groups. */
--- a/src/daemon/direct/DirectStreams.ts
+++ b/src/daemon/direct/DirectStreams.ts
@@ -51,8 +51,12 @@
    * Where all are silent the group stands still, and none of them is to blame.
    */
   silentAmong(endpoints: readonly string[], now: number): readonly string[] {
+    const owing = endpoints.filter((endpoint) => this.#unanswered.has(endpoint));
+    if (owing.length === 0) {
+      return [];
+    }
     const groupHeardAt = this.at(endpoints).eventAt;
-    return endpoints.filter((endpoint) => {
+    return owing.filter((endpoint) => {
       const { sentAt, shunnedUntil } = this.#unanswered.get(endpoint) ?? NONE_UNANSWERED;
       const heardAt = this.#streams.get(endpoint)?.eventAt ?? -Infinity;
       const [oldest = Infinity] = sentAt;
