Sight: an entry process finds out whether an endpoint has ended under its requests

What callers saw: requests for a group refused for seconds, time and again, as endpoints of it ended one after the other. The logs couldn't tell why: a failed attempt was a lost connection, whether the endpoint had ended, its group had fallen apart or a link was cut, and nothing said that two attempts carried the same request.

Each end is one line with the requests in progress, by their digests, and a count.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -40,6 +40,19 @@
   type VoterChange,
   type VoterView,
 } from './ConsensusVoters.js';
+export {
+  lifeOf,
+  NO_ENDPOINT_ENDS,
+  provesEnd,
+  stepEndpointEnds,
+  type EndEvidence,
+  type EndpointEndsInput,
+  type EndpointEndsOutput,
+  type EndpointEndsState,
+  type EndpointEndsStep,
+  type EndpointLife,
+  type LostRequest,
+} from './EndpointEnds.js';
 export {
   initGate,
   REMEMBER_MS,
--- a/src/daemon/DaemonEntryMetrics.ts
+++ b/src/daemon/DaemonEntryMetrics.ts
@@ -10,6 +10,8 @@
 
   readonly #firstByte: Histogram;
 
+  readonly endpointEnds: Counter;
+
   /** `inProgress` is asked for each time that the metrics are read. */
   constructor(registry: Registry, inProgress: () => number) {
     const registers = [registry];
@@ -25,6 +27,11 @@
       buckets: FIRST_BYTE_BUCKETS,
       registers,
     });
+    this.endpointEnds = new Counter({
+      name: 'laburnumgauge_endpoint_ends_total',
+      help: 'Ends of endpoints under requests of this process',
+      registers,
+    });
     // eslint-disable-next-line no-new
     new Gauge({
       name: 'laburnumgauge_requests_in_progress',
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -28,6 +28,8 @@
   readonly faultyInstance: string | null;
   /** Whether another instance now has the endpoint's address. */
   readonly wrongInstance: boolean;
+  /** Whether the connection ended under the request: a lost one, or the end of the endpoint. */
+  readonly connectionEnded: boolean;
 }
 
 /** What a request hears of its attempt. */
@@ -128,7 +130,7 @@
 
   onError(err: Error, sent: boolean): void {
     const begun = this.#head === null ? 'lost' : 'broken';
-    this.#fail(sent ? begun : 'unsent', err.message);
+    this.#fail(sent ? begun : 'unsent', err.message, null, sent);
   }
 
   get #isStream(): boolean {
@@ -158,7 +160,12 @@
     this.#options.listener.onStreamEnd();
   }
 
-  #fail(failure: DirectFailure, reason: string, answer: WholeAnswer | null = null): void {
+  #fail(
+    failure: DirectFailure,
+    reason: string,
+    answer: WholeAnswer | null = null,
+    connectionEnded = false,
+  ): void {
     if (this.#over) {
       return;
     }
@@ -169,6 +176,7 @@
       answer,
       faultyInstance: answer?.head.faultyInstance ?? null,
       wrongInstance: answer?.head.wrongInstance ?? false,
+      connectionEnded,
     });
   }
 }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -6,6 +6,7 @@
   type KeyedCustomer,
   type MemberRecord,
   type RequestHead,
+  type RequestIdentity,
   type Route,
 } from '../../protocol/index.js';
 import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
@@ -25,6 +26,8 @@
   readonly service: string;
   readonly customer: KeyedCustomer | null;
   readonly body: Buffer;
+  /** What it has in common with the same request sent again. */
+  readonly identity: RequestIdentity;
   /** When it was read, and when its caller is given up on; ms on the local monotonic clock. */
   readonly startedAt: number;
   readonly deadline: number;
@@ -298,7 +301,7 @@
   }
 
   #onFailure(failed: AttemptFailure): void {
-    const { failure, reason, answer } = failed;
+    const { failure } = failed;
     const endpoint = this.#sent?.endpoint;
     this.#settle(failure === 'notRun' ? 'refused' : 'failed');
     if (this.#isOver || endpoint === undefined) {
@@ -310,8 +313,25 @@
     } else if (failure !== 'notRun') {
       this.#mayHaveRun = true;
     }
-    const { service, head } = this.#spec;
     this.#state.onAttemptFailed(endpoint, failed);
+    if (!failed.connectionEnded) {
+      this.#judge(endpoint, failed);
+      return;
+    }
+    // Whether the endpoint has ended must be known before the request is sent to another.
+    this.#state
+      .onConnectionEnded(endpoint, this.#spec)
+      .catch((err: unknown) => this.#state.logFault(this.#spec.head.id, err))
+      .finally(() => {
+        if (!this.#isOver) {
+          this.#judge(endpoint, failed);
+        }
+      });
+  }
+
+  /** Decides what follows a failed attempt. */
+  #judge(endpoint: MemberRecord, { failure, reason, answer }: AttemptFailure): void {
+    const { service, head } = this.#spec;
     const verdict = judgeFailure(
       failure,
       this.#progress(),
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -280,6 +280,13 @@
       service: pickTarget(route, this.#runtime.random()),
       customer,
       body,
+      identity: {
+        customer: route.anonymous ? '' : (customer?.name ?? ''),
+        method: req.method ?? 'GET',
+        host: req.headers.host ?? '',
+        path: req.url ?? '/',
+        body,
+      },
       startedAt,
       deadline: startedAt + timeoutMs,
     };
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -7,6 +7,7 @@
   initRouting,
   isFresh,
   isProven,
+  lifeOf,
   mergeDelta,
   proveFresh,
   pruneView,
@@ -25,14 +26,16 @@
   type RetryBudgetState,
   type RoutingState,
 } from '../../coordination/index.js';
-import type {
-  DirectoryDelta,
-  DocumentDialect,
-  HttpDialect,
-  MemberRecord,
+import {
+  digestRequest,
+  type DirectoryDelta,
+  type DocumentDialect,
+  type HttpDialect,
+  type MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import { openPool, type EndpointPool } from '../../transport/index.js';
+import { openPool, probeAddress, type EndpointPool } from '../../transport/index.js';
+import { DaemonEndpointEnds } from '../DaemonEndpointEnds.js';
 import { EntryMetrics } from '../DaemonEntryMetrics.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import {
@@ -80,11 +83,6 @@
 /** Where nothing tells when a place is free, callers come back after about this long. In ms. */
 const RETRY_AFTER_MS = 400;
 
-/** Key of one life of an endpoint: a later one under the same id has nothing in common with it. */
-function lifeOf({ id, incarnation }: MemberRecord): string {
-  return `${id}@${incarnation}`;
-}
-
 /** State of the process; each part is replaced whole. */
 export class DirectEntryState {
   readonly #options: DirectEntryOptions;
@@ -98,6 +96,8 @@
 
   readonly #metrics: EntryMetrics;
 
+  readonly #ends: DaemonEndpointEnds;
+
   readonly admission: DirectAdmission;
 
   /** Model services by name, as the newest configuration declares them. */
@@ -124,6 +124,12 @@
       this.#modelOf(service),
     );
     this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
+    this.#ends = new DaemonEndpointEnds({
+      runtime: options.runtime,
+      probe: probeAddress,
+      ends: this.#metrics.endpointEnds,
+      onSuspects: () => undefined,
+    });
   }
 
   get dialect(): HttpDialect {
@@ -198,11 +204,13 @@
   }
 
   onDirectory(delta: DirectoryDelta): void {
+    this.#ends.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#setView(mergeDelta(this.#view, delta, this.now()));
   }
 
   /** Drops what has been missing for too long. */
   tick(): void {
+    this.#ends.tick();
     const view = pruneView(this.#view, this.now());
     if (view !== this.#view) {
       this.#setView(view);
@@ -312,6 +320,19 @@
     }
   }
 
+  /**
+   * The connection to an endpoint has ended under a request. Resolves once it is known, as far as it can be, whether
+   * the endpoint has. One that leaves, or is known to be gone, ends as planned: that tells nothing of its requests.
+   */
+  async onConnectionEnded(endpoint: MemberRecord, spec: DirectSpec): Promise<void> {
+    const record = this.#view.get(endpoint.id)?.record;
+    if (record?.status === 'serving' && record.incarnation === endpoint.incarnation) {
+      const { customer } = spec.identity;
+      const lost = { digest: digestRequest(spec.identity), customer, request: spec.head.id };
+      await this.#ends.onLost(endpoint, lost);
+    }
+  }
+
   logAttempt(
     request: string,
     endpoint: string,
