A request under which endpoints have ended is sent to none any more

What callers saw: requests beside a certain one cut off time and again, and a whole group of ranks closed for 4 to 6 seconds after each end; a request under which three endpoints had ended was sent to endpoints five times more. Cause: nobody who sends, retries, waits or resumes remembered what the request did before (class: a query of death that is resent by parts that keep no memory of their outcome). Each attempt was judged by itself, as a lost connection.

Now an end of an endpoint's life is held against all requests in progress there; entry and control processes keep the set, tell each other at once and compare hashes each second. Just before any send it is asked: two ends at ranks of groups, three at single endpoints, and the request is refused as not run (503) with the time until it is forgotten; one that waits is answered when the news comes; one a rank hasn't begun to answer is taken back. A whole answer clears, and what was answered whole in the last 30 s isn't suspected.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -40,6 +40,22 @@
   type VoterChange,
   type VoterView,
 } from './ConsensusVoters.js';
+export {
+  clearSuspect,
+  EMPTY_QUARANTINE,
+  endsHeld,
+  forgetOld,
+  hashQuarantine,
+  holdEnd,
+  mergeNews,
+  MOST_ENDS,
+  SUSPECT_MS,
+  writeNews,
+  type QuarantineState,
+  type QuarantineStep,
+  type Suspect,
+} from './Quarantine.js';
+export { rememberAnswer, wasAnswered, type RecentAnswers } from './RecentAnswers.js';
 export {
   lifeOf,
   NO_ENDPOINT_ENDS,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -147,6 +147,7 @@
           publish: (records) => peers.publish(records),
           controls: () => peers.controls,
           publishLoad: (load) => peers.publishLoad(load),
+          publishNews: (news) => peers.publishNews(news),
         }),
     ).singleton(),
     consensus: asFunction(
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,7 +1,13 @@
 /** Links of a control process to the others, and the forming of a cluster over them. */
 import type { Logger } from 'pino';
 import { replicaName, type ConsensusMessage, type ConsensusState } from '../coordination/index.js';
-import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
+import type {
+  ControlAddress,
+  DirectoryDelta,
+  GroupLoad,
+  MemberRecord,
+  QuarantineNews,
+} from '../protocol/index.js';
 import {
   TransportLinkClient,
   type Address,
@@ -96,6 +102,10 @@
       'control.identity': () => this.identity,
       'control.found': async (params) => this.#onFound(params as { voters: readonly string[] }),
       'control.load': (params) => hub().onGroupLoad(params as GroupLoad),
+      'control.quarantine': (params) => {
+        const { from, ...news } = params as QuarantineNews & { from: string };
+        hub().quarantine.onNews(news, from, (reply) => this.#sendNews(from, reply));
+      },
       'control.directory': (params) => {
         const { from, ...delta } = params as DirectoryDelta & { from: string };
         hub().onPeer(from, delta);
@@ -132,6 +142,15 @@
     this.#clients.forEach((client) => client.notify('control.load', load));
   }
 
+  /** Sends news of suspected requests to all. */
+  publishNews(news: QuarantineNews): void {
+    this.#clients.forEach((_client, name) => this.#sendNews(name, news));
+  }
+
+  #sendNews(to: string, news: QuarantineNews): void {
+    this.#clients.get(to)?.notify('control.quarantine', { from: this.#options.self, ...news });
+  }
+
   /** Calls a method at a control process by name. */
   async request(name: string, method: string, params: unknown): Promise<unknown> {
     const client = this.#clients.get(name);
@@ -252,6 +271,9 @@
         // A new link may have missed news: the peer gets the whole list of those attached here.
         const { attached } = hub();
         link.notify('control.directory', this.#directory(true, attached));
+        hub().quarantine.introduce((news) =>
+          link.notify('control.quarantine', { from: self, ...news }),
+        );
       },
     });
     this.#stops.set(name, stop);
--- a/src/daemon/DaemonEntryMetrics.ts
+++ b/src/daemon/DaemonEntryMetrics.ts
@@ -12,9 +12,12 @@
 
   readonly endpointEnds: Counter;
 
+  readonly #registers: readonly Registry[];
+
   /** `inProgress` is asked for each time that the metrics are read. */
   constructor(registry: Registry, inProgress: () => number) {
     const registers = [registry];
+    this.#registers = registers;
     this.#requests = new Counter({
       name: 'laburnumgauge_requests_total',
       help: 'Requests ended, by outcome',
@@ -43,6 +46,19 @@
     });
   }
 
+  /** `suspects` is asked for each time that the metrics are read. */
+  addSuspects(suspects: () => number): void {
+    // eslint-disable-next-line no-new
+    new Gauge({
+      name: 'laburnumgauge_suspect_requests',
+      help: 'Requests that ends of endpoints are held against',
+      registers: [...this.#registers],
+      collect() {
+        this.set(suspects());
+      },
+    });
+  }
+
   onEnded(outcome: string): void {
     this.#requests.inc({ outcome });
   }
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -25,7 +25,9 @@
   HelloMessage,
   HelloReply,
   MemberRecord,
+  QuarantineNews,
 } from '../protocol/index.js';
+import { DaemonQuarantine, type SendNews } from './DaemonQuarantine.js';
 import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
 import { PartsSender, type LinkHandlers, type TransportLink } from '../transport/index.js';
 
@@ -42,6 +44,8 @@
   readonly controls: () => readonly ControlAddress[];
   /** Sends a group's load to the other control processes. */
   readonly publishLoad: (load: GroupLoad) => void;
+  /** Sends news of suspected requests to the other control processes. */
+  readonly publishNews: SendNews;
 }
 
 /** What a control process tells of one process attached to it. */
@@ -75,6 +79,9 @@
 
   readonly #applied = new Map<string, number>();
 
+  /** Requests that endpoints have ended under, as the entry processes tell. */
+  readonly quarantine: DaemonQuarantine;
+
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
   #rollout: RolloutState;
@@ -85,6 +92,10 @@
   constructor(options: HubOptions) {
     this.#options = options;
     this.#rollout = initRollout(options.now());
+    this.quarantine = new DaemonQuarantine({
+      runtime: options,
+      publish: (news, from) => this.#publishNews(news, from),
+    });
   }
 
   get membership(): MembershipState {
@@ -122,6 +133,10 @@
         this.onGroupLoad(params as GroupLoad);
         this.#options.publishLoad(params as GroupLoad);
       },
+      quarantine: (params, link) => {
+        const reply: SendNews = (news) => link.notify('quarantine', news);
+        this.quarantine.onNews(params as QuarantineNews, link.peer, reply);
+      },
       'config.applied': (params, link) => {
         this.#applied.set(link.peer, (params as { index: number }).index);
       },
@@ -178,6 +193,7 @@
     );
     this.#member({ type: 'heard', ids });
     this.#member({ type: 'tick' });
+    this.quarantine.tick();
     this.#roll({ type: 'tick' });
   }
 
@@ -204,10 +220,25 @@
     this.#links.set(id, attached);
     this.#applied.set(id, configIndex);
     this.#sendDirectory(attached);
+    if (record.role === 'entry') {
+      this.quarantine.introduce((news) => link.notify('quarantine', news));
+    }
     this.#roll({ type: 'subscribe', record, held: configIndex });
     return { ...reply, controls: this.#options.controls() };
   }
 
+  /** What an entry process tells goes to all others and all hubs; what a hub tells, to the own entry processes. */
+  #publishNews(news: QuarantineNews, from: string | null): void {
+    this.#links.forEach(({ link, record }, id) => {
+      if (record.role === 'entry' && id !== from) {
+        link.notify('quarantine', news);
+      }
+    });
+    if (from === null || this.#links.has(from)) {
+      this.#options.publishNews(news);
+    }
+  }
+
   #member(input: MembershipInput): HelloReply {
     const { state, outputs } = stepMembership(this.#membership, input, this.#options.now());
     this.#membership = state;
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -8,6 +8,7 @@
   HelloMessage,
   HelloReply,
   MemberRecord,
+  QuarantineNews,
 } from '../protocol/index.js';
 import { hashText } from '../coordination/index.js';
 import { applyConfigDelta, EMPTY_CONFIG, type ConfigState } from '../state/index.js';
@@ -31,6 +32,7 @@
   readonly onConfig: (config: ConfigState) => void;
   readonly onDirectory: (delta: DirectoryDelta) => void;
   readonly onGroupLoad?: (load: GroupLoad) => void;
+  readonly onQuarantine?: (news: QuarantineNews) => void;
   /** Called once attached, after each new link. */
   readonly onUp?: () => void;
 }
@@ -64,6 +66,7 @@
           directory: (delta) => options.onDirectory(delta as DirectoryDelta),
           'config.fetch': () => this.#config,
           'group.load': (load) => options.onGroupLoad?.(load as GroupLoad),
+          quarantine: (news) => options.onQuarantine?.(news as QuarantineNews),
         },
         () => {
           this.#receivedAt = performance.now();
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -218,6 +218,11 @@
     });
   }
 
+  /** Whether the endpoints of a service are ranks of groups. */
+  hasGroups(service: string): boolean {
+    return (this.#services.get(service)?.groups.size ?? 0) > 0;
+  }
+
   /** Whether the service has groups and none of them answers. */
   isClosed(service: string): boolean {
     const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
--- a/src/daemon/direct/DirectAnswer.ts
+++ b/src/daemon/direct/DirectAnswer.ts
@@ -1,8 +1,13 @@
 /** Writing of answers to callers. */
 import type { ServerResponse } from 'node:http';
-import type { RequestError } from '../../protocol/index.js';
+import { RequestError } from '../../protocol/index.js';
 import type { WholeAnswer } from './DirectAttempt.js';
 
+/** The answer to a request that endpoints have ended under: until it is forgotten no try makes sense. */
+export function quarantined(): RequestError {
+  return new RequestError('quarantined', 'endpoints have ended while they ran this request');
+}
+
 /** Passes an endpoint's answer on, byte for byte. */
 export function sendWhole(
   res: ServerResponse,
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -12,7 +12,7 @@
 import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
 import type { PlaceRequest } from './DirectAdmission.js';
 import type { DirectEntryState } from './DirectEntryState.js';
-import { sendError, sendWhole } from './DirectAnswer.js';
+import { quarantined, sendError, sendWhole } from './DirectAnswer.js';
 
 /** A request with less of its route's time than this was refused before and has come back. */
 const RETURNED_SHARE = 0.97;
@@ -51,7 +51,7 @@
 
 /** How a request ended; written to the log and counted. */
 export type DirectOutcome =
-  'whole' | 'passed' | 'refused' | 'failed' | 'cut' | 'timeout' | 'callerGone';
+  'whole' | 'passed' | 'refused' | 'quarantined' | 'failed' | 'cut' | 'timeout' | 'callerGone';
 
 /** An attempt with the endpoint that it went to. */
 interface Sent {
@@ -109,8 +109,13 @@
     this.#timer = setTimeout(() => this.#onDeadline(), leftMs);
     const onClose = (): void => this.#onCallerGone();
     res.once('close', onClose);
+    const { service, identity } = this.#spec;
+    const { screening } = this.#state;
+    const mostEnds = this.#state.mostEnds(service);
+    const unregister = screening.registerHeld(identity, mostEnds, () => this.#onHeld());
     this.#send();
     const outcome = await done;
+    unregister();
     res.off('close', onClose);
     clearTimeout(this.#timer);
     return outcome;
@@ -181,8 +186,17 @@
     this.#finish('refused');
   }
 
+  /**
+   * Sends the request to an endpoint: the first time, again, after a wait or to go on with a stream. All of these
+   * come by here, and here it is asked whether it may be sent at all.
+   */
   #send(): void {
     const { service, route, head, customer, req, body, deadline } = this.#spec;
+    if (this.#state.isHeld(this.#spec)) {
+      this.#state.admission.onUnused(service);
+      this.#hold();
+      return;
+    }
     const endpoint = this.#state.route(service, head.id, this.#tried, this.attempts + 1);
     if (endpoint === null) {
       this.#state.admission.onUnused(service);
@@ -220,6 +234,34 @@
     this.#sent = { endpoint, attempt, writes: false };
   }
 
+  /** Answers a request that must be sent to no endpoint any more. */
+  #hold(): void {
+    if (this.#begun || this.#mayHaveRun) {
+      this.#conclude(this.#begun ? 'cut' : 'fail', null);
+      return;
+    }
+    const { res, identity } = this.#spec;
+    const heldForMs = this.#state.screening.heldForMs(identity);
+    sendError(res, quarantined(), heldForMs, this.#state.isLeaving);
+    this.#finish('quarantined');
+  }
+
+  /**
+   * News has come that the request must be sent nowhere. One that waits is answered now. One that a rank has been
+   * sent and hasn't begun to answer is taken back, which may save the group. One at a single endpoint is left: if it
+   * is answered whole, the news was wrong.
+   */
+  #onHeld(): void {
+    const { admission } = this.#state;
+    const isSent = this.#sent !== null;
+    if (this.#isOver || this.#begun || (isSent && !admission.hasGroups(this.#spec.service))) {
+      return;
+    }
+    this.#mayHaveRun ||= isSent;
+    this.#settle('cancelled');
+    this.#hold();
+  }
+
   /** Without an endpoint left: refused if nothing can have run, failed otherwise. */
   get #hopeless(): DirectVerdict {
     return this.#mayHaveRun ? 'fail' : 'refuse';
@@ -268,6 +310,7 @@
 
   #onStreamEnd(): void {
     this.#settle('whole');
+    this.#state.screening.onWhole(this.#spec.identity);
     if (this.#isOver) {
       return;
     }
@@ -277,6 +320,9 @@
 
   #onWhole(answer: WholeAnswer, outcome: DirectOutcome): void {
     this.#settle('whole');
+    if (outcome === 'whole') {
+      this.#state.screening.onWhole(this.#spec.identity);
+    }
     if (this.#isOver) {
       return;
     }
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -14,7 +14,7 @@
 import { createApp } from '../DaemonApp.js';
 import { aborted, every, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
-import { sendError } from './DirectAnswer.js';
+import { quarantined, sendError } from './DirectAnswer.js';
 import type { PlaceVerdict } from './DirectAdmission.js';
 import { DirectConfigWatch } from './DirectConfigWatch.js';
 import { DirectCall, placeRequestOf, type DirectSpec } from './DirectCall.js';
@@ -90,7 +90,15 @@
     this.#cfg = cfg;
     this.#runtime = runtime;
     const { id, zone, revokeMs, retries } = cfg;
-    this.#state = new DirectEntryState({ id, zone, runtime, revokeMs, retries, ...dialects });
+    this.#state = new DirectEntryState({
+      id,
+      zone,
+      runtime,
+      revokeMs,
+      retries,
+      ...dialects,
+      sendNews: (news) => this.#hubLink.notify('quarantine', news),
+    });
     this.#hubLink = new DaemonHubLink({
       targets: cfg.controls,
       record: {
@@ -108,7 +116,11 @@
       onConfig: (config) => this.#state.onConfig(config),
       onDirectory: (delta) => this.#state.onDirectory(delta),
       onGroupLoad: (load) => this.#state.admission.onLoad(load),
-      onUp: () => this.#watch.ask(),
+      onQuarantine: (news) => this.#state.screening.onNews(news),
+      onUp: () => {
+        this.#watch.ask();
+        this.#state.screening.onUp();
+      },
     });
     this.#watch = new DirectConfigWatch({
       hub: this.#hubLink,
@@ -228,6 +240,10 @@
     }
     this.#state.begin();
     const verdict = await this.#acquire(spec);
+    if (this.#state.isHeld(spec)) {
+      this.#refuseHeld(spec, verdict);
+      return;
+    }
     if (!verdict.granted) {
       this.#refuseWaiting(spec, verdict.retryAfterMs);
       return;
@@ -238,16 +254,32 @@
     this.#state.end(spec, outcome, call);
   }
 
-  /** Waits for a place at the service, as long as its caller does. */
+  /** Waits for a place at the service, as long as its caller does and the request may be sent at all. */
   async #acquire(spec: DirectSpec): Promise<PlaceVerdict> {
-    const gone = new AbortController();
-    const onClose = (): void => gone.abort();
-    spec.res.once('close', onClose);
-    const verdict = await this.#state.admission.acquire(placeRequestOf(spec), gone.signal);
-    spec.res.off('close', onClose);
+    if (this.#state.isHeld(spec)) {
+      return { granted: false, retryAfterMs: 0 };
+    }
+    const over = new AbortController();
+    const end = (): void => over.abort();
+    spec.res.once('close', end);
+    const mostEnds = this.#state.mostEnds(spec.service);
+    const unregister = this.#state.screening.registerHeld(spec.identity, mostEnds, end);
+    const verdict = await this.#state.admission.acquire(placeRequestOf(spec), over.signal);
+    unregister();
+    spec.res.off('close', end);
     return verdict;
   }
 
+  /** Refuses a request that endpoints have ended under, before it is sent to any. */
+  #refuseHeld(spec: DirectSpec, { granted }: PlaceVerdict): void {
+    if (granted) {
+      this.#state.admission.onUnused(spec.service);
+    }
+    const heldForMs = this.#state.screening.heldForMs(spec.identity);
+    sendError(spec.res, quarantined(), heldForMs, this.#state.isLeaving);
+    this.#state.end(spec, spec.res.destroyed ? 'callerGone' : 'quarantined', UNSENT);
+  }
+
   #refuseWaiting(spec: DirectSpec, retryAfterMs: number): void {
     const gone = spec.res.destroyed;
     const error = new RequestError('overloaded', 'the service has no place in time');
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -9,6 +9,7 @@
   isProven,
   lifeOf,
   mergeDelta,
+  MOST_ENDS,
   proveFresh,
   pruneView,
   routeRequest,
@@ -26,16 +27,16 @@
   type RetryBudgetState,
   type RoutingState,
 } from '../../coordination/index.js';
-import {
-  digestRequest,
-  type DirectoryDelta,
-  type DocumentDialect,
-  type HttpDialect,
-  type MemberRecord,
+import type {
+  DirectoryDelta,
+  DocumentDialect,
+  HttpDialect,
+  MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import { openPool, probeAddress, type EndpointPool } from '../../transport/index.js';
-import { DaemonEndpointEnds } from '../DaemonEndpointEnds.js';
+import { openPool, type EndpointPool } from '../../transport/index.js';
+import type { SendNews } from '../DaemonQuarantine.js';
+import { DaemonScreening } from '../DaemonScreening.js';
 import { EntryMetrics } from '../DaemonEntryMetrics.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import {
@@ -58,6 +59,8 @@
   /** ms within which a withdrawn key must be dead. */
   readonly revokeMs: number;
   readonly retries: RetryAllowance;
+  /** Sends news of suspected requests to the control process. */
+  readonly sendNews: SendNews;
 }
 
 /** What is noted of a request's way. */
@@ -96,7 +99,7 @@
 
   readonly #metrics: EntryMetrics;
 
-  readonly #ends: DaemonEndpointEnds;
+  readonly screening: DaemonScreening;
 
   readonly admission: DirectAdmission;
 
@@ -124,11 +127,10 @@
       this.#modelOf(service),
     );
     this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
-    this.#ends = new DaemonEndpointEnds({
+    this.screening = new DaemonScreening({
       runtime: options.runtime,
-      probe: probeAddress,
-      ends: this.#metrics.endpointEnds,
-      onSuspects: () => undefined,
+      metrics: this.#metrics,
+      send: options.sendNews,
     });
   }
 
@@ -204,13 +206,13 @@
   }
 
   onDirectory(delta: DirectoryDelta): void {
-    this.#ends.onMembers(delta.records, (id) => !this.#view.has(id));
+    this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#setView(mergeDelta(this.#view, delta, this.now()));
   }
 
   /** Drops what has been missing for too long. */
   tick(): void {
-    this.#ends.tick();
+    this.screening.tick();
     const view = pruneView(this.#view, this.now());
     if (view !== this.#view) {
       this.#setView(view);
@@ -289,6 +291,16 @@
     return decision.endpoint;
   }
 
+  /** Ends of endpoints after which a request is sent to no other. */
+  mostEnds(service: string): number {
+    return this.admission.hasGroups(service) ? MOST_ENDS.group : MOST_ENDS.single;
+  }
+
+  /** Whether a request must be sent to no endpoint. */
+  isHeld({ identity, service }: DirectSpec): boolean {
+    return this.screening.isHeld(identity, this.mostEnds(service));
+  }
+
   /** Whether an endpoint is left for another attempt. */
   canRoute(service: string, exclude: readonly string[]): boolean {
     const ranked = this.admission.choose(service, exclude);
@@ -327,9 +339,7 @@
   async onConnectionEnded(endpoint: MemberRecord, spec: DirectSpec): Promise<void> {
     const record = this.#view.get(endpoint.id)?.record;
     if (record?.status === 'serving' && record.incarnation === endpoint.incarnation) {
-      const { customer } = spec.identity;
-      const lost = { digest: digestRequest(spec.identity), customer, request: spec.head.id };
-      await this.#ends.onLost(endpoint, lost);
+      await this.screening.onLost(endpoint, spec.identity, spec.head.id);
     }
   }
 
--- a/src/protocol/ProtocolRequestError.ts
+++ b/src/protocol/ProtocolRequestError.ts
@@ -25,6 +25,7 @@
   not_ready: { status: 503, type: 'unavailable', outcome: 'not_run', retryAfterSeconds: 1 },
   leaving: { status: 503, type: 'unavailable', outcome: 'not_run', retryAfterSeconds: 1 },
   revoked: { status: 503, type: 'unavailable', outcome: 'not_run', retryAfterSeconds: 1 },
+  quarantined: { status: 503, type: 'unavailable', outcome: 'not_run' },
   wrong_incarnation: { status: 503, type: 'unavailable', outcome: 'not_run', retryAfterSeconds: 1 },
   deadline_exceeded: { status: 504, type: 'timeout', outcome: 'not_run', retryAfterSeconds: 1 },
   outcome_unknown: { status: 502, type: 'unavailable', outcome: 'unknown' },
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -40,6 +40,7 @@
   type SubmitReply,
   type SubmitRequest,
 } from './ProtocolMessages.js';
+export type { QuarantineNews, SuspectRecord } from './ProtocolQuarantine.js';
 export { digestRequest, isSameRequest, type RequestIdentity } from './ProtocolRequestDigest.js';
 export {
   ERROR_CODES,
