--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -47,6 +47,7 @@
   path: string,
   id: string,
   key: string,
+  content: string,
 ): Promise<Exchange> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
@@ -68,7 +69,7 @@
       req.destroy();
     }, DEADLINE_MS + 500);
     req.on('close', () => clearTimeout(timer));
-    req.end(`body of ${id}`);
+    req.end(content);
   });
 }
 
@@ -114,17 +115,34 @@
     }
   }
 
+  /** Sends one and the same request to each entry host at once; it ends engines that run it. */
+  async callFatal(content: string): Promise<void> {
+    const { entries, keys } = this.#options;
+    const [key] = keys();
+    if (key === undefined) {
+      return;
+    }
+    const agent = new Agent();
+    await Promise.all(
+      entries.map(async (entry) => this.#call(entry, agent, 'stream', key, content)),
+    );
+    agent.destroy();
+  }
+
   async #call(
     entry: CallerOptions['entries'][number],
     agent: Agent,
     kind: SoakKind,
     key: string,
+    content?: string,
   ): Promise<void> {
     const { now } = this.#options;
     this.#counter += 1;
     const id = `s${this.#counter}`;
     const sentAt = now();
-    const { end, status, body } = await exchange(entry, agent, `/${kind}/x`, id, key);
+    const path = `/${kind}/x`;
+    const text = content ?? `body of ${id}`;
+    const { end, status, body } = await exchange(entry, agent, path, id, key, text);
     const endedAt = now();
     this.#attempts.push({ id, kind, key, entry: entry.name, sentAt, endedAt, end, status, body });
   }
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,5 +1,5 @@
 /** The promises, checked on what callers and engines saw. Pure: a record in, findings out. */
-import type { SoakAttempt, SoakEvent, SoakFinding, SoakRecord, SoakRun } from './SoakTypes.js';
+import type { SoakAttempt, SoakFinding, SoakRecord, SoakRun } from './SoakTypes.js';
 
 /** Events of every stream. */
 export const STREAM_EVENTS = 12;
@@ -16,6 +16,10 @@
 /** After an unplanned disturbance cut answers are its own for this long, ms. */
 const DISTURBED_MS = 3_000;
 
+/** Engines that a request may end, and how often it may run once that is known. */
+const FATAL_ENDS = 3;
+const MOST_FATAL_RUNS = 3;
+
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -105,22 +109,26 @@
   );
 
 /** Whether anything but planned work disturbed the system while an attempt ran, or shortly before. */
-function isDisturbed(events: readonly SoakEvent[], { sentAt, endedAt }: SoakAttempt): boolean {
-  return events.some(
-    ({ kind, from, until }) =>
-      !PLANNED.has(kind) && from <= endedAt && until + DISTURBED_MS >= sentAt,
+function isDisturbed(
+  { events, engineEnds }: Pick<SoakRecord, 'events' | 'engineEnds'>,
+  { sentAt, endedAt }: SoakAttempt,
+): boolean {
+  const unplanned = events.filter(({ kind }) => !PLANNED.has(kind));
+  const ends = engineEnds.map(({ at }) => ({ from: at, until: at }));
+  return [...unplanned, ...ends].some(
+    ({ from, until }) => from <= endedAt && until + DISTURBED_MS >= sentAt,
   );
 }
 
 /** A request that an entry host has read is answered whole though the host is stopped. */
-const gracefulStop: Check = ({ attempts, events }, runs) =>
-  attempts.flatMap((attempt) => {
+const gracefulStop: Check = (record, runs) =>
+  record.attempts.flatMap((attempt) => {
     const { id, entry, sentAt, endedAt, end } = attempt;
-    const stopped = events.some(
+    const stopped = record.events.some(
       ({ kind, target, from, until }) =>
         kind === 'entryTerm' && target === entry && from <= endedAt && until >= sentAt,
     );
-    const cut = stopped && end === 'broken' && runs.has(id) && !isDisturbed(events, attempt);
+    const cut = stopped && end === 'broken' && runs.has(id) && !isDisturbed(record, attempt);
     return cut ? [finding('a graceful stop cuts nothing off', `${id} at ${entry}`)] : [];
   });
 
@@ -134,6 +142,15 @@
       : [finding('acknowledged is kept', `control-${i + 1} reads ${version}, acked ${acked}`)],
   );
 
+/** What has ended three engines is sent to none any more, whoever has died or stood still since. */
+const fatalHeld: Check = ({ engineEnds, fatalRunsAtEnd }) =>
+  [...fatalRunsAtEnd].flatMap(([body, runs]) => {
+    const ends = engineEnds.filter((end) => end.body === body).length;
+    return ends >= FATAL_ENDS && runs > MOST_FATAL_RUNS
+      ? [finding('what ends engines is held', `"${body}" ran ${runs} times after ${ends} ends`)]
+      : [];
+  });
+
 const noOwnEnds: Check = ({ ownEnds }) =>
   ownEnds.map((name) => finding('no process ends by itself', name));
 
@@ -153,6 +170,7 @@
   gracefulStop,
   oneMap,
   acknowledgedKept,
+  fatalHeld,
   noOwnEnds,
   recovers,
 ];
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -1,9 +1,12 @@
 /** The group of engines of a soak run: they run requests, announce themselves, crash, leave and misbehave. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { StandInEngine, type SeenRequest } from '../platform/__tests__/utils/StandInEngine.js';
 import { ENGINE_PORT, type StandInPlatform } from '../platform/__tests__/utils/StandInPlatform.js';
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
+import { BACK_AFTER_MS, FATAL_BODY } from '../platform/__tests__/utils/StandInFleet.js';
 import { STREAM_EVENTS } from './SoakChecks.js';
+import type { SoakEngineEnd } from './SoakTypes.js';
 
 /** Pause between two events of a stream, ms. */
 const EVENT_MS = 60;
@@ -20,12 +23,17 @@
 
   readonly seen: SeenRequest[] = [];
 
+  /** Engines that requests ended. */
+  readonly ends: SoakEngineEnd[] = [];
+
   readonly #platform: StandInPlatform;
 
   readonly #engines = new Map<number, StandInEngine>();
 
   #incarnation = 0;
 
+  #isStopped = false;
+
   constructor(platform: StandInPlatform, count: number) {
     this.#platform = platform;
     this.group = new StandInGroup(count);
@@ -37,6 +45,7 @@
   }
 
   stop(): void {
+    this.#isStopped = true;
     this.group.stop();
     this.#engines.forEach((engine) => engine.stop());
   }
@@ -93,12 +102,29 @@
     }
   }
 
+  /** An engine that a request has ended comes back, unless something else has replaced it meanwhile. */
+  async #comeBack(n: number, ended: StandInEngine): Promise<void> {
+    this.group.lockstep.reform();
+    await delay(BACK_AFTER_MS);
+    if (this.#engines.get(n) === ended && !this.#isStopped) {
+      await this.#startOne(n);
+    }
+  }
+
   async #startOne(n: number): Promise<void> {
     this.#incarnation += 1;
     const { inside, outside } = this.#platform.engineHost(n);
     const rank = new StandInRank(this.group, n - 1);
     const engine = new StandInEngine(`i-${n}-${this.#incarnation}`, 'writers', rank, this.seen);
-    Object.assign(engine.behaviour, { events: STREAM_EVENTS, pauseMs: EVENT_MS });
+    Object.assign(engine.behaviour, {
+      events: STREAM_EVENTS,
+      pauseMs: EVENT_MS,
+      fatal: FATAL_BODY,
+    });
+    engine.onCrash = (body) => {
+      this.ends.push({ body, engine: engine.id, at: performance.now() });
+      this.#comeBack(n, engine).catch(() => undefined);
+    };
     this.#engines.set(n, engine);
     const place = { host: inside, port: ENGINE_PORT, reported: outside };
     await engine.start(place, this.#platform.controls);
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -13,7 +13,14 @@
 import { SoakOperator } from './SoakOperator.js';
 import { FAULTS } from './SoakFaults.js';
 import { SoakProxy } from './SoakProxy.js';
-import { planSoak, type SoakFault, type SoakShape } from './SoakSchedule.js';
+import {
+  FATAL_PAUSE_MS,
+  planFatal,
+  planSoak,
+  type SoakFatalRequest,
+  type SoakFault,
+  type SoakShape,
+} from './SoakSchedule.js';
 import type { SoakDrain, SoakEvent, SoakFinding, SoakRecord } from './SoakTypes.js';
 
 /** A run. */
@@ -48,7 +55,13 @@
 /** Most time that a control process may need to answer what is newest, ms. */
 const READ_BACK_MS = 10_000;
 
-function figuresOf({ attempts, runs, acked, events }: SoakRecord): SoakResult['figures'] {
+function figuresOf({
+  attempts,
+  runs,
+  acked,
+  events,
+  engineEnds,
+}: SoakRecord): SoakResult['figures'] {
   const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
     attempts.filter(test).length;
   return {
@@ -62,6 +75,7 @@
     resumed: runs.filter(({ resumed }) => resumed).length,
     versions: acked,
     faults: events.length,
+    engineEnds: engineEnds.length,
   };
 }
 
@@ -115,13 +129,15 @@
     const calling = load.run();
     const faults = this.#options.faults ?? planSoak(seed, this.#options);
     const watch = setInterval(() => this.#watchEnds(), 100);
-    await this.#disturb(faults);
+    const fatal = planFatal(seed, this.#options);
+    await Promise.all([this.#disturb(faults), this.#sendFatal(fatal, load)]);
     clearInterval(watch);
     await this.#recover();
     const { lockstep } = this.#engines.group;
     const calmFrom = now();
     const passesFrom = lockstep.step;
     await delay(CALM_MS);
+    await Promise.all(fatal.map(async ({ body }) => load.callFatal(body)));
     stop.abort();
     await calling;
     const readBack = await this.#readBack();
@@ -138,6 +154,13 @@
       withdrawals: this.#operator.withdrawals,
       drains: this.#drains,
       events: this.#events,
+      engineEnds: this.#engines.ends,
+      fatalRunsAtEnd: new Map(
+        fatal.map(({ body }) => [
+          body,
+          this.#engines.seen.filter((run) => run.body === body && run.at > calmFrom).length,
+        ]),
+      ),
       mixedPasses: lockstep.mixed,
       acked: this.#operator.acked,
       readBack,
@@ -169,6 +192,23 @@
     );
   }
 
+  /** Sends each request that ends its engine again and again, from its time on until the disturbances are over. */
+  async #sendFatal(fatal: readonly SoakFatalRequest[], load: SoakCallers): Promise<void> {
+    const begun = now();
+    const { lengthMs } = this.#options;
+    await Promise.all(
+      fatal.map(async ({ body, at }) => {
+        await delay(at);
+        while (now() - begun < lengthMs) {
+          // The next is sent whether or not the one before was answered.
+          load.callFatal(body).catch(() => undefined);
+          // eslint-disable-next-line no-await-in-loop
+          await delay(FATAL_PAUSE_MS);
+        }
+      }),
+    );
+  }
+
   /** Waits until the system serves, after everything that was done to it is undone. */
   async #recover(): Promise<void> {
     this.#platform.names.forEach((name) => this.#proxy.setMode(name, 'pass'));
--- a/soak/SoakSchedule.ts
+++ b/soak/SoakSchedule.ts
@@ -1,6 +1,7 @@
 /** What is done to the system in one run, by its seed. Pure. */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { FATAL_BODY } from '../platform/__tests__/utils/StandInFleet.js';
 
 /** Kinds of disturbances; the name says what is done, and to which kind of host. */
 export type SoakFaultKind =
@@ -123,3 +124,22 @@
   }
   return faults;
 }
+
+/** Requests that end their engines in one run, and how often each is sent, ms. */
+const FATAL_REQUESTS = 2;
+export const FATAL_PAUSE_MS = 300;
+
+/** A request that ends its engine: from when on it is sent, ms from the start of load. */
+export interface SoakFatalRequest {
+  readonly body: string;
+  readonly at: number;
+}
+
+/** Requests that end their engines. Drawn by themselves, so that the disturbances of a seed stay as they are. */
+export function planFatal(seed: number, { lengthMs }: SoakShape): readonly SoakFatalRequest[] {
+  const rng = xoroshiro128plus(seed);
+  return Array.from({ length: FATAL_REQUESTS }, (_item, i) => ({
+    body: `${FATAL_BODY} ${i + 1}`,
+    at: Math.round((uniformFloat64(rng) * lengthMs) / 2),
+  }));
+}
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -57,6 +57,13 @@
   readonly ackedAt: number;
 }
 
+/** A request ended the engine that ran it. */
+export interface SoakEngineEnd {
+  readonly body: string;
+  readonly engine: string;
+  readonly at: number;
+}
+
 /** All that was recorded. */
 export interface SoakRecord {
   readonly attempts: readonly SoakAttempt[];
@@ -64,6 +71,9 @@
   readonly withdrawals: readonly SoakWithdrawal[];
   readonly drains: readonly SoakDrain[];
   readonly events: readonly SoakEvent[];
+  /** Engines that requests ended, and how often each of these requests ran after all disturbances were over. */
+  readonly engineEnds: readonly SoakEngineEnd[];
+  readonly fatalRunsAtEnd: ReadonlyMap<string, number>;
   /** Passes that began with two maps. */
   readonly mixedPasses: number;
   /** Newest version that was acknowledged, and what each control process reads back at the end. */
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -30,6 +30,8 @@
   withdrawals: [],
   drains: [],
   events: [],
+  engineEnds: [],
+  fatalRunsAtEnd: new Map([['fatal 1', 0]]),
   mixedPasses: 0,
   acked: 3,
   readBack: [3, 3, 4],
@@ -68,6 +70,10 @@
   },
   'one map a pass': { mixedPasses: 1 },
   'acknowledged is kept': { readBack: [3, 2, 3] },
+  'what ends engines is held': {
+    engineEnds: ['i-1', 'i-2', 'i-3'].map((engine, at) => ({ body: 'fatal 1', engine, at })),
+    fatalRunsAtEnd: new Map([['fatal 1', 4]]),
+  },
   'no process ends by itself': { ownEnds: ['entry-1 ended by itself (1)'] },
   'serves again': { servedAtEnd: 0 },
 };
--- a/src/coordination/__tests__/unit/Quarantine.test.ts
+++ b/src/coordination/__tests__/unit/Quarantine.test.ts
@@ -119,7 +119,7 @@
   it('of one customer push out none of another', () => {
     const many = Array.from({ length: 1_000 }, (_item, i) => lost(`m${i}`, 'loud'));
     const first = held(['i-1', 'quiet'], ['i-2', 'quiet']);
-    const {state} = holdEnd(first, 'i-3', many, 0);
+    const { state } = holdEnd(first, 'i-3', many, 0);
     assert.equal(state.size, MOST_OF_CUSTOMER + 1);
     assert.equal(endsOf(state, 'quiet'), 2);
     const customers = Array.from({ length: 1_000 }, (_item, i) => lost(`n${i}`, `c${i % 50}`));
