The product's own path: a gate tells which life of its engine has ended, and what is held is sent to no gate

Gates outlive their engines, so that the end of a connection tells nothing: the gate probes its engine when an attempt is lost, and counts the engine's lives; the end frame names the life. An attempt is asked about right before it is sent, also one that is tried again.

--- a/fakes/FakeEngine.ts
+++ b/fakes/FakeEngine.ts
@@ -15,6 +15,8 @@
   readonly fencing?: boolean;
   /** How old a load report is, ms. */
   readonly loadLagMs?: number;
+  /** Ends the engine; called when it begins to run a request that says so. */
+  readonly end?: () => void;
 }
 
 interface CompletionBody {
@@ -24,6 +26,8 @@
   readonly prompt?: unknown;
   readonly messages?: unknown;
   readonly user?: string;
+  /** Whether it ends each engine that begins to run it. */
+  readonly fatal?: boolean;
 }
 
 const DEFAULT_TOKENS = 16;
@@ -199,6 +203,9 @@
     await delay(this.#cache.has(prefix) ? prefillMs / 4 : prefillMs);
     this.#remember(prefix);
     this.#reportLoad();
+    if (body.fatal === true) {
+      this.#options.end?.();
+    }
     if (body.stream !== true) {
       await delay(tokenMs * answerTokens(body).length);
       res.writeHead(200, { 'content-type': 'application/json' });
--- a/fakes/FakeMain.ts
+++ b/fakes/FakeMain.ts
@@ -10,6 +10,9 @@
       slots: Number(slots),
       prefillMs: Number(prefillMs),
       tokenMs: Number(tokenMs),
+      // It dies as a process does that meets a request it can't bear.
+      // eslint-disable-next-line n/no-process-exit
+      end: () => process.exit(1),
     }),
   service: () => new FakeService(5),
 };
--- a/src/coordination/Attempts.ts
+++ b/src/coordination/Attempts.ts
@@ -32,6 +32,8 @@
   readonly seq: number;
   /** Whether the caller has been sent a part of the answer. */
   readonly begun: boolean;
+  /** Whether an earlier attempt may have run. */
+  readonly mayHaveRun: boolean;
 }
 
 /** Identity that every frame must carry; anything else is late or foreign. */
@@ -44,6 +46,8 @@
 /** What goes in. `attempt` names the attempt that it is about: late news of others is dropped. */
 export type AttemptInput =
   | { readonly type: 'routed'; readonly endpoint: MemberRecord | null }
+  /** Endpoints have ended under the request: it must be sent to none any more. */
+  | { readonly type: 'held'; readonly attempt: number }
   /** The gate answered that it has not run the attempt and never will. */
   | { readonly type: 'refused'; readonly attempt: number; readonly code: ErrorCode }
   /** No connection was made: nothing was sent. */
@@ -106,6 +110,7 @@
       tried: [],
       seq: 0,
       begun: false,
+      mayHaveRun: false,
     },
     outputs: [{ type: 'route', exclude: [] }],
   };
@@ -177,7 +182,7 @@
     return { state: { ...state, phase: 'revoking' }, outputs: [revoke] };
   }
   const next = retry(
-    state,
+    { ...state, mayHaveRun: true },
     ctx,
     new RequestError('endpoint_failed', 'the endpoint was lost before it answered', 'unknown'),
   );
@@ -201,11 +206,21 @@
     : unknown(state);
 }
 
+/** An attempt that is held was never sent; whether an earlier one has run decides what is true. */
+function onHeld(state: AttemptState): AttemptStep {
+  return fail(
+    state,
+    state.mayHaveRun
+      ? new RequestError('endpoint_failed', 'endpoints have ended while they ran this request')
+      : new RequestError('quarantined', 'endpoints have ended while they ran this request'),
+  );
+}
+
 function onCut(state: AttemptState, ctx: AttemptContext): AttemptStep {
   const error = state.repeatable
     ? new RequestError('answer_cut', 'the answer broke off and is not whole')
     : new RequestError('outcome_unknown', 'the answer broke off; the call may have been run');
-  return state.repeatable ? retry(state, ctx, error) : fail(state, error);
+  return state.repeatable ? retry({ ...state, mayHaveRun: true }, ctx, error) : fail(state, error);
 }
 
 /** Frames must join without a gap or an overlap; one that doesn't means the stream is broken. */
@@ -268,6 +283,7 @@
 
 const HANDLERS: Handlers = {
   routed: onRouted,
+  held: onHeld,
   refused: (state, { code }, ctx) =>
     retry(state, ctx, new RequestError(code, 'the endpoint refused the call and did not run it')),
   unsent: (state, _input, ctx) =>
@@ -288,6 +304,7 @@
 
 /** Phases in which an input makes sense; in any other it is late. */
 const PHASES: Readonly<Partial<Record<AttemptInput['type'], readonly AttemptPhase[]>>> = {
+  held: ['waiting'],
   refused: ['waiting'],
   unsent: ['waiting'],
   lost: ['waiting'],
--- a/src/coordination/__tests__/unit/Attempts.test.ts
+++ b/src/coordination/__tests__/unit/Attempts.test.ts
@@ -36,6 +36,7 @@
   frame: {
     ...identity(attempt),
     kind: 'end',
+    endedLife: null,
     seq,
     whole,
     reason: '',
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -69,6 +69,7 @@
   type EndpointLife,
   type LostRequest,
 } from './EndpointEnds.js';
+export { engineAnswered, engineEnded, FIRST_LIFE, type EngineLives } from './EngineLives.js';
 export {
   initGate,
   REMEMBER_MS,
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -2,7 +2,7 @@
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import { Agent } from 'undici';
 import type { EndpointOffer } from '../protocol/index.js';
-import { serveHttp } from '../transport/index.js';
+import { probeUrl, serveHttp } from '../transport/index.js';
 import { DaemonCoordinator } from './DaemonCoordinator.js';
 import { DaemonGate } from './DaemonGate.js';
 import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
@@ -75,6 +75,7 @@
           runtime,
           agent,
           engine: cfg.engine,
+          probe: async () => probeUrl(cfg.engine),
           slots: cfg.slots,
           record: () => hubLink.record,
           onDrained,
--- a/src/daemon/DaemonEndpointEnds.ts
+++ b/src/daemon/DaemonEndpointEnds.ts
@@ -49,6 +49,12 @@
     await this.#probes.get(life);
   }
 
+  /** Takes a request and the life of an endpoint that is known to have ended under it. */
+  onEnded(life: EndpointLife, lost: LostRequest): void {
+    this.#input({ type: 'ended', life });
+    this.#input({ type: 'lost', life, lost });
+  }
+
   /** Takes news of members; `isNew` tells whether an id was unknown before them. */
   onMembers(records: readonly MemberRecord[], isNew: (id: string) => boolean): void {
     [...this.#records].forEach(([life, known]) => {
--- a/src/daemon/DaemonEntry.ts
+++ b/src/daemon/DaemonEntry.ts
@@ -24,7 +24,12 @@
   const { log } = runtime;
   const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
   container.register({
-    state: asFunction(() => new DaemonEntryState(cfg.id, cfg.zone, runtime)).singleton(),
+    state: asFunction(
+      () =>
+        new DaemonEntryState(cfg.id, cfg.zone, runtime, (news) =>
+          container.cradle.hubLink.notify('quarantine', news),
+        ),
+    ).singleton(),
     agent: asValue(
       new Agent({
         connections: CONNECTIONS_PER_GATE,
@@ -53,6 +58,8 @@
           random: runtime.random,
           onConfig: (config) => state.onConfig(config),
           onDirectory: (delta) => state.onDirectory(delta),
+          onQuarantine: (news) => state.screening.onNews(news),
+          onUp: () => state.screening.onUp(),
         }),
     ).singleton(),
   });
--- a/src/daemon/DaemonEntryCall.ts
+++ b/src/daemon/DaemonEntryCall.ts
@@ -18,6 +18,7 @@
   type Customer,
   type ErrorBody,
   type MemberRecord,
+  type RequestIdentity,
   type RevokeReply,
 } from '../protocol/index.js';
 import { FRAMES_TYPE, readFrames } from '../transport/index.js';
@@ -72,6 +73,8 @@
 
   #contentType = '';
 
+  readonly #identity: RequestIdentity;
+
   #state: AttemptState;
 
   #outcome = 'whole';
@@ -82,6 +85,10 @@
   readonly #performers: Performers = {
     route: ({ exclude }) => this.#route(exclude),
     send: ({ endpoint, attempt }) => {
+      if (this.#options.state.isHeld(this.#identity, endpoint)) {
+        this.#input({ type: 'held', attempt });
+        return;
+      }
       this.#send(endpoint, attempt).catch((err: unknown) => {
         this.#options.runtime.log.error({ err, request: this.#request }, 'attempt failed');
         this.#input({ type: 'lost', attempt });
@@ -106,6 +113,8 @@
     this.#ctx = ctx;
     this.#res = ctx.res;
     this.#startedAt = options.runtime.now();
+    const { customer, method, path, body } = spec;
+    this.#identity = { customer: customer.name, method, host: '', path, body };
     this.#state = startAttempts(request, spec.repeatable, spec.deadline).state;
   }
 
@@ -198,6 +207,9 @@
     } catch (err) {
       const { code } = err as { code?: string };
       const unsent = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+      if (!unsent && !abort.signal.aborted) {
+        await this.#onConnectionEnded(endpoint);
+      }
       this.#input(unsent ? { type: 'unsent', attempt } : { type: 'lost', attempt });
     } finally {
       this.#aborts.delete(attempt);
@@ -232,6 +244,9 @@
       // eslint-disable-next-line no-restricted-syntax -- a stream has no other way to be read in step
       for await (const frame of frames) {
         this.#frame = frame;
+        if (frame.kind === 'end') {
+          this.#onEndedLife(endpoint, frame.endedLife);
+        }
         this.#input({ type: frame.kind, frame } as AttemptInput);
         if (frame.kind === 'end') {
           this.#options.state.updateRouting({
@@ -250,11 +265,25 @@
       }
     } catch {
       // The body broke off; what that means is decided below.
+      if (this.#aborts.get(attempt)?.signal.aborted !== true) {
+        await this.#onConnectionEnded(endpoint);
+      }
     }
     this.#input({ type: 'cut', attempt });
     return 'failed';
   }
 
+  #onEndedLife(endpoint: MemberRecord, life: number | null): void {
+    if (life !== null) {
+      this.#options.state.screening.onEnded(endpoint, life, this.#identity, this.#request);
+    }
+  }
+
+  /** The gate's connection has ended: whether the gate has ended with its engine is found out before a new try. */
+  async #onConnectionEnded(endpoint: MemberRecord): Promise<void> {
+    await this.#options.state.screening.onLost(endpoint, this.#identity, this.#request);
+  }
+
   async #revoke(endpoint: MemberRecord, attempt: number): Promise<void> {
     const response = await this.#options.agent.request({
       origin: `http://${endpoint.address}`,
@@ -298,6 +327,7 @@
       this.#ctx.type = this.#contentType;
       this.#ctx.body = Buffer.concat(this.#parts);
     }
+    this.#options.state.screening.onWhole(this.#identity);
     this.#log('whole');
     this.#finish?.();
   }
--- a/src/daemon/DaemonEntryState.ts
+++ b/src/daemon/DaemonEntryState.ts
@@ -6,6 +6,7 @@
   initRouting,
   keepSubsets,
   mergeDelta,
+  MOST_ENDS,
   pruneView,
   release,
   routeRequest,
@@ -19,9 +20,17 @@
   type RoutingRequest,
   type RoutingState,
 } from '../coordination/index.js';
-import { RequestError, type Customer, type DirectoryDelta } from '../protocol/index.js';
+import {
+  RequestError,
+  type Customer,
+  type DirectoryDelta,
+  type MemberRecord,
+  type RequestIdentity,
+} from '../protocol/index.js';
 import { EMPTY_CONFIG, viewConfig, type ConfigState, type ConfigView } from '../state/index.js';
 import { EntryMetrics } from './DaemonEntryMetrics.js';
+import type { SendNews } from './DaemonQuarantine.js';
+import { DaemonScreening } from './DaemonScreening.js';
 import { aborted, type Runtime } from './DaemonRuntime.js';
 
 /** How often a process that drains says what it waits for. In ms. */
@@ -49,12 +58,16 @@
 
   #entryHosts = 1;
 
-  constructor(id: string, zone: string, runtime: Runtime) {
+  readonly screening: DaemonScreening;
+
+  /** `sendNews` sends news of suspected requests to the control process. */
+  constructor(id: string, zone: string, runtime: Runtime, sendNews: SendNews) {
     this.#id = id;
     this.#zone = zone;
     this.#runtime = runtime;
     this.#routing = initRouting(zone);
     this.#metrics = new EntryMetrics(runtime.registry, () => this.#inProgress.size);
+    this.screening = new DaemonScreening({ runtime, metrics: this.#metrics, send: sendNews });
   }
 
   get config(): ConfigView {
@@ -78,12 +91,20 @@
     this.#runtime.log.info({ event: 'config', index: config.index }, 'configuration in force');
   }
 
+  /** Whether a request must be sent to no endpoint like this one. */
+  isHeld(identity: RequestIdentity, { offer }: MemberRecord): boolean {
+    const mostEnds = offer?.group === undefined ? MOST_ENDS.single : MOST_ENDS.group;
+    return this.screening.isHeld(identity, mostEnds);
+  }
+
   onDirectory(delta: DirectoryDelta): void {
+    this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#setView(mergeDelta(this.#view, delta, this.#runtime.now()));
   }
 
   /** Drops members that have been missing for too long. */
   tick(): void {
+    this.screening.tick();
     const view = pruneView(this.#view, this.#runtime.now());
     if (view !== this.#view) {
       this.#setView(view);
--- a/src/daemon/DaemonGate.ts
+++ b/src/daemon/DaemonGate.ts
@@ -3,8 +3,12 @@
 import type Koa from 'koa';
 import type { Agent } from 'undici';
 import {
+  engineAnswered,
+  engineEnded,
+  FIRST_LIFE,
   initGate,
   stepGate,
+  type EngineLives,
   type GateInput,
   type GateOutput,
   type GateState,
@@ -16,7 +20,13 @@
   type MemberRecord,
   type RevokeReply,
 } from '../protocol/index.js';
-import { FRAMES_TYPE, FrameWriter, headerOf, readBody } from '../transport/index.js';
+import {
+  FRAMES_TYPE,
+  FrameWriter,
+  headerOf,
+  readBody,
+  type ProbeResult,
+} from '../transport/index.js';
 import { relayEvents, relayWhole } from './DaemonGateRelay.js';
 import { answerError } from './DaemonApp.js';
 import type { Runtime } from './DaemonRuntime.js';
@@ -28,6 +38,8 @@
   /** URL of the engine. */
   readonly engine: string;
   readonly slots: number;
+  /** Tells whether the engine still listens. */
+  readonly probe: () => Promise<ProbeResult>;
   readonly record: () => MemberRecord;
   readonly onDrained: () => void;
 }
@@ -70,6 +82,8 @@
 
   #state: GateState;
 
+  #lives: EngineLives = FIRST_LIFE;
+
   constructor(options: GateOptions) {
     this.#options = options;
     this.#state = initGate(options.record().incarnation);
@@ -164,8 +178,10 @@
       attempt: hop.attempt,
       incarnation: this.#state.incarnation,
     };
+    const begunAt = runtime.now();
     let seq = 0;
     let reason = 'done';
+    let isTaken = true;
     try {
       const response = await agent.request({
         origin: engine,
@@ -179,6 +195,7 @@
         body: body.length === 0 ? null : body,
         signal,
       });
+      this.#lives = engineAnswered(this.#lives, begunAt);
       const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
       const streamed = contentType.startsWith('text/event-stream');
       const head = { kind: 'head', ...identity, seq: 0, status: response.statusCode } as const;
@@ -191,12 +208,24 @@
       reason = await relay(response.body, ctx.res, send);
     } catch (err) {
       reason = (err as Error).message;
+      isTaken = (err as NodeJS.ErrnoException).code !== 'ECONNREFUSED';
     }
     const whole = reason === 'done';
-    writer.write({ kind: 'end', ...identity, seq, whole, reason, load: this.load });
+    const isLost = !whole && isTaken && !signal.aborted;
+    const endedLife = isLost ? await this.#findEnd(begunAt) : null;
+    writer.write({ kind: 'end', ...identity, seq, whole, reason, endedLife, load: this.load });
     runtime.log.info(
-      { event: 'attempt', ...identity, whole, reason, events: seq },
+      { event: 'attempt', ...identity, whole, reason, endedLife, events: seq },
       'attempt ended',
     );
   }
+
+  /** The life of the engine that has ended under an attempt that it had taken; null where none is known to have. */
+  async #findEnd(begunAt: number): Promise<number | null> {
+    if ((await this.#options.probe()) !== 'refused') {
+      return null;
+    }
+    this.#lives = engineEnded(this.#lives, begunAt, this.#options.runtime.now());
+    return this.#lives.life;
+  }
 }
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -3,6 +3,7 @@
  * to none. Asked once before each send, whatever the send is for.
  */
 import {
+  lifeOf,
   rememberAnswer,
   wasAnswered,
   type LostRequest,
@@ -92,12 +93,14 @@
    */
   async onLost(endpoint: MemberRecord, identity: RequestIdentity, request: string): Promise<void> {
     if (!wasAnswered(this.#answers, identity, this.#options.runtime.now())) {
-      const lost: LostRequest = {
-        digest: this.#digest(identity),
-        customer: identity.customer,
-        request,
-      };
-      await this.#ends.onLost(endpoint, lost);
+      await this.#ends.onLost(endpoint, this.#lost(identity, request));
+    }
+  }
+
+  /** A gate has seen its engine end under a request; it counts the engine's lives. */
+  onEnded(endpoint: MemberRecord, life: number, identity: RequestIdentity, request: string): void {
+    if (!wasAnswered(this.#answers, identity, this.#options.runtime.now())) {
+      this.#ends.onEnded(`${lifeOf(endpoint)}#${life}`, this.#lost(identity, request));
     }
   }
 
@@ -129,6 +132,10 @@
     this.#quarantine.tick();
   }
 
+  #lost(identity: RequestIdentity, request: string): LostRequest {
+    return { digest: this.#digest(identity), customer: identity.customer, request };
+  }
+
   #digest(identity: RequestIdentity): string {
     const digest = this.#digests.get(identity) ?? digestRequest(identity);
     this.#digests.set(identity, digest);
--- a/src/protocol/ProtocolMessages.ts
+++ b/src/protocol/ProtocolMessages.ts
@@ -155,6 +155,8 @@
   readonly seq: number;
   readonly whole: boolean;
   readonly reason: string;
+  /** Which life of the engine, counted by the gate, has ended under the attempt; null where none is known to have. */
+  readonly endedLife: number | null;
   readonly load: LoadReport;
 }
 
--- a/src/transport/TransportProbe.ts
+++ b/src/transport/TransportProbe.ts
@@ -39,3 +39,10 @@
     socket.resume();
   });
 }
+
+/** Probes the host and port of a URL. Never rejects. */
+export async function probeUrl(url: string): Promise<ProbeResult> {
+  const { hostname, port, protocol } = new URL(url);
+  const usual = protocol === 'https:' ? 443 : 80;
+  return probeAddress({ host: hostname, port: port === '' ? usual : Number(port) });
+}
--- a/tools/__tests__/unit/DataPathFailure.test.ts
+++ b/tools/__tests__/unit/DataPathFailure.test.ts
@@ -200,4 +200,35 @@
     cluster.processes.get(engine).kill('SIGCONT');
     assert.deepEqual([sent.status, errorOf(sent).outcome], [504, 'unknown']);
   });
+
+  // A caller's request ends each engine that begins to run it, and is tried again at once where it may be. The gates
+  // live on and see their engines end. After the third it must be sent to none, and another of the same customer be
+  // served as before.
+  it('sends a request that ended three engines to none any more', async () => {
+    const fatal = { ...body('fatal', false, 4), fatal: true };
+    const names = ['fake-engine-1', 'fake-engine-2'];
+    const dead = (): readonly string[] =>
+      names.filter((name) => cluster.processes.get(name).exitCode !== null);
+    const restartDead = (): void =>
+      dead().forEach((name) => cluster.restartFake(name.replace('fake-', '')));
+    const listen = async (): Promise<boolean> =>
+      countRuns(Object.values(cluster.addresses.engines)).then(
+        () => true,
+        () => false,
+      );
+    const ends: number[] = [];
+    const codes: string[] = [];
+    for (let i = 0; i < 4; i += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      codes.push(errorOf(await send(fatal)).code);
+      ends.push(dead().length);
+      restartDead();
+      // eslint-disable-next-line no-await-in-loop
+      await waitUntil('the stand-ins listen', 5_000, listen);
+    }
+    assert.deepEqual(ends, [2, 1, 0, 0]);
+    assert.deepEqual(codes.slice(2), ['quarantined', 'quarantined']);
+    const spec = body('beside', false, 4);
+    assert.equal((await send(spec)).text, expectedAnswer(spec));
+  });
 });
