Requests that endpoints have ended under are listed and released by the administration API and the command line

An operator who has mended the endpoints would have had to wait ten minutes, or to restart every process at once.

--- a/src/cli/CliCommands.ts
+++ b/src/cli/CliCommands.ts
@@ -8,6 +8,8 @@
   formatEndpoints,
   formatGroups,
   formatManifest,
+  formatQuarantine,
+  formatRelease,
   formatStatus,
   formatSubmit,
 } from './CliFormat.js';
@@ -90,6 +92,18 @@
     description: 'Show groups of ranks and who coordinates them.',
     run: async ({ call, finish }) => finish(await call('GET', '/v1/groups'), formatGroups),
   },
+  {
+    path: ['quarantine', 'list'],
+    description: 'Show requests that endpoints have ended under.',
+    run: async ({ call, finish }) => finish(await call('GET', '/v1/quarantine'), formatQuarantine),
+  },
+  {
+    path: ['quarantine', 'release'],
+    description: 'Let a request be sent to endpoints again, by its digest.',
+    argument: 'digest',
+    run: async ({ argument, call, finish }) =>
+      finish(await call('POST', `/v1/quarantine/${argument}/release`), formatRelease),
+  },
 ];
 
 function makeCommand(spec: CommandSpec) {
--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -104,3 +104,16 @@
     ...entries,
   ].join('\n');
 }
+
+/** Requests that endpoints have ended under. */
+export function formatQuarantine(body: {
+  readonly requests: readonly (Row & { readonly lives: readonly string[] })[];
+}): string {
+  const rows = body.requests.map((row) => ({ ...row, lives: row.lives.join(',') }));
+  return table(['digest', 'customer', 'ends', 'forgottenInS', 'lives'], rows);
+}
+
+/** A request that was released. */
+export function formatRelease({ digest }: Row): string {
+  return `${String(digest)}: nothing is held against it any more`;
+}
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -1,6 +1,7 @@
 /** Composition root of role `control` by the product's own settings. */
 import { serveHttp } from '../transport/index.js';
 import { addAdminApi } from './DaemonAdmin.js';
+import { addQuarantineApi } from './DaemonQuarantineApi.js';
 import { startControlCore } from './DaemonControlCore.js';
 import { createApp } from './DaemonApp.js';
 import type { Runtime } from './DaemonRuntime.js';
@@ -40,6 +41,7 @@
     reason: hub.rollout.phase,
   }));
   testSwitch.addApi(app);
+  addQuarantineApi(app, hub.quarantine);
   addAdminApi(app, {
     name: cfg.id,
     consensus,
--- /dev/null
+++ b/src/daemon/DaemonQuarantineApi.ts
@@ -0,0 +1,44 @@
+/** The part of the administration API that lists requests endpoints have ended under, and releases them. */
+import type Koa from 'koa';
+import type { Context } from 'koa';
+import { endsHeld } from '../coordination/index.js';
+import type { DaemonQuarantine } from './DaemonQuarantine.js';
+
+const LIST_PATH = '/v1/quarantine';
+
+const RELEASE_PATH = /^\/v1\/quarantine\/([0-9a-f]+)\/release$/;
+
+function list(quarantine: DaemonQuarantine): unknown {
+  const requests = quarantine.suspects
+    .map((suspect) => ({
+      digest: suspect.digest,
+      customer: suspect.customer,
+      ends: endsHeld(suspect),
+      lives: suspect.ends.filter((life) => !suspect.cleared.includes(life)),
+      forgottenInS: Math.round(quarantine.heldForMs(suspect.digest) / 1_000),
+    }))
+    .sort((a, b) => b.ends - a.ends);
+  return { requests };
+}
+
+function release(quarantine: DaemonQuarantine, digest: string, ctx: Context): void {
+  const released = quarantine.clear(digest);
+  ctx.status = released ? 200 : 404;
+  ctx.body = released
+    ? { digest, released }
+    : { error: `nothing is held against a request with digest ${digest}` };
+}
+
+/** Adds the calls to an application; all others go on to the next handler. */
+export function addQuarantineApi(app: Koa, quarantine: DaemonQuarantine): void {
+  app.use(async (ctx, next) => {
+    const [, digest] = RELEASE_PATH.exec(ctx.path) ?? [];
+    if (ctx.method === 'GET' && ctx.path === LIST_PATH) {
+      ctx.body = list(quarantine);
+    } else if (ctx.method === 'POST' && digest !== undefined) {
+      release(quarantine, digest, ctx);
+    } else {
+      await next();
+    }
+  });
+}
