--- a/bench/BenchMain.ts
+++ b/bench/BenchMain.ts
@@ -8,6 +8,7 @@
   overhead: async () => (await import('./BenchOverhead.js')).benchOverhead,
   placement: async () => (await import('./BenchPlacement.js')).benchPlacement,
   routing: async () => (await import('./BenchRouting.js')).benchRouting,
+  quarantine: async () => (await import('./BenchQuarantine.js')).benchQuarantine,
   recovery: async () => (await import('./BenchRecovery.js')).benchRecovery,
 };
 
--- /dev/null
+++ b/bench/BenchQuarantine.ts
@@ -0,0 +1,83 @@
+/** Who is refused wrongly for having run beside a request that ends endpoints, and what the screening costs. */
+import {
+  EMPTY_QUARANTINE,
+  hashQuarantine,
+  holdEnd,
+  mergeNews,
+  MOST_SUSPECTS,
+  writeNews,
+} from '../src/coordination/index.js';
+import { digestRequest } from '../src/protocol/index.js';
+import { report, round } from './BenchReport.js';
+import { playQuarantine } from './BenchQuarantineModel.js';
+
+const IN_PROGRESS = [1, 10, 100];
+const MOST_ENDS = [2, 3, Infinity];
+const SEEDS = 5;
+
+const BODY_BYTES = [0, 1_024, 65_536, 4_194_304];
+
+function benchNeighbours(seed: number): void {
+  [true, false].forEach((isGroup) => {
+    IN_PROGRESS.forEach((inProgress) => {
+      MOST_ENDS.forEach((mostEnds) => {
+        const shape = { endpoints: 12, isGroup, inProgress, guilty: 2, ownEnds: 1 };
+        const played = Array.from({ length: SEEDS }, (_item, i) =>
+          playQuarantine(shape, mostEnds, seed + i),
+        );
+        const sum = (key: keyof (typeof played)[number]): number =>
+          played.reduce((total, outcome) => total + outcome[key], 0);
+        report('quarantine-neighbours', {
+          seed,
+          runs: SEEDS,
+          isGroup,
+          inProgress,
+          mostEnds: String(mostEnds),
+          ends: sum('ends'),
+          ownEnds: sum('ownEnds'),
+          innocent: sum('innocent'),
+          wronglyHeld: sum('wronglyHeld'),
+          lost: sum('lost'),
+        });
+      });
+    });
+  });
+}
+
+/** Median time of a task, microseconds. */
+function timeOf(task: () => void): number {
+  const times = Array.from({ length: 101 }, () => {
+    const begun = performance.now();
+    task();
+    return (performance.now() - begun) * 1_000;
+  }).sort((a, b) => a - b);
+  return round(times[50] ?? 0);
+}
+
+function benchCost(seed: number): void {
+  BODY_BYTES.forEach((bytes) => {
+    const body = Buffer.alloc(bytes, 'x');
+    const identity = { customer: 'kano', method: 'POST', host: 'desk.example', path: '/a/b', body };
+    report('quarantine-digest', { seed, bytes, us: timeOf(() => digestRequest(identity)) });
+  });
+  const lost = Array.from({ length: MOST_SUSPECTS }, (_item, i) => {
+    const digest = i.toString(16).padStart(32, '0');
+    return { digest, customer: `c${i % 8}`, request: digest };
+  });
+  const { state } = holdEnd(EMPTY_QUARANTINE, 'i-0123456789@1790000000000', lost, 0);
+  const messages = writeNews(state, [...state.values()], 0);
+  const records = messages.flatMap((message) => message.records);
+  report('quarantine-set', {
+    seed,
+    suspects: state.size,
+    bytes: JSON.stringify(records).length,
+    hashUs: timeOf(() => hashQuarantine(state)),
+    mergeUs: timeOf(() => mergeNews(state, records, 0)),
+  });
+}
+
+/** Prints a line a case. */
+export async function benchQuarantine(seed: number): Promise<void> {
+  benchNeighbours(seed);
+  benchCost(seed);
+}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -49,6 +49,7 @@
   holdEnd,
   mergeNews,
   MOST_ENDS,
+  MOST_SUSPECTS,
   SUSPECT_MS,
   writeNews,
   type QuarantineState,
