Soak: what ends engines must be held within 3 s of the third end at hosts that aren't disturbed; a run with nothing else

The check looked at the calm end alone. A run in which two requests end the ranks of a group and nothing else is done is a test of its own, with the group's limit of two ends.

--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -20,6 +20,9 @@
 const FATAL_ENDS = 3;
 const MOST_FATAL_RUNS = 3;
 
+/** Time that the news of an end may take, ms. */
+const NEWS_MS = 3_000;
+
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
@@ -111,7 +114,7 @@
 /** Whether anything but planned work disturbed the system while an attempt ran, or shortly before. */
 function isDisturbed(
   { events, engineEnds }: Pick<SoakRecord, 'events' | 'engineEnds'>,
-  { sentAt, endedAt }: SoakAttempt,
+  { sentAt, endedAt }: Pick<SoakAttempt, 'sentAt' | 'endedAt'>,
 ): boolean {
   const unplanned = events.filter(({ kind }) => !PLANNED.has(kind));
   const ends = engineEnds.map(({ at }) => ({ from: at, until: at }));
@@ -142,14 +145,26 @@
       : [finding('acknowledged is kept', `control-${i + 1} reads ${version}, acked ${acked}`)],
   );
 
-/** What has ended three engines is sent to none any more, whoever has died or stood still since. */
-const fatalHeld: Check = ({ engineEnds, fatalRunsAtEnd }) =>
-  [...fatalRunsAtEnd].flatMap(([body, runs]) => {
-    const ends = engineEnds.filter((end) => end.body === body).length;
-    return ends >= FATAL_ENDS && runs > MOST_FATAL_RUNS
-      ? [finding('what ends engines is held', `"${body}" ran ${runs} times after ${ends} ends`)]
+/** What has ended three engines is soon sent to none any more, whoever has died or stood still before. */
+const fatalHeld: Check = (record) => {
+  const bodies = new Set(record.fatalRuns.map(({ body }) => body));
+  return [...bodies].flatMap((body) => {
+    const ends = record.engineEnds.filter((end) => end.body === body).map(({ at }) => at);
+    const third = [...ends].sort((x, y) => x - y)[FATAL_ENDS - 1] ?? Infinity;
+    const late = record.fatalRuns.filter(
+      (run) =>
+        run.body === body &&
+        run.at > third + NEWS_MS &&
+        !isDisturbed(
+          { events: record.events, engineEnds: [] },
+          { sentAt: run.at, endedAt: run.at },
+        ),
+    );
+    return late.length > MOST_FATAL_RUNS
+      ? [finding('what ends engines is held', `"${body}" ran ${late.length} times too late`)]
       : [];
   });
+};
 
 const noOwnEnds: Check = ({ ownEnds }) =>
   ownEnds.map((name) => finding('no process ends by itself', name));
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -7,6 +7,7 @@
   StandInPlatform,
   until,
 } from '../platform/__tests__/utils/StandInPlatform.js';
+import { FATAL_BODY } from '../platform/__tests__/utils/StandInFleet.js';
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
 import { SoakEngines } from './SoakEngines.js';
@@ -155,12 +156,7 @@
       drains: this.#drains,
       events: this.#events,
       engineEnds: this.#engines.ends,
-      fatalRunsAtEnd: new Map(
-        fatal.map(({ body }) => [
-          body,
-          this.#engines.seen.filter((run) => run.body === body && run.at > calmFrom).length,
-        ]),
-      ),
+      fatalRuns: this.#engines.seen.filter(({ body }) => body.startsWith(FATAL_BODY)),
       mixedPasses: lockstep.mixed,
       acked: this.#operator.acked,
       readBack,
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -71,9 +71,9 @@
   readonly withdrawals: readonly SoakWithdrawal[];
   readonly drains: readonly SoakDrain[];
   readonly events: readonly SoakEvent[];
-  /** Engines that requests ended, and how often each of these requests ran after all disturbances were over. */
+  /** Engines that requests ended, and all runs of such requests. */
   readonly engineEnds: readonly SoakEngineEnd[];
-  readonly fatalRunsAtEnd: ReadonlyMap<string, number>;
+  readonly fatalRuns: readonly Pick<SoakEngineEnd, 'body' | 'at'>[];
   /** Passes that began with two maps. */
   readonly mixedPasses: number;
   /** Newest version that was acknowledged, and what each control process reads back at the end. */
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -31,7 +31,7 @@
   drains: [],
   events: [],
   engineEnds: [],
-  fatalRunsAtEnd: new Map([['fatal 1', 0]]),
+  fatalRuns: [],
   mixedPasses: 0,
   acked: 3,
   readBack: [3, 3, 4],
@@ -72,7 +72,7 @@
   'acknowledged is kept': { readBack: [3, 2, 3] },
   'what ends engines is held': {
     engineEnds: ['i-1', 'i-2', 'i-3'].map((engine, at) => ({ body: 'fatal 1', engine, at })),
-    fatalRunsAtEnd: new Map([['fatal 1', 4]]),
+    fatalRuns: [3_003, 3_004, 3_005, 3_006].map((at) => ({ body: 'fatal 1', at })),
   },
   'no process ends by itself': { ownEnds: ['entry-1 ended by itself (1)'] },
   'serves again': { servedAtEnd: 0 },
--- a/soak/__tests__/unit/SoakRun.test.ts
+++ b/soak/__tests__/unit/SoakRun.test.ts
@@ -20,6 +20,20 @@
     assert.notDeepEqual(planSoak(1, SHORT), planSoak(2, SHORT));
   });
 
+  // Two requests end the ranks that run them, each sent to all entry hosts every 0.3 s, and nothing else is done. Each
+  // end takes the whole group's work. Soon after the third neither may reach a rank any more, and all others go on.
+  it('holds what ends the ranks of a group', async () => {
+    const { findings, figures } = await playSoak({
+      ...SHORT,
+      lengthMs: 10_000,
+      seed: 5,
+      faults: [],
+    });
+    assert.deepEqual(findings, []);
+    assert.ok((figures.engineEnds ?? 0) > 0);
+    assert.ok((figures.whole ?? 0) > 50);
+  });
+
   // Processes are killed, paused and stopped, links are cut and reset, engines crash and leave, while
   // callers go on. Whatever they see must keep the promises, and all must be served again at the end.
   it('keeps the promises for each seed that ever failed, and for a new one', async () => {
