A request that is not sent since it is held is one line of the log, and explained by the command line

What a request got may be a 502 or a stream that is cut, where an attempt of it ran first: nothing told then that it wasn't tried again because endpoints have ended under it. The request as it was taken in has a module of its own.

--- a/src/cli/CliExplain.ts
+++ b/src/cli/CliExplain.ts
@@ -86,14 +86,24 @@
         `"${String(attempt.verdict)}"`;
 }
 
+/** Why a request was not sent again, where it is held. */
+function tellHeld(lines: readonly LogLine[]): string {
+  const held = lastOf(lines, 'held');
+  return held === undefined
+    ? ''
+    : `; sent to no other, for ${String(held.ends)} endpoints have ended under it ` +
+        `(look for "endpoint_ended" lines with ${String(held.digest)})`;
+}
+
 /** What an outcome means, by its name in the log. */
 const TELLERS: Readonly<Record<string, Teller>> = {
   refused: ({ attempts }, lines, context) =>
     attempts === 0
       ? `refused and never sent: ${tellPlaces(context)}`
       : `refused after ${String(attempts)} attempts that were not run: ${lastAttempt(lines)}`,
-  cut: (_answer, lines) => `broken off in the middle: ${lastAttempt(lines)}`,
-  failed: (_answer, lines) => `failed, and may have run: ${lastAttempt(lines)}`,
+  quarantined: (_answer, lines) => `refused and not run${tellHeld(lines)}`,
+  cut: (_answer, lines) => `broken off in the middle: ${lastAttempt(lines)}${tellHeld(lines)}`,
+  failed: (_answer, lines) => `failed, and may have run: ${lastAttempt(lines)}${tellHeld(lines)}`,
   passed: (_answer, lines) => `the endpoint's own failure was passed on: ${lastAttempt(lines)}`,
   timeout: (_answer, lines, context) =>
     `no whole answer by its deadline: ${lastAttempt(lines)}; ${tellPlaces(context)}`,
--- a/src/cli/__tests__/unit/CliExplain.test.ts
+++ b/src/cli/__tests__/unit/CliExplain.test.ts
@@ -1,3 +1,4 @@
+import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { openSnapshots } from '../../../__tests__/utils/TestSnapshot.js';
 import { explainRequest, formatExplanation, parseLog } from '../../CliExplain.js';
@@ -72,4 +73,15 @@
     );
     matchSnapshot('explanations', texts);
   });
+
+  it('names the ends for which a request was sent to no endpoint', () => {
+    const held = { request: 'r9', digest: 'da03', ends: 2 };
+    const answer = { request: 'r9', attempts: 0, firstMs: null, outcome: 'quarantined' };
+    const log = [line(0, 'edge-1', 'held', held), line(1, 'edge-1', 'answer', answer)];
+    assert.equal(
+      explainRequest('r9', parseLog(log.join('\n'))).conclusion,
+      'refused and not run; sent to no other, for 2 endpoints have ended under it ' +
+        '(look for "endpoint_ended" lines with da03)',
+    );
+  });
 });
--- a/src/daemon/DaemonEntryCall.ts
+++ b/src/daemon/DaemonEntryCall.ts
@@ -86,6 +86,7 @@
     route: ({ exclude }) => this.#route(exclude),
     send: ({ endpoint, attempt }) => {
       if (this.#options.state.isHeld(this.#identity, endpoint)) {
+        this.#options.state.screening.logHeld(this.#identity, this.#request);
         this.#input({ type: 'held', attempt });
         return;
       }
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -77,6 +77,16 @@
     return this.#quarantine.heldForMs(this.#digest(identity));
   }
 
+  /** Writes down that a request was not sent since it is held. */
+  logHeld(identity: RequestIdentity, request: string): void {
+    const digest = this.#digest(identity);
+    const ends = this.#quarantine.endsOf(digest);
+    this.#options.runtime.log.info(
+      { event: 'held', request, digest, ends },
+      'not sent: endpoints have ended under this request',
+    );
+  }
+
   /** Calls once a request in progress is held; the result ends that. */
   registerHeld(identity: RequestIdentity, mostEnds: number, onHeld: () => void): () => void {
     return this.#quarantine.registerListener(() => {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -1,57 +1,10 @@
 /** One caller's request at an entry process: its attempts and the one answer. */
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { judgeFailure, type DirectProgress, type DirectVerdict } from '../../coordination/index.js';
-import {
-  RequestError,
-  type KeyedCustomer,
-  type MemberRecord,
-  type RequestHead,
-  type RequestIdentity,
-  type Route,
-} from '../../protocol/index.js';
+import { RequestError, type MemberRecord } from '../../protocol/index.js';
 import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
-import type { PlaceRequest } from './DirectAdmission.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import { quarantined, sendError, sendWhole } from './DirectAnswer.js';
-
-/** A request with less of its route's time than this was refused before and has come back. */
-const RETURNED_SHARE = 0.97;
-
-/** A request that was taken in. */
-export interface DirectSpec {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly head: RequestHead;
-  readonly route: Route;
-  readonly service: string;
-  readonly customer: KeyedCustomer | null;
-  readonly body: Buffer;
-  /** What it has in common with the same request sent again. */
-  readonly identity: RequestIdentity;
-  /** When it was read, and when its caller is given up on; ms on the local monotonic clock. */
-  readonly startedAt: number;
-  readonly deadline: number;
-}
-
-/** What a request asks of admission. */
-export function placeRequestOf(spec: DirectSpec): PlaceRequest {
-  const { head, route, service, customer, startedAt, deadline } = spec;
-  return {
-    request: head.id,
-    service,
-    priority: customer?.priority ?? route.priority,
-    startedAt,
-    objectiveMs: route.objectiveMs,
-    deadline,
-    patienceMs: route.patienceMs,
-    tokens: head.tokens?.answer ?? head.expectedTokens,
-    returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
-  };
-}
-
-/** How a request ended; written to the log and counted. */
-export type DirectOutcome =
-  'whole' | 'passed' | 'refused' | 'quarantined' | 'failed' | 'cut' | 'timeout' | 'callerGone';
+import { placeRequestOf, type DirectOutcome, type DirectSpec } from './DirectSpec.js';
 
 /** An attempt with the endpoint that it went to. */
 interface Sent {
@@ -236,6 +189,7 @@
 
   /** Answers a request that must be sent to no endpoint any more. */
   #hold(): void {
+    this.#state.screening.logHeld(this.#spec.identity, this.#spec.head.id);
     if (this.#begun || this.#mayHaveRun) {
       this.#conclude(this.#begun ? 'cut' : 'fail', null);
       return;
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -17,7 +17,8 @@
 import { quarantined, sendError } from './DirectAnswer.js';
 import type { PlaceVerdict } from './DirectAdmission.js';
 import { DirectConfigWatch } from './DirectConfigWatch.js';
-import { DirectCall, placeRequestOf, type DirectSpec } from './DirectCall.js';
+import { DirectCall } from './DirectCall.js';
+import { placeRequestOf, type DirectSpec } from './DirectSpec.js';
 import { DirectEntryState, type CallTimes } from './DirectEntryState.js';
 import type { RetryAllowance } from '../../coordination/index.js';
 
@@ -275,7 +276,9 @@
     if (granted) {
       this.#state.admission.onUnused(spec.service);
     }
-    const heldForMs = this.#state.screening.heldForMs(spec.identity);
+    const { screening } = this.#state;
+    screening.logHeld(spec.identity, spec.head.id);
+    const heldForMs = screening.heldForMs(spec.identity);
     sendError(spec.res, quarantined(), heldForMs, this.#state.isLeaving);
     this.#state.end(spec, spec.res.destroyed ? 'callerGone' : 'quarantined', UNSENT);
   }
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -46,7 +46,7 @@
   type PlaceVerdict,
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
-import type { DirectOutcome, DirectSpec } from './DirectCall.js';
+import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
 
 /** What the state needs. */
--- /dev/null
+++ b/src/daemon/direct/DirectSpec.ts
@@ -0,0 +1,43 @@
+/** A request that an entry process has taken in, and how it can end. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { KeyedCustomer, RequestHead, RequestIdentity, Route } from '../../protocol/index.js';
+import type { PlaceRequest } from './DirectAdmission.js';
+
+/** A request with less of its route's time than this was refused before and has come back. */
+const RETURNED_SHARE = 0.97;
+
+/** A request that was taken in. */
+export interface DirectSpec {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly head: RequestHead;
+  readonly route: Route;
+  readonly service: string;
+  readonly customer: KeyedCustomer | null;
+  readonly body: Buffer;
+  /** What it has in common with the same request sent again. */
+  readonly identity: RequestIdentity;
+  /** When it was read, and when its caller is given up on; ms on the local monotonic clock. */
+  readonly startedAt: number;
+  readonly deadline: number;
+}
+
+/** What a request asks of admission. */
+export function placeRequestOf(spec: DirectSpec): PlaceRequest {
+  const { head, route, service, customer, startedAt, deadline } = spec;
+  return {
+    request: head.id,
+    service,
+    priority: customer?.priority ?? route.priority,
+    startedAt,
+    objectiveMs: route.objectiveMs,
+    deadline,
+    patienceMs: route.patienceMs,
+    tokens: head.tokens?.answer ?? head.expectedTokens,
+    returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
+  };
+}
+
+/** How a request ended; written to the log and counted. */
+export type DirectOutcome =
+  'whole' | 'passed' | 'refused' | 'quarantined' | 'failed' | 'cut' | 'timeout' | 'callerGone';
