--- a/src/daemon/DaemonEndpointEnds.ts
+++ b/src/daemon/DaemonEndpointEnds.ts
@@ -73,6 +73,9 @@
 
   #input(input: EndpointEndsInput): void {
     const { state, outputs } = stepEndpointEnds(this.#state, input, this.#options.runtime.now());
+    if (state.ended.size > this.#state.ended.size) {
+      this.#options.ends.inc();
+    }
     this.#state = state;
     outputs.forEach((output) => {
       if (output.type === 'probe') {
@@ -80,7 +83,6 @@
         return;
       }
       const { life, evidence, suspects } = output;
-      this.#options.ends.inc();
       this.#options.runtime.log.warn(
         {
           event: 'endpoint_ended',
