--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -71,7 +71,6 @@
 
   /** Replaces an engine that has left by a new incarnation. */
   async renew(n: number): Promise<void> {
-    this.#engines.get(n)?.stop();
     await this.#startOne(n);
   }
 
@@ -111,7 +110,9 @@
     }
   }
 
+  /** Starts an engine in the place of whatever is there: two disturbances of one engine may overlap. */
   async #startOne(n: number): Promise<void> {
+    this.#engines.get(n)?.stop();
     this.#incarnation += 1;
     const { inside, outside } = this.#platform.engineHost(n);
     const rank = new StandInRank(this.group, n - 1);
