--- a/src/transport/TransportProbe.ts
+++ b/src/transport/TransportProbe.ts
@@ -1,5 +1,6 @@
-/** Tells by one connection whether anything listens at an address. */
+/** Tells by one connection, or a few, whether anything listens at an address. */
 import { connect } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Address } from './TransportAddress.js';
 
 /** What a probe has found. */
@@ -8,7 +9,7 @@
   | 'refused'
   /** Something listens there, and kept the connection. */
   | 'open'
-  /** No answer in time, or the connection was taken and closed. */
+  /** No answer in time, or each connection was taken and closed. */
   | 'unknown';
 
 /** An answer takes this long at most: some ten round trips between AZs. In ms. */
@@ -23,6 +24,10 @@
  */
 const KEPT_MS = 300;
 
+/** Connections tried at most, and the pause between them, ms: a process is done with ending by then. */
+const TRIES = 3;
+const PAUSE_MS = 40;
+
 /** A probe under way. */
 export interface Probe {
   /** Never rejects. */
@@ -31,34 +36,58 @@
   readonly settled: Promise<void>;
 }
 
-/** Probes an address. */
-export function probeAddress({ host, port }: Address): Probe {
-  const socket = connect({ host, port });
-  // Read, so that an end is noticed.
-  socket.resume();
-  let settle: () => void = () => undefined;
-  const settled = new Promise<void>((resolve) => {
-    settle = resolve;
-  });
-  const result = new Promise<ProbeResult>((resolve) => {
+/** Tries one connection; `onTaken` is called once it was taken and not closed at once. */
+async function tryOnce({ host, port }: Address, onTaken: () => void): Promise<ProbeResult> {
+  return new Promise((resolve) => {
+    const socket = connect({ host, port });
     const timers: NodeJS.Timeout[] = [];
     const end = (found: ProbeResult): void => {
       timers.forEach((timer) => clearTimeout(timer));
       socket.destroy();
       resolve(found);
-      settle();
     };
     timers.push(setTimeout(() => end('unknown'), ANSWER_MS));
     socket.once('connect', () => {
       timers.forEach((timer) => clearTimeout(timer));
-      timers.push(setTimeout(settle, TAKEN_MS));
+      timers.push(setTimeout(onTaken, TAKEN_MS));
       timers.push(setTimeout(() => end('open'), KEPT_MS));
     });
     socket.once('close', () => end('unknown'));
     socket.once('error', (err: NodeJS.ErrnoException) =>
       end(err.code === 'ECONNREFUSED' ? 'refused' : 'unknown'),
     );
+    // Read, so that an end is noticed.
+    socket.resume();
+  });
+}
+
+/**
+ * Failure: a process that ends has closed its connections and not yet what it listens on. Symptom: a probe right
+ * after the loss is taken and reset, which tells nothing, and the end is held against nobody. Enough: it is tried
+ * again until the process must be done with ending.
+ */
+async function probe(address: Address, onTaken: () => void): Promise<ProbeResult> {
+  for (let left = TRIES; left > 1; left -= 1) {
+    // eslint-disable-next-line no-await-in-loop
+    const found = await tryOnce(address, onTaken);
+    if (found !== 'unknown') {
+      return found;
+    }
+    // eslint-disable-next-line no-await-in-loop
+    await delay(PAUSE_MS);
+  }
+  return tryOnce(address, onTaken);
+}
+
+/** Probes an address. */
+export function probeAddress(address: Address): Probe {
+  let settle: () => void = () => undefined;
+  const settled = new Promise<void>((resolve) => {
+    settle = resolve;
   });
+  const result = probe(address, settle);
+  result.finally(settle).catch(() => undefined);
+  setTimeout(settle, ANSWER_MS + PAUSE_MS).unref();
   return { result, settled };
 }
 
--- a/src/transport/__tests__/unit/TransportProbe.test.ts
+++ b/src/transport/__tests__/unit/TransportProbe.test.ts
@@ -66,4 +66,18 @@
       },
     );
   });
+
+  // A process ends: its connections are closed first, what it listens on a moment later. In between a probe is taken
+  // by the kernel, and reset. The end must be seen all the same.
+  it('sees the end of a process that is still ending', async () => {
+    const server = createServer((socket) => {
+      socket.destroy();
+      server.close();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as { port: number };
+    assert.equal(await probeAddress({ host: '127.0.0.1', port }).result, 'refused');
+  });
 });
