A fault while an attempt is judged ends its request, not the process

Cause: judging a failed attempt after its probe, and the callbacks of sockets and timers of a request, were awaited by nobody: an exception there was an unhandled rejection or uncaught, and ended the process with every stream on it. Test first: 6 cases, each failed (unhandledRejection, uncaughtException, or no end at all). Change: each such step of a request runs guarded; a fault is logged and ends that request (502, or a stream cut). After: 6 of 6 pass.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -59,11 +59,13 @@
       this.#finished = resolve;
     });
     const leftMs = Math.max(1, deadline - this.#state.now());
-    this.#timer = setTimeout(() => this.#onDeadline(), leftMs);
-    const onClose = (): void => this.#onCallerGone();
+    this.#timer = setTimeout(() => this.#guard(() => this.#onDeadline()), leftMs);
+    const onClose = (): void => this.#guard(() => this.#onCallerGone());
     res.once('close', onClose);
-    const unregister = this.#state.registerHeld(this.#spec, () => this.#onHeld());
-    this.#send();
+    const unregister = this.#state.registerHeld(this.#spec, () =>
+      this.#guard(() => this.#onHeld()),
+    );
+    this.#guard(() => this.#send());
     const outcome = await done;
     unregister();
     res.off('close', onClose);
@@ -99,6 +101,34 @@
     this.#over.abort();
   }
 
+  /**
+   * Runs a step that nobody awaits.
+   *
+   * Failure: a decision throws in the callback of a socket, a timer or a promise. Symptom: the process ends, and
+   * every stream on it. Enough: the fault is logged and ends the one request that met it.
+   */
+  #guard(step: () => void): void {
+    try {
+      step();
+    } catch (err) {
+      this.#onFault(err);
+    }
+  }
+
+  #onFault(err: unknown): void {
+    const attempt = this.#sent?.attempt;
+    this.#state.logFault(this.#spec.head.id, err);
+    try {
+      this.#settle('cancelled');
+    } catch (settleErr) {
+      this.#state.logFault(this.#spec.head.id, settleErr);
+    }
+    attempt?.abort();
+    if (!this.#isOver) {
+      this.#fail();
+    }
+  }
+
   /** Waits for a place again, and sends the request anew, or refuses it with the time to come back. */
   async #waitAndSend(): Promise<void> {
     const { service, head } = this.#spec;
@@ -175,10 +205,10 @@
         body: body.length === 0 ? null : body,
       },
       listener: {
-        onEvents: (bytes, answer) => this.#onEvents(bytes, answer),
-        onStreamEnd: () => this.#onStreamEnd(),
-        onWhole: (answer) => this.#onWhole(answer, 'whole'),
-        onFailure: (failure) => this.#onFailure(failure),
+        onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
+        onStreamEnd: () => this.#guard(() => this.#onStreamEnd()),
+        onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
+        onFailure: (failure) => this.#guard(() => this.#onFailure(failure)),
       },
     });
     this.#sent = { endpoint, attempt, writes: false };
@@ -247,10 +277,10 @@
       this.#sent = { ...this.#sent, writes: true };
     }
     if (!this.#begun) {
-      this.#begun = true;
-      this.#firstAt = now;
       res.writeHead(head.status, this.#state.answerHeaders(raw));
       res.flushHeaders();
+      this.#begun = true;
+      this.#firstAt = now;
     } else {
       this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#eventsAt);
     }
@@ -321,7 +351,7 @@
       .catch((err: unknown) => this.#state.logFault(this.#spec.head.id, err))
       .finally(() => {
         if (!this.#isOver) {
-          this.#judge(endpoint, failed);
+          this.#guard(() => this.#judge(endpoint, failed));
         }
       });
   }
@@ -340,13 +370,12 @@
   }
 
   #conclude(verdict: DirectVerdict, answer: WholeAnswer | null): void {
-    const { res } = this.#spec;
     const handlers: Readonly<Record<DirectVerdict, () => void>> = {
       retry: () => this.#send(),
       wait: () => {
         this.#waitAndSend().catch((err: unknown) => {
           this.#state.logFault(this.#spec.head.id, err);
-          this.#conclude(this.#hopeless, null);
+          this.#guard(() => this.#conclude(this.#hopeless, null));
         });
       },
       pass: () => {
@@ -355,14 +384,7 @@
         }
       },
       refuse: () => this.#refuse(null),
-      fail: () => {
-        const error = new RequestError(
-          'outcome_unknown',
-          'the endpoint was lost and may have run it',
-        );
-        sendError(res, error, null, this.#state.isLeaving);
-        this.#finish('failed');
-      },
+      fail: () => this.#fail(),
       cut: () => {
         this.#cut();
         this.#finish('cut');
@@ -371,6 +393,21 @@
     handlers[verdict]();
   }
 
+  /** Ends the request without an answer of an endpoint; nobody can tell whether it has run. */
+  #fail(): void {
+    const { res } = this.#spec;
+    if (this.#begun) {
+      this.#cut();
+    } else {
+      const error = new RequestError(
+        'outcome_unknown',
+        'the endpoint was lost and may have run it',
+      );
+      sendError(res, error, null, this.#state.isLeaving);
+    }
+    this.#finish('failed');
+  }
+
   /** Ends a stream without its last chunk, which tells the caller that it isn't whole. */
   #cut(): void {
     this.#spec.res.destroy();
--- /dev/null
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -0,0 +1,144 @@
+import assert from 'node:assert/strict';
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import { createServer as createTcpServer, type AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { request } from 'undici';
+import type { AnswerHead, MemberRecord } from '../../../../protocol/index.js';
+import { openPool } from '../../../../transport/index.js';
+import { DirectCall } from '../../DirectCall.js';
+import type { DirectEntryState } from '../../DirectEntryState.js';
+import type { DirectSpec } from '../../DirectSpec.js';
+
+const HEAD: AnswerHead = {
+  status: 200,
+  id: 'r1',
+  sealed: true,
+  notRun: false,
+  wrongInstance: false,
+  faultyInstance: null,
+  isStream: true,
+};
+
+const ENDPOINT = { id: 'e1' } as MemberRecord;
+
+const ignore = (): void => undefined;
+
+/** What a call asks of its process, one endpoint behind it; some of it may be replaced. */
+function stateOf(origin: string, faults: unknown[], replaced: object): DirectEntryState {
+  const pool = openPool(origin, 2);
+  const state = {
+    now: () => performance.now(),
+    isLeaving: false,
+    admission: {
+      hasGroups: () => false,
+      isClosed: () => false,
+      onUnused: ignore,
+      onUnanswered: ignore,
+      onEvent: ignore,
+      onStreamOver: ignore,
+    },
+    screening: { onWhole: ignore },
+    dialect: { writeForward: () => [], readAnswer: () => HEAD },
+    registerHeld: () => ignore,
+    isHeld: () => false,
+    route: () => ENDPOINT,
+    canRoute: () => false,
+    takeRetry: () => false,
+    pool: () => pool,
+    onSent: ignore,
+    onDone: ignore,
+    onAttemptFailed: ignore,
+    onConnectionEnded: async () => Promise.resolve(),
+    answerHeaders: () => [],
+    lastEventId: () => '1',
+    logAttempt: ignore,
+    logFault: (_request: string, err: unknown) => faults.push(err),
+    ...replaced,
+  };
+  return state as unknown as DirectEntryState;
+}
+
+function specOf(res: ServerResponse, deadlineMs: number): DirectSpec {
+  const spec = {
+    req: { method: 'POST', url: '/x', rawHeaders: [] },
+    res,
+    head: { id: 'r1' },
+    route: { kind: 'stream', resumable: true, maxAttempts: 2 },
+    service: 's',
+    customer: null,
+    body: Buffer.alloc(0),
+    startedAt: performance.now(),
+    deadline: performance.now() + deadlineMs,
+  };
+  return spec as unknown as DirectSpec;
+}
+
+describe('DirectCall', () => {
+  const servers: { close: () => void }[] = [];
+
+  afterEach(() => {
+    servers.splice(0).forEach((server) => server.close());
+  });
+
+  const listen = async (server: Server | ReturnType<typeof createTcpServer>): Promise<string> => {
+    servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  };
+
+  /** Serves one call behind a caller's connection; its outcome, what the caller got, and the faults logged. */
+  const serve = async (
+    endpoint: string,
+    replaced: object,
+    deadlineMs = 5_000,
+  ): Promise<{ outcome: string; status: number; faults: unknown[] }> => {
+    const faults: unknown[] = [];
+    let outcome = '';
+    const entry = createServer((_req, res) => {
+      const call = new DirectCall(stateOf(endpoint, faults, replaced), specOf(res, deadlineMs));
+      call
+        .run()
+        .then((ended) => {
+          outcome = ended;
+        })
+        .catch((err: unknown) => faults.push(err));
+    });
+    const answer = await request(await listen(entry), { method: 'POST' });
+    await answer.body.dump().catch(ignore);
+    return { outcome, status: answer.statusCode, faults };
+  };
+
+  const fault = (): never => {
+    throw new Error('a decision that throws');
+  };
+
+  // Guards against: a fault in a step that nobody awaits ends the process and every stream on it.
+  const steps: Readonly<Record<string, readonly [object, number?]>> = {
+    'the verdict on an attempt whose connection ended': [{ canRoute: fault }],
+    'the choice of an endpoint': [{ route: fault }],
+    'what a failed attempt proves': [{ onAttemptFailed: fault }],
+    'the release of a place': [{ onDone: fault }],
+  };
+  Object.entries(steps).forEach(([name, [replaced]]) => {
+    it(`ends only its own request by a fault in ${name}`, async () => {
+      const dying = createTcpServer((socket) => socket.once('data', () => socket.destroy()));
+      const { outcome, status, faults } = await serve(await listen(dying), replaced);
+      assert.deepEqual({ outcome, status }, { outcome: 'failed', status: 502 });
+      assert.equal((faults[0] as Error).message, 'a decision that throws');
+    });
+  });
+
+  it('ends only its own request by a fault when its deadline passes', async () => {
+    const silent = createTcpServer(ignore);
+    const { outcome, status } = await serve(await listen(silent), { onDone: fault }, 50);
+    assert.deepEqual({ outcome, status }, { outcome: 'failed', status: 502 });
+  });
+
+  it('ends only its own request by a fault while it passes a stream on', async () => {
+    const engine = createServer((_req, res) => res.write('id: 1\n\n'));
+    const { outcome, status } = await serve(await listen(engine), { answerHeaders: fault });
+    assert.deepEqual({ outcome, status }, { outcome: 'failed', status: 502 });
+  });
+});
