Links: several targets are tried side by side from the first connection on, and an attempt ends after 0.3 s

Change: the search that races targets is used for the first link too, the next target begins when the one before has failed or after 0.1 s, an attempt ends after 0.3 s (1.5), first pause 50 ms (100). Test: failed before (joined only after the silent host had been given up).

--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -9,7 +9,8 @@
 } from './TransportLinkConnector.js';
 import { raceForLink } from './TransportLinkSearch.js';
 
-const BACKOFF_MS = 100;
+/** Pause before the first repetition, ms: hosts that lost power together are back within tenths of a second. */
+const BACKOFF_MS = 50;
 const BACKOFF_MAX_MS = 1_000;
 
 /** How often a link to another than the first target is reconsidered. In ms. */
@@ -142,19 +143,14 @@
     while (!signal.aborted) {
       // eslint-disable-next-line no-await-in-loop
       await this.#searched;
-      const targets = this.#options.targets();
-      const target = targets[failures % targets.length];
-      // One connection at a time, by design: this loop is the owner of the link.
+      // One link at a time, by design: this loop is its owner.
       // eslint-disable-next-line no-await-in-loop
-      const link = this.#takeFound() ?? (await this.#open(target));
+      const link = this.#takeFound() ?? (await this.#openAny(failures));
       // eslint-disable-next-line no-await-in-loop
       await this.#keep(link);
       // A target that went silent is likely out of reach still: connecting to it first would hang.
       failures = link === null || link.wasSilent ? failures + 1 : 0;
-      const pause = Math.min(
-        BACKOFF_MAX_MS,
-        BACKOFF_MS * 2 ** Math.floor(failures / Math.max(1, targets.length)),
-      );
+      const pause = Math.min(BACKOFF_MAX_MS, BACKOFF_MS * 2 ** failures);
       if (this.#found === null) {
         // eslint-disable-next-line no-await-in-loop
         await delay(pause * (0.5 + jitter()), undefined, { signal }).catch(() => undefined);
@@ -169,6 +165,23 @@
     return found;
   }
 
+  /**
+   * Makes a link to the first target that answers; null where none does. `failures` moves the first ones to the end.
+   *
+   * Failure: all hosts lose power and come back one after the other. Symptom: a process waits for the one target that
+   * isn't up yet, for as long as an attempt may take, while it refuses its callers. Enough: the others are tried
+   * beside it.
+   */
+  async #openAny(failures: number): Promise<TransportLink | null> {
+    const { signal, targets } = this.#options;
+    const known = targets();
+    const first = failures % Math.max(1, known.length);
+    const inTurn = [...known.slice(first), ...known.slice(0, first)];
+    return inTurn.length > 1
+      ? raceForLink(this.#connector, inTurn, { stop: signal, end: signal })
+      : this.#open(inTurn[0]);
+  }
+
   /** Connects to a target and brings the link up; null where that fails. */
   async #open(target: LinkTarget | undefined): Promise<TransportLink | null> {
     const { signal } = this.#options;
--- a/src/transport/TransportLinkConnector.ts
+++ b/src/transport/TransportLinkConnector.ts
@@ -4,7 +4,11 @@
 import type { Address } from './TransportAddress.js';
 import { BEAT, TransportLink, type LinkHandlers, type LinkSwitch } from './TransportLink.js';
 
-const CONNECT_MS = 1_500;
+/**
+ * An attempt to connect takes at most three round trips between regions. A host without power drops it, and the
+ * kernel tries again only after a second, by which time the host may have been up for long. In ms.
+ */
+const CONNECT_MS = 300;
 
 /** Where a link may lead. */
 export interface LinkTarget {
--- a/src/transport/TransportLinkSearch.ts
+++ b/src/transport/TransportLinkSearch.ts
@@ -1,11 +1,11 @@
-/** Looks for a target that answers, several side by side, while another link stays in use. */
+/** Looks for a target that answers, several side by side. */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { TransportLink } from './TransportLink.js';
 import type { LinkConnector, LinkTarget } from './TransportLinkConnector.js';
 
 /**
- * In a search the next target is tried too after this long: some ten round trips between AZs, so that one
- * that is out of reach costs little, and one that is near is alone. In ms.
+ * The next target is tried too after this long, or once the one before has failed: some ten round trips between
+ * AZs, so that one that is out of reach costs little, and one that is near is alone. In ms.
  */
 const STAGGER_MS = 100;
 
@@ -18,6 +18,10 @@
   readonly end: AbortSignal;
 }
 
+async function pauseUnless(signal: AbortSignal): Promise<void> {
+  await delay(STAGGER_MS, undefined, { signal, ref: false }).catch(() => undefined);
+}
+
 /**
  * The first link of several that is up; null where none came up before the search ended.
  *
@@ -43,14 +47,19 @@
       link.close();
     }
   };
-  const tryTarget = async (target: LinkTarget, i: number): Promise<void> => {
-    await delay(i * STAGGER_MS, undefined, { signal }).catch(() => undefined);
+  const tryTarget = async (target: LinkTarget): Promise<void> => {
     const link = signal.aborted ? null : await connector.reach(target, PING_MS, signal);
     if (link !== null) {
       turn = turn.then(async () => bringUp(link));
       await turn;
     }
   };
-  await Promise.all(targets.map(tryTarget));
+  let mayBegin = Promise.resolve();
+  const attempts = targets.map(async (target) => {
+    const attempt = mayBegin.then(async () => tryTarget(target));
+    mayBegin = mayBegin.then(async () => Promise.race([attempt, pauseUnless(signal)]));
+    return attempt;
+  });
+  await Promise.all(attempts);
   return found;
 }
--- a/src/transport/__tests__/unit/TransportLinkClient.test.ts
+++ b/src/transport/__tests__/unit/TransportLinkClient.test.ts
@@ -149,6 +149,32 @@
     });
   });
 
+  // Guards against: after a power loss a process waits for the one hub that is still dark while others answer.
+  it('joins another target beside one that has no power yet', async () => {
+    const stop = new AbortController();
+    const silent = await startSilentHost(stop.signal);
+    const other = await startPeer(
+      () => false,
+      () => undefined,
+      stop.signal,
+    );
+    const failed: string[] = [];
+    let failedBefore: number | null = null;
+    const client = new TransportLinkClient({
+      targets: () => [silent, other],
+      handlers: {},
+      signal: stop.signal,
+      jitter: () => 0,
+      onUp: async () => {
+        failedBefore ??= failed.length;
+      },
+      onFailure: ({ target }) => failed.push(target),
+    });
+    await waitFor(() => client.link?.target === other.name);
+    stop.abort();
+    assert.equal(failedBefore, 0);
+  });
+
   // A hub freezes, and a question to it runs into its limit. Whoever asked compares clocks to see whether it
   // was the limit; timers fire up to a millisecond early, so that one silent hub in four counted as one that
   // had answered with an error, was asked again, and an older configuration was in force a second longer.
