A request that comes to an entry process which has just started waits for what it lacks

Cause: all who came between the process's start and the first proof were refused, most of them on their last try (76 of 90 in that window).

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -267,3 +267,4 @@
 export { addIncrements, countedRanks, packIncrements, type PackedCounts } from './DemandCounts.js';
 export { applyMapDiff, diffMap, type MapRow } from './MapDiff.js';
 export { awaitsReport } from './MapSwitchOrders.js';
+export { STARTUP_MS, startupWait } from './StartupWait.js';
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -45,6 +45,9 @@
 
 const TICK_MS = 250;
 
+/** How often a process that has no proof yet of its configuration asks for one, ms. */
+const UNPROVEN_TICK_MS = 50;
+
 /** How often waiting requests are looked at, ms: short against the objective. */
 const QUEUE_TICK_MS = 25;
 
@@ -145,6 +148,11 @@
       server.listen({ host: callers.host, port: callers.port, backlog: 1_024 }, resolve);
     });
     every(TICK_MS, signal, () => this.#tick());
+    every(UNPROVEN_TICK_MS, signal, () => {
+      if (!this.#state.isProven) {
+        this.#watch.ask();
+      }
+    });
     every(QUEUE_TICK_MS, signal, () => {
       if (this.#state.admission.waiting > 0) {
         this.#state.admission.tick();
@@ -162,6 +170,7 @@
    */
   async leave(): Promise<void> {
     this.#state.isLeaving = true;
+    this.#state.startup.end();
     this.#hubLink.announce({ status: 'leaving' });
     const begun = this.#runtime.now();
     this.#leavingSince = begun;
@@ -299,19 +308,43 @@
     sendError(res, err, retryAfter, this.#state.isLeaving);
   }
 
+  get #knowsConfig(): boolean {
+    return this.#state.routes !== null && this.#state.isProven;
+  }
+
+  /** Waits for what a process that has just started lacks, as long as the caller does. */
+  async #awaitStart(
+    res: ServerResponse,
+    startedAt: number,
+    timeoutMs: number | null,
+    isMet: () => boolean,
+  ): Promise<void> {
+    if (isMet()) {
+      return;
+    }
+    const gone = new AbortController();
+    const onClose = (): void => gone.abort();
+    res.once('close', onClose);
+    await this.#state.startup.until(isMet, startedAt, timeoutMs ?? Infinity, gone.signal);
+    res.off('close', onClose);
+  }
+
   /** Reads a request whole and finds out who may have it served by what. */
   async #read(req: IncomingMessage, res: ServerResponse, startedAt: number): Promise<DirectSpec> {
     const head = this.#state.dialect.readRequest(req.headers);
     const body = await readBody(req);
+    await this.#awaitStart(res, startedAt, head.deadlineMs, () => this.#knowsConfig);
     const { route, customer } = this.#authorize(req, head.key);
     this.#checkStay(route);
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
+    const service = pickTarget(route, this.#runtime.random());
+    await this.#awaitStart(res, startedAt, timeoutMs, () => this.#state.knowsEndpoint(service));
     return {
       req,
       res,
       head,
       route,
-      service: pickTarget(route, this.#runtime.random()),
+      service,
       customer,
       body,
       identity: {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -47,6 +47,7 @@
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
 import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
+import { DirectStartup } from './DirectStartup.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
 
 /** What the state needs. */
@@ -103,6 +104,8 @@
 
   readonly admission: DirectAdmission;
 
+  readonly startup: DirectStartup;
+
   /** Model services by name, as the newest configuration declares them. */
   readonly #models = new Map<string, ModelService | null>();
 
@@ -123,6 +126,7 @@
   constructor(options: DirectEntryOptions) {
     this.#options = options;
     this.#routing = initRouting(options.zone);
+    this.startup = new DirectStartup(options.runtime);
     this.admission = new DirectAdmission(options.zone, options.runtime, (service) =>
       this.#modelOf(service),
     );
@@ -191,9 +195,10 @@
     }
     this.#models.clear();
     this.#setView(this.#view);
-    this.#freshness = holdConfig(this.#freshness, config.index);
+    this.#setFreshness(holdConfig(this.#freshness, config.index));
     const version = this.#routes?.plan.version ?? null;
     this.#options.runtime.log.info({ event: 'config', index: config.index, version }, 'in force');
+    this.startup.onNews();
   }
 
   /**
@@ -201,13 +206,14 @@
    * is held here.
    */
   onNewest(index: number, askedAt: ClockReading): boolean {
-    this.#freshness = proveFresh(this.#freshness, index, askedAt);
+    this.#setFreshness(proveFresh(this.#freshness, index, askedAt));
     return this.#freshness.held >= index;
   }
 
   onDirectory(delta: DirectoryDelta): void {
     this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#setView(mergeDelta(this.#view, delta, this.now()));
+    this.startup.onNews();
   }
 
   /** Drops what has been missing for too long. */
@@ -291,6 +297,14 @@
     return decision.endpoint;
   }
 
+  /** Whether an endpoint of the service is known; for model engines that are ranks, their group. */
+  knowsEndpoint(service: string): boolean {
+    const model = this.#modelOf(service);
+    return model !== null && model.costs.experts > 0
+      ? this.admission.hasGroups(service)
+      : (this.#routing.services.get(serviceKey(DIRECT_FLEET, service))?.length ?? 0) > 0;
+  }
+
   /** Ends of endpoints after which a request is sent to no other. */
   #mostEnds(service: string): number {
     return this.admission.hasGroups(service) ? MOST_ENDS.group : MOST_ENDS.single;
@@ -422,6 +436,16 @@
     return Math.max(2, Math.floor((all * 0.8) / Math.max(2, this.#entryHosts)));
   }
 
+  #setFreshness(freshness: FreshnessState): void {
+    const wasProven = this.isProven;
+    this.#freshness = freshness;
+    if (!wasProven && this.isProven) {
+      const { log } = this.#options.runtime;
+      log.info({ event: 'proven', index: freshness.held }, 'configuration proven the newest');
+      this.startup.onNews();
+    }
+  }
+
   #setView(view: MembershipView): void {
     this.#view = view;
     const serving = servingMembers(view).filter((record) => !this.#gone.has(lifeOf(record)));
--- /dev/null
+++ b/src/daemon/direct/DirectStartup.ts
@@ -0,0 +1,72 @@
+/** Requests that wait at an entry process which has just started, until it has what they need. */
+import { startupWait } from '../../coordination/index.js';
+import type { Runtime } from '../DaemonRuntime.js';
+
+/** Task state of the process. */
+export class DirectStartup {
+  readonly #now: () => number;
+
+  readonly #startedAt: number;
+
+  /** One for each request that waits; looks whether it is over. */
+  readonly #waiting = new Set<() => void>();
+
+  #isOver = false;
+
+  constructor({ now }: Pick<Runtime, 'now'>) {
+    this.#now = now;
+    this.#startedAt = now();
+  }
+
+  /** Requests that wait. */
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  /** Something has changed: those whose condition now holds go on. */
+  onNews(): void {
+    [...this.#waiting].forEach((look) => look());
+  }
+
+  /** The process is about to end: nobody waits any more. */
+  end(): void {
+    this.#isOver = true;
+    this.onNews();
+  }
+
+  /**
+   * Waits until a condition holds, as long as the start of the process and the caller allow, or until the signal.
+   * Resolves whichever it was.
+   *
+   * @param cameAt When the request came, ms on the local monotonic clock.
+   * @param deadlineMs Time from then until its caller's deadline.
+   */
+  async until(
+    isMet: () => boolean,
+    cameAt: number,
+    deadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const now = this.#now();
+    const waitMs = startupWait(now - this.#startedAt, now - cameAt, deadlineMs);
+    if (waitMs === 0 || isMet() || this.#isOver || signal.aborted) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      const end = (): void => {
+        clearTimeout(timer);
+        this.#waiting.delete(look);
+        signal.removeEventListener('abort', end);
+        resolve();
+      };
+      const look = (): void => {
+        if (this.#isOver || isMet()) {
+          end();
+        }
+      };
+      const timer = setTimeout(end, waitMs);
+      this.#waiting.add(look);
+      signal.addEventListener('abort', end);
+    });
+  }
+}
