A lease is free at once when its holder has ended

Change: a later life of the holder, or its host's refusal of a connection, asked by a hub of its AZ when the link ends, frees the lease.

--- a/spec/SpecLease.ts
+++ b/spec/SpecLease.ts
@@ -1,5 +1,5 @@
 /**
- * Specification of a group's lease: the log grants it with rising tokens, holders freeze and wake,
+ * Specification of a group's lease: the log grants it with rising tokens, holders freeze, wake and end,
  * orders are late, and the gate in front of an engine restarts. The engine ignores tokens.
  */
 import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
@@ -75,6 +75,8 @@
   },
   expire: (state, { i = 0 }) => setHolder(state, i, { expired: true }),
   notice: (state, { i = 0 }) => setHolder(state, i, { token: 0 }),
+  /** Its process ends, and its host says so: what it sent is still on its way, and the lease is free. */
+  end: (state, { i = 0 }) => setHolder(state, i, { token: 0, expired: false }),
   /** It looked before it froze; it wakes and sends, though the lease has run out meanwhile. */
   order: (state, { i = 0 }) => ({
     ...state,
@@ -138,6 +140,7 @@
     ...(token === 0 && mayAsk && state.granted < bounds.grants ? [{ type: 'grant', i }] : []),
     ...(token > 0 && !expired ? [{ type: 'expire', i }] : []),
     ...(token > 0 && expired ? [{ type: 'notice', i }] : []),
+    ...(token > 0 ? [{ type: 'end', i }] : []),
     ...(token > 0 && !state.toGate.includes(token) ? [{ type: 'order', i }] : []),
   ];
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -267,4 +267,5 @@
 export { addIncrements, countedRanks, packIncrements, type PackedCounts } from './DemandCounts.js';
 export { applyMapDiff, diffMap, type MapRow } from './MapDiff.js';
 export { awaitsReport } from './MapSwitchOrders.js';
+export { hasHolderEnded, holderName, type LeaseHolder } from './LeaseHolder.js';
 export { STARTUP_MS, startupWait } from './StartupWait.js';
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -159,6 +159,7 @@
     hub: asFunction(
       ({ peers }: Cradle) =>
         new DaemonHub({
+          zone: cfg.zone,
           log: runtime.log,
           now: runtime.now,
           publish: (records) => peers.publish(records),
@@ -180,13 +181,14 @@
         }),
     ).singleton(),
     service: asFunction(
-      ({ consensus, peers }: Cradle) =>
+      ({ consensus, hub, peers }: Cradle) =>
         new DaemonControlService({
           consensus,
           log: runtime.log,
           now: runtime.now,
           heardAt: (replica) => peers.heardAt(replica),
           lossesBorne: cfg.lossesBorne,
+          recordOf: (id) => hub.membership.directory.get(id),
         }),
     ).singleton(),
     newest: asFunction(() => new SharedRead(async () => newestIndex(container.cradle))).singleton(),
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -2,6 +2,7 @@
 import type { Logger } from 'pino';
 import {
   countRenewals,
+  hasHolderEnded,
   holdersOf,
   initLeaseKeeper,
   isOutOfTouch,
@@ -12,7 +13,13 @@
   type LeaseKeeperState,
   type VoterView,
 } from '../coordination/index.js';
-import type { ConfigEntries, LeaseGrant, Manifest, SubmitReply } from '../protocol/index.js';
+import type {
+  ConfigEntries,
+  LeaseGrant,
+  Manifest,
+  MemberRecord,
+  SubmitReply,
+} from '../protocol/index.js';
 import {
   diffEntries,
   digestManifest,
@@ -58,6 +65,8 @@
   /** See {@link VoterView}. */
   readonly heardAt: VoterView['heardAt'];
   readonly lossesBorne: number;
+  /** The newest record of a process, by its id. */
+  readonly recordOf: (id: string) => MemberRecord | undefined;
 }
 
 /** Services that only the leader gives. */
@@ -171,7 +180,8 @@
       this.#keeper = renewLease(keeper, group, held.token, this.#now());
       return this.#granted(ask, held.token);
     }
-    if (held !== undefined && (ask.observe || !mayGrant(keeper, group, held, this.#now()))) {
+    const isFree = held === undefined || hasHolderEnded(held.holder, this.#options.recordOf);
+    if (!isFree && (ask.observe || !mayGrant(keeper, group, held, this.#now()))) {
       const renewals = countRenewals(keeper, group, held.token);
       return { result: 'held', lease: { ...held, renewals } };
     }
--- a/src/daemon/DaemonCoordinator.ts
+++ b/src/daemon/DaemonCoordinator.ts
@@ -1,6 +1,7 @@
 /** Task that asks for the lease on the group of this endpoint's host, and coordinates under it. */
 import type { Logger } from 'pino';
 import {
+  holderName,
   initLease,
   LEASE_MS,
   stepLease,
@@ -13,7 +14,6 @@
 
 /** What the task needs. */
 export interface CoordinatorOptions {
-  readonly self: string;
   readonly group: string;
   readonly hubLink: DaemonHubLink;
   readonly log: Logger;
@@ -28,7 +28,12 @@
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
-    this.#state = initLease(options.self, options.group, options.now());
+    this.#state = initLease(this.#self, options.group, options.now());
+  }
+
+  /** The incarnation tells a process from its past life; control may have asked for a higher one at the hello. */
+  get #self(): string {
+    return holderName(this.#options.hubLink.record);
   }
 
   get lease(): LeaseView {
@@ -36,6 +41,9 @@
   }
 
   tick(): void {
+    if (this.#state.self !== this.#self) {
+      this.#state = initLease(this.#self, this.#options.group, this.#options.now());
+    }
     this.#input({ type: 'tick' });
   }
 
@@ -56,8 +64,8 @@
   }
 
   async #ask({ after, observe }: Extract<LeaseOutput, { type: 'ask' }>): Promise<void> {
-    const { group, self, hubLink } = this.#options;
-    const ask = { group, holder: self, durationMs: LEASE_MS, after, observe };
+    const { group, hubLink } = this.#options;
+    const ask = { group, holder: this.#state.self, durationMs: LEASE_MS, after, observe };
     const reply = (await hubLink.request('lease.ask', ask)) as LeaseReply;
     const inputs = {
       granted: (): LeaseInput =>
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -85,8 +85,6 @@
       cfg.group === undefined
         ? null
         : new DaemonCoordinator({
-            // The incarnation tells a process from its past life, whose lease it must wait out.
-            self: `${cfg.id}@${runtime.incarnation}`,
             group: cfg.group,
             hubLink,
             log,
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -29,13 +29,20 @@
 } from '../protocol/index.js';
 import { DaemonQuarantine, type SendNews } from './DaemonQuarantine.js';
 import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
-import { PartsSender, type LinkHandlers, type TransportLink } from '../transport/index.js';
+import {
+  parseAddress,
+  PartsSender,
+  probeAddress,
+  type LinkHandlers,
+  type TransportLink,
+} from '../transport/index.js';
 
 /** A link on which nothing was heard for this long renews no lease. In ms. */
 const HEARD_MS = 1_500;
 
 /** What the task needs. */
 export interface HubOptions {
+  readonly zone: string;
   readonly log: Logger;
   readonly now: () => number;
   /** Sends news of members to the other control processes. */
@@ -202,6 +209,29 @@
       this.#links.delete(link.peer);
       this.#applied.delete(link.peer);
       this.#roll({ type: 'unsubscribe', id: link.peer });
+      this.#findEnd(link.peer).catch((err: unknown) => {
+        this.#options.log.warn({ err, member: link.peer }, 'end of a process not looked for');
+      });
+    }
+  }
+
+  /**
+   * Finds out whether a process that may coordinate a group has ended, now that its link has. Its host tells; only a
+   * host of the own AZ is asked, since a partition between AZs may refuse connections in its place.
+   */
+  async #findEnd(id: string): Promise<void> {
+    const known = this.#membership.directory.get(id);
+    const address = parseAddress(known?.address ?? '');
+    const isOwn = known?.offer?.group !== undefined && known.zone === this.#options.zone;
+    if (!isOwn || address === undefined) {
+      return;
+    }
+    const found = await probeAddress(address).result;
+    const record = this.#membership.directory.get(id);
+    const isSame = record?.incarnation === known.incarnation && !this.#links.has(id);
+    if (record !== undefined && isSame && found === 'refused') {
+      this.#options.log.info({ event: 'ended', member: id }, 'a process has ended');
+      this.#member({ type: 'announce', record: { ...record, status: 'gone', ended: true } });
     }
   }
 
--- /dev/null
+++ b/src/daemon/__tests__/unit/DaemonControlService.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { LEASE_MS } from '../../../coordination/index.js';
+import type { MemberRecord } from '../../../protocol/index.js';
+import type { LeaseCommand, LeaseState } from '../../../state/index.js';
+import type { DaemonConsensus } from '../../DaemonConsensus.js';
+import {
+  DaemonControlService,
+  type LeaseAsk,
+  type LeaseReply,
+} from '../../DaemonControlService.js';
+
+const HELD: LeaseState = { holder: 'rank-1@20', token: 5, renewals: 0 };
+
+const RECORD = { id: 'rank-1', incarnation: 20, status: 'serving' } as MemberRecord;
+
+/** A leader that was elected just now, of a log that decides at once. */
+function openService(record: MemberRecord): DaemonControlService {
+  const members = { voters: ['c'], learners: [] };
+  const consensus = {
+    state: { id: 'c', term: 1, role: 'leader', members, progress: {} },
+    control: { leases: { g: HELD } },
+    propose: async ({ group, holder, durationMs, after }: LeaseCommand) => ({
+      result: 'granted',
+      lease: { group, holder, durationMs, token: after.token + 1 },
+    }),
+  };
+  return new DaemonControlService({
+    consensus: consensus as unknown as DaemonConsensus,
+    log: pino({ level: 'silent' }),
+    now: () => 0,
+    heardAt: () => undefined,
+    lossesBorne: 1,
+    recordOf: (id) => (id === record.id ? record : undefined),
+  });
+}
+
+async function askAsRival(record: MemberRecord, observe: boolean): Promise<LeaseReply['result']> {
+  const ask: LeaseAsk = {
+    group: 'g',
+    holder: 'rank-2@30',
+    durationMs: LEASE_MS,
+    after: { token: HELD.token },
+    observe,
+  };
+  return (await openService(record).askLease(ask)).result;
+}
+
+describe('DaemonControlService', () => {
+  // Guards against: a group without a coordinator for as long as the lease of one that was killed runs.
+  it('grants a lease at once when its holder has ended', async () => {
+    const ended: MemberRecord = { ...RECORD, status: 'gone', ended: true };
+    assert.equal(await askAsRival(ended, true), 'granted');
+    assert.equal(await askAsRival({ ...RECORD, incarnation: 40 }, true), 'granted');
+  });
+
+  it('waits a lease out when its holder is only silent', async () => {
+    assert.equal(await askAsRival({ ...RECORD, status: 'gone' }, false), 'held');
+    assert.equal(await askAsRival(RECORD, true), 'held');
+  });
+});
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -99,8 +99,6 @@
     return;
   }
   const lease = new DaemonCoordinator({
-    // The incarnation tells a process from its past life, whose lease it must wait out.
-    self: `${cfg.id}@${runtime.incarnation}`,
     group,
     hubLink,
     log,
--- a/src/protocol/ProtocolMessages.ts
+++ b/src/protocol/ProtocolMessages.ts
@@ -39,6 +39,8 @@
   /** Rises with each change that the member itself announces. */
   readonly version: number;
   readonly status: MemberStatus;
+  /** Whether its host has said that the process has ended; one that is merely not heard may live on. */
+  readonly ended?: true;
   readonly offer?: EndpointOffer;
   /** Lease of a member without a link, which announces itself by heartbeats, ms. */
   readonly leaseMs?: number;
