Queue: what is left of a stream, and the likely length while the service recovers, decide who may wait

Cause, from logs of a partition: callers who had come back were refused after 0.2 to 0.9 s of waiting, right before the group opened, for want of time for the longest answer that they allow; streams resumed near their end were refused at once. Change: likely length while the group is down and 2 s after; only what is left counts.

--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -20,8 +20,10 @@
   readonly deadline: number;
   /** Until when its caller waits for a first event, ms. */
   readonly patientUntil: number;
-  /** Tokens that its answer is expected to have. */
+  /** Tokens that its answer may have at most, beyond what its caller has of it. */
   readonly tokens: number;
+  /** Tokens that its answer is likely to have, beyond what its caller has of it. */
+  readonly likelyTokens: number;
   /** Whether it was refused before, as the time it has left tells. */
   readonly returned: boolean;
 }
@@ -32,6 +34,8 @@
   readonly free: number;
   /** Requests a ms that this process can begin, from what its places turn over. */
   readonly ratePerMs: number;
+  /** Whether the service answers nothing, or has done so only for a moment. */
+  readonly isRecovering: boolean;
   /** Time from sending to the first event, ms. */
   readonly firstMs: number;
   /** Time that the answer of a request takes to write, ms. */
@@ -95,6 +99,10 @@
 /**
  * Whether it can be answered if it is sent after so long: its first event before the caller leaves,
  * its last by the deadline.
+ *
+ * Load pattern: callers wait out a group that is down, and have half of their time left when it opens. Judged by the
+ * longest answer that they allow, most are sent away though their answers are short. While the service recovers the
+ * likely length counts; otherwise the longest, since whoever is late takes a place from one who is not.
  */
 function canEnd(
   request: WaitingRequest,
@@ -103,7 +111,8 @@
   waitMs: number,
 ): boolean {
   const first = now + waitMs + outlook.firstMs;
-  const end = first + outlook.writeMs(request.tokens);
+  const tokens = outlook.isRecovering ? request.likelyTokens : request.tokens;
+  const end = first + outlook.writeMs(tokens);
   return first <= request.patientUntil && end + MARGIN_MS <= request.deadline;
 }
 
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -11,6 +11,7 @@
 const BUSY: QueueOutlook = {
   free: 0,
   ratePerMs: 0.005,
+  isRecovering: false,
   firstMs: 150,
   writeMs: (tokens) => (tokens / 5) * 60,
 };
@@ -24,6 +25,7 @@
     deadline: 8_000,
     patientUntil: 2_000,
     tokens: 140,
+    likelyTokens: 140,
     returned: false,
     ...change,
   };
@@ -70,6 +72,23 @@
     assert.deepEqual(pump(queue, { ...BUSY, free: 1 }, 200, 0.5).admitted, [2]);
   });
 
+  // Load pattern: callers wait out a group that is down. Guards against: they are sent away for good, for want of
+  // time for the longest answer that they allow, right before it opens.
+  it('keeps who came back while the group is down, and begins them when it opens', () => {
+    const closed: QueueOutlook = { ...BUSY, ratePerMs: 0, isRecovering: true };
+    const back = { returned: true, patientUntil: 2_000, deadline: 4_000 };
+    const queue = waitAll([request(1, { ...back, tokens: 350, likelyTokens: 60 })], closed);
+    const waiting = pump(queue, closed, 1_500, 0.5);
+    assert.deepEqual(waiting.refused, []);
+    const opened = pump(waiting.queue, { ...closed, ratePerMs: 0.005, free: 1 }, 1_600, 0.5);
+    assert.deepEqual(opened.admitted, [1]);
+  });
+
+  it('judges by the longest answer while the service is up', () => {
+    const queue = waitAll([request(1, { deadline: 4_000, tokens: 350, likelyTokens: 60 })]);
+    assert.deepEqual(queue, []);
+  });
+
   // Load pattern: a burst brings more than can be served by its deadline. What would wait in vain is
   // told at once, while its caller can still come back, and comes back once the queue has drained.
   it('refuses at once what it can not begin in time', () => {
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -38,7 +38,11 @@
   readonly objectiveMs: number;
   readonly deadline: number;
   readonly patienceMs: number;
+  /** Tokens of the whole answer, at most and by the caller's guess; null where it isn't said. */
   readonly tokens: number | null;
+  readonly likelyTokens: number | null;
+  /** Events of the answer that the caller has. */
+  readonly eventsHad: number;
   readonly returned: boolean;
 }
 
@@ -61,6 +65,9 @@
 /** Time of connections and forwarding to the first event, ms. */
 const FIRST_EXTRA_MS = 30;
 
+/** A service recovers for this long after its groups have opened: those who waited are begun by then. In ms. */
+const RECOVERY_MS = 2_000;
+
 /** Where nobody waits, places are logged this often, ms. */
 const QUIET_LOG_MS = 2_000;
 
@@ -98,6 +105,9 @@
 
   readonly #streams = new DirectStreams();
 
+  /** When a service whose groups were all closed had one open again, ms. */
+  readonly #openedAt = new Map<string, number>();
+
   /** Granted places whose request isn't sent yet, by service. */
   readonly #granted = new Map<string, number>();
 
@@ -198,6 +208,9 @@
       return { granted: true };
     }
     this.#counter += 1;
+    const had = req.eventsHad * model.costs.stepsPerPass;
+    const tokens = Math.max(1, (req.tokens ?? model.costs.usualAnswer) - had);
+    const likely = Math.max(1, (req.likelyTokens ?? model.costs.usualAnswer) - had);
     const waiting: WaitingRequest = {
       id: this.#counter,
       priority: req.priority,
@@ -205,7 +218,8 @@
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
       patientUntil: req.startedAt + req.patienceMs,
-      tokens: req.tokens ?? model.costs.usualAnswer,
+      tokens,
+      likelyTokens: Math.min(tokens, likely),
       returned: req.returned,
     };
     return new Promise((resolve) => {
@@ -378,10 +392,20 @@
 
   #replaceGroup(service: string, group: PlaceGroup): void {
     const state = this.#services.get(service);
-    if (state !== undefined) {
-      const groups = new Map(state.groups).set(group.group, group);
-      this.#services.set(service, { ...state, groups });
+    if (state === undefined) {
+      return;
     }
+    const wasClosed = this.isClosed(service);
+    const groups = new Map(state.groups).set(group.group, group);
+    this.#services.set(service, { ...state, groups });
+    if (wasClosed && !this.isClosed(service)) {
+      this.#openedAt.set(service, this.#runtime.now());
+    }
+  }
+
+  #isRecovering(service: string): boolean {
+    const openedAt = this.#openedAt.get(service) ?? -Infinity;
+    return this.isClosed(service) || this.#runtime.now() - openedAt < RECOVERY_MS;
   }
 
   #rules(service: string): PlaceRules | null {
@@ -408,6 +432,7 @@
     const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
     return {
       free: Math.max(0, free),
+      isRecovering: this.#isRecovering(service),
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
--- a/src/daemon/direct/DirectSpec.ts
+++ b/src/daemon/direct/DirectSpec.ts
@@ -34,6 +34,8 @@
     deadline,
     patienceMs: route.patienceMs,
     tokens: head.tokens?.answer ?? head.expectedTokens,
+    likelyTokens: head.expectedTokens,
+    eventsHad: route.resumable ? Number(head.lastEvent ?? 0) || 0 : 0,
     returned: head.deadlineMs !== null && head.deadlineMs < route.timeoutMs * RETURNED_SHARE,
   };
 }
