A slow rank gets no requests while others have places, and next to no experts

Cause: a rank 12 times slower was planned for as 3 times slower, and got requests like the others; a pass took 260 ms. Change: planned for as it is up to 16 times; the coordinator tells who is slow, and entry processes pass it over.

--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -109,8 +109,22 @@
   readonly from: number | null;
 }
 
-/** Slower ranks than this are planned for as this slow: their own part of a pass outweighs the experts'. */
-const SLOWEST_PACE = 3;
+/** Slower ranks than this are planned for as this slow: they are left next to nothing either way. */
+const SLOWEST_PACE = 16;
+
+/** From this pace on a rank gets no requests while others have places. */
+const SLOW_PACE = 2;
+
+/**
+ * Ranks that requests are better not sent to.
+ *
+ * Failure: one rank of many works ten times slower. Symptom: it reads its prompts and writes its answers in the time
+ * of ten passes, and every pass of the group takes as long. Enough: its experts are moved to other ranks, and
+ * requests go to it only where there is no other.
+ */
+export function slowRanks(paces: readonly number[]): readonly number[] {
+  return paces.flatMap((pace, rank) => (pace >= SLOW_PACE ? [rank] : []));
+}
 
 function paceOf(paces: readonly number[], rank: number): number {
   return Math.min(SLOWEST_PACE, Math.max(1, paces[rank] ?? 1));
--- a/src/coordination/Places.ts
+++ b/src/coordination/Places.ts
@@ -119,7 +119,9 @@
   const running = sum(load.active) + sum(load.queued);
   const writers = sum(load.active) / ranks;
   const correction = loadCorrection(rules, writers, load);
-  const limit = load.open ? ranks * limitWriters(rules, correction) : 0;
+  const slow = load.slow?.length ?? 0;
+  const usable = slow < ranks ? ranks - slow : ranks;
+  const limit = load.open ? usable * limitWriters(rules, correction) : 0;
   const ownRunning = sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
   const free = limit - running;
   const part = (Math.max(0, free) / Math.max(1, rules.entryHosts)) * OVERCOMMIT;
@@ -240,6 +242,17 @@
   );
 }
 
+/** Ranks of a group that may take a request, without those that are slow as long as there are others. */
+function usableRanks(
+  { load, ranks }: PlaceGroup,
+  exclude: readonly string[],
+): readonly PlaceRank[] {
+  const left = ranks.filter(({ endpoint }) => !exclude.includes(endpoint));
+  const slow = load?.slow ?? [];
+  const quick = slow.length === 0 ? left : left.filter(({ rank }) => !slow.includes(rank));
+  return quick.length > 0 ? quick : left;
+}
+
 /** Ranks that may take a request: those of groups with places left, else those of any open group. */
 function listCandidates(
   groups: readonly PlaceGroup[],
@@ -251,9 +264,7 @@
     .filter(({ ranks }) => ranks.some(({ endpoint }) => !exclude.includes(endpoint)));
   const withPlaces = usable.filter((state) => freeAt(state, own) > 0);
   return (withPlaces.length > 0 ? withPlaces : usable).flatMap((state) =>
-    state.ranks
-      .filter(({ endpoint }) => !exclude.includes(endpoint))
-      .map((rank) => ({ state, rank })),
+    usableRanks(state, exclude).map((rank) => ({ state, rank })),
   );
 }
 
--- a/src/coordination/__tests__/unit/MapPlan.test.ts
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -123,4 +123,20 @@
     assert.ok(asIs.skewBefore > 1.5);
     assert.ok(planned.skewAfter < asIs.skewBefore - 0.2);
   });
+
+  // Load pattern: one rank of a group works twelve times slower. Guards against: with a third of an even share it
+  // makes the experts' part of each pass four times as long.
+  it('leaves next to nothing to a rank that is twelve times slower', () => {
+    const even = planMap(FIRST, WEIGHTS, SHAPE, POLICY);
+    const paces = FIRST[0]?.map((_experts, rank) => (rank === 0 ? 12 : 1)) ?? [];
+    const planned = planMap(even.map, WEIGHTS, SHAPE, POLICY, paces);
+    const shares = planned.map.map((ranks, set) => {
+      const held = ranks.flat();
+      const holders = (expert: number): number => held.filter((e) => e === expert).length;
+      const weights = WEIGHTS[set] ?? [];
+      const share = (ranks[0] ?? []).reduce((sum, e) => sum + (weights[e] ?? 0) / holders(e), 0);
+      return (share * RANKS) / weights.reduce((sum, weight) => sum + weight, 0);
+    });
+    assert.ok(Math.max(...shares) < 0.15, `${shares.join(', ')}`);
+  });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -209,6 +209,7 @@
 export {
   gainWanted,
   planMap,
+  slowRanks,
   type MapPlanned,
   type MapPolicy,
   type MapShape,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -15,6 +15,7 @@
   packDemand,
   planMap,
   restartPasses,
+  slowRanks,
   stepMapSwitch,
   takeCounts,
   watchPass,
@@ -331,6 +332,7 @@
       open: this.#publishedOpen,
       active,
       queued,
+      slow: slowRanks(this.#paces),
       passMs: this.#passes.passMs,
       skew: this.#skew,
     });
@@ -355,6 +357,11 @@
     return this.#reports.map((report) => (report === null ? mean : figureOf(report)));
   }
 
+  /** How many times the usual time each rank takes. */
+  get #paces(): readonly number[] {
+    return this.#reports.map((report) => report?.pace ?? 1);
+  }
+
   #plan(): void {
     const { policy, runtime } = this.#options;
     const limits = policy();
@@ -367,8 +374,7 @@
     this.#plannedAt = begun;
     const wanted = this.#wanted(limits);
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
-    const paces = this.#reports.map((report) => report?.pace ?? 1);
-    const planned = planMap(this.#map, weights, limits.shape, adjusted, paces);
+    const planned = planMap(this.#map, weights, limits.shape, adjusted, this.#paces);
     this.#skew = planned.skewBefore;
     this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
     this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -45,7 +45,8 @@
 }
 
 function load(active: number, open = true): GroupLoad {
-  return { group: 'g', open, active: [active, active], queued: [0, 0], passMs: 40, skew: 1 };
+  const each = [active, active];
+  return { group: 'g', open, active: each, queued: [0, 0], slow: [], passMs: 40, skew: 1 };
 }
 
 const REQUEST: PlaceRequest = {
@@ -57,6 +58,8 @@
   deadline: 8_000,
   patienceMs: 2_000,
   tokens: 100,
+  likelyTokens: 100,
+  eventsHad: 0,
   returned: false,
 };
 
@@ -108,6 +111,18 @@
     assert.deepEqual(await waiting, { granted: true });
   });
 
+  // Guards against: a stream that broke off near its end is sent away for want of time to write the whole of it again.
+  it('counts only what is left to write of a stream that goes on', () => {
+    const admission = openAdmission();
+    admission.onLoad(load(COSTS.slots));
+    const rest = { ...REQUEST, tokens: 1_000, likelyTokens: 1_000, deadline: 2_500 };
+    admission.acquire({ ...rest, returned: true }, STAYS).catch(() => undefined);
+    assert.equal(admission.waiting, 0);
+    const eventsHad = 198;
+    admission.acquire({ ...rest, returned: true, eventsHad }, STAYS).catch(() => undefined);
+    assert.equal(admission.waiting, 1);
+  });
+
   // A request is refused at once for its group has just closed. Whoever looks for the cause has the log
   // alone, and lines that come every two seconds would still tell of an open group with places left.
   it('writes down at once that a group closes or opens', () => {
@@ -124,6 +139,16 @@
     assert.deepEqual(open, [true, false, true, false]);
   });
 
+  // Load pattern: one rank of a group works ten times slower than the others. Guards against: what is sent there makes
+  // each pass of the group as slow.
+  it('sends to a slow rank only where no other is left', () => {
+    const admission = openAdmission();
+    admission.onLoad({ ...load(0), slow: [0] });
+    const chosen = Array.from({ length: 20 }, () => admission.choose('s', []));
+    assert.ok(chosen.every((endpoint) => endpoint === 'e2'));
+    assert.equal(admission.choose('s', ['e2']), 'e1');
+  });
+
   it('frees the place in the queue of a caller that is gone', async () => {
     const admission = openAdmission();
     admission.onLoad(load(0, false));
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -148,6 +148,8 @@
   /** Requests that run, and that wait, by rank. */
   readonly active: readonly number[];
   readonly queued: readonly number[];
+  /** Ranks that work far more slowly than the others; processes of an earlier version don't tell. */
+  readonly slow?: readonly number[];
   /** Time of a pass lately, ms; null where the group was idle. */
   readonly passMs: number | null;
   /** Largest over mean rank load, averaged over sets. */
