Tests of control failures: addresses that nobody else can take, and the logs of all processes with a failure

A failure now shows the last 40 lines of each process and who was attached where; processes listen on a part of the loopback network of their own, at a port below those of outgoing connections.

--- a/fakes/FakeEngine.ts
+++ b/fakes/FakeEngine.ts
@@ -136,12 +136,12 @@
   }
 
   /** Listens; every open answer is cut off when the server's connections are closed. */
-  async listen(port: number): Promise<Server> {
+  async listen(port: number, host = '127.0.0.1'): Promise<Server> {
     const server = createServer((req, res) => {
       this.#handle(req, res).catch(() => res.destroy());
     });
     await new Promise<void>((resolve) => {
-      server.listen(port, '127.0.0.1', resolve);
+      server.listen(port, host, resolve);
     });
     return server;
   }
--- a/fakes/FakeMain.ts
+++ b/fakes/FakeMain.ts
@@ -1,10 +1,15 @@
-/** Runs one stand-in: `FakeMain engine|service PORT [slots prefillMs tokenMs]`. */
+/** Runs one stand-in: `FakeMain engine|service IP:PORT [slots prefillMs tokenMs]`. */
 import { FakeEngine } from './FakeEngine.js';
 import { FakeService } from './FakeService.js';
+import { parseAddress } from '../src/transport/index.js';
 
-const [kind, port = '0', slots = '8', prefillMs = '20', tokenMs = '2'] = process.argv.slice(2);
+const [kind, listen = '', slots = '8', prefillMs = '20', tokenMs = '2'] = process.argv.slice(2);
 
-const KINDS: Readonly<Record<string, () => { listen: (port: number) => Promise<unknown> }>> = {
+interface StandIn {
+  listen: (port: number, host: string) => Promise<unknown>;
+}
+
+const KINDS: Readonly<Record<string, () => StandIn>> = {
   engine: () =>
     new FakeEngine({
       slots: Number(slots),
@@ -18,12 +23,13 @@
 };
 
 const make = KINDS[kind ?? ''];
-if (make === undefined) {
-  throw new Error(`no stand-in "${kind ?? ''}"`);
+const address = parseAddress(listen);
+if (make === undefined || address === undefined) {
+  throw new Error(`no stand-in "${kind ?? ''}" at "${listen}"`);
 }
 process.once('SIGTERM', () => {
   // A stand-in ends at once: what its open answers need is the gate's business.
   // eslint-disable-next-line n/no-process-exit
   process.exit(0);
 });
-await make().listen(Number(port));
+await make().listen(address.port, address.host);
--- a/fakes/FakeService.ts
+++ b/fakes/FakeService.ts
@@ -22,7 +22,7 @@
     return this.#runs;
   }
 
-  async listen(port: number): Promise<Server> {
+  async listen(port: number, host = '127.0.0.1'): Promise<Server> {
     const server = createServer((req, res) => {
       const answer = async (): Promise<void> => {
         if (req.url === '/runs') {
@@ -39,7 +39,7 @@
       answer().catch(() => res.destroy());
     });
     await new Promise<void>((resolve) => {
-      server.listen(port, '127.0.0.1', resolve);
+      server.listen(port, host, resolve);
     });
     return server;
   }
--- a/tools/QuickstartCluster.ts
+++ b/tools/QuickstartCluster.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
-import { freePorts, QuickstartProcesses } from './QuickstartProcess.js';
+import { ownAddresses, QuickstartProcesses } from './QuickstartProcess.js';
 
 /** The built programs, whether this runs from source or from `dist` itself. */
 const DIST = fileURLToPath(
@@ -117,8 +117,8 @@
     await rm(folder, { recursive: true, force: true });
     await mkdir(folder, { recursive: true });
     const count = zones.length * (2 + entriesPerZone) + endpoints.length * 2;
-    const ports = (await freePorts(count)).map((port) => `127.0.0.1:${port}`);
-    const take = (): string => ports.pop() ?? '';
+    const addresses = [...ownAddresses(count)];
+    const take = (): string => addresses.pop() ?? '';
     const links = zones.map((zone) => `${QuickstartCluster.controlOf(zone)}=${take()}`);
     const control = links.join(',');
     const controls = zones.map((zone, i) =>
@@ -167,8 +167,7 @@
 
   #startEndpoint(spec: EndpointSpec, control: string, http: string, engine: string): string {
     const { id, zone, service, kind, group, ranks } = spec;
-    const port = engine.split(':')[1] ?? '';
-    this.#arguments.set(`fake-${id}`, [kind, port, ...this.#spec.engine.map(String)]);
+    this.#arguments.set(`fake-${id}`, [kind, engine, ...this.#spec.engine.map(String)]);
     this.restartFake(id);
     this.#daemon(id, [
       ...['endpoint', '--id', id, '--zone', zone, '--http', http, '--control', control],
--- a/tools/QuickstartProcess.ts
+++ b/tools/QuickstartProcess.ts
@@ -1,6 +1,7 @@
 /** Child processes of the quickstart: started by it, and stopped by it, by id. */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
+import { readFile } from 'node:fs/promises';
 import { createServer } from 'node:net';
 import path from 'node:path';
 
@@ -26,6 +27,30 @@
   return [...ports];
 }
 
+/** Port of all addresses that are given out: below those that the kernel gives to outgoing connections. */
+const FIXED_PORT = 7_400;
+
+/** Addresses that one process gives out before it begins anew. */
+const OWN_ADDRESSES = 250;
+
+let given = 0;
+
+/**
+ * Addresses on loopback that nobody else uses, `ip:port`.
+ *
+ * Failure: a free port is chosen, and taken by an outgoing connection before the process that it is meant for listens
+ * there. Symptom: that process ends at its start, and all that wait for it time out. Enough: each process that asks
+ * has a part of the loopback network to itself, at a port that the kernel gives to nobody.
+ */
+export function ownAddresses(count: number): readonly string[] {
+  const net = process.pid % 2 ** 14;
+  const prefix = `127.${64 + Math.floor(net / 256)}.${net % 256}`;
+  return Array.from({ length: count }, () => {
+    given = (given % OWN_ADDRESSES) + 1;
+    return `${prefix}.${given}:${FIXED_PORT}`;
+  });
+}
+
 /** Processes that belong together and end together. */
 export class QuickstartProcesses {
   readonly #folder: string;
@@ -60,6 +85,18 @@
     return [...this.#children.keys()];
   }
 
+  /** The last lines that each process has written. */
+  async readLogs(lines: number): Promise<string> {
+    const texts = await Promise.all(
+      this.names.map(async (name) => {
+        const file = path.join(this.#folder, `${name}.log`);
+        const text = await readFile(file, 'utf8').catch((err: unknown) => String(err));
+        return `--- ${name}\n${text.trimEnd().split('\n').slice(-lines).join('\n')}`;
+      }),
+    );
+    return texts.join('\n');
+  }
+
   /** Sends a signal; resolves with the exit code once the process has ended. */
   async stop(name: string, signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
     const child = this.get(name);
--- a/tools/__tests__/unit/ControlFailure.test.ts
+++ b/tools/__tests__/unit/ControlFailure.test.ts
@@ -13,6 +13,9 @@
 const ZONES = ['ikeja', 'apapa', 'lekki'] as const;
 const CONTROLS = ZONES.map((zone) => QuickstartCluster.controlOf(zone));
 
+/** Lines of each process's log that a failure shows. */
+const LOG_LINES = 40;
+
 interface ControlRow {
   readonly name: string;
   readonly replica: string;
@@ -62,6 +65,17 @@
       .join('; ');
   };
 
+  /** Runs a step; a failure tells what each process wrote last, and who was attached where. */
+  const withLogs = async (step: () => Promise<void>): Promise<void> => {
+    try {
+      await step();
+    } catch (err) {
+      const attached = await whoIsWhere().catch((unknown: unknown) => String(unknown));
+      const logs = await cluster.processes.readLogs(LOG_LINES);
+      throw new Error(`${(err as Error).message}\n${attached}\n${logs}`, { cause: err });
+    }
+  };
+
   const post = async (name: string, route: string, body: string): Promise<unknown> => {
     const response = await request(`http://${http(name)}${route}`, { method: 'POST', body });
     return response.body.json();
@@ -124,11 +138,13 @@
       logLevel: 'info',
       extraControl: ['--test-switch', 'true', '--compact-every', '64'],
     });
-    await cluster.start();
-    version += 1;
-    assert.equal((await submit(CONTROLS[0] ?? '', manifest(version))).result, 'accepted');
-    await waitReady(cluster.addresses.entries);
-    await inForce(CONTROLS[0] ?? '');
+    await withLogs(async () => {
+      await cluster.start();
+      version += 1;
+      assert.equal((await submit(CONTROLS[0] ?? '', manifest(version))).result, 'accepted');
+      await waitReady(cluster.addresses.entries);
+      await inForce(CONTROLS[0] ?? '');
+    });
   });
 
   after(async () => {
@@ -140,126 +156,129 @@
   // The leader is killed while a submission is under way, and the pipeline never hears back. It
   // sends the same file to another control process: the outcome is one acceptance, whoever decided
   // it; other content under that version is a conflict for good, also at the old leader.
-  it('gives a resend one outcome when the leader is killed in the middle', async () => {
-    const leader = await findLeader();
-    const other = CONTROLS.find((name) => name !== leader) ?? '';
-    version += 1;
-    const lost = post(leader, '/v1/manifests', manifest(version)).catch(() => undefined);
-    await delay(2);
-    await cluster.processes.stop(leader, 'SIGKILL');
-    await lost;
-    const accepted = await submit(other, manifest(version));
-    assert.equal(accepted.result, 'accepted');
-    assert.equal((await submit(other, manifest(version, 99))).result, 'conflict');
-    cluster.restart(leader);
-    await waitReady([http(leader)]);
-    assert.deepEqual(await submit(leader, manifest(version)), accepted);
-    await inForce(other);
-  });
+  it('gives a resend one outcome when the leader is killed in the middle', async () =>
+    withLogs(async () => {
+      const leader = await findLeader();
+      const other = CONTROLS.find((name) => name !== leader) ?? '';
+      version += 1;
+      const lost = post(leader, '/v1/manifests', manifest(version)).catch(() => undefined);
+      await delay(2);
+      await cluster.processes.stop(leader, 'SIGKILL');
+      await lost;
+      const accepted = await submit(other, manifest(version));
+      assert.equal(accepted.result, 'accepted');
+      assert.equal((await submit(other, manifest(version, 99))).result, 'conflict');
+      cluster.restart(leader);
+      await waitReady([http(leader)]);
+      assert.deepEqual(await submit(leader, manifest(version)), accepted);
+      await inForce(other);
+    }));
 
   // The leader is frozen for longer than an election takes; others accept a change meanwhile. It
   // wakes and believes that it leads. What a racing pipeline submits to it must meet the acceptance
   // it slept through, and nobody may get the older configuration back.
-  it('refuses what a leader that slept would accept', async () => {
-    const leader = await findLeader();
-    const others = CONTROLS.filter((name) => name !== leader);
-    version += 1;
-    cluster.processes.get(leader).kill('SIGSTOP');
-    const accepted = await submit(others[0] ?? '', manifest(version));
-    assert.equal(accepted.result, 'accepted');
-    const race = post(leader, '/v1/manifests', manifest(version, 500)) as Promise<SubmitReply>;
-    await delay(500);
-    cluster.processes.get(leader).kill('SIGCONT');
-    const raced = await race;
-    const settled =
-      raced.result === 'unavailable' ? await submit(leader, manifest(version, 500)) : raced;
-    assert.equal(settled.result, 'conflict');
-    await inForce(leader);
-  });
+  it('refuses what a leader that slept would accept', async () =>
+    withLogs(async () => {
+      const leader = await findLeader();
+      const others = CONTROLS.filter((name) => name !== leader);
+      version += 1;
+      cluster.processes.get(leader).kill('SIGSTOP');
+      const accepted = await submit(others[0] ?? '', manifest(version));
+      assert.equal(accepted.result, 'accepted');
+      const race = post(leader, '/v1/manifests', manifest(version, 500)) as Promise<SubmitReply>;
+      await delay(500);
+      cluster.processes.get(leader).kill('SIGCONT');
+      const raced = await race;
+      const settled =
+        raced.result === 'unavailable' ? await submit(leader, manifest(version, 500)) : raced;
+      assert.equal(settled.result, 'conflict');
+      await inForce(leader);
+    }));
 
   // A host loses its disk and is repaired with an empty one; right after it is back, a second host
   // dies. The repaired one must hold the whole log by then, under a new identity, and with the
   // third be the quorum that accepts the next change.
-  it('goes on when a second host fails right after a first was repaired', async () => {
-    const [lost = '', second = '', third = ''] = CONTROLS;
-    const old = (await status(third)).controls.find(({ name }) => name === lost)?.replica ?? '';
-    await cluster.processes.stop(lost, 'SIGKILL');
-    await rm(path.join(folder, 'data', lost), { recursive: true });
-    cluster.restart(lost);
-    await waitUntil('the repaired replica votes', 20_000, async () => {
-      const { controls } = await status(third);
-      const fresh = controls.find(({ name }) => name === lost)?.replica ?? '';
-      const voters = controls.find(({ name }) => name === third)?.voters ?? [];
-      return voters.includes(fresh) && !voters.includes(old) && voters.length === 3;
-    });
-    await cluster.processes.stop(second, 'SIGKILL');
-    version += 1;
-    assert.equal((await submit(third, manifest(version))).result, 'accepted');
-    cluster.restart(second);
-    await waitReady([http(second)]);
-    await inForce(third);
-  });
+  it('goes on when a second host fails right after a first was repaired', async () =>
+    withLogs(async () => {
+      const [lost = '', second = '', third = ''] = CONTROLS;
+      const old = (await status(third)).controls.find(({ name }) => name === lost)?.replica ?? '';
+      await cluster.processes.stop(lost, 'SIGKILL');
+      await rm(path.join(folder, 'data', lost), { recursive: true });
+      cluster.restart(lost);
+      await waitUntil('the repaired replica votes', 20_000, async () => {
+        const { controls } = await status(third);
+        const fresh = controls.find(({ name }) => name === lost)?.replica ?? '';
+        const voters = controls.find(({ name }) => name === third)?.voters ?? [];
+        return voters.includes(fresh) && !voters.includes(old) && voters.length === 3;
+      });
+      await cluster.processes.stop(second, 'SIGKILL');
+      version += 1;
+      assert.equal((await submit(third, manifest(version))).result, 'accepted');
+      cluster.restart(second);
+      await waitReady([http(second)]);
+      await inForce(third);
+    }));
 
   // An AZ is cut off. The others accept a change; the cut-off AZ goes on serving on what it has.
   // Its control process and its entry process both restart inside the cut: neither may come back
   // with an older configuration, and the AZ must serve again. Healed, it takes the change.
-  it('serves on in a cut-off AZ, through two restarts, and never goes back', async () => {
-    const cutOff = CONTROLS[2] ?? '';
-    const others = CONTROLS.slice(0, 2);
-    const attachedHere = async (): Promise<boolean> => {
+  it('serves on in a cut-off AZ, through two restarts, and never goes back', async () =>
+    withLogs(async () => {
+      const cutOff = CONTROLS[2] ?? '';
+      const others = CONTROLS.slice(0, 2);
+      const attachedHere = async (): Promise<boolean> => {
+        const own = (await status(cutOff)).controls.find(({ name }) => name === cutOff);
+        return own?.attached.length === 2;
+      };
+      const allHere = 'all attached to the control process of their AZ';
+      await waitUntil(allHere, 20_000, attachedHere);
+      const held = (await status(cutOff)).configIndex;
+      const cut = JSON.stringify({ peers: [cutOff, 'entry-lekki-1', 'lookup-lekki'] });
+      await Promise.all(others.map(async (name) => post(name, '/test/cut', cut)));
+      await post(cutOff, '/test/cut', JSON.stringify({ peers: others }));
+      await findLeader(others);
+      version += 1;
+      assert.equal((await submit(others[0] ?? '', manifest(version))).result, 'accepted');
+      await call(2);
+      await cluster.processes.stop(cutOff, 'SIGKILL');
+      cluster.restart(cutOff, ['--test-cut', others.join(',')]);
+      await cluster.processes.stop('entry-lekki-1', 'SIGKILL');
+      cluster.restart('entry-lekki-1');
+      await waitReady([http(cutOff), cluster.addresses.entries[2] ?? '']);
       const own = (await status(cutOff)).controls.find(({ name }) => name === cutOff);
-      return own?.attached.length === 2;
-    };
-    const allHere = 'all attached to the control process of their AZ';
-    await waitUntil(allHere, 20_000, attachedHere).catch(async (err: unknown) => {
-      throw new Error(`${(err as Error).message}; ${await whoIsWhere()}`);
-    });
-    const held = (await status(cutOff)).configIndex;
-    const cut = JSON.stringify({ peers: [cutOff, 'entry-lekki-1', 'lookup-lekki'] });
-    await Promise.all(others.map(async (name) => post(name, '/test/cut', cut)));
-    await post(cutOff, '/test/cut', JSON.stringify({ peers: others }));
-    await findLeader(others);
-    version += 1;
-    assert.equal((await submit(others[0] ?? '', manifest(version))).result, 'accepted');
-    await call(2);
-    await cluster.processes.stop(cutOff, 'SIGKILL');
-    cluster.restart(cutOff, ['--test-cut', others.join(',')]);
-    await cluster.processes.stop('entry-lekki-1', 'SIGKILL');
-    cluster.restart('entry-lekki-1');
-    await waitReady([http(cutOff), cluster.addresses.entries[2] ?? '']);
-    const own = (await status(cutOff)).controls.find(({ name }) => name === cutOff);
-    assert.deepEqual([own?.rollout, own?.configIndex], ['cutOff', held]);
-    await waitUntil('the endpoint is attached again', 20_000, attachedHere);
-    await call(2);
-    const refused = (await post(cutOff, '/v1/manifests', manifest(version + 1))) as SubmitReply;
-    assert.equal(refused.result, 'unavailable');
-    const heal = JSON.stringify({ peers: [] });
-    await Promise.all(CONTROLS.map(async (name) => post(name, '/test/cut', heal)));
-    await inForce(others[0] ?? '', 30_000);
-  });
+      assert.deepEqual([own?.rollout, own?.configIndex], ['cutOff', held]);
+      await waitUntil('the endpoint is attached again', 20_000, attachedHere);
+      await call(2);
+      const refused = (await post(cutOff, '/v1/manifests', manifest(version + 1))) as SubmitReply;
+      assert.equal(refused.result, 'unavailable');
+      const heal = JSON.stringify({ peers: [] });
+      await Promise.all(CONTROLS.map(async (name) => post(name, '/test/cut', heal)));
+      await inForce(others[0] ?? '', 30_000);
+    }));
 
   // Three hundred changes go by, then every process is killed and started again, as after a power
   // cut. All must come back with the newest, and a resend of an early version gets its first answer.
-  it('comes back with the newest after 300 changes and a restart of all', async () => {
-    const leader = await findLeader();
-    const first = await submit(leader, manifest(version + 1));
-    const last = version + 300;
-    const next = async (n: number): Promise<void> => {
-      if (n <= last) {
-        assert.equal((await submit(leader, manifest(n))).result, 'accepted');
-        await next(n + 1);
-      }
-    };
-    await next(version + 2);
-    const newest = (await status(leader)).configIndex;
-    const daemons = cluster.processes.names.filter((name) => !name.startsWith('fake-'));
-    await Promise.all(daemons.map(async (name) => cluster.processes.stop(name, 'SIGKILL')));
-    daemons.forEach((name) => cluster.restart(name));
-    await waitReady([...cluster.addresses.controls, ...cluster.addresses.entries]);
-    await inForce(leader, 20_000);
-    assert.equal((await status(leader)).configIndex, newest);
-    assert.deepEqual(await submit(leader, manifest(version + 1)), first);
-    await Promise.all([0, 1, 2].map(call));
-    version = last;
-  });
+  it('comes back with the newest after 300 changes and a restart of all', async () =>
+    withLogs(async () => {
+      const leader = await findLeader();
+      const first = await submit(leader, manifest(version + 1));
+      const last = version + 300;
+      const next = async (n: number): Promise<void> => {
+        if (n <= last) {
+          assert.equal((await submit(leader, manifest(n))).result, 'accepted');
+          await next(n + 1);
+        }
+      };
+      await next(version + 2);
+      const newest = (await status(leader)).configIndex;
+      const daemons = cluster.processes.names.filter((name) => !name.startsWith('fake-'));
+      await Promise.all(daemons.map(async (name) => cluster.processes.stop(name, 'SIGKILL')));
+      daemons.forEach((name) => cluster.restart(name));
+      await waitReady([...cluster.addresses.controls, ...cluster.addresses.entries]);
+      await inForce(leader, 20_000);
+      assert.equal((await status(leader)).configIndex, newest);
+      assert.deepEqual(await submit(leader, manifest(version + 1)), first);
+      await Promise.all([0, 1, 2].map(call));
+      version = last;
+    }));
 });
