A process learns of the control process of its AZ that comes up after it has attached elsewhere

What callers see: a process that started first stays attached in another AZ, and is cut off with it in a partition. Change: the hub tells those attached of each control process that comes up. Test: DaemonHubLink, did not end before.

--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -91,6 +91,7 @@
         link.peer = from;
         this.#known.set(from, self);
         this.#connect(self);
+        hub().onControls();
       },
       raft: (params) => {
         const { to, from, message } = params as RaftParams;
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -179,6 +179,18 @@
     this.#member({ type: 'announce', record });
   }
 
+  /**
+   * Tells those attached here which control processes there are now.
+   *
+   * Failure: all processes start at once, and one attaches to a hub that knows no other yet. Symptom: it never learns
+   * of the control process of its own AZ, stays attached elsewhere, and is lost with the next partition. Enough: who
+   * is attached hears of each control process that comes up.
+   */
+  onControls(): void {
+    const controls = this.#options.controls();
+    this.#links.forEach(({ link }) => link.notify('controls', controls));
+  }
+
   /** Passes a group's load on to the entry processes attached here. */
   onGroupLoad(load: GroupLoad): void {
     this.#links.forEach(({ link, record }) => {
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -50,7 +50,7 @@
   /** When a part of a large message last came, ms on the local monotonic clock. */
   #receivedAt = -Infinity;
 
-  /** Control processes that the last one attached to told of. */
+  /** Control processes that the one attached to last has told of. */
   #controls: readonly ControlAddress[] = [];
 
   constructor(options: HubLinkOptions) {
@@ -65,6 +65,9 @@
           config: (delta, link) => this.#onConfig(delta as ConfigDelta, link),
           directory: (delta) => options.onDirectory(delta as DirectoryDelta),
           'config.fetch': () => this.#config,
+          controls: (controls) => {
+            this.#controls = controls as readonly ControlAddress[];
+          },
           'group.load': (load) => options.onGroupLoad?.(load as GroupLoad),
           quarantine: (news) => options.onQuarantine?.(news as QuarantineNews),
         },
--- /dev/null
+++ b/src/daemon/__tests__/unit/DaemonHubLink.test.ts
@@ -0,0 +1,90 @@
+import assert from 'node:assert/strict';
+import type { AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { pino } from 'pino';
+import type { ControlAddress } from '../../../protocol/index.js';
+import { TransportLink } from '../../../transport/index.js';
+import { DaemonHubLink } from '../../DaemonHubLink.js';
+
+/** A control process that takes everybody in, and tells of some others. */
+async function startHub(
+  name: string,
+  zone: string,
+  controls: readonly ControlAddress[],
+  signal: AbortSignal,
+): Promise<ControlAddress & { readonly links: readonly TransportLink[] }> {
+  const links: TransportLink[] = [];
+  const server = createServer((socket) => {
+    const handlers = { 'member.hello': () => ({ accepted: true, leastIncarnation: 0, controls }) };
+    const link = new TransportLink(socket, '', handlers);
+    links.push(link);
+    signal.addEventListener('abort', () => link.close());
+  });
+  signal.addEventListener('abort', () => server.close());
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  return { name, zone, address: { host: '127.0.0.1', port }, links };
+}
+
+describe('DaemonHubLink', () => {
+  let stop = new AbortController();
+
+  afterEach(() => {
+    stop.abort();
+    stop = new AbortController();
+  });
+
+  // Guards against: who starts before the control process of its AZ stays attached in another, and is lost in a cut.
+  it('moves to the control process of its AZ that comes up later', async () => {
+    const attachedTo: string[] = [];
+    const log = pino(
+      { level: 'info' },
+      {
+        write: (line: string) => {
+          const { event, to } = JSON.parse(line) as { event: string; to: string };
+          if (event === 'attached') {
+            attachedTo.push(to);
+          }
+        },
+      },
+    );
+    const far = await startHub('far', 'z2', [], stop.signal);
+    const hubLink = new DaemonHubLink({
+      targets: () => [far],
+      record: {
+        id: 'entry-1',
+        role: 'entry',
+        zone: 'z1',
+        address: '127.0.0.1:1',
+        incarnation: 1,
+        version: 0,
+        status: 'serving',
+      },
+      log,
+      signal: stop.signal,
+      random: () => 0,
+      onConfig: () => undefined,
+      onDirectory: () => undefined,
+    });
+    while (!hubLink.isUp) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(10);
+    }
+    const near = await startHub('near', 'z1', [], stop.signal);
+    far.links.forEach((link) =>
+      link.notify(
+        'controls',
+        [far, near].map(({ links, ...rest }) => rest),
+      ),
+    );
+    while (attachedTo.at(-1) !== 'near') {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(50);
+    }
+    assert.deepEqual(attachedTo, ['far', 'near']);
+  });
+});
