--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -134,7 +134,13 @@
   type OrderGateState,
   type OrderVerdict,
 } from './OrderGate.js';
-export { BUDGET_BYTES_PER_SECOND, initPacing, takeBytes, type PacingState } from './Pacing.js';
+export {
+  BUDGET_BYTES_PER_SECOND,
+  initPacing,
+  JOIN_BYTES,
+  takeBytes,
+  type PacingState,
+} from './Pacing.js';
 export {
   decidePlacement,
   rankLoads,
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -260,12 +260,14 @@
     const sender = pacedSender(link, this.#options.now);
     const attached: Attached = { link, sender, record };
     this.#links.set(id, attached);
-    this.#applied.set(id, configIndex);
     this.#sendDirectory(attached);
     if (record.role === 'entry') {
       this.quarantine.introduce((news) => link.notify('quarantine', news));
     }
-    this.#roll({ type: 'subscribe', record, held: configIndex });
+    if (configIndex !== null) {
+      this.#applied.set(id, configIndex);
+      this.#roll({ type: 'subscribe', record, held: configIndex });
+    }
     return { ...reply, controls: this.#options.controls() };
   }
 
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -29,7 +29,8 @@
   readonly log: Logger;
   readonly signal: AbortSignal;
   readonly random: () => number;
-  readonly onConfig: (config: ConfigState) => void;
+  /** Takes each configuration; null where this process needs none and is sent none. */
+  readonly onConfig: ((config: ConfigState) => void) | null;
   readonly onDirectory: (delta: DirectoryDelta) => void;
   readonly onGroupLoad?: (load: GroupLoad) => void;
   readonly onQuarantine?: (news: QuarantineNews) => void;
@@ -140,7 +141,8 @@
   async #hello(link: TransportLink): Promise<void> {
     // A new version refutes a `gone` that was said while this process wasn't heard.
     this.#record = { ...this.#record, version: this.#record.version + 1 };
-    const hello: HelloMessage = { record: this.#record, configIndex: this.#config.index };
+    const configIndex = this.#options.onConfig === null ? null : this.#config.index;
+    const hello: HelloMessage = { record: this.#record, configIndex };
     const reply = (await link.request('member.hello', hello, HELLO_MS)) as HelloReply;
     if (reply.accepted) {
       this.#controls = reply.controls ?? [];
@@ -179,7 +181,7 @@
    */
   #apply(config: ConfigState): boolean {
     try {
-      this.#options.onConfig(config);
+      this.#options.onConfig?.(config);
       return true;
     } catch (err) {
       this.#options.log.error(
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -91,7 +91,8 @@
     log,
     signal,
     random: runtime.random,
-    onConfig: () => undefined,
+    // The coordinator alone reads the configuration, and only now and then.
+    onConfig: null,
     onDirectory: (delta) => members.take(delta),
   });
   const isCandidate = (n: number): boolean => n % Math.ceil(ranks / CANDIDATES) === 0;
--- a/src/protocol/ProtocolMessages.ts
+++ b/src/protocol/ProtocolMessages.ts
@@ -56,8 +56,8 @@
 /** First message on a link from an entry or endpoint process to a control process. */
 export interface HelloMessage {
   readonly record: MemberRecord;
-  /** Index of the configuration the sender holds, 0 for none. */
-  readonly configIndex: number;
+  /** Index of the configuration the sender holds, 0 for none; null where it doesn't follow the configuration. */
+  readonly configIndex: number | null;
 }
 
 /** Answer to {@link HelloMessage}. */
