--- /dev/null
+++ b/src/cli/CliLoss.ts
@@ -0,0 +1,195 @@
+/** Splits what a period of traffic has lost by cause, from the log lines of its entry processes. Pure. */
+import type { LogLine } from './CliExplain.js';
+
+/** Why a request was answered late, or not at all. */
+export type LossCause =
+  | 'configuration not proven'
+  | 'host about to end'
+  | 'group down'
+  | 'no place in time'
+  | 'refused with places free'
+  | 'no endpoint'
+  | 'not run by endpoints'
+  | 'held for the ends of endpoints'
+  | 'stream broken off'
+  | 'lost at an endpoint'
+  | 'failed by the endpoint'
+  | 'deadline passed'
+  | 'caller left'
+  | 'map behind the demand'
+  | 'pause too long'
+  | 'first event late';
+
+/** Loss of one cause, in whole answers: a request not answered counts 1, one answered late {@link LATE_LOSS}. */
+export type LossParts = Readonly<Partial<Record<LossCause, number>>>;
+
+/** What one window of time has lost. */
+export interface LossWindow {
+  /** Begin, s after the first line of the log. */
+  readonly fromS: number;
+  readonly requests: number;
+  readonly lost: number;
+  readonly parts: LossParts;
+}
+
+/** What a log tells of losses; the parts add up to `lost`. */
+export interface LossReport {
+  readonly requests: number;
+  readonly lost: number;
+  readonly parts: LossParts;
+  readonly windows: readonly LossWindow[];
+}
+
+/** A late answer is worth about half of one on time. */
+export const LATE_LOSS = 0.5;
+
+/** Above this skew a long pass is put down to the map. */
+const SKEWED = 1.5;
+
+/** A request that has ended, with the last word on its host's group before. */
+interface Ended {
+  readonly line: LogLine;
+  readonly places: LogLine | undefined;
+  readonly attempt: LogLine | undefined;
+}
+
+interface Loss {
+  readonly cause: LossCause;
+  readonly lost: number;
+}
+
+const NOT_OWED = new Set(['unknown_key', 'unknown_path', 'too_large', 'bad_request']);
+
+function causeOfRefusal({ line, places, attempt }: Ended): LossCause {
+  if (places === undefined) {
+    return 'no endpoint';
+  }
+  if (places.open === false || attempt?.verdict === 'wait') {
+    return 'group down';
+  }
+  if (Number(line.attempts) > 0) {
+    return 'not run by endpoints';
+  }
+  return Number(places.own) < Number(places.allowance)
+    ? 'refused with places free'
+    : 'no place in time';
+}
+
+function exceeds(value: unknown, limit: unknown): boolean {
+  return typeof value === 'number' && typeof limit === 'number' && value > limit;
+}
+
+function lossOfWhole({ line, places }: Ended): Loss | null {
+  if (exceeds(line.firstMs, line.objectiveMs)) {
+    return { cause: 'first event late', lost: LATE_LOSS };
+  }
+  if (exceeds(line.pauseMs, line.pauseAimMs)) {
+    const isSkewed = exceeds(places?.skew, SKEWED);
+    return { cause: isSkewed ? 'map behind the demand' : 'pause too long', lost: LATE_LOSS };
+  }
+  return null;
+}
+
+type Judge = (ended: Ended) => Loss | null;
+
+function whole(cause: LossCause): Judge {
+  return () => ({ cause, lost: 1 });
+}
+
+/** What each outcome of an answered request has lost. */
+const JUDGES: Readonly<Record<string, Judge>> = {
+  whole: lossOfWhole,
+  refused: (ended) => ({ cause: causeOfRefusal(ended), lost: 1 }),
+  quarantined: whole('held for the ends of endpoints'),
+  cut: whole('stream broken off'),
+  failed: whole('lost at an endpoint'),
+  passed: whole('failed by the endpoint'),
+  timeout: whole('deadline passed'),
+  callerGone: whole('caller left'),
+};
+
+/** What a refusal at reading has lost, by its code; others are the caller's own mistake and owed to nobody. */
+const REFUSALS: Readonly<Record<string, LossCause>> = {
+  not_ready: 'configuration not proven',
+  leaving: 'host about to end',
+};
+
+function judge(ended: Ended): Loss | null {
+  const { line } = ended;
+  if (line.event === 'refuse') {
+    const cause = REFUSALS[String(line.code)];
+    return cause === undefined ? null : { cause, lost: 1 };
+  }
+  return JUDGES[String(line.outcome)]?.(ended) ?? null;
+}
+
+/** The requests that ended in a log, each with what its host knew then. */
+function collectEnded(log: readonly LogLine[]): readonly Ended[] {
+  const places = new Map<string, LogLine>();
+  const attempts = new Map<unknown, LogLine>();
+  const ended: Ended[] = [];
+  const collectors: Readonly<Record<string, (line: LogLine) => void>> = {
+    places: (line) => places.set(line.id, line),
+    attempt: (line) => attempts.set(line.request, line),
+    answer: (line) =>
+      ended.push({ line, places: places.get(line.id), attempt: attempts.get(line.request) }),
+    refuse: (line) =>
+      NOT_OWED.has(String(line.code)) ||
+      ended.push({ line, places: places.get(line.id), attempt: undefined }),
+  };
+  [...log]
+    .sort((a, b) => Date.parse(a.time) - Date.parse(b.time))
+    .forEach((line) => collectors[line.event]?.(line));
+  return ended;
+}
+
+function sumUp(losses: readonly (Loss | null)[]): Omit<LossReport, 'windows'> {
+  const parts: Partial<Record<LossCause, number>> = {};
+  losses.forEach((loss) => {
+    if (loss !== null) {
+      parts[loss.cause] = (parts[loss.cause] ?? 0) + loss.lost;
+    }
+  });
+  const lost = Object.values(parts).reduce((sum, part) => sum + part, 0);
+  return { requests: losses.length, lost, parts };
+}
+
+/** Splits the loss of all requests that end in a log, over all of it and by windows of `windowS` seconds. */
+export function splitLoss(log: readonly LogLine[], windowS: number): LossReport {
+  const ended = collectEnded(log);
+  const start = Math.min(...log.map(({ time }) => Date.parse(time)));
+  const byWindow = new Map<number, (Loss | null)[]>();
+  const losses = ended.map((item) => {
+    const loss = judge(item);
+    const at = Math.floor((Date.parse(item.line.time) - start) / 1_000 / windowS);
+    byWindow.set(at, [...(byWindow.get(at) ?? []), loss]);
+    return loss;
+  });
+  const windows = [...byWindow]
+    .sort(([a], [b]) => a - b)
+    .map(([at, part]) => ({ fromS: at * windowS, ...sumUp(part) }));
+  return { ...sumUp(losses), windows };
+}
+
+function formatParts(parts: LossParts): string {
+  return Object.entries(parts)
+    .sort(([, a], [, b]) => b - a)
+    .map(([cause, lost]) => `${cause} ${lost}`)
+    .join(', ');
+}
+
+/** A report as text for people: the causes first, then each window that lost something. */
+export function formatLoss({ requests, lost, parts, windows }: LossReport): string {
+  const share = requests === 0 ? 0 : (lost * 100) / requests;
+  const causes = Object.entries(parts).sort(([, a], [, b]) => b - a);
+  return [
+    `${requests} requests, ${lost} lost (${share.toFixed(1)} in 100)`,
+    ...causes.map(([cause, part]) => `  ${part.toFixed(1).padStart(8)}  ${cause}`),
+    ...windows
+      .filter((window) => window.lost > 0)
+      .map(
+        (window) =>
+          `from ${window.fromS} s: ${window.lost} of ${window.requests}: ${formatParts(window.parts)}`,
+      ),
+  ].join('\n');
+}
--- a/src/cli/CliMain.ts
+++ b/src/cli/CliMain.ts
@@ -2,9 +2,11 @@
 import { Builtins, Cli } from 'clipanion';
 import { COMMANDS } from './CliCommands.js';
 import { ExplainCommand } from './CliExplainCommand.js';
+import { LossCommand } from './CliLossCommand.js';
 
 const cli = new Cli({ binaryLabel: 'laburnumgauge', binaryName: 'laburnumgauge' });
 COMMANDS.forEach((command) => cli.register(command));
 cli.register(ExplainCommand);
+cli.register(LossCommand);
 cli.register(Builtins.HelpCommand);
 process.exitCode = await cli.run(process.argv.slice(2));
