--- a/src/daemon/direct/DirectStartup.ts
+++ b/src/daemon/direct/DirectStartup.ts
@@ -2,6 +2,9 @@
 import { startupWait } from '../../coordination/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 
+/** Requests that wait at most, so that a flood fills neither memory nor descriptors; more are refused at once. */
+const MOST_WAITING = 500;
+
 /** Task state of the process. */
 export class DirectStartup {
   readonly #now: () => number;
@@ -49,7 +52,8 @@
   ): Promise<void> {
     const now = this.#now();
     const waitMs = startupWait(now - this.#startedAt, now - cameAt, deadlineMs);
-    if (waitMs === 0 || isMet() || this.#isOver || signal.aborted) {
+    const isFull = this.#waiting.size >= MOST_WAITING;
+    if (waitMs === 0 || isFull || isMet() || this.#isOver || signal.aborted) {
       return;
     }
     await new Promise<void>((resolve) => {
--- a/src/daemon/direct/__tests__/unit/DirectStartup.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectStartup.test.ts
@@ -34,6 +34,17 @@
     assert.equal(startup.waiting, 0);
   });
 
+  // Guards against: a flood at a process that can't serve yet takes all of its memory.
+  it('lets no more wait than it has room for', async () => {
+    const { startup } = begin(() => false);
+    const others = Array.from({ length: 2_000 }, async () =>
+      startup.until(() => false, 0, 8_000, NEVER),
+    );
+    assert.ok(startup.waiting < 1_000);
+    startup.end();
+    await Promise.all(others);
+  });
+
   it('forgets a request whose caller is gone', async () => {
     const gone = new AbortController();
     const { startup, done } = begin(() => false, gone.signal);
