Callers that are asked back into an outage come as late as they may

Who is asked back comes after 0.323 to 0.333 of what it has left, 0.299 to 0.325 before; a partition of 5 s is outlasted by those who come 0.1 s earlier.

--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -65,10 +65,10 @@
  * Part of that time over which returns are spread where nothing is begun at all: those that are back wait
  * in order here, so that the spread only keeps their connections from coming in one millisecond.
  */
-const STALLED_SPREAD = 0.08;
+const STALLED_SPREAD = 0.03;
 
 /** Part of the time that a caller has left at which it comes back at the latest; a third is honoured. */
-const RETURN_SHARE = 0.325;
+const RETURN_SHARE = 0.333;
 
 /** Whether its first event can still be on time if it is sent now. */
 function isOnTime(request: WaitingRequest, outlook: QueueOutlook, now: number): boolean {
