--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -403,9 +403,10 @@
     }
   }
 
-  #isRecovering(service: string): boolean {
+  #isRecovering(service: string, passMs: number, pauseMs: number): boolean {
     const openedAt = this.#openedAt.get(service) ?? -Infinity;
-    return this.isClosed(service) || this.#runtime.now() - openedAt < RECOVERY_MS;
+    const hasOpened = this.#runtime.now() - openedAt < RECOVERY_MS;
+    return this.isClosed(service) || hasOpened || passMs > pauseMs;
   }
 
   #rules(service: string): PlaceRules | null {
@@ -428,11 +429,14 @@
       0,
     );
     const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
-    const { costs } = model;
-    const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
+    const { costs, pauseMs } = model;
+    const isRecovering = this.#isRecovering(service, passMs, pauseMs);
+    // Longer passes than that don't last: a map follows, or fewer are begun.
+    const lastingMs = isRecovering ? Math.min(passMs, pauseMs) : passMs;
+    const writeMs = (tokens: number): number => writeTime(costs, tokens, lastingMs);
     return {
       free: Math.max(0, free),
-      isRecovering: this.#isRecovering(service),
+      isRecovering,
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
