--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -26,6 +26,7 @@
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DIRECT_FLEET } from './DirectDocument.js';
+import { DirectPlacesLog } from './DirectPlacesLog.js';
 import { DirectStreams } from './DirectStreams.js';
 
 /** A request that asks for a place. */
@@ -68,9 +69,6 @@
 /** A service recovers for this long after its groups have opened: those who waited are begun by then. In ms. */
 const RECOVERY_MS = 2_000;
 
-/** Where nobody waits, places are logged this often, ms. */
-const QUIET_LOG_MS = 2_000;
-
 interface Waiter {
   readonly waiting: WaitingRequest;
   readonly resolve: (verdict: PlaceVerdict) => void;
@@ -94,6 +92,8 @@
 
   readonly #log: Logger;
 
+  readonly #placesLog: DirectPlacesLog;
+
   readonly #modelOf: (service: string) => ModelService | null;
 
   readonly #services = new Map<string, Service>();
@@ -113,15 +113,13 @@
 
   #entryHosts = 1;
 
-  /** What was last written of each group, and when. */
-  readonly #logged = new Map<string, { readonly open: boolean; readonly at: number }>();
-
   #counter = 0;
 
   constructor(zone: string, runtime: Runtime, modelOf: (service: string) => ModelService | null) {
     this.#zone = zone;
     this.#runtime = runtime;
     this.#log = runtime.log;
+    this.#placesLog = new DirectPlacesLog(runtime.log, runtime.now);
     this.#modelOf = modelOf;
   }
 
@@ -168,34 +166,12 @@
     });
   }
 
-  /** Tells what the places rest on: when a group opens or closes, while requests wait, and now and then. */
   #logLoad(service: string, state: PlaceGroup): void {
-    const { group, load, allowance, limit, passMs } = state;
-    const now = this.#runtime.now();
-    const open = load !== null && isOpenGroup(state);
-    const waiting = this.#services.get(service)?.queue.length ?? 0;
-    const logged = this.#logged.get(group);
-    if (waiting === 0 && logged?.open === open && now - logged.at < QUIET_LOG_MS) {
-      return;
-    }
-    this.#logged.set(group, { open, at: now });
-    const sum = (values: readonly number[]): number => values.reduce((a, b) => a + b, 0);
-    this.#log.info(
-      {
-        event: 'places',
-        group,
-        open,
-        active: sum(load?.active ?? []),
-        queued: sum(load?.queued ?? []),
-        passMs: Math.round(passMs),
-        skew: Number((load?.skew ?? 1).toFixed(2)),
-        limit: Math.round(limit),
-        allowance,
-        own: sum([...this.#own.values()]),
-        waiting,
-      },
-      'places at a group',
-    );
+    const own = [...this.#own.values()].reduce((sum, requests) => sum + requests, 0);
+    this.#placesLog.write(state, {
+      own,
+      waiting: this.#services.get(service)?.queue.length ?? 0,
+    });
   }
 
   /** Asks for a place; resolves at once where the service has no groups. */
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -34,7 +34,7 @@
   MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import { openPool, type EndpointPool } from '../../transport/index.js';
+import type { EndpointPool } from '../../transport/index.js';
 import type { SendNews } from '../DaemonQuarantine.js';
 import { DaemonScreening } from '../DaemonScreening.js';
 import { EntryMetrics } from '../DaemonEntryMetrics.js';
@@ -47,6 +47,7 @@
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
 import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
+import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
 
@@ -84,6 +85,9 @@
  */
 const DENIAL_MS = 1_500;
 
+/** Connections that an endpoint takes where its service doesn't say. */
+const USUAL_CONNECTIONS = 64;
+
 /** Where nothing tells when a place is free, callers come back after about this long. In ms. */
 const RETRY_AFTER_MS = 400;
 
@@ -91,9 +95,9 @@
 export class DirectEntryState {
   readonly #options: DirectEntryOptions;
 
-  /** Connections and proofs of an end, by life of an endpoint. */
-  readonly #pools = new Map<string, EndpointPool>();
+  readonly #pools = new DirectPools();
 
+  /** When a life of an endpoint was proven to be over. */
   readonly #gone = new Map<string, number>();
 
   readonly #budgets = new Map<string, RetryBudgetState>();
@@ -421,21 +425,8 @@
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
-    const known = this.#pools.get(lifeOf(endpoint));
-    if (known !== undefined) {
-      return known;
-    }
-    const connections = this.#connectionsTo(endpoint);
-    const pool = openPool(`http://${endpoint.address}`, connections);
-    this.#pools.set(lifeOf(endpoint), pool);
-    return pool;
-  }
-
-  /** An endpoint takes a number of connections from all entry processes together. */
-  #connectionsTo({ offer }: MemberRecord): number {
-    const spec = this.#routes?.services.get(offer?.service ?? '');
-    const all = spec?.maxConnections ?? 64;
-    return Math.max(2, Math.floor((all * 0.8) / Math.max(2, this.#entryHosts)));
+    const spec = this.#routes?.services.get(endpoint.offer?.service ?? '');
+    return this.#pools.to(endpoint, spec?.maxConnections ?? USUAL_CONNECTIONS, this.#entryHosts);
   }
 
   #setFreshness(freshness: FreshnessState): void {
@@ -454,7 +445,8 @@
     this.#entryHosts = serving.filter(({ role }) => role === 'entry').length;
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
-    this.#closePools(view);
+    const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
+    this.#pools.keep((life) => lives.has(life) && !this.#gone.has(life));
   }
 
   #modelOf(service: string): ModelService | null {
@@ -471,15 +463,4 @@
     this.#models.set(service, model);
     return model;
   }
-
-  /** Closes the connections to endpoints that are out of the view; what runs on them may end. */
-  #closePools(view: MembershipView): void {
-    const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
-    [...this.#pools].forEach(([life, pool]) => {
-      if (!lives.has(life) || this.#gone.has(life)) {
-        this.#pools.delete(life);
-        pool.pool.close().catch(() => undefined);
-      }
-    });
-  }
 }
--- a/src/daemon/direct/DirectStartup.ts
+++ b/src/daemon/direct/DirectStartup.ts
@@ -1,4 +1,5 @@
 /** Requests that wait at an entry process which has just started, until it has what they need. */
+import { setTimeout as delay } from 'node:timers/promises';
 import { startupWait } from '../../coordination/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 
@@ -56,21 +57,17 @@
     if (waitMs === 0 || isFull || isMet() || this.#isOver || signal.aborted) {
       return;
     }
-    await new Promise<void>((resolve) => {
-      const end = (): void => {
-        clearTimeout(timer);
-        this.#waiting.delete(look);
-        signal.removeEventListener('abort', end);
-        resolve();
-      };
-      const look = (): void => {
-        if (this.#isOver || isMet()) {
-          end();
-        }
-      };
-      const timer = setTimeout(end, waitMs);
-      this.#waiting.add(look);
-      signal.addEventListener('abort', end);
-    });
+    const over = new AbortController();
+    const end = (): void => over.abort();
+    const look = (): void => {
+      if (this.#isOver || isMet()) {
+        end();
+      }
+    };
+    this.#waiting.add(look);
+    signal.addEventListener('abort', end);
+    await delay(waitMs, undefined, { signal: over.signal }).catch(() => undefined);
+    signal.removeEventListener('abort', end);
+    this.#waiting.delete(look);
   }
 }
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { createServer, type Server, type ServerResponse } from 'node:http';
-import { createServer as createTcpServer, type AddressInfo } from 'node:net';
+import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { request } from 'undici';
 import type { AnswerHead, MemberRecord } from '../../../../protocol/index.js';
@@ -75,13 +75,16 @@
 
 describe('DirectCall', () => {
   const servers: { close: () => void }[] = [];
+  const sockets: Socket[] = [];
 
   afterEach(() => {
     servers.splice(0).forEach((server) => server.close());
+    sockets.splice(0).forEach((socket) => socket.destroy());
   });
 
   const listen = async (server: Server | ReturnType<typeof createTcpServer>): Promise<string> => {
     servers.push(server);
+    server.on('connection', (socket: Socket) => sockets.push(socket));
     await new Promise<void>((resolve) => {
       server.listen(0, '127.0.0.1', resolve);
     });
