--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -34,7 +34,7 @@
   readonly free: number;
   /** Requests a ms that this process can begin, from what its places turn over. */
   readonly ratePerMs: number;
-  /** Whether the service answers nothing, or has done so only for a moment, or everybody too late. */
+  /** Whether the service answers nothing, or has done so only for a moment. */
   readonly isRecovering: boolean;
   /** Time from sending to the first event, ms. */
   readonly firstMs: number;
@@ -102,8 +102,7 @@
  *
  * Load pattern: callers wait out a group that is down, and have half of their time left when it opens. Judged by the
  * longest answer that they allow, most are sent away though their answers are short. While the service recovers the
- * likely length counts, for nobody is on time then; otherwise the longest, since whoever is late takes a place from one
- * who is not.
+ * likely length counts; otherwise the longest, since whoever is late takes a place from one who is not.
  */
 function canEnd(
   request: WaitingRequest,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -379,10 +379,9 @@
     }
   }
 
-  #isRecovering(service: string, passMs: number, pauseMs: number): boolean {
+  #isRecovering(service: string): boolean {
     const openedAt = this.#openedAt.get(service) ?? -Infinity;
-    const hasOpened = this.#runtime.now() - openedAt < RECOVERY_MS;
-    return this.isClosed(service) || hasOpened || passMs > pauseMs;
+    return this.isClosed(service) || this.#runtime.now() - openedAt < RECOVERY_MS;
   }
 
   #rules(service: string): PlaceRules | null {
@@ -405,14 +404,11 @@
       0,
     );
     const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
-    const { costs, pauseMs } = model;
-    const isRecovering = this.#isRecovering(service, passMs, pauseMs);
-    // Longer passes than that don't last: a map follows, or fewer are begun.
-    const lastingMs = isRecovering ? Math.min(passMs, pauseMs) : passMs;
-    const writeMs = (tokens: number): number => writeTime(costs, tokens, lastingMs);
+    const { costs } = model;
+    const writeMs = (tokens: number): number => writeTime(costs, tokens, passMs);
     return {
       free: Math.max(0, free),
-      isRecovering,
+      isRecovering: this.#isRecovering(service),
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -139,22 +139,6 @@
     assert.deepEqual(open, [true, false, true, false]);
   });
 
-  // Load pattern: passes take several times the longest pause until a new map is in use. Guards against: callers are
-  // sent away since their answers would not end in time, were the passes to stay so long.
-  it('lets callers wait while passes are too long for anybody to be on time', () => {
-    const admission = openAdmission();
-    const waits = (passMs: number): boolean => {
-      const before = admission.waiting;
-      admission.onLoad({ ...load(COSTS.slots), passMs });
-      admission
-        .acquire({ ...REQUEST, tokens: 500, likelyTokens: 60 }, STAYS)
-        .catch(() => undefined);
-      return admission.waiting > before;
-    };
-    assert.equal(waits(110), false);
-    assert.equal(waits(400), true);
-  });
-
   // Load pattern: one rank of a group works ten times slower than the others. Guards against: what is sent there makes
   // each pass of the group as slow.
   it('sends to a slow rank only where no other is left', () => {
