--- a/src/coordination/__tests__/unit/Consensus.test.ts
+++ b/src/coordination/__tests__/unit/Consensus.test.ts
@@ -106,7 +106,7 @@
       });
       return cluster.now - (begun + 2 * gapMs);
     });
-    assert.ok(Math.max(...waits) < MOST_WAIT_MS, `${waits.join(', ')}`);
+    assert.ok(Math.max(...waits) < MOST_WAIT_MS, waits.join(', '));
   });
 
   it('brings a replica far behind up by a snapshot', () => {
--- a/src/coordination/__tests__/unit/MapPlan.test.ts
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -137,7 +137,7 @@
       const share = (ranks[0] ?? []).reduce((sum, e) => sum + (weights[e] ?? 0) / holders(e), 0);
       return (share * RANKS) / weights.reduce((sum, weight) => sum + weight, 0);
     });
-    assert.ok(Math.max(...shares) < 0.15, `${shares.join(', ')}`);
+    assert.ok(Math.max(...shares) < 0.15, shares.join(', '));
   });
 
   // Guards against: a rank goes on with an expert that others hold as well, until there is time for copies.
