--- a/src/transport/TransportLinkSearch.ts
+++ b/src/transport/TransportLinkSearch.ts
@@ -18,7 +18,8 @@
   readonly end: AbortSignal;
 }
 
-async function pauseUnless(signal: AbortSignal): Promise<void> {
+/** Lets the target before have its time. */
+async function waitStagger(signal: AbortSignal): Promise<void> {
   await delay(STAGGER_MS, undefined, { signal, ref: false }).catch(() => undefined);
 }
 
@@ -57,7 +58,7 @@
   let mayBegin = Promise.resolve();
   const attempts = targets.map(async (target) => {
     const attempt = mayBegin.then(async () => tryTarget(target));
-    mayBegin = mayBegin.then(async () => Promise.race([attempt, pauseUnless(signal)]));
+    mayBegin = mayBegin.then(async () => Promise.race([attempt, waitStagger(signal)]));
     return attempt;
   });
   await Promise.all(attempts);
