--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -36,6 +36,8 @@
   readonly ratePerMs: number;
   /** Whether the service answers nothing, or has done so only for a moment. */
   readonly isRecovering: boolean;
+  /** Whether the service has answered nothing for longer than any caller waits. */
+  readonly isLongDown: boolean;
   /** Time from sending to the first event, ms. */
   readonly firstMs: number;
   /** Time that the answer of a request takes to write, ms. */
@@ -110,6 +112,9 @@
   now: number,
   waitMs: number,
 ): boolean {
+  if (outlook.isLongDown) {
+    return false;
+  }
   const first = now + waitMs + outlook.firstMs;
   const tokens = outlook.isRecovering ? request.likelyTokens : request.tokens;
   const end = first + outlook.writeMs(tokens);
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -12,6 +12,7 @@
   free: 0,
   ratePerMs: 0.005,
   isRecovering: false,
+  isLongDown: false,
   firstMs: 150,
   writeMs: (tokens) => (tokens / 5) * 60,
 };
@@ -84,6 +85,14 @@
     assert.deepEqual(opened.admitted, [1]);
   });
 
+  // Load pattern: a group is gone for good. Guards against: each caller waits out its patience twice, in vain.
+  it('refuses at once while the service has been down for longer than callers wait', () => {
+    const gone: QueueOutlook = { ...BUSY, ratePerMs: 0, isRecovering: true, isLongDown: true };
+    const step = enqueue([], request(1), gone, 0, 0.5);
+    assert.deepEqual([step.queue, step.refused.length], [[], 1]);
+    assert.equal(pump([request(2)], gone, 100, 0.5).refused.length, 1);
+  });
+
   it('judges by the longest answer while the service is up', () => {
     const queue = waitAll([request(1, { deadline: 4_000, tokens: 350, likelyTokens: 60 })]);
     assert.deepEqual(queue, []);
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -66,6 +66,12 @@
 /** Time of connections and forwarding to the first event, ms. */
 const FIRST_EXTRA_MS = 30;
 
+/**
+ * Down for longer than this a service is given up until it answers: callers' deadlines are 8 s, and a partition that
+ * heals does so within 6. In ms.
+ */
+const LONG_DOWN_MS = 10_000;
+
 /** A service recovers for this long after its groups have opened: those who waited are begun by then. In ms. */
 const RECOVERY_MS = 2_000;
 
@@ -105,6 +111,9 @@
 
   readonly #streams = new DirectStreams();
 
+  /** Since when the groups of a service have all been closed, with no sign of life in between, ms. */
+  readonly #downSince = new Map<string, number>();
+
   /** When a service whose groups were all closed had one open again, ms. */
   readonly #openedAt = new Map<string, number>();
 
@@ -159,6 +168,9 @@
       if (group !== undefined && rules !== null) {
         const { now, random } = this.#runtime;
         const next = takeLoad(group, load, this.#own, rules, now(), random());
+        if (load.open) {
+          this.#downSince.delete(service);
+        }
         this.#replaceGroup(service, next);
         this.#logLoad(service, next);
         this.#pump(service);
@@ -245,9 +257,10 @@
     this.#streams.onEvent(endpoint, begins, this.#runtime.now());
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
-        const heard =
-          group.brokenAt !== null && group.ranks.some((rank) => rank.endpoint === endpoint);
+        const passesForDown = group.brokenAt !== null || this.#downSince.has(service);
+        const heard = passesForDown && group.ranks.some((rank) => rank.endpoint === endpoint);
         if (heard) {
+          this.#downSince.delete(service);
           this.#replaceGroup(service, mendPlaces(group));
           this.#pump(service);
         }
@@ -374,11 +387,21 @@
     const wasClosed = this.isClosed(service);
     const groups = new Map(state.groups).set(group.group, group);
     this.#services.set(service, { ...state, groups });
-    if (wasClosed && !this.isClosed(service)) {
-      this.#openedAt.set(service, this.#runtime.now());
+    const now = this.#runtime.now();
+    if (!this.isClosed(service)) {
+      if (wasClosed) {
+        this.#openedAt.set(service, now);
+      }
+    } else if (!this.#downSince.has(service)) {
+      this.#downSince.set(service, now);
     }
   }
 
+  #isLongDown(service: string): boolean {
+    const downSince = this.#downSince.get(service) ?? Infinity;
+    return this.isClosed(service) && this.#runtime.now() - downSince > LONG_DOWN_MS;
+  }
+
   #isRecovering(service: string): boolean {
     const openedAt = this.#openedAt.get(service) ?? -Infinity;
     return this.isClosed(service) || this.#runtime.now() - openedAt < RECOVERY_MS;
@@ -409,6 +432,7 @@
     return {
       free: Math.max(0, free),
       isRecovering: this.#isRecovering(service),
+      isLongDown: this.#isLongDown(service),
       ratePerMs: answering.length > 0 ? places / Math.max(1, writeMs(costs.usualAnswer)) : 0,
       firstMs: FIRST_PASSES * passMs + costs.usualPrompt / costs.readTokensPerMs + FIRST_EXTRA_MS,
       writeMs,
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -111,6 +111,32 @@
     assert.deepEqual(await waiting, { granted: true });
   });
 
+  // Load pattern: a group is gone for good, and now and then a rank is asked again. Guards against: callers wait in vain.
+  it('gives a group up that has been down for longer than callers wait, until it answers', () => {
+    let now = 0;
+    const admission = openAdmission(undefined, () => now);
+    const waits = (): boolean => {
+      const before = admission.waiting;
+      const req = { ...REQUEST, startedAt: now, deadline: now + 8_000 };
+      admission.acquire(req, STAYS).catch(() => undefined);
+      return admission.waiting > before;
+    };
+    admission.onGroupBroken('e1');
+    assert.equal(waits(), true);
+    now = 12_000;
+    admission.tick();
+    admission.onGroupBroken('e1');
+    assert.equal(waits(), false);
+    admission.onLoad(load(0));
+    admission.onGroupBroken('e1');
+    assert.equal(waits(), true);
+    now = 24_000;
+    admission.tick();
+    admission.onEvent('e1', true);
+    admission.onGroupBroken('e1');
+    assert.equal(waits(), true);
+  });
+
   // Guards against: a stream that broke off near its end is sent away for want of time to write the whole of it again.
   it('counts only what is left to write of a stream that goes on', () => {
     const admission = openAdmission();
