--- a/src/cli/CliExplainCommand.ts
+++ b/src/cli/CliExplainCommand.ts
@@ -1,8 +1,7 @@
 /** `laburnumgauge explain REQUEST [FILE…]`: from a request's id to its cause, by logs alone. */
-import { readFile } from 'node:fs/promises';
-import { text } from 'node:stream/consumers';
 import { Command, Option } from 'clipanion';
-import { explainRequest, formatExplanation, parseLog } from './CliExplain.js';
+import { explainRequest, formatExplanation, type LogLine } from './CliExplain.js';
+import { readLogFiles } from './CliLogFiles.js';
 
 /** Exit code where no line has the id. */
 const EXIT_UNKNOWN = 1;
@@ -23,17 +22,14 @@
   readonly files = Option.Rest({ name: 'file' });
 
   async execute(): Promise<number> {
-    let logs: readonly string[];
+    let log: readonly LogLine[];
     try {
-      logs =
-        this.files.length === 0
-          ? [await text(this.context.stdin)]
-          : await Promise.all(this.files.map(async (file) => readFile(file, 'utf8')));
+      log = await readLogFiles(this.files, this.context.stdin);
     } catch (err) {
       this.context.stderr.write(`${(err as Error).message}\n`);
       return EXIT_INPUT;
     }
-    const explanation = explainRequest(this.request, logs.flatMap(parseLog));
+    const explanation = explainRequest(this.request, log);
     const out = this.json ? JSON.stringify(explanation, null, 2) : formatExplanation(explanation);
     this.context.stdout.write(`${out}\n`);
     return explanation.lines.length === 0 ? EXIT_UNKNOWN : 0;
--- a/src/cli/CliLossCommand.ts
+++ b/src/cli/CliLossCommand.ts
@@ -1,8 +1,7 @@
 /** `laburnumgauge loss [FILE…]`: what a period of traffic has lost, by cause, from logs alone. */
-import { readFile } from 'node:fs/promises';
-import { text } from 'node:stream/consumers';
 import { Command, Option } from 'clipanion';
-import { parseLog } from './CliExplain.js';
+import type { LogLine } from './CliExplain.js';
+import { readLogFiles } from './CliLogFiles.js';
 import { formatLoss, splitLoss } from './CliLoss.js';
 
 /** Exit code where no request ends in what was read. */
@@ -34,17 +33,14 @@
       this.context.stderr.write(`--window: "${this.window}" is no number of seconds above 0\n`);
       return EXIT_INPUT;
     }
-    let logs: readonly string[];
+    let log: readonly LogLine[];
     try {
-      logs =
-        this.files.length === 0
-          ? [await text(this.context.stdin)]
-          : await Promise.all(this.files.map(async (file) => readFile(file, 'utf8')));
+      log = await readLogFiles(this.files, this.context.stdin);
     } catch (err) {
       this.context.stderr.write(`${(err as Error).message}\n`);
       return EXIT_INPUT;
     }
-    const report = splitLoss(logs.flatMap(parseLog), windowS);
+    const report = splitLoss(log, windowS);
     this.context.stdout.write(
       `${this.json ? JSON.stringify(report, null, 2) : formatLoss(report)}\n`,
     );
