--- a/src/coordination/ConsensusLog.ts
+++ b/src/coordination/ConsensusLog.ts
@@ -58,13 +58,7 @@
   return now + ELECTION_TIMEOUT_MS + uniformInt(rng, 0, ELECTION_TIMEOUT_MS);
 }
 
-/**
- * When a replica that hears no leader asks for pre-votes.
- *
- * Failure: all hosts lose power, and the first to ask is up before its peers. Symptom: it asks again only after a
- * whole election's time, and until then nobody can prove which configuration is the newest. Enough: pre-votes, which
- * change nothing, are asked for at a shorter interval; votes are not.
- */
+/** When a replica that hears no leader asks for pre-votes again; its peers may just be starting. */
 export function nextPreVote({ now, rng }: ConsensusContext): number {
   return now + PRE_VOTE_MS + uniformInt(rng, 0, PRE_VOTE_MS);
 }
--- a/src/coordination/LeaseHolder.ts
+++ b/src/coordination/LeaseHolder.ts
@@ -18,12 +18,8 @@
 }
 
 /**
- * Tells whether the life of a process that holds a lease is over.
- *
- * Failure: a group's coordinator is killed while it holds the group for a change of map. Symptom: the group stands
- * until the lease has run out, though nobody can use it any more. Enough: a later life of the same process, or its
- * host's word that nothing listens in its place, ends the lease at once. One that is merely not heard may be cut
- * off or stand still; its lease is waited out.
+ * Tells whether the life of a process that holds a lease is over. One that is merely not heard may be cut off or stand
+ * still, and its lease is waited out.
  *
  * @param recordOf The newest record of a process, by its id.
  */
--- a/src/coordination/MapPlan.ts
+++ b/src/coordination/MapPlan.ts
@@ -116,13 +116,7 @@
 /** From this pace on a rank gets no requests while others have places. */
 const SLOW_PACE = 2;
 
-/**
- * Ranks that requests are better not sent to.
- *
- * Failure: one rank of many works ten times slower. Symptom: it reads its prompts and writes its answers in the time
- * of ten passes, and every pass of the group takes as long. Enough: its experts are moved to other ranks, and
- * requests go to it only where there is no other.
- */
+/** Ranks that requests are better not sent to: every pass of the group lasts as long as the slowest rank's part. */
 export function slowRanks(paces: readonly number[]): readonly number[] {
   return paces.flatMap((pace, rank) => (pace >= SLOW_PACE ? [rank] : []));
 }
--- a/src/coordination/PassWatch.ts
+++ b/src/coordination/PassWatch.ts
@@ -36,11 +36,8 @@
 };
 
 /**
- * Takes a report in.
- *
- * Failure: one rank is slow, and a pass takes longer than a measurement. Symptom: half of the measurements see no pass
- * and count as nothing known; the group is taken for quick, and filled, and for one that stands still, by turns.
- * Enough: a measurement lasts until a pass has begun, and the pass takes at least as long as it has lasted so far.
+ * Takes a report in. A measurement lasts until a pass has begun, and the pass takes at least as long as it has lasted so
+ * far: with one slow rank a pass outlasts {@link MEASURE_MS}.
  */
 export function watchPass(
   state: PassWatchState,
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -180,11 +180,7 @@
   }
 
   /**
-   * Tells those attached here which control processes there are now.
-   *
-   * Failure: all processes start at once, and one attaches to a hub that knows no other yet. Symptom: it never learns
-   * of the control process of its own AZ, stays attached elsewhere, and is lost with the next partition. Enough: who
-   * is attached hears of each control process that comes up.
+   * Tells those attached here which control processes there are now: who came before the one of its AZ moves there.
    */
   onControls(): void {
     const controls = this.#options.controls();
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -179,9 +179,8 @@
   }
 
   #logLoad(service: string, state: PlaceGroup): void {
-    const own = [...this.#own.values()].reduce((sum, requests) => sum + requests, 0);
     this.#placesLog.write(state, {
-      own,
+      own: this.#own,
       waiting: this.#services.get(service)?.queue.length ?? 0,
     });
   }
@@ -257,8 +256,8 @@
     this.#streams.onEvent(endpoint, begins, this.#runtime.now());
     this.#services.forEach(({ groups }, service) => {
       groups.forEach((group) => {
-        const passesForDown = group.brokenAt !== null || this.#downSince.has(service);
-        const heard = passesForDown && group.ranks.some((rank) => rank.endpoint === endpoint);
+        const wasDown = group.brokenAt !== null || this.#downSince.has(service);
+        const heard = wasDown && group.ranks.some((rank) => rank.endpoint === endpoint);
         if (heard) {
           this.#downSince.delete(service);
           this.#replaceGroup(service, mendPlaces(group));
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -101,12 +101,7 @@
     this.#over.abort();
   }
 
-  /**
-   * Runs a step that nobody awaits.
-   *
-   * Failure: a decision throws in the callback of a socket, a timer or a promise. Symptom: the process ends, and
-   * every stream on it. Enough: the fault is logged and ends the one request that met it.
-   */
+  /** Runs a step that nobody awaits; a fault in it ends this request, not the process and every stream on it. */
   #guard(step: () => void): void {
     try {
       step();
--- a/src/daemon/direct/DirectPlacesLog.ts
+++ b/src/daemon/direct/DirectPlacesLog.ts
@@ -11,8 +11,8 @@
 
 /** What a line tells beside the group's state. */
 export interface PlacesUse {
-  /** Requests of this process in progress, at all endpoints. */
-  readonly own: number;
+  /** Requests of this process in progress, by endpoint. */
+  readonly own: ReadonlyMap<string, number>;
   /** Requests that wait here for a place at the service. */
   readonly waiting: number;
 }
@@ -52,7 +52,7 @@
         skew: Number((load?.skew ?? 1).toFixed(2)),
         limit: Math.round(limit),
         allowance,
-        own,
+        own: sum([...own.values()]),
         waiting,
       },
       'places at a group',
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -167,10 +167,7 @@
 
   /**
    * Makes a link to the first target that answers; null where none does. `failures` moves the first ones to the end.
-   *
-   * Failure: all hosts lose power and come back one after the other. Symptom: a process waits for the one target that
-   * isn't up yet, for as long as an attempt may take, while it refuses its callers. Enough: the others are tried
-   * beside it.
+   * Targets are tried side by side, since one of them may have no power yet.
    */
   async #openAny(failures: number): Promise<TransportLink | null> {
     const { signal, targets } = this.#options;
--- a/src/transport/__tests__/unit/TransportLinkClient.test.ts
+++ b/src/transport/__tests__/unit/TransportLinkClient.test.ts
@@ -118,6 +118,19 @@
   return { name: 'silent', address: { host: '127.0.0.1', port } };
 }
 
+/** A host that answers no attempt to connect, and one that answers. */
+async function startSilentAndOther(
+  signal: AbortSignal,
+): Promise<readonly [LinkTarget, LinkTarget]> {
+  const silent = await startSilentHost(signal);
+  const other = await startPeer(
+    () => false,
+    () => undefined,
+    signal,
+  );
+  return [silent, other];
+}
+
 async function waitFor(done: () => boolean, mostMs = Infinity): Promise<void> {
   const until = performance.now() + mostMs;
   while (!done()) {
@@ -134,12 +147,7 @@
   // leader; no configuration can be read, and callers are refused for as long as the system's own limit lasts.
   it('gives up a host that never answers, whatever is collected meanwhile', async () => {
     const stop = new AbortController();
-    const silent = await startSilentHost(stop.signal);
-    const other = await startPeer(
-      () => false,
-      () => undefined,
-      stop.signal,
-    );
+    const [silent, other] = await startSilentAndOther(stop.signal);
     const collect = collector();
     const timer = setInterval(collect, 20);
     const client = startClient([silent, other], stop.signal);
@@ -152,12 +160,7 @@
   // Guards against: after a power loss a process waits for the one hub that is still dark while others answer.
   it('joins another target beside one that has no power yet', async () => {
     const stop = new AbortController();
-    const silent = await startSilentHost(stop.signal);
-    const other = await startPeer(
-      () => false,
-      () => undefined,
-      stop.signal,
-    );
+    const [silent, other] = await startSilentAndOther(stop.signal);
     const failed: string[] = [];
     let failedBefore: number | null = null;
     const client = new TransportLinkClient({
--- a/tools/QuickstartProcess.ts
+++ b/tools/QuickstartProcess.ts
@@ -36,11 +36,8 @@
 let given = 0;
 
 /**
- * Addresses on loopback that nobody else uses, `ip:port`.
- *
- * Failure: a free port is chosen, and taken by an outgoing connection before the process that it is meant for listens
- * there. Symptom: that process ends at its start, and all that wait for it time out. Enough: each process that asks
- * has a part of the loopback network to itself, at a port that the kernel gives to nobody.
+ * Addresses on loopback that nobody else uses, `ip:port`. A free port could be taken by an outgoing connection before
+ * the process that it is meant for listens there.
  */
 export function ownAddresses(count: number): readonly string[] {
   const net = process.pid % 2 ** 14;
