Entry processes log the limit that an endpoint names

A limit that nobody takes in and one that never came looked alike in the logs. The answer's head now carries it (a number, none, or unreadable); each change is one line with the request whose answer brought it, and a gauge counts the endpoints that limit. Nothing is decided by it yet.

--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -34,6 +34,8 @@
 
 /** What a request hears of its attempt. */
 export interface AttemptListener {
+  /** The head of the endpoint's answer to this request has come. */
+  onHead: (head: AnswerHead) => void;
   /** Whole events of a stream, one or more; `raw` are the headers of its answer. */
   onEvents: (bytes: Buffer, answer: Pick<WholeAnswer, 'head' | 'raw'>) => void;
   /** The stream has ended after a whole event. */
@@ -99,6 +101,7 @@
     }
     this.#head = head;
     this.#raw = raw;
+    this.#options.listener.onHead(head);
   }
 
   onData(chunk: Buffer): void {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -200,6 +200,7 @@
         body: body.length === 0 ? null : body,
       },
       listener: {
+        onHead: (answer) => this.#guard(() => this.#state.onAnswerHead(endpoint, answer, head.id)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: () => this.#guard(() => this.#onStreamEnd()),
         onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -28,6 +28,7 @@
   type RoutingState,
 } from '../../coordination/index.js';
 import type {
+  AnswerHead,
   DirectoryDelta,
   DocumentDialect,
   HttpDialect,
@@ -47,6 +48,7 @@
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
 import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
+import { DirectLimits } from './DirectLimits.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
@@ -110,6 +112,8 @@
 
   readonly startup: DirectStartup;
 
+  readonly #limits: DirectLimits;
+
   /** Model services by name, as the newest configuration declares them. */
   readonly #models = new Map<string, ModelService | null>();
 
@@ -135,6 +139,7 @@
       this.#modelOf(service),
     );
     this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
+    this.#limits = new DirectLimits(options.runtime);
     this.screening = new DaemonScreening({
       runtime: options.runtime,
       metrics: this.#metrics,
@@ -332,6 +337,11 @@
     return ranked === undefined || ranked !== null;
   }
 
+  /** Takes what the head of an endpoint's answer says of the endpoint itself. */
+  onAnswerHead(endpoint: MemberRecord, head: AnswerHead, request: string): void {
+    this.#limits.onAnswer(endpoint, head.limit, request);
+  }
+
   onSent(service: string, id: string): void {
     this.admission.onSent(service, id);
     this.#routing = updateRouting(this.#routing, { type: 'sent', id }, this.now());
@@ -446,6 +456,7 @@
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
+    this.#limits.keep((life) => lives.has(life));
     this.#pools.keep((life) => lives.has(life) && !this.#gone.has(life));
   }
 
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -17,6 +17,7 @@
   wrongInstance: false,
   faultyInstance: null,
   isStream: true,
+  limit: 'none',
 };
 
 const ENDPOINT = { id: 'e1' } as MemberRecord;
@@ -45,6 +46,7 @@
     canRoute: () => false,
     takeRetry: () => false,
     pool: () => pool,
+    onAnswerHead: ignore,
     onSent: ignore,
     onDone: ignore,
     onAttemptFailed: ignore,
--- a/src/protocol/ProtocolDialect.ts
+++ b/src/protocol/ProtocolDialect.ts
@@ -33,6 +33,12 @@
   readonly resumeAfter: string | null;
 }
 
+/**
+ * The requests a second that an endpoint takes from all entry hosts together, as one of its answers names them; `none`
+ * where it names no limit, `unreadable` where it names one that is no number.
+ */
+export type NamedLimit = number | 'none' | 'unreadable';
+
 /** What the head of an endpoint's answer says. */
 export interface AnswerHead {
   readonly status: number;
@@ -47,6 +53,7 @@
   /** Instance that is to blame for the failure, where another than the one that answered. */
   readonly faultyInstance: string | null;
   readonly isStream: boolean;
+  readonly limit: NamedLimit;
 }
 
 /** How a platform's HTTP messages are read and written. */
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -4,6 +4,7 @@
   DocumentDialect,
   ForwardHead,
   HttpDialect,
+  NamedLimit,
   RawHeaders,
   RequestHead,
 } from './ProtocolDialect.js';
