Quarantine: the exchange of a set between processes is a part of its own

News of changes, comparison by hashes and exchange of whole sets don't depend on what is in the set; another set that all entry hosts must know can use them. Behaviour as before, tests unchanged.

--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -12,20 +12,23 @@
   type EndpointLife,
   type LostRequest,
   type QuarantineState,
-  type QuarantineStep,
   type Suspect,
 } from '../coordination/index.js';
 import type { QuarantineNews } from '../protocol/index.js';
 import type { Runtime } from './DaemonRuntime.js';
-
-/** How often whole sets are compared by their hashes: within the time that news may take, thrice over. In ms. */
-const COMPARE_MS = 1_000;
-
-/** A whole set is sent to one process at most this often, ms. */
-const WHOLE_MS = 300;
+import { DaemonSharedSet, type SendShared, type SharedSetRules } from './DaemonSharedSet.js';
 
 /** Sends a message to one other process. */
-export type SendNews = (news: QuarantineNews) => void;
+export type SendNews = SendShared<QuarantineNews>;
+
+const RULES: SharedSetRules<QuarantineState, Suspect, QuarantineNews> = {
+  empty: EMPTY_QUARANTINE,
+  itemsOf: (state) => [...state.values()],
+  hash: hashQuarantine,
+  merge: (state, { records }, now) => mergeNews(state, records, now),
+  forget: forgetOld,
+  write: writeNews,
+};
 
 /** What the task needs. */
 export interface QuarantineOptions {
@@ -38,24 +41,27 @@
 export class DaemonQuarantine {
   readonly #options: QuarantineOptions;
 
-  #state: QuarantineState = EMPTY_QUARANTINE;
+  readonly #set: DaemonSharedSet<QuarantineState, Suspect, QuarantineNews>;
 
   #customers: ReadonlySet<string> = new Set();
 
   readonly #listeners = new Set<() => void>();
 
-  /** When another process was last sent the whole set, ms. */
-  readonly #wholeSentAt = new Map<string, number>();
-
-  #comparedAt = -Infinity;
-
   constructor(options: QuarantineOptions) {
     this.#options = options;
+    this.#set = new DaemonSharedSet(RULES, {
+      now: options.runtime.now,
+      publish: options.publish,
+      onChanged: (changed, from) => this.#onChanged(changed, from),
+      onReplaced: () => {
+        this.#customers = new Set(this.suspects.map(({ customer }) => customer));
+      },
+    });
   }
 
   /** All suspects that ends are held against. */
   get suspects(): readonly Suspect[] {
-    return [...this.#state.values()].filter((suspect) => endsHeld(suspect) > 0);
+    return [...this.#set.state.values()].filter((suspect) => endsHeld(suspect) > 0);
   }
 
   /** Whether a customer has suspects: without any there is nothing to compare its requests with. */
@@ -65,13 +71,13 @@
 
   /** Ends held against a request. */
   endsOf(digest: string): number {
-    const suspect = this.#state.get(digest);
+    const suspect = this.#set.state.get(digest);
     return suspect === undefined ? 0 : endsHeld(suspect);
   }
 
   /** Time until a request is forgotten, ms. */
   heldForMs(digest: string): number {
-    const endedAt = this.#state.get(digest)?.endedAt ?? -Infinity;
+    const endedAt = this.#set.state.get(digest)?.endedAt ?? -Infinity;
     return Math.max(0, endedAt + SUSPECT_MS - this.#options.runtime.now());
   }
 
@@ -82,77 +88,38 @@
   }
 
   holdEnd(life: EndpointLife, lost: readonly LostRequest[]): void {
-    this.#take(holdEnd(this.#state, life, lost, this.#options.runtime.now()), null);
+    this.#set.take(holdEnd(this.#set.state, life, lost, this.#options.runtime.now()));
   }
 
   /** Releases a request; true if anything was held against it. */
   clear(digest: string): boolean {
-    const step = clearSuspect(this.#state, digest);
-    this.#take(step, null);
+    const step = clearSuspect(this.#set.state, digest);
+    this.#set.take(step);
     return step.changed.length > 0;
   }
 
   /** Takes news of another process, and answers with the whole set where that process holds another. */
   onNews(news: QuarantineNews, from: string, reply: SendNews): void {
-    const now = this.#options.runtime.now();
-    this.#take(mergeNews(this.#state, news.records, now), from);
-    const sentAt = this.#wholeSentAt.get(from) ?? -Infinity;
-    if (news.hash !== hashQuarantine(this.#state) && now - sentAt >= WHOLE_MS) {
-      this.#wholeSentAt.set(from, now);
-      this.#write([...this.#state.values()]).forEach(reply);
-    }
+    this.#set.onNews(news, from, reply);
   }
 
   /** Sends the whole set to a process that this one has just met. */
   introduce(send: SendNews): void {
-    if (this.#state.size > 0) {
-      this.#write([...this.#state.values()]).forEach(send);
-    }
+    this.#set.introduce(send);
   }
 
-  /**
-   * Forgets what is old, and has others compare their sets with this one.
-   *
-   * Failure: news gets lost with a hub that dies, a cut or a process that stood still. Symptom: one entry process
-   * goes on sending what all others refuse. Enough: hashes of whole sets are compared at an interval, and two
-   * processes whose sets differ send each other the whole.
-   */
+  /** Forgets what is old, and has others compare their sets with this one. */
   tick(): void {
-    const now = this.#options.runtime.now();
-    this.#replace(forgetOld(this.#state, now));
-    if (this.#state.size > 0 && now - this.#comparedAt >= COMPARE_MS) {
-      this.#comparedAt = now;
-      this.#write([]).forEach((news) => this.#options.publish(news, null));
-    }
-  }
-
-  #write(suspects: readonly Suspect[]): readonly QuarantineNews[] {
-    return writeNews(this.#state, suspects, this.#options.runtime.now());
-  }
-
-  #replace(state: QuarantineState): void {
-    if (state !== this.#state) {
-      this.#state = state;
-      this.#customers = new Set(this.suspects.map(({ customer }) => customer));
-    }
-  }
-
-  #take({ state, changed }: QuarantineStep, from: string | null): void {
-    this.#replace(state);
-    if (changed.length === 0) {
-      return;
-    }
-    this.#log(changed, from);
-    this.#write(changed).forEach((news) => this.#options.publish(news, from));
-    this.#listeners.forEach((listener) => listener());
+    this.#set.tick();
   }
 
   /** One line for what is told of several requests: all that was in progress at an endpoint is suspected. */
-  #log(changed: readonly Suspect[], from: string | null): void {
+  #onChanged(changed: readonly Suspect[], from: string | null): void {
     const requests = changed.map((suspect) => `${suspect.digest}=${endsHeld(suspect)}`);
     this.#options.runtime.log.info(
-      { event: 'suspects', from, requests, held: this.#state.size },
+      { event: 'suspects', from, requests, held: this.#set.state.size },
       'ends held against requests',
     );
+    this.#listeners.forEach((listener) => listener());
   }
 }
