A limit that an endpoint names is kept by all entry hosts together

Callers saw nothing; an endpoint that had asked for relief didn't get it: 12 requests in 4 s at a limit of 1 a second (11 allowed), and the same rate 15 s after it was named as before.

Cause: the limit was read nowhere, and no state could hold it.

Change: entry and control processes share the limits as a set that merges, ordered by what a request's sender knew. A few senders, chosen by name, each keep their even part; asked right before the first byte leaves, so that a request that waited for a connection is asked too. What no endpoint takes while the caller waits is refused at once with the time of the next turn.

--- a/src/coordination/DirectAttempts.ts
+++ b/src/coordination/DirectAttempts.ts
@@ -8,6 +8,8 @@
 export type DirectFailure =
   /** No connection was made: nothing was sent. */
   | 'unsent'
+  /** Kept back before anything was sent: the endpoint takes no more from here for now. */
+  | 'heldBack'
   /** The endpoint says that it has not run the request and never will. */
   | 'notRun'
   /** Sent, and no answer of the endpoint's to this request came: it may have run, or may yet. */
@@ -56,12 +58,17 @@
 /** Attempts that can't be sent are tried elsewhere this often: they cost the endpoints nothing. */
 const MOST_UNSENT = 4;
 
+/** Whether nothing was sent. */
+export function isUnsent(failure: DirectFailure): boolean {
+  return failure === 'unsent' || failure === 'heldBack';
+}
+
 function mayRetry(failure: DirectFailure, progress: DirectProgress, unsent: number): boolean {
   const { repeatable, sends, maxSends, leftMs, begun, canResume } = progress;
   if (leftMs < LEAST_RETRY_MS || (begun && !canResume)) {
     return false;
   }
-  if (failure === 'unsent') {
+  if (isUnsent(failure)) {
     return unsent <= MOST_UNSENT;
   }
   return sends < maxSends && (repeatable || failure === 'notRun');
@@ -94,7 +101,7 @@
   if (mayWait(failure, progress)) {
     return 'wait';
   }
-  if (mayRetry(failure, progress, unsent) && (failure === 'unsent' || takeRetry())) {
+  if (mayRetry(failure, progress, unsent) && (isUnsent(failure) || takeRetry())) {
     return 'retry';
   }
   if (progress.begun) {
--- a/src/coordination/EndpointEnds.ts
+++ b/src/coordination/EndpointEnds.ts
@@ -14,6 +14,11 @@
   return `${id}@${incarnation}`;
 }
 
+/** Id of the endpoint whose life it is. */
+export function idOf(life: EndpointLife): string {
+  return life.slice(0, life.lastIndexOf('@'));
+}
+
 /**
  * Whether news prove that an endpoint has ended without having said that it leaves: its lease ran out, a later
  * life has its id, or another endpoint has its address. One that says farewell has a newer version of its record.
--- /dev/null
+++ b/src/coordination/LimitShare.ts
@@ -0,0 +1,89 @@
+/**
+ * How the entry hosts share the requests that an endpoint takes: a few of them send to it, each its even part, and the
+ * others send to other endpoints. Which ones follows from names that all hosts know.
+ *
+ * A host can't send less than one request, so that every sender may have one out of step with the others: with all
+ * hosts as senders a burst grows with their number, whatever the limit is. docs/design/limits.md compares the ways.
+ */
+import type { EndpointLife } from './EndpointEnds.js';
+import { hashText, rendezvousOrder } from './RoutingHash.js';
+
+/** Senders to an endpoint: this many, and as many as its limit lets through in a time, ms. */
+const LEAST_SENDERS = 3;
+const SENDERS_MS = 2_000;
+
+/** An endpoint that takes less than this, or nothing, is asked this often whether that still holds; a second. */
+const LEAST_PER_SECOND = 1 / 30;
+
+/** An entry host that is no longer a member counts for this long: it may only be out of reach. In ms. */
+export const HOST_LINGER_MS = 60_000;
+
+/** Entry hosts, with when each was last a member, ms. */
+export type RecentHosts = ReadonlyMap<string, number>;
+
+/** Takes the entry hosts that are members now and drops those that have been none for long. */
+export function updateHosts(
+  hosts: RecentHosts,
+  members: readonly string[],
+  now: number,
+): RecentHosts {
+  const next = new Map(hosts);
+  members.forEach((id) => next.set(id, now));
+  next.forEach((at, id) => {
+    if (now - at > HOST_LINGER_MS) {
+      next.delete(id);
+    }
+  });
+  return next;
+}
+
+/** The hosts that may send to an endpoint. */
+export function sendersTo(
+  life: EndpointLife,
+  perSecond: number,
+  hosts: readonly string[],
+): readonly string[] {
+  const count = LEAST_SENDERS + Math.floor((perSecond * SENDERS_MS) / 1_000);
+  return count >= hosts.length ? hosts : rendezvousOrder(hashText(life), hosts).slice(0, count);
+}
+
+/** The pace of one host's requests to one endpoint (a leaky bucket of one request). */
+export interface SendPace {
+  /** Time between two requests, ms; infinite for a host that is no sender. */
+  readonly intervalMs: number;
+  /** When the last request was sent, or is to be; ms. */
+  readonly lastAt: number;
+}
+
+/** Time between two requests of a host to an endpoint, ms. */
+export function intervalOf(
+  self: string,
+  life: EndpointLife,
+  perSecond: number,
+  hosts: readonly string[],
+): number {
+  const senders = sendersTo(life, perSecond, hosts);
+  const rate = Math.max(LEAST_PER_SECOND, perSecond);
+  return senders.includes(self) ? (senders.length * 1_000) / rate : Infinity;
+}
+
+/**
+ * The pace once its interval may have changed. One that has just become a sender waits a whole interval: it may have
+ * sent just before.
+ */
+export function adjustPace(pace: SendPace | undefined, intervalMs: number, now: number): SendPace {
+  if (pace === undefined || pace.intervalMs === Infinity) {
+    return { intervalMs, lastAt: now };
+  }
+  return pace.intervalMs === intervalMs ? pace : { ...pace, intervalMs };
+}
+
+/** Time until the next request may be sent, ms; 0 for now. */
+export function paceWait({ intervalMs, lastAt }: SendPace, now: number): number {
+  return Math.max(0, lastAt + intervalMs - now);
+}
+
+/** The pace once the next request is sent, or has its time: `paceWait` from now. */
+export function takeTurn(pace: SendPace, now: number): SendPace {
+  return { ...pace, lastAt: now + paceWait(pace, now) };
+}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -58,6 +58,7 @@
 } from './Quarantine.js';
 export { rememberAnswer, wasAnswered, type RecentAnswers } from './RecentAnswers.js';
 export {
+  idOf,
   lifeOf,
   NO_ENDPOINT_ENDS,
   provesEnd,
@@ -179,6 +180,31 @@
   type SubsetSelf,
 } from './Subset.js';
 export {
+  clockOf,
+  forgetLimits,
+  hashLimits,
+  LIMIT_MS,
+  mergeLimits,
+  NO_LIMITS,
+  takeNamedLimit,
+  writeLimits,
+  type EndpointLimit,
+  type LimitMark,
+  type LimitsState,
+  type LimitsStep,
+} from './EndpointLimits.js';
+export {
+  adjustPace,
+  intervalOf,
+  paceWait,
+  sendersTo,
+  takeTurn,
+  updateHosts,
+  type RecentHosts,
+  type SendPace,
+} from './LimitShare.js';
+export {
+  isUnsent,
   judgeFailure,
   LEAST_RETRY_MS,
   type DirectFailure,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -165,7 +165,7 @@
           publish: (records) => peers.publish(records),
           controls: () => peers.controls,
           publishLoad: (load) => peers.publishLoad(load),
-          publishNews: (news) => peers.publishNews(news),
+          publishNews: (topic, news) => peers.publishNews(topic, news),
         }),
     ).singleton(),
     consensus: asFunction(
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,13 +1,7 @@
 /** Links of a control process to the others, and the forming of a cluster over them. */
 import type { Logger } from 'pino';
 import { replicaName, type ConsensusMessage, type ConsensusState } from '../coordination/index.js';
-import type {
-  ControlAddress,
-  DirectoryDelta,
-  GroupLoad,
-  MemberRecord,
-  QuarantineNews,
-} from '../protocol/index.js';
+import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
 import {
   TransportLinkClient,
   type Address,
@@ -15,7 +9,7 @@
   type LinkSwitch,
 } from '../transport/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
-import type { DaemonHub } from './DaemonHub.js';
+import type { DaemonHub, SharedNews, SharedTopic } from './DaemonHub.js';
 import type { ControlTarget } from './DaemonSettings.js';
 
 /** Who a control process is. */
@@ -103,10 +97,8 @@
       'control.identity': () => this.identity,
       'control.found': async (params) => this.#onFound(params as { voters: readonly string[] }),
       'control.load': (params) => hub().onGroupLoad(params as GroupLoad),
-      'control.quarantine': (params) => {
-        const { from, ...news } = params as QuarantineNews & { from: string };
-        hub().quarantine.onNews(news, from, (reply) => this.#sendNews(from, reply));
-      },
+      'control.quarantine': (params) => this.#onNews('quarantine', params),
+      'control.limits': (params) => this.#onNews('limits', params),
       'control.directory': (params) => {
         const { from, ...delta } = params as DirectoryDelta & { from: string };
         hub().onPeer(from, delta);
@@ -143,13 +135,18 @@
     this.#clients.forEach((client) => client.notify('control.load', load));
   }
 
-  /** Sends news of suspected requests to all. */
-  publishNews(news: QuarantineNews): void {
-    this.#clients.forEach((_client, name) => this.#sendNews(name, news));
+  /** Sends news of what all entry and control processes hold to all. */
+  publishNews(topic: SharedTopic, news: SharedNews): void {
+    this.#clients.forEach((_client, name) => this.#sendNews(name, topic, news));
+  }
+
+  #sendNews(to: string, topic: SharedTopic, news: SharedNews): void {
+    this.#clients.get(to)?.notify(`control.${topic}`, { from: this.#options.self, ...news });
   }
 
-  #sendNews(to: string, news: QuarantineNews): void {
-    this.#clients.get(to)?.notify('control.quarantine', { from: this.#options.self, ...news });
+  #onNews(topic: SharedTopic, params: unknown): void {
+    const { from, ...news } = params as SharedNews & { from: string };
+    this.#options.hub().onShared(topic, news, from, (reply) => this.#sendNews(from, topic, reply));
   }
 
   /** Calls a method at a control process by name. */
@@ -272,9 +269,7 @@
         // A new link may have missed news: the peer gets the whole list of those attached here.
         const { attached } = hub();
         link.notify('control.directory', this.#directory(true, attached));
-        hub().quarantine.introduce((news) =>
-          link.notify('control.quarantine', { from: self, ...news }),
-        );
+        hub().introduce((topic, news) => link.notify(`control.${topic}`, { from: self, ...news }));
       },
     });
     this.#stops.set(name, stop);
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -24,10 +24,12 @@
   GroupLoad,
   HelloMessage,
   HelloReply,
+  LimitNews,
   MemberRecord,
   QuarantineNews,
 } from '../protocol/index.js';
-import { DaemonQuarantine, type SendNews } from './DaemonQuarantine.js';
+import { DaemonLimits } from './DaemonLimits.js';
+import { DaemonQuarantine } from './DaemonQuarantine.js';
 import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
 import {
   parseAddress,
@@ -51,10 +53,16 @@
   readonly controls: () => readonly ControlAddress[];
   /** Sends a group's load to the other control processes. */
   readonly publishLoad: (load: GroupLoad) => void;
-  /** Sends news of suspected requests to the other control processes. */
-  readonly publishNews: SendNews;
+  /** Sends news of what all entry and control processes hold to the other control processes. */
+  readonly publishNews: (topic: SharedTopic, news: SharedNews) => void;
 }
 
+/** What all entry and control processes hold alike, by the name of its messages. */
+export type SharedTopic = 'quarantine' | 'limits';
+
+/** News of any of it. */
+export type SharedNews = QuarantineNews | LimitNews;
+
 /** What a control process tells of one process attached to it. */
 export interface AttachedStatus {
   readonly id: string;
@@ -89,6 +97,9 @@
   /** Requests that endpoints have ended under, as the entry processes tell. */
   readonly quarantine: DaemonQuarantine;
 
+  /** Limits that endpoints have named, as the entry processes tell. */
+  readonly #limits: DaemonLimits;
+
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
   #rollout: RolloutState;
@@ -101,7 +112,11 @@
     this.#rollout = initRollout(options.now());
     this.quarantine = new DaemonQuarantine({
       runtime: options,
-      publish: (news, from) => this.#publishNews(news, from),
+      publish: (news, from) => this.#publishNews('quarantine', news, from),
+    });
+    this.#limits = new DaemonLimits({
+      runtime: options,
+      publish: (news, from) => this.#publishNews('limits', news, from),
     });
   }
 
@@ -140,10 +155,8 @@
         this.onGroupLoad(params as GroupLoad);
         this.#options.publishLoad(params as GroupLoad);
       },
-      quarantine: (params, link) => {
-        const reply: SendNews = (news) => link.notify('quarantine', news);
-        this.quarantine.onNews(params as QuarantineNews, link.peer, reply);
-      },
+      quarantine: (params, link) => this.#onAttachedNews('quarantine', params as SharedNews, link),
+      limits: (params, link) => this.#onAttachedNews('limits', params as SharedNews, link),
       'config.applied': (params, link) => {
         this.#applied.set(link.peer, (params as { index: number }).index);
       },
@@ -209,6 +222,7 @@
     this.#member({ type: 'heard', ids });
     this.#member({ type: 'tick' });
     this.quarantine.tick();
+    this.#limits.tick();
     this.#roll({ type: 'tick' });
   }
 
@@ -258,7 +272,7 @@
     this.#links.set(id, attached);
     this.#sendDirectory(attached);
     if (record.role === 'entry') {
-      this.quarantine.introduce((news) => link.notify('quarantine', news));
+      this.introduce((topic, news) => link.notify(topic, news));
     }
     if (configIndex !== null) {
       this.#applied.set(id, configIndex);
@@ -267,15 +281,39 @@
     return { ...reply, controls: this.#options.controls() };
   }
 
+  /** Tells another process all that is held here. */
+  introduce(send: (topic: SharedTopic, news: SharedNews) => void): void {
+    this.quarantine.introduce((news) => send('quarantine', news));
+    this.#limits.introduce((news) => send('limits', news));
+  }
+
+  /** Takes news of what all processes hold. */
+  onShared(
+    topic: SharedTopic,
+    news: SharedNews,
+    from: string,
+    reply: (news: SharedNews) => void,
+  ): void {
+    const handlers: Readonly<Record<SharedTopic, () => void>> = {
+      quarantine: () => this.quarantine.onNews(news as QuarantineNews, from, reply),
+      limits: () => this.#limits.onNews(news as LimitNews, from, reply),
+    };
+    handlers[topic]();
+  }
+
+  #onAttachedNews(topic: SharedTopic, news: SharedNews, link: TransportLink): void {
+    this.onShared(topic, news, link.peer, (reply) => link.notify(topic, reply));
+  }
+
   /** What an entry process tells goes to all others and all hubs; what a hub tells, to the own entry processes. */
-  #publishNews(news: QuarantineNews, from: string | null): void {
+  #publishNews(topic: SharedTopic, news: SharedNews, from: string | null): void {
     this.#links.forEach(({ link, record }, id) => {
       if (record.role === 'entry' && id !== from) {
-        link.notify('quarantine', news);
+        link.notify(topic, news);
       }
     });
     if (from === null || this.#links.has(from)) {
-      this.#options.publishNews(news);
+      this.#options.publishNews(topic, news);
     }
   }
 
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -7,6 +7,7 @@
   GroupLoad,
   HelloMessage,
   HelloReply,
+  LimitNews,
   MemberRecord,
   QuarantineNews,
 } from '../protocol/index.js';
@@ -34,6 +35,7 @@
   readonly onDirectory: (delta: DirectoryDelta) => void;
   readonly onGroupLoad?: (load: GroupLoad) => void;
   readonly onQuarantine?: (news: QuarantineNews) => void;
+  readonly onLimits?: (news: LimitNews) => void;
   /** Called once attached, after each new link. */
   readonly onUp?: () => void;
 }
@@ -70,6 +72,7 @@
             this.#controls = controls as readonly ControlAddress[];
           },
           'group.load': (load) => options.onGroupLoad?.(load as GroupLoad),
+          limits: (news) => options.onLimits?.(news as LimitNews),
           quarantine: (news) => options.onQuarantine?.(news as QuarantineNews),
         },
         () => {
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -34,6 +34,8 @@
 
 /** What a request hears of its attempt. */
 export interface AttemptListener {
+  /** Asked right before the first byte leaves; false keeps it from leaving. */
+  onStart: () => boolean;
   /** The head of the endpoint's answer to this request has come. */
   onHead: (head: AnswerHead) => void;
   /** Whole events of a stream, one or more; `raw` are the headers of its answer. */
@@ -70,6 +72,8 @@
 
   #over = false;
 
+  #heldBack = false;
+
   constructor(options: AttemptOptions) {
     this.#options = options;
     this.#running = startCall(options.pool, options.call, this);
@@ -81,6 +85,11 @@
     this.#running.abort();
   }
 
+  onStart(): boolean {
+    this.#heldBack = !this.#options.listener.onStart();
+    return !this.#heldBack;
+  }
+
   /**
    * Checks that the answer is this request's own.
    *
@@ -133,7 +142,8 @@
 
   onError(err: Error, sent: boolean): void {
     const begun = this.#head === null ? 'lost' : 'broken';
-    this.#fail(sent ? begun : 'unsent', err.message, null, sent);
+    const unsent = this.#heldBack ? 'heldBack' : 'unsent';
+    this.#fail(sent ? begun : unsent, err.message, null, sent);
   }
 
   get #isStream(): boolean {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -1,5 +1,12 @@
 /** One caller's request at an entry process: its attempts and the one answer. */
-import { judgeFailure, type DirectProgress, type DirectVerdict } from '../../coordination/index.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import {
+  isUnsent,
+  judgeFailure,
+  LEAST_RETRY_MS,
+  type DirectProgress,
+  type DirectVerdict,
+} from '../../coordination/index.js';
 import { RequestError, type MemberRecord } from '../../protocol/index.js';
 import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
 import type { DirectEntryState } from './DirectEntryState.js';
@@ -163,19 +170,19 @@
 
   /**
    * Sends the request to an endpoint: the first time, again, after a wait or to go on with a stream. All of these
-   * come by here, and here it is asked whether it may be sent at all.
+   * come by here, and here it is asked whether it may be sent at all. `turn` is an endpoint whose turn it has.
    */
-  #send(): void {
+  #send(turn: MemberRecord | null = null): void {
     const { service, route, head, customer, req, body, deadline } = this.#spec;
     if (this.#state.isHeld(this.#spec)) {
       this.#state.admission.onUnused(service);
       this.#hold();
       return;
     }
-    const endpoint = this.#state.route(service, head.id, this.#tried, this.attempts + 1);
+    const endpoint = turn ?? this.#state.route(service, head.id, this.#tried, this.attempts + 1);
     if (endpoint === null) {
       this.#state.admission.onUnused(service);
-      this.#conclude(this.#begun ? 'cut' : this.#hopeless, null);
+      this.#awaitTurn();
       return;
     }
     const { dialect } = this.#state;
@@ -189,6 +196,7 @@
     this.#sends += 1;
     this.#tried.push(endpoint.id);
     this.#state.onSent(service, endpoint.id);
+    let mark = this.#state.limits.mark(endpoint);
     const attempt = new DirectAttempt({
       pool: this.#state.pool(endpoint),
       dialect,
@@ -200,7 +208,12 @@
         body: body.length === 0 ? null : body,
       },
       listener: {
-        onHead: (answer) => this.#guard(() => this.#state.onAnswerHead(endpoint, answer, head.id)),
+        onStart: () => {
+          mark = this.#state.limits.mark(endpoint);
+          return turn !== null || this.#state.limits.takeNow(endpoint);
+        },
+        onHead: (answer) =>
+          this.#guard(() => this.#state.onAnswerHead(endpoint, answer, head.id, mark)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: () => this.#guard(() => this.#onStreamEnd()),
         onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
@@ -210,6 +223,29 @@
     this.#sent = { endpoint, attempt, writes: false };
   }
 
+  /**
+   * No endpoint takes the request now. It waits for its turn at one that has named a limit, if that comes while its
+   * caller waits; else it is refused at once with the time of the next turn.
+   */
+  #awaitTurn(): void {
+    const { service, route, startedAt, deadline } = this.#spec;
+    const until = Math.min(startedAt + route.patienceMs, deadline - LEAST_RETRY_MS);
+    const turn = this.#state.takeTurn(service, this.#tried, until - this.#state.now());
+    if (turn === null) {
+      const nextMs = this.#state.nextTurnMs(service, this.#tried);
+      if (nextMs === null || this.#begun || this.#mayHaveRun) {
+        this.#conclude(this.#begun ? 'cut' : this.#hopeless, null);
+      } else {
+        this.#refuse(nextMs);
+      }
+      return;
+    }
+    delay(turn.waitMs, undefined, { signal: this.#over.signal })
+      .then(() => this.#guard(() => this.#send(this.#state.isServing(turn) ? turn.endpoint : null)))
+      // The request is over, and its turn is lost.
+      .catch(() => undefined);
+  }
+
   /** Answers a request that must be sent to no endpoint any more. */
   #hold(): void {
     this.#state.screening.logHeld(this.#spec.identity, this.#spec.head.id);
@@ -326,11 +362,11 @@
   #onFailure(failed: AttemptFailure): void {
     const { failure } = failed;
     const endpoint = this.#sent?.endpoint;
-    this.#settle(failure === 'notRun' ? 'refused' : 'failed');
+    this.#settle(failure === 'notRun' || failure === 'heldBack' ? 'refused' : 'failed');
     if (this.#isOver || endpoint === undefined) {
       return;
     }
-    if (failure === 'unsent') {
+    if (isUnsent(failure)) {
       this.#sends -= 1;
       this.#unsent += 1;
     } else if (failure !== 'notRun') {
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -102,6 +102,7 @@
       retries,
       ...dialects,
       sendNews: (news) => this.#hubLink.notify('quarantine', news),
+      sendLimits: (news) => this.#hubLink.notify('limits', news),
     });
     this.#hubLink = new DaemonHubLink({
       targets: cfg.controls,
@@ -121,9 +122,11 @@
       onDirectory: (delta) => this.#state.onDirectory(delta),
       onGroupLoad: (load) => this.#state.admission.onLoad(load),
       onQuarantine: (news) => this.#state.screening.onNews(news),
+      onLimits: (news) => this.#state.limits.onNews(news),
       onUp: () => {
         this.#watch.ask();
         this.#state.screening.onUp();
+        this.#state.limits.onUp();
       },
     });
     this.#watch = new DirectConfigWatch({
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -7,6 +7,7 @@
   initRouting,
   isFresh,
   isProven,
+  idOf,
   lifeOf,
   mergeDelta,
   MOST_ENDS,
@@ -22,6 +23,7 @@
   type DirectFailure,
   type DirectVerdict,
   type FreshnessState,
+  type LimitMark,
   type MembershipView,
   type RetryAllowance,
   type RetryBudgetState,
@@ -32,11 +34,13 @@
   DirectoryDelta,
   DocumentDialect,
   HttpDialect,
+  LimitNews,
   MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
 import type { EndpointPool } from '../../transport/index.js';
 import type { SendNews } from '../DaemonQuarantine.js';
+import type { SendShared } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
 import { EntryMetrics } from '../DaemonEntryMetrics.js';
 import type { Runtime } from '../DaemonRuntime.js';
@@ -65,6 +69,8 @@
   readonly retries: RetryAllowance;
   /** Sends news of suspected requests to the control process. */
   readonly sendNews: SendNews;
+  /** Sends news of limits to the control process. */
+  readonly sendLimits: SendShared<LimitNews>;
 }
 
 /** What is noted of a request's way. */
@@ -78,6 +84,12 @@
   readonly attempts: number;
 }
 
+/** An endpoint that takes a request after a time, ms. */
+export interface Turn {
+  readonly endpoint: MemberRecord;
+  readonly waitMs: number;
+}
+
 /** Instances proven gone are remembered this long, against late news of them. In ms. */
 const GONE_MS = 60_000;
 
@@ -112,7 +124,7 @@
 
   readonly startup: DirectStartup;
 
-  readonly #limits: DirectLimits;
+  readonly limits: DirectLimits;
 
   /** Model services by name, as the newest configuration declares them. */
   readonly #models = new Map<string, ModelService | null>();
@@ -139,7 +151,11 @@
       this.#modelOf(service),
     );
     this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
-    this.#limits = new DirectLimits(options.runtime);
+    this.limits = new DirectLimits({
+      self: options.id,
+      runtime: options.runtime,
+      send: options.sendLimits,
+    });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
       metrics: this.#metrics,
@@ -228,6 +244,7 @@
   /** Drops what has been missing for too long. */
   tick(): void {
     this.screening.tick();
+    this.limits.tick();
     const view = pruneView(this.#view, this.now());
     if (view !== this.#view) {
       this.#setView(view);
@@ -279,7 +296,8 @@
     attempt: number,
   ): MemberRecord | null {
     const { runtime } = this.#options;
-    const ranked = this.admission.choose(service, exclude);
+    const without = this.#without(exclude);
+    const ranked = this.admission.choose(service, without);
     if (ranked !== undefined) {
       const record = ranked === null ? null : (this.#view.get(ranked)?.record ?? null);
       const endpoint = record === null ? null : record.id;
@@ -290,7 +308,7 @@
       return record;
     }
     const key = serviceKey(DIRECT_FLEET, service);
-    const req = { service: key, prefix: null, exclude };
+    const req = { service: key, prefix: null, exclude: without };
     const decision = routeRequest(this.#routing, req, this.now(), runtime.rng);
     runtime.log.info(
       {
@@ -333,13 +351,69 @@
 
   /** Whether an endpoint is left for another attempt. */
   canRoute(service: string, exclude: readonly string[]): boolean {
-    const ranked = this.admission.choose(service, exclude);
-    return ranked === undefined || ranked !== null;
+    const without = this.#without(exclude);
+    const ranked = this.admission.choose(service, without);
+    return ranked === undefined ? this.#hasOther(service, without) : ranked !== null;
+  }
+
+  /** Takes what the head of an endpoint's answer says of the endpoint itself; `sent` marks its request. */
+  onAnswerHead(endpoint: MemberRecord, head: AnswerHead, request: string, sent: LimitMark): void {
+    if (!head.wrongInstance) {
+      this.limits.onAnswer(endpoint, sent, head.limit, request);
+    }
+  }
+
+  /** Takes the next turn at an endpoint of the service that has named a limit; null where none comes in time. */
+  takeTurn(service: string, exclude: readonly string[], withinMs: number): Turn | null {
+    const next = this.#nextTurn(service, exclude);
+    if (next === null || next.waitMs > withinMs) {
+      return null;
+    }
+    this.limits.reserve(next.endpoint);
+    return next;
+  }
+
+  /** Time until an endpoint of the service that has named a limit takes a request, ms; null where none will. */
+  nextTurnMs(service: string, exclude: readonly string[]): number | null {
+    return this.#nextTurn(service, exclude)?.waitMs ?? null;
+  }
+
+  /** Whether the endpoint of a turn still serves. */
+  isServing({ endpoint }: Turn): boolean {
+    const record = this.#view.get(endpoint.id)?.record;
+    return (
+      record?.status === 'serving' &&
+      record.incarnation === endpoint.incarnation &&
+      !this.#gone.has(lifeOf(record))
+    );
+  }
+
+  #nextTurn(service: string, exclude: readonly string[]): Turn | null {
+    if (this.admission.isClosed(service)) {
+      return null;
+    }
+    return this.#heldBack()
+      .filter(({ endpoint }) => endpoint.offer?.service === service)
+      .filter(({ endpoint, waitMs }) => !exclude.includes(endpoint.id) && waitMs < Infinity)
+      .filter((turn) => this.isServing(turn))
+      .reduce<Turn | null>((a, b) => (a === null || b.waitMs < a.waitMs ? b : a), null);
+  }
+
+  /** Endpoints that must be sent nothing now, as they have named a limit. */
+  #heldBack(): readonly Turn[] {
+    return this.limits.heldBack.flatMap(({ life, waitMs }) => {
+      const record = this.#view.get(idOf(life))?.record;
+      return record !== undefined && lifeOf(record) === life ? [{ endpoint: record, waitMs }] : [];
+    });
+  }
+
+  #without(exclude: readonly string[]): readonly string[] {
+    return [...exclude, ...this.#heldBack().map(({ endpoint }) => endpoint.id)];
   }
 
-  /** Takes what the head of an endpoint's answer says of the endpoint itself. */
-  onAnswerHead(endpoint: MemberRecord, head: AnswerHead, request: string): void {
-    this.#limits.onAnswer(endpoint, head.limit, request);
+  #hasOther(service: string, without: readonly string[]): boolean {
+    const known = this.#routing.services.get(serviceKey(DIRECT_FLEET, service)) ?? [];
+    return known.some(({ record }) => !without.includes(record.id));
   }
 
   onSent(service: string, id: string): void {
@@ -452,11 +526,12 @@
   #setView(view: MembershipView): void {
     this.#view = view;
     const serving = servingMembers(view).filter((record) => !this.#gone.has(lifeOf(record)));
-    this.#entryHosts = serving.filter(({ role }) => role === 'entry').length;
+    const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
+    this.#entryHosts = entries.length;
+    this.limits.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
-    this.#limits.keep((life) => lives.has(life));
     this.#pools.keep((life) => lives.has(life) && !this.#gone.has(life));
   }
 
--- a/src/daemon/direct/DirectLimits.ts
+++ b/src/daemon/direct/DirectLimits.ts
@@ -1,52 +1,149 @@
-/** Limits that endpoints name in their answers, as an entry process takes them in. */
+/** What an entry process may send to endpoints that have named a limit. Asked right before each send. */
 import { Gauge } from 'prom-client';
-import { lifeOf, type EndpointLife } from '../../coordination/index.js';
-import type { MemberRecord, NamedLimit } from '../../protocol/index.js';
+import {
+  adjustPace,
+  clockOf,
+  intervalOf,
+  lifeOf,
+  paceWait,
+  takeNamedLimit,
+  takeTurn,
+  updateHosts,
+  type EndpointLife,
+  type LimitMark,
+  type RecentHosts,
+  type SendPace,
+} from '../../coordination/index.js';
+import type { LimitNews, MemberRecord, NamedLimit } from '../../protocol/index.js';
+import { DaemonLimits } from '../DaemonLimits.js';
 import type { Runtime } from '../DaemonRuntime.js';
+import type { SendShared } from '../DaemonSharedSet.js';
+
+/** What the task needs. */
+export interface DirectLimitsOptions {
+  /** Id of this entry host. */
+  readonly self: string;
+  readonly runtime: Pick<Runtime, 'now' | 'log' | 'registry'>;
+  /** Sends news to the control process; lost while there is no link. */
+  readonly send: SendShared<LimitNews>;
+}
+
+/** Name under which the control process's news are taken: there is one at a time. */
+const HUB = 'hub';
 
 /** Task of one entry process. */
 export class DirectLimits {
-  readonly #runtime: Pick<Runtime, 'log' | 'registry'>;
+  readonly #options: DirectLimitsOptions;
+
+  readonly #limits: DaemonLimits;
 
-  /** Limits in force, requests a second. */
-  readonly #limits = new Map<EndpointLife, number>();
+  /** Paces of the endpoints that have a limit now. */
+  #paces: ReadonlyMap<EndpointLife, SendPace> = new Map();
 
-  constructor(runtime: Pick<Runtime, 'log' | 'registry'>) {
-    this.#runtime = runtime;
-    const limits = this.#limits;
+  #hosts: RecentHosts = new Map();
+
+  constructor(options: DirectLimitsOptions) {
+    this.#options = options;
+    this.#limits = new DaemonLimits({
+      runtime: options.runtime,
+      publish: (news, from) => {
+        if (from === null) {
+          options.send(news);
+        }
+      },
+      onReplaced: () => this.#adjust(),
+    });
+    const count = (): number => this.#paces.size;
     // eslint-disable-next-line no-new
     new Gauge({
       name: 'laburnumgauge_limited_endpoints',
       help: 'Endpoints that have named a limit',
-      registers: [runtime.registry],
+      registers: [options.runtime.registry],
       collect() {
-        this.set(limits.size);
+        this.set(count());
       },
     });
   }
 
-  /** Takes the limit that an answer names. */
-  onAnswer(endpoint: MemberRecord, limit: NamedLimit, request: string): void {
+  /** Endpoints that take nothing from here now, with the time until they do, ms. */
+  get heldBack(): readonly { readonly life: EndpointLife; readonly waitMs: number }[] {
+    const now = this.#options.runtime.now();
+    return [...this.#paces]
+      .map(([life, pace]) => ({ life, waitMs: paceWait(pace, now) }))
+      .filter(({ waitMs }) => waitMs > 0);
+  }
+
+  /** Follows the entry hosts that share the limits. */
+  setHosts(members: readonly string[]): void {
+    const { self, runtime } = this.#options;
+    this.#hosts = updateHosts(this.#hosts, [...members, self], runtime.now());
+    this.#adjust();
+  }
+
+  /** Marks a request that is sent now. */
+  mark(endpoint: MemberRecord): LimitMark {
+    return {
+      clock: clockOf(this.#limits.state, lifeOf(endpoint)),
+      at: this.#options.runtime.now(),
+    };
+  }
+
+  /** Takes a turn at an endpoint, if it takes a request now. */
+  takeNow(endpoint: MemberRecord): boolean {
+    const pace = this.#paces.get(lifeOf(endpoint));
+    const isFree = pace === undefined || paceWait(pace, this.#options.runtime.now()) === 0;
+    if (isFree) {
+      this.reserve(endpoint);
+    }
+    return isFree;
+  }
+
+  /** Takes the next turn at an endpoint, whenever that is. */
+  reserve(endpoint: MemberRecord): void {
     const life = lifeOf(endpoint);
-    const known = this.#limits.get(life) ?? 'none';
-    if (limit === known) {
-      return;
+    const pace = this.#paces.get(life);
+    if (pace !== undefined) {
+      const taken = takeTurn(pace, this.#options.runtime.now());
+      this.#paces = new Map(this.#paces).set(life, taken);
     }
-    if (typeof limit === 'number') {
-      this.#limits.set(life, limit);
-    } else if (limit === 'none') {
-      this.#limits.delete(life);
+  }
+
+  /** Takes the limit that an answer names; `sent` marks its request. */
+  onAnswer(endpoint: MemberRecord, sent: LimitMark, limit: NamedLimit, request: string): void {
+    const { log, now } = this.#options.runtime;
+    const life = lifeOf(endpoint);
+    const step = takeNamedLimit(this.#limits.state, life, sent, limit, now());
+    this.#limits.take(step);
+    if (step.changed.length > 0 || limit === 'unreadable') {
+      log.info({ event: 'limit_named', endpoint: life, limit, request }, 'an answer names a limit');
     }
-    this.#runtime.log.info(
-      { event: 'limit', endpoint: endpoint.id, limit, before: known, request },
-      'an endpoint names another limit',
-    );
   }
 
-  /** Forgets lives that are over. */
-  keep(isKept: (life: EndpointLife) => boolean): void {
-    [...this.#limits.keys()]
-      .filter((life) => !isKept(life))
-      .forEach((life) => this.#limits.delete(life));
+  /** Takes the control process's news. */
+  onNews(news: LimitNews): void {
+    this.#limits.onNews(news, HUB, this.#options.send);
+  }
+
+  /** A new link to a control process is up: it is told all that is held here. */
+  onUp(): void {
+    this.#limits.introduce(this.#options.send);
+  }
+
+  tick(): void {
+    this.#limits.tick();
+  }
+
+  /** Brings the paces in line with limits and hosts. */
+  #adjust(): void {
+    const { self, runtime } = this.#options;
+    const hosts = [...this.#hosts.keys()];
+    const paces = new Map<EndpointLife, SendPace>();
+    this.#limits.state.forEach(({ life, perSecond }) => {
+      if (perSecond !== null) {
+        const intervalMs = intervalOf(self, life, perSecond, hosts);
+        paces.set(life, adjustPace(this.#paces.get(life), intervalMs, runtime.now()));
+      }
+    });
+    this.#paces = paces;
   }
 }
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -41,6 +41,7 @@
   type SubmitReply,
   type SubmitRequest,
 } from './ProtocolMessages.js';
+export type { LimitNews, LimitRecord } from './ProtocolLimits.js';
 export type { QuarantineNews, SuspectRecord } from './ProtocolQuarantine.js';
 export { digestRequest, isSameRequest, type RequestIdentity } from './ProtocolRequestDigest.js';
 export {
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -14,6 +14,8 @@
 
 /** What happens to a call, in order; after `onEnd` or `onError` nothing follows. */
 export interface CallListener {
+  /** Asked right before the first byte leaves; false keeps it from leaving. */
+  onStart: () => boolean;
   onHead: (status: number, headers: IncomingHttpHeaders, raw: readonly string[]) => void;
   onData: (chunk: Buffer) => void;
   /** The answer is whole by its framing. */
@@ -143,10 +145,10 @@
   };
   pool.dispatch(call, {
     onRequestStart: (controller) => {
-      sent = true;
+      sent = !over && listener.onStart();
       stop = (err) => giveUp(() => controller.abort(err));
-      if (over) {
-        controller.abort(new Error('the call was given up'));
+      if (!sent) {
+        controller.abort(new Error(over ? 'the call was given up' : 'the call was kept back'));
       }
     },
     onResponseStart: (controller, status, headers) => {
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -17,6 +17,7 @@
 }).listen({ port: 0, host: '127.0.0.1' }, function () { console.log(this.address().port); })`;
 
 const SILENT: CallListener = {
+  onStart: () => true,
   onHead: () => undefined,
   onData: () => undefined,
   onEnd: () => undefined,
