Entry processes log rest and leave that an endpoint asks for

An attempt's line said 503 and nothing of Retry-After, so that a rest that nobody takes in and one that was never asked for looked alike. The answer's head carries both now; each is one line with the request. Nothing is decided by them yet.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -26,6 +26,7 @@
   'not-executed',
   'prefix-hash',
   'request-urgency',
+  'server-leaving',
   'server-limit',
   'server-seal',
   'token-count',
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -360,6 +360,17 @@
   onAnswerHead(endpoint: MemberRecord, head: AnswerHead, request: string, sent: LimitMark): void {
     if (!head.wrongInstance) {
       this.limits.onAnswer(endpoint, sent, head.limit, request);
+      this.#logNeeds(endpoint, head, request);
+    }
+  }
+
+  #logNeeds(endpoint: MemberRecord, { restMs, isLeaving }: AnswerHead, request: string): void {
+    const { log } = this.#options.runtime;
+    if (restMs !== 'none') {
+      log.info({ event: 'rest', endpoint: endpoint.id, restMs, request }, 'an endpoint wants rest');
+    }
+    if (isLeaving) {
+      log.info({ event: 'endpoint_leaves', endpoint: endpoint.id, request }, 'an endpoint leaves');
     }
   }
 
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -18,6 +18,8 @@
   faultyInstance: null,
   isStream: true,
   limit: 'none',
+  restMs: 'none',
+  isLeaving: false,
 };
 
 const ENDPOINT = { id: 'e1' } as MemberRecord;
--- a/src/protocol/ProtocolDialect.ts
+++ b/src/protocol/ProtocolDialect.ts
@@ -54,6 +54,10 @@
   readonly faultyInstance: string | null;
   readonly isStream: boolean;
   readonly limit: NamedLimit;
+  /** Time for which an endpoint that refuses wants nothing from this host, ms; `unreadable` for no time. */
+  readonly restMs: number | 'none' | 'unreadable';
+  /** Whether the endpoint is about to end. */
+  readonly isLeaving: boolean;
 }
 
 /** How a platform's HTTP messages are read and written. */
