An endpoint that asks for rest gets none of this host's requests until it is over

Callers were refused: an endpoint that refuses at once has nothing in progress, so that it looked the idlest and drew first tries and retries alike. 27 requests reached one in a rest of 3 s (2 allowed), four of twelve ranks got some 43 of 62 arrivals in a second, and over a tenth of three routes' requests weren't served.

Cause: Retry-After of an endpoint's 503 was read nowhere; each 503 was judged for its own request alone.

Change: a rest binds the endpoint that asked for it, from the moment at which the answer's head is read. It is asked where limits are, before the choice and right before the first byte leaves; what waited for a connection meanwhile goes elsewhere, and no retry is taken for it. Where all endpoints rest, a request waits for the first end that comes while its caller waits, one each 25 ms, else it is refused at once with that time. Limits and rests share their paces; DirectTurns asks both.

--- /dev/null
+++ b/src/coordination/EndpointRests.ts
@@ -0,0 +1,38 @@
+/**
+ * Rest that endpoints have asked this host for when they refused its requests: until it is over they get nothing from
+ * here. What waits for its end goes one request after the other, as an endpoint that was in need is no more than likely
+ * to be well.
+ */
+import type { EndpointLife } from './EndpointEnds.js';
+import { paceWait, type SendPace } from './LimitShare.js';
+
+/** Time between two requests to an endpoint whose rest has just ended, ms. */
+const AFTER_REST_MS = 25;
+
+/** The pace of an endpoint at rest. */
+export interface RestPace extends SendPace {
+  /** End of its rest, ms. */
+  readonly until: number;
+}
+
+/** Endpoints at rest, and those for whose end of rest something has waited. */
+export type RestPaces = ReadonlyMap<EndpointLife, RestPace>;
+
+/** Takes a rest that was asked for now. It may lengthen one that runs, and never shortens it. */
+export function takeRest(
+  paces: RestPaces,
+  life: EndpointLife,
+  restMs: number,
+  now: number,
+): RestPaces {
+  const known = paces.get(life);
+  const until = Math.max(known?.until ?? -Infinity, now + restMs);
+  const lastAt = Math.max(known?.lastAt ?? -Infinity, until - AFTER_REST_MS);
+  return new Map(paces).set(life, { intervalMs: AFTER_REST_MS, lastAt, until });
+}
+
+/** Drops the paces of rests that are over, with all that waited for their end; the same map where none is. */
+export function dropRested(paces: RestPaces, now: number): RestPaces {
+  const kept = [...paces].filter(([, pace]) => paceWait(pace, now) > 0);
+  return kept.length === paces.size ? paces : new Map(kept);
+}
--- a/src/coordination/LimitShare.ts
+++ b/src/coordination/LimitShare.ts
@@ -84,6 +84,6 @@
 }
 
 /** The pace once the next request is sent, or has its time: `paceWait` from now. */
-export function takeTurn(pace: SendPace, now: number): SendPace {
+export function takeTurn<Pace extends SendPace>(pace: Pace, now: number): Pace {
   return { ...pace, lastAt: now + paceWait(pace, now) };
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -193,6 +193,7 @@
   type LimitsState,
   type LimitsStep,
 } from './EndpointLimits.js';
+export { dropRested, takeRest, type RestPace, type RestPaces } from './EndpointRests.js';
 export {
   adjustPace,
   intervalOf,
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -196,7 +196,8 @@
     this.#sends += 1;
     this.#tried.push(endpoint.id);
     this.#state.onSent(service, endpoint.id);
-    let mark = this.#state.limits.mark(endpoint);
+    const { turns } = this.#state;
+    let mark = turns.limits.mark(endpoint);
     const attempt = new DirectAttempt({
       pool: this.#state.pool(endpoint),
       dialect,
@@ -209,11 +210,10 @@
       },
       listener: {
         onStart: () => {
-          mark = this.#state.limits.mark(endpoint);
-          return turn !== null || this.#state.limits.takeNow(endpoint);
+          mark = turns.limits.mark(endpoint);
+          return turns.start(endpoint, turn !== null);
         },
-        onHead: (answer) =>
-          this.#guard(() => this.#state.onAnswerHead(endpoint, answer, head.id, mark)),
+        onHead: (answer) => this.#guard(() => turns.onAnswer(endpoint, answer, head.id, mark)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: () => this.#guard(() => this.#onStreamEnd()),
         onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
@@ -241,7 +241,9 @@
       return;
     }
     delay(turn.waitMs, undefined, { signal: this.#over.signal })
-      .then(() => this.#guard(() => this.#send(this.#state.isServing(turn) ? turn.endpoint : null)))
+      .then(() =>
+        this.#guard(() => this.#send(this.#state.turns.isServing(turn) ? turn.endpoint : null)),
+      )
       // The request is over, and its turn is lost.
       .catch(() => undefined);
   }
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -122,11 +122,11 @@
       onDirectory: (delta) => this.#state.onDirectory(delta),
       onGroupLoad: (load) => this.#state.admission.onLoad(load),
       onQuarantine: (news) => this.#state.screening.onNews(news),
-      onLimits: (news) => this.#state.limits.onNews(news),
+      onLimits: (news) => this.#state.turns.limits.onNews(news),
       onUp: () => {
         this.#watch.ask();
         this.#state.screening.onUp();
-        this.#state.limits.onUp();
+        this.#state.turns.limits.onUp();
       },
     });
     this.#watch = new DirectConfigWatch({
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -7,7 +7,6 @@
   initRouting,
   isFresh,
   isProven,
-  idOf,
   lifeOf,
   mergeDelta,
   MOST_ENDS,
@@ -23,14 +22,12 @@
   type DirectFailure,
   type DirectVerdict,
   type FreshnessState,
-  type LimitMark,
   type MembershipView,
   type RetryAllowance,
   type RetryBudgetState,
   type RoutingState,
 } from '../../coordination/index.js';
 import type {
-  AnswerHead,
   DirectoryDelta,
   DocumentDialect,
   HttpDialect,
@@ -52,9 +49,9 @@
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
 import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
-import { DirectLimits } from './DirectLimits.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
+import { DirectTurns, type Turn } from './DirectTurns.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
 
 /** What the state needs. */
@@ -84,12 +81,6 @@
   readonly attempts: number;
 }
 
-/** An endpoint that takes a request after a time, ms. */
-export interface Turn {
-  readonly endpoint: MemberRecord;
-  readonly waitMs: number;
-}
-
 /** Instances proven gone are remembered this long, against late news of them. In ms. */
 const GONE_MS = 60_000;
 
@@ -124,7 +115,7 @@
 
   readonly startup: DirectStartup;
 
-  readonly limits: DirectLimits;
+  readonly turns: DirectTurns;
 
   /** Model services by name, as the newest configuration declares them. */
   readonly #models = new Map<string, ModelService | null>();
@@ -151,10 +142,11 @@
       this.#modelOf(service),
     );
     this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
-    this.limits = new DirectLimits({
+    this.turns = new DirectTurns({
       self: options.id,
       runtime: options.runtime,
       send: options.sendLimits,
+      serving: (id) => this.#servingEndpoint(id),
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
@@ -244,7 +236,7 @@
   /** Drops what has been missing for too long. */
   tick(): void {
     this.screening.tick();
-    this.limits.tick();
+    this.turns.tick();
     const view = pruneView(this.#view, this.now());
     if (view !== this.#view) {
       this.#setView(view);
@@ -296,7 +288,7 @@
     attempt: number,
   ): MemberRecord | null {
     const { runtime } = this.#options;
-    const without = this.#without(exclude);
+    const without = this.turns.without(exclude);
     const ranked = this.admission.choose(service, without);
     if (ranked !== undefined) {
       const record = ranked === null ? null : (this.#view.get(ranked)?.record ?? null);
@@ -351,75 +343,27 @@
 
   /** Whether an endpoint is left for another attempt. */
   canRoute(service: string, exclude: readonly string[]): boolean {
-    const without = this.#without(exclude);
+    const without = this.turns.without(exclude);
     const ranked = this.admission.choose(service, without);
     return ranked === undefined ? this.#hasOther(service, without) : ranked !== null;
   }
 
-  /** Takes what the head of an endpoint's answer says of the endpoint itself; `sent` marks its request. */
-  onAnswerHead(endpoint: MemberRecord, head: AnswerHead, request: string, sent: LimitMark): void {
-    if (!head.wrongInstance) {
-      this.limits.onAnswer(endpoint, sent, head.limit, request);
-      this.#logNeeds(endpoint, head, request);
-    }
-  }
-
-  #logNeeds(endpoint: MemberRecord, { restMs, isLeaving }: AnswerHead, request: string): void {
-    const { log } = this.#options.runtime;
-    if (restMs !== 'none') {
-      log.info({ event: 'rest', endpoint: endpoint.id, restMs, request }, 'an endpoint wants rest');
-    }
-    if (isLeaving) {
-      log.info({ event: 'endpoint_leaves', endpoint: endpoint.id, request }, 'an endpoint leaves');
-    }
-  }
-
-  /** Takes the next turn at an endpoint of the service that has named a limit; null where none comes in time. */
+  /** Takes the next turn at an endpoint of the service that takes nothing now; null where none comes in time. */
   takeTurn(service: string, exclude: readonly string[], withinMs: number): Turn | null {
-    const next = this.#nextTurn(service, exclude);
-    if (next === null || next.waitMs > withinMs) {
-      return null;
-    }
-    this.limits.reserve(next.endpoint);
-    return next;
+    return this.admission.isClosed(service) ? null : this.turns.take(service, exclude, withinMs);
   }
 
-  /** Time until an endpoint of the service that has named a limit takes a request, ms; null where none will. */
+  /** Time until an endpoint of the service that takes nothing now takes a request, ms; null where none will. */
   nextTurnMs(service: string, exclude: readonly string[]): number | null {
-    return this.#nextTurn(service, exclude)?.waitMs ?? null;
-  }
-
-  /** Whether the endpoint of a turn still serves. */
-  isServing({ endpoint }: Turn): boolean {
-    const record = this.#view.get(endpoint.id)?.record;
-    return (
-      record?.status === 'serving' &&
-      record.incarnation === endpoint.incarnation &&
-      !this.#gone.has(lifeOf(record))
-    );
-  }
-
-  #nextTurn(service: string, exclude: readonly string[]): Turn | null {
-    if (this.admission.isClosed(service)) {
-      return null;
-    }
-    return this.#heldBack()
-      .filter(({ endpoint }) => endpoint.offer?.service === service)
-      .filter(({ endpoint, waitMs }) => !exclude.includes(endpoint.id) && waitMs < Infinity)
-      .filter((turn) => this.isServing(turn))
-      .reduce<Turn | null>((a, b) => (a === null || b.waitMs < a.waitMs ? b : a), null);
-  }
-
-  /** Endpoints that must be sent nothing now, as they have named a limit. */
-  #heldBack(): readonly Turn[] {
-    return this.limits.heldBack.flatMap(({ life, waitMs }) => {
-      const record = this.#view.get(idOf(life))?.record;
-      return record !== undefined && lifeOf(record) === life ? [{ endpoint: record, waitMs }] : [];
-    });
+    return this.admission.isClosed(service)
+      ? null
+      : (this.turns.next(service, exclude)?.waitMs ?? null);
   }
 
-  #without(exclude: readonly string[]): readonly string[] {
-    return [...exclude, ...this.#heldBack().map(({ endpoint }) => endpoint.id)];
+  #servingEndpoint(id: string): MemberRecord | undefined {
+    const record = this.#view.get(id)?.record;
+    const serves = record?.status === 'serving' && !this.#gone.has(lifeOf(record));
+    return serves ? record : undefined;
   }
 
   #hasOther(service: string, without: readonly string[]): boolean {
@@ -539,7 +483,7 @@
     const serving = servingMembers(view).filter((record) => !this.#gone.has(lifeOf(record)));
     const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
     this.#entryHosts = entries.length;
-    this.limits.setHosts(entries);
+    this.turns.limits.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
--- a/src/daemon/direct/DirectLimits.ts
+++ b/src/daemon/direct/DirectLimits.ts
@@ -1,13 +1,11 @@
-/** What an entry process may send to endpoints that have named a limit. Asked right before each send. */
+/** What an entry process may send to endpoints that have named a limit. */
 import { Gauge } from 'prom-client';
 import {
   adjustPace,
   clockOf,
   intervalOf,
   lifeOf,
-  paceWait,
   takeNamedLimit,
-  takeTurn,
   updateHosts,
   type EndpointLife,
   type LimitMark,
@@ -18,6 +16,7 @@
 import { DaemonLimits } from '../DaemonLimits.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import type { SendShared } from '../DaemonSharedSet.js';
+import { DirectPaces } from './DirectPaces.js';
 
 /** What the task needs. */
 export interface DirectLimitsOptions {
@@ -32,17 +31,15 @@
 const HUB = 'hub';
 
 /** Task of one entry process. */
-export class DirectLimits {
+export class DirectLimits extends DirectPaces<SendPace> {
   readonly #options: DirectLimitsOptions;
 
   readonly #limits: DaemonLimits;
 
-  /** Paces of the endpoints that have a limit now. */
-  #paces: ReadonlyMap<EndpointLife, SendPace> = new Map();
-
   #hosts: RecentHosts = new Map();
 
   constructor(options: DirectLimitsOptions) {
+    super(options.runtime.now);
     this.#options = options;
     this.#limits = new DaemonLimits({
       runtime: options.runtime,
@@ -53,7 +50,7 @@
       },
       onReplaced: () => this.#adjust(),
     });
-    const count = (): number => this.#paces.size;
+    const count = (): number => this.paces.size;
     // eslint-disable-next-line no-new
     new Gauge({
       name: 'laburnumgauge_limited_endpoints',
@@ -65,14 +62,6 @@
     });
   }
 
-  /** Endpoints that take nothing from here now, with the time until they do, ms. */
-  get heldBack(): readonly { readonly life: EndpointLife; readonly waitMs: number }[] {
-    const now = this.#options.runtime.now();
-    return [...this.#paces]
-      .map(([life, pace]) => ({ life, waitMs: paceWait(pace, now) }))
-      .filter(({ waitMs }) => waitMs > 0);
-  }
-
   /** Follows the entry hosts that share the limits. */
   setHosts(members: readonly string[]): void {
     const { self, runtime } = this.#options;
@@ -88,26 +77,6 @@
     };
   }
 
-  /** Takes a turn at an endpoint, if it takes a request now. */
-  takeNow(endpoint: MemberRecord): boolean {
-    const pace = this.#paces.get(lifeOf(endpoint));
-    const isFree = pace === undefined || paceWait(pace, this.#options.runtime.now()) === 0;
-    if (isFree) {
-      this.reserve(endpoint);
-    }
-    return isFree;
-  }
-
-  /** Takes the next turn at an endpoint, whenever that is. */
-  reserve(endpoint: MemberRecord): void {
-    const life = lifeOf(endpoint);
-    const pace = this.#paces.get(life);
-    if (pace !== undefined) {
-      const taken = takeTurn(pace, this.#options.runtime.now());
-      this.#paces = new Map(this.#paces).set(life, taken);
-    }
-  }
-
   /** Takes the limit that an answer names; `sent` marks its request. */
   onAnswer(endpoint: MemberRecord, sent: LimitMark, limit: NamedLimit, request: string): void {
     const { log, now } = this.#options.runtime;
@@ -141,9 +110,9 @@
     this.#limits.state.forEach(({ life, perSecond }) => {
       if (perSecond !== null) {
         const intervalMs = intervalOf(self, life, perSecond, hosts);
-        paces.set(life, adjustPace(this.#paces.get(life), intervalMs, runtime.now()));
+        paces.set(life, adjustPace(this.paces.get(life), intervalMs, runtime.now()));
       }
     });
-    this.#paces = paces;
+    this.replace(paces);
   }
 }
--- /dev/null
+++ b/src/daemon/direct/DirectRests.ts
@@ -0,0 +1,47 @@
+/** Rest that endpoints have asked this entry process for. */
+import { Gauge } from 'prom-client';
+import { dropRested, lifeOf, takeRest, type RestPace } from '../../coordination/index.js';
+import type { AnswerHead, MemberRecord } from '../../protocol/index.js';
+import type { Runtime } from '../DaemonRuntime.js';
+import { DirectPaces } from './DirectPaces.js';
+
+/** Task of one entry process. */
+export class DirectRests extends DirectPaces<RestPace> {
+  readonly #runtime: Pick<Runtime, 'now' | 'log' | 'registry'>;
+
+  constructor(runtime: Pick<Runtime, 'now' | 'log' | 'registry'>) {
+    super(runtime.now);
+    this.#runtime = runtime;
+    const count = (): number => this.paces.size;
+    // eslint-disable-next-line no-new
+    new Gauge({
+      name: 'laburnumgauge_resting_endpoints',
+      help: 'Endpoints that want nothing from this host for a time',
+      registers: [runtime.registry],
+      collect() {
+        this.set(count());
+      },
+    });
+  }
+
+  /** Takes what the head of an answer asks for. */
+  onAnswer(endpoint: MemberRecord, restMs: AnswerHead['restMs'], request: string): void {
+    if (restMs === 'none') {
+      return;
+    }
+    const { log, now } = this.#runtime;
+    log.info({ event: 'rest', endpoint: endpoint.id, restMs, request }, 'an endpoint wants rest');
+    if (restMs !== 'unreadable') {
+      this.replace(takeRest(this.paces, lifeOf(endpoint), restMs, now()));
+    }
+  }
+
+  /** Whether an endpoint is at rest now. */
+  isResting(endpoint: MemberRecord): boolean {
+    return (this.paces.get(lifeOf(endpoint))?.until ?? -Infinity) > this.#runtime.now();
+  }
+
+  tick(): void {
+    this.replace(dropRested(this.paces, this.#runtime.now()));
+  }
+}
