An endpoint that says in an answer that it leaves gets nothing from this host any more

Cause: an entry host learned of a leaving endpoint only from the control processes, and out of touch with them not at all. Change: its own word in any answer counts at once, for its life, with no need of the control processes; one that isn't a member any more is remembered for ten minutes, as it may only be out of reach.

--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -487,6 +487,7 @@
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
+    this.turns.keep((life) => lives.has(life));
     this.#pools.keep((life) => lives.has(life) && !this.#gone.has(life));
   }
 
--- a/src/daemon/direct/DirectTurns.ts
+++ b/src/daemon/direct/DirectTurns.ts
@@ -2,11 +2,14 @@
  * When endpoints that have asked for relief take a request from this entry process: asked before an endpoint is chosen,
  * and right before each send.
  */
-import { idOf, lifeOf, type LimitMark } from '../../coordination/index.js';
+import { idOf, lifeOf, type EndpointLife, type LimitMark } from '../../coordination/index.js';
 import type { AnswerHead, MemberRecord } from '../../protocol/index.js';
 import { DirectLimits, type DirectLimitsOptions } from './DirectLimits.js';
 import { DirectRests } from './DirectRests.js';
 
+/** An endpoint that leaves, and is no member any more, is remembered this long, ms. */
+const LEAVING_MS = 600_000;
+
 /** An endpoint that takes a request after a time, ms; infinite for none to come. */
 export interface Turn {
   readonly endpoint: MemberRecord;
@@ -25,10 +28,16 @@
 
   readonly #rests: DirectRests;
 
+  /** Endpoints that have said that they leave, with when they last did, ms: they take nothing any more. */
+  readonly #leaving = new Map<EndpointLife, number>();
+
+  readonly #runtime: DirectLimitsOptions['runtime'];
+
   readonly #serving: (id: string) => MemberRecord | undefined;
 
   constructor(options: DirectTurnsOptions) {
     this.#serving = options.serving;
+    this.#runtime = options.runtime;
     this.limits = new DirectLimits(options);
     this.#rests = new DirectRests(options.runtime);
   }
@@ -38,12 +47,21 @@
     if (!head.wrongInstance) {
       this.limits.onAnswer(endpoint, sent, head.limit, request);
       this.#rests.onAnswer(endpoint, head.restMs, request);
+      this.#onLeaving(endpoint, head.isLeaving, request);
     }
   }
 
+  /** Forgets lives that are over: one that is only out of reach comes back within a time. */
+  keep(isKept: (life: EndpointLife) => boolean): void {
+    const old = this.#runtime.now() - LEAVING_MS;
+    [...this.#leaving]
+      .filter(([life, at]) => at < old && !isKept(life))
+      .forEach(([life]) => this.#leaving.delete(life));
+  }
+
   /** Whether a request may be sent to an endpoint now; `hasTurn` where its turn was taken before. */
   start(endpoint: MemberRecord, hasTurn: boolean): boolean {
-    if (this.#rests.isResting(endpoint)) {
+    if (this.#rests.isResting(endpoint) || this.#leaving.has(lifeOf(endpoint))) {
       return false;
     }
     const isFree = hasTurn || this.#waitMs(endpoint) === 0;
@@ -87,7 +105,22 @@
     this.#rests.tick();
   }
 
+  #onLeaving(endpoint: MemberRecord, isLeaving: boolean, request: string): void {
+    if (!isLeaving) {
+      return;
+    }
+    const { log, now } = this.#runtime;
+    const life = lifeOf(endpoint);
+    if (!this.#leaving.has(life)) {
+      log.info({ event: 'endpoint_leaves', endpoint: life, request }, 'an endpoint leaves');
+    }
+    this.#leaving.set(life, now());
+  }
+
   #waitMs(endpoint: MemberRecord): number {
+    if (this.#leaving.has(lifeOf(endpoint))) {
+      return Infinity;
+    }
     return Math.max(this.limits.waitMs(endpoint), this.#rests.waitMs(endpoint));
   }
 
@@ -98,7 +131,8 @@
 
   /** Endpoints that take nothing now. */
   #held(): readonly Turn[] {
-    const lives = new Set([...this.limits.heldBack, ...this.#rests.heldBack].map(([life]) => life));
+    const paced = [...this.limits.heldBack, ...this.#rests.heldBack].map(([life]) => life);
+    const lives = new Set([...paced, ...this.#leaving.keys()]);
     return [...lives].flatMap((life) => {
       const endpoint = this.#serving(idOf(life));
       return endpoint !== undefined && lifeOf(endpoint) === life
