Requests that wait for a turn at an endpoint are logged and explained

A request refused since all endpoints had named limits or wanted rest looked like one that met a full group. A line says which turn it took, or when the next would have come; explain and loss name that cause.

--- a/src/cli/CliExplain.ts
+++ b/src/cli/CliExplain.ts
@@ -95,11 +95,20 @@
         `(look for "endpoint_ended" lines with ${String(held.digest)})`;
 }
 
+/** What a request was told of endpoints that take nothing now; null where it was sent at once. */
+function tellTurn(lines: readonly LogLine[]): string | null {
+  const turn = lastOf(lines, 'turn');
+  return turn?.endpoint !== null
+    ? null
+    : `no endpoint of its service takes a request within ${String(turn.waitMs)} ms: they have named limits, or ` +
+        'want rest (look for "limit" and "rest" lines of this host)';
+}
+
 /** What an outcome means, by its name in the log. */
 const TELLERS: Readonly<Record<string, Teller>> = {
   refused: ({ attempts }, lines, context) =>
     attempts === 0
-      ? `refused and never sent: ${tellPlaces(context)}`
+      ? `refused and never sent: ${tellTurn(lines) ?? tellPlaces(context)}`
       : `refused after ${String(attempts)} attempts that were not run: ${lastAttempt(lines)}`,
   quarantined: (_answer, lines) => `refused and not run${tellHeld(lines)}`,
   cut: (_answer, lines) => `broken off in the middle: ${lastAttempt(lines)}${tellHeld(lines)}`,
--- a/src/cli/CliLoss.ts
+++ b/src/cli/CliLoss.ts
@@ -9,6 +9,7 @@
   | 'no place in time'
   | 'refused with places free'
   | 'no endpoint'
+  | 'endpoints want relief'
   | 'not run by endpoints'
   | 'held for the ends of endpoints'
   | 'stream broken off'
@@ -51,6 +52,8 @@
   readonly line: LogLine;
   readonly places: LogLine | undefined;
   readonly attempt: LogLine | undefined;
+  /** Its last turn at an endpoint that took nothing. */
+  readonly turn: LogLine | undefined;
 }
 
 interface Loss {
@@ -60,7 +63,10 @@
 
 const NOT_OWED = new Set(['unknown_key', 'unknown_path', 'too_large', 'bad_request']);
 
-function causeOfRefusal({ line, places, attempt }: Ended): LossCause {
+function causeOfRefusal({ line, places, attempt, turn }: Ended): LossCause {
+  if (turn?.endpoint === null) {
+    return 'endpoints want relief';
+  }
   if (places === undefined) {
     return 'no endpoint';
   }
@@ -127,15 +133,22 @@
 function collectEnded(log: readonly LogLine[]): readonly Ended[] {
   const places = new Map<string, LogLine>();
   const attempts = new Map<unknown, LogLine>();
+  const turns = new Map<unknown, LogLine>();
   const ended: Ended[] = [];
   const collectors: Readonly<Record<string, (line: LogLine) => void>> = {
     places: (line) => places.set(line.id, line),
     attempt: (line) => attempts.set(line.request, line),
+    turn: (line) => turns.set(line.request, line),
     answer: (line) =>
-      ended.push({ line, places: places.get(line.id), attempt: attempts.get(line.request) }),
+      ended.push({
+        line,
+        places: places.get(line.id),
+        attempt: attempts.get(line.request),
+        turn: turns.get(line.request),
+      }),
     refuse: (line) =>
       NOT_OWED.has(String(line.code)) ||
-      ended.push({ line, places: places.get(line.id), attempt: undefined }),
+      ended.push({ line, places: places.get(line.id), attempt: undefined, turn: undefined }),
   };
   [...log]
     .sort((a, b) => Date.parse(a.time) - Date.parse(b.time))
--- a/src/cli/__tests__/unit/CliExplain.test.ts
+++ b/src/cli/__tests__/unit/CliExplain.test.ts
@@ -23,6 +23,8 @@
 };
 
 const LOG = [
+  line(50, 'edge-1', 'turn', { request: 'r9', endpoint: null, waitMs: 2_900 }),
+  line(60, 'edge-1', 'answer', { request: 'r9', outcome: 'refused', attempts: 0, firstMs: null }),
   line(0, 'edge-1', 'places', { ...PLACES, open: false }),
   line(100, 'side-4', 'map', { group: 'g0', phase: 'voiding', version: 200_001, step: 20 }),
   line(200, 'edge-1', 'answer', { request: 'r1', outcome: 'refused', attempts: 0, firstMs: null }),
@@ -68,7 +70,7 @@
   // and what the group's coordinator did just before, and to one sentence on the cause.
   it('leads from an id to its cause', () => {
     const log = parseLog(LOG);
-    const texts = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6', 'r7', 'r8'].map((id) =>
+    const texts = ['r1', 'r2', 'r3', 'r4', 'r5', 'r6', 'r7', 'r8', 'r9'].map((id) =>
       formatExplanation(explainRequest(id, log)).split('\n'),
     );
     matchSnapshot('explanations', texts);
--- a/src/cli/__tests__/unit/CliLoss.test.ts
+++ b/src/cli/__tests__/unit/CliLoss.test.ts
@@ -39,6 +39,10 @@
   line(4_200, 'places', { open: true, own: 2, allowance: 8, skew: 1.2 }),
   answer(4_300, 'i', REFUSED),
   answer(4_400, 'j', { outcome: 'passed' }),
+  line(4_500, 'turn', { request: 'm', endpoint: null, waitMs: 2_900 }),
+  answer(4_500, 'm', REFUSED),
+  line(4_600, 'turn', { request: 'n', endpoint: 'i-1', waitMs: 40 }),
+  answer(4_650, 'n', REFUSED),
   line(6_000, 'refuse', { request: 'k', code: 'not_ready' }),
   line(6_100, 'refuse', { request: 'l', code: 'unknown_key' }),
 ].join('\n');
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -228,11 +228,14 @@
    * caller waits; else it is refused at once with the time of the next turn.
    */
   #awaitTurn(): void {
-    const { service, route, startedAt, deadline } = this.#spec;
+    const { service, route, head, startedAt, deadline } = this.#spec;
     const until = Math.min(startedAt + route.patienceMs, deadline - LEAST_RETRY_MS);
     const turn = this.#state.takeTurn(service, this.#tried, until - this.#state.now());
+    const nextMs = turn?.waitMs ?? this.#state.nextTurnMs(service, this.#tried);
+    if (nextMs !== null) {
+      this.#state.logTurn(head.id, turn?.endpoint.id ?? null, nextMs);
+    }
     if (turn === null) {
-      const nextMs = this.#state.nextTurnMs(service, this.#tried);
       if (nextMs === null || this.#begun || this.#mayHaveRun) {
         this.#conclude(this.#begun ? 'cut' : this.#hopeless, null);
       } else {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -431,6 +431,12 @@
     this.#options.runtime.log.info({ event: 'waited', request, service, granted, retry }, 'waited');
   }
 
+  /** A request has taken a turn at an endpoint that takes nothing now, or none that comes in time (null). */
+  logTurn(request: string, endpoint: string | null, waitMs: number): void {
+    const { log } = this.#options.runtime;
+    log.info({ event: 'turn', request, endpoint, waitMs: Math.round(waitMs) }, 'no endpoint free');
+  }
+
   countFirst(service: string): void {
     const { retries } = this.#options;
     const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -62,6 +62,7 @@
     answerHeaders: () => [],
     lastEventId: () => '1',
     logAttempt: ignore,
+    logTurn: ignore,
     logFault: (_request: string, err: unknown) => faults.push(err),
     ...replaced,
   };
