Soak: engines that name limits, want rest and say that they leave

Drawn by a generator of their own, so that the disturbances of a seed stay as they are. Each need has a check from outside, with a record that breaks it; arrivals from hosts that something was done to are left out.

--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,4 +1,5 @@
 /** The promises, checked on what callers and engines saw. Pure: a record in, findings out. */
+import { checkNeeds } from './SoakNeeds.js';
 import type { SoakAttempt, SoakFinding, SoakRecord, SoakRun } from './SoakTypes.js';
 
 /** Events of every stream. */
@@ -199,5 +200,5 @@
 export function checkRecord(record: SoakRecord): readonly SoakFinding[] {
   const runs = new Map<string, SoakRun[]>();
   record.runs.forEach((run) => runs.set(run.id, [...(runs.get(run.id) ?? []), run]));
-  return CHECKS.flatMap((check) => check(record, runs));
+  return [...CHECKS.flatMap((check) => check(record, runs)), ...checkNeeds(record)];
 }
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -1,6 +1,11 @@
 /** The group of engines of a soak run: they run requests, announce themselves, crash, leave and misbehave. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { StandInEngine, type SeenRequest } from '../platform/__tests__/utils/StandInEngine.js';
+import {
+  StandInEngine,
+  type SeenRefusal,
+  type SeenRequest,
+  type StandInBehaviour,
+} from '../platform/__tests__/utils/StandInEngine.js';
 import { ENGINE_PORT, type StandInPlatform } from '../platform/__tests__/utils/StandInPlatform.js';
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
@@ -23,6 +28,8 @@
 
   readonly seen: SeenRequest[] = [];
 
+  readonly refusals: SeenRefusal[] = [];
+
   /** Engines that requests ended. */
   readonly ends: SoakEngineEnd[] = [];
 
@@ -94,6 +101,19 @@
     });
   }
 
+  /** Has an engine ask for relief in its answers, until the result is called; its id. */
+  setNeed(
+    n: number,
+    need: Partial<StandInBehaviour>,
+  ): { readonly engine: string; readonly end: () => void } {
+    const engine = this.#engines.get(n);
+    Object.assign(engine?.behaviour ?? {}, need);
+    const end = (): void => {
+      Object.assign(engine?.behaviour ?? {}, { limit: null, restS: null, leaving: false });
+    };
+    return { engine: engine?.id ?? '', end };
+  }
+
   #change(n: number, change: (engine: StandInEngine) => void): void {
     const engine = this.#engines.get(n);
     if (engine !== undefined) {
@@ -122,6 +142,7 @@
       pauseMs: EVENT_MS,
       fatal: FATAL_BODY,
     });
+    engine.onRefusal = (refusal) => this.refusals.push(refusal);
     engine.onCrash = (body) => {
       this.ends.push({ body, engine: engine.id, at: performance.now() });
       this.#comeBack(n, engine).catch(() => undefined);
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -11,6 +11,7 @@
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
 import { SoakEngines } from './SoakEngines.js';
+import { planNeeds, REST_S, type SoakNeedPlan } from './SoakNeeds.js';
 import { SoakOperator } from './SoakOperator.js';
 import { FAULTS } from './SoakFaults.js';
 import { SoakProxy } from './SoakProxy.js';
@@ -22,7 +23,14 @@
   type SoakFault,
   type SoakShape,
 } from './SoakSchedule.js';
-import type { SoakDrain, SoakEvent, SoakFinding, SoakRecord } from './SoakTypes.js';
+import type {
+  SoakDrain,
+  SoakEvent,
+  SoakFinding,
+  SoakNeed,
+  SoakNeedKind,
+  SoakRecord,
+} from './SoakTypes.js';
 
 /** A run. */
 export interface SoakOptions extends SoakShape {
@@ -32,6 +40,8 @@
   readonly net: number;
   /** Disturbances in place of the seed's own. */
   readonly faults?: readonly SoakFault[];
+  /** Engines that ask for relief in place of the seed's own. */
+  readonly needs?: readonly SoakNeedPlan[];
   readonly logs?: 'ignore' | 'inherit';
 }
 
@@ -62,6 +72,7 @@
   acked,
   events,
   engineEnds,
+  refusals,
 }: SoakRecord): SoakResult['figures'] {
   const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
     attempts.filter(test).length;
@@ -77,9 +88,17 @@
     versions: acked,
     faults: events.length,
     engineEnds: engineEnds.length,
+    refusals: refusals.length,
   };
 }
 
+/** What an engine in need says. */
+const NEED_BEHAVIOUR: Readonly<Record<SoakNeedKind, (perSecond: number) => object>> = {
+  limit: (perSecond) => ({ limit: perSecond }),
+  rest: () => ({ restS: REST_S }),
+  leave: () => ({ leaving: true }),
+};
+
 /** The system of one run with all that stands around it. */
 class SoakWorld {
   readonly #platform: StandInPlatform;
@@ -96,6 +115,8 @@
 
   readonly #drains: SoakDrain[] = [];
 
+  readonly #needs: SoakNeed[] = [];
+
   readonly #ownEnds: string[] = [];
 
   /** Hosts whose process is being ended, started or paused, and engines that are being changed. */
@@ -131,7 +152,12 @@
     const faults = this.#options.faults ?? planSoak(seed, this.#options);
     const watch = setInterval(() => this.#watchEnds(), 100);
     const fatal = planFatal(seed, this.#options);
-    await Promise.all([this.#disturb(faults), this.#sendFatal(fatal, load)]);
+    const needs = this.#options.needs ?? planNeeds(seed, this.#options);
+    await Promise.all([
+      this.#disturb(faults),
+      this.#sendFatal(fatal, load),
+      ...needs.map(async (need) => this.#needRelief(need)),
+    ]);
     clearInterval(watch);
     await this.#recover();
     const { lockstep } = this.#engines.group;
@@ -154,6 +180,8 @@
       })),
       withdrawals: this.#operator.withdrawals,
       drains: this.#drains,
+      needs: this.#needs,
+      refusals: this.#engines.refusals,
       events: this.#events,
       engineEnds: this.#engines.ends,
       fatalRuns: this.#engines.seen.filter(({ body }) => body.startsWith(FATAL_BODY)),
@@ -205,6 +233,16 @@
     );
   }
 
+  /** Has an engine ask for relief in its answers for a while. */
+  async #needRelief({ kind, host, perSecond, at, forMs }: SoakNeedPlan): Promise<void> {
+    await delay(at);
+    const { engine, end } = this.#engines.setNeed(host, NEED_BEHAVIOUR[kind](perSecond));
+    const from = now();
+    await delay(forMs);
+    end();
+    this.#needs.push({ kind, host, engine, perSecond, from, until: now() });
+  }
+
   /** Waits until the system serves, after everything that was done to it is undone. */
   async #recover(): Promise<void> {
     this.#platform.names.forEach((name) => this.#proxy.setMode(name, 'pass'));
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -64,12 +64,36 @@
   readonly at: number;
 }
 
+/** What an engine asks for in its answers. */
+export type SoakNeedKind = 'limit' | 'rest' | 'leave';
+
+/** An engine asked for relief. */
+export interface SoakNeed {
+  readonly kind: SoakNeedKind;
+  /** Number of its host, and its id. */
+  readonly host: number;
+  readonly engine: string;
+  /** For a limit. */
+  readonly perSecond: number;
+  readonly from: number;
+  readonly until: number;
+}
+
+/** An engine refused a request and asked for rest. */
+export interface SoakRefusal {
+  readonly id: string;
+  readonly engine: string;
+  readonly at: number;
+}
+
 /** All that was recorded. */
 export interface SoakRecord {
   readonly attempts: readonly SoakAttempt[];
   readonly runs: readonly SoakRun[];
   readonly withdrawals: readonly SoakWithdrawal[];
   readonly drains: readonly SoakDrain[];
+  readonly needs: readonly SoakNeed[];
+  readonly refusals: readonly SoakRefusal[];
   readonly events: readonly SoakEvent[];
   /** Engines that requests ended, and all runs of such requests. */
   readonly engineEnds: readonly SoakEngineEnd[];
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -29,6 +29,8 @@
   runs: [RUN],
   withdrawals: [],
   drains: [],
+  needs: [],
+  refusals: [],
   events: [],
   engineEnds: [],
   fatalRuns: [],
@@ -51,6 +53,28 @@
 
 const ALL = Array.from({ length: STREAM_EVENTS }, (_item, i) => i + 1);
 
+/** Attempts at one entry host, and their runs at an engine, at times. */
+function sentAt(times: readonly number[]): Pick<SoakRecord, 'attempts' | 'runs'> {
+  const ids = times.map((at) => ({ id: `n${at}`, at }));
+  return {
+    attempts: ids.map(({ id, at }) => ({
+      ...HOLD,
+      id,
+      sentAt: at,
+      endedAt: at + 20,
+      body: plainAnswer(id),
+    })),
+    runs: ids.map(({ id, at }) => ({ ...RUN, id, at: at + 5 })),
+  };
+}
+
+const NEED = { host: 1, engine: 'i-1', perSecond: 1, from: 0, until: 20_000 };
+
+/** One arrival that names the limit, and as many in one window as are allowed, and one more. */
+const LIMITED = sentAt([100, ...Array.from({ length: 12 }, (_item, i) => 5_000 + i)]);
+
+const RESTING = sentAt([100, 900, 901, 902]);
+
 /** Each broken promise with a record in which it is broken, and nothing else. */
 const BROKEN: Readonly<Record<string, Partial<SoakRecord>>> = {
   'own whole answer': { attempts: [{ ...HOLD, body: plainAnswer('s2') }] },
@@ -68,6 +92,16 @@
     attempts: [{ ...HOLD, end: 'broken', status: 0, body: '' }],
     events: [{ kind: 'entryTerm', target: 'entry-1', from: 1_020, until: 9_000 }],
   },
+  'a limit is kept': { ...LIMITED, needs: [{ ...NEED, kind: 'limit' }] },
+  'a rest is kept': {
+    ...RESTING,
+    refusals: RESTING.runs,
+    needs: [{ ...NEED, kind: 'rest' }],
+  },
+  'an engine’s word that it leaves is kept': {
+    ...sentAt([100, 5_000]),
+    needs: [{ ...NEED, kind: 'leave' }],
+  },
   'one map a pass': { mixedPasses: 1 },
   'acknowledged is kept': { readBack: [3, 2, 3] },
   'what ends engines is held': {
@@ -98,6 +132,16 @@
     assert.deepEqual(rulesOf({ attempts: [streamOf([1, 2], 'whole')] }), rule);
   });
 
+  it('leave out a need where something was done to the host in question', () => {
+    ['a limit is kept', 'a rest is kept', 'an engine’s word that it leaves is kept'].forEach(
+      (rule) =>
+        ['entry-1', 'endpoint-1'].forEach((target) => {
+          const events = [{ kind: 'entryPause', target, from: 200, until: 800 }];
+          assert.deepEqual(rulesOf({ ...BROKEN[rule], events }), []);
+        }),
+    );
+  });
+
   it('leave out what an unplanned fault beside a stop may cut off', () => {
     const record = BROKEN['a graceful stop cuts nothing off'];
     const kill = { kind: 'engineCrash', target: 'engine-1', from: 900, until: 1_000 };
--- a/soak/__tests__/unit/SoakRun.test.ts
+++ b/soak/__tests__/unit/SoakRun.test.ts
@@ -28,12 +28,28 @@
       lengthMs: 10_000,
       seed: 5,
       faults: [],
+      needs: [],
     });
     assert.deepEqual(findings, []);
     assert.ok((figures.engineEnds ?? 0) > 0);
     assert.ok((figures.whole ?? 0) > 50);
   });
 
+  // Guards against: engines in need, and nothing else going on, get what they have asked entry hosts not to send.
+  it('keeps to what engines ask for in their answers', async () => {
+    const need = { perSecond: 1, at: 500, forMs: 9_000 };
+    const needs = [
+      { ...need, kind: 'limit' as const, host: 1 },
+      { ...need, kind: 'rest' as const, host: 2 },
+      { ...need, kind: 'leave' as const, host: 3 },
+    ];
+    const run = { ...SHORT, endpoints: 4, lengthMs: 10_000, seed: 6, faults: [], needs };
+    const { findings, figures } = await playSoak(run);
+    assert.deepEqual(findings, []);
+    assert.ok((figures.refusals ?? 0) > 0);
+    assert.ok((figures.whole ?? 0) > 50);
+  });
+
   // Processes are killed, paused and stopped, links are cut and reset, engines crash and leave, while
   // callers go on. Whatever they see must keep the promises, and all must be served again at the end.
   it('keeps the promises for each seed that ever failed, and for a new one', async () => {
