Soak: the run with engines in need has nothing else going on

Requests that end their engines also ended the lives that were in need, so that the run checked little.

--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -42,6 +42,8 @@
   readonly faults?: readonly SoakFault[];
   /** Engines that ask for relief in place of the seed's own. */
   readonly needs?: readonly SoakNeedPlan[];
+  /** Requests that end their engines in place of the seed's own. */
+  readonly fatal?: readonly SoakFatalRequest[];
   readonly logs?: 'ignore' | 'inherit';
 }
 
@@ -151,7 +153,7 @@
     const calling = load.run();
     const faults = this.#options.faults ?? planSoak(seed, this.#options);
     const watch = setInterval(() => this.#watchEnds(), 100);
-    const fatal = planFatal(seed, this.#options);
+    const fatal = this.#options.fatal ?? planFatal(seed, this.#options);
     const needs = this.#options.needs ?? planNeeds(seed, this.#options);
     await Promise.all([
       this.#disturb(faults),
--- a/soak/__tests__/unit/SoakRun.test.ts
+++ b/soak/__tests__/unit/SoakRun.test.ts
@@ -43,7 +43,16 @@
       { ...need, kind: 'rest' as const, host: 2 },
       { ...need, kind: 'leave' as const, host: 3 },
     ];
-    const run = { ...SHORT, endpoints: 4, lengthMs: 10_000, seed: 6, faults: [], needs };
+    const run = {
+      ...SHORT,
+      endpoints: 4,
+      lengthMs: 10_000,
+      seed: 6,
+      callers: 24,
+      faults: [],
+      fatal: [],
+      needs,
+    };
     const { findings, figures } = await playSoak(run);
     assert.deepEqual(findings, []);
     assert.ok((figures.refusals ?? 0) > 0);
