A request that meets the last endpoint at rest is told when the rest ends

Where no endpoint of a service takes a request, the next turn is named whichever way the request was refused. Rests are kept of a bounded number of endpoints.

--- a/src/coordination/__tests__/unit/EndpointRests.test.ts
+++ b/src/coordination/__tests__/unit/EndpointRests.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { dropRested, takeRest, type RestPaces } from '../../EndpointRests.js';
+import { dropRested, MOST_RESTS, takeRest, type RestPaces } from '../../EndpointRests.js';
 import { paceWait, takeTurn } from '../../LimitShare.js';
 
 const LIFE = 'i-1@1';
@@ -31,6 +31,16 @@
     assert.equal(waits.pace.until, 1_000);
   });
 
+  it('are kept of so many endpoints and no more, those that last longest', () => {
+    const lives = Array.from({ length: MOST_RESTS + 1 }, (_item, i) => `i-${i}@1`);
+    const paces = lives.reduce<RestPaces>(
+      (state, life, i) => takeRest(state, life, 1_000 + i, 0),
+      new Map(),
+    );
+    assert.equal(paces.size, MOST_RESTS);
+    assert.ok(!paces.has('i-0@1'));
+  });
+
   it('are forgotten once they and the turns after them are over', () => {
     const paces = takeRest(new Map(), LIFE, 1_000, 0);
     assert.equal(dropRested(paces, 999), paces);
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -454,7 +454,8 @@
   /** When a caller that is refused should come back, ms. */
   retryAfter(service: string, leftMs: number): number {
     const usual = RETRY_AFTER_MS * (0.5 + this.#options.runtime.random());
-    return this.admission.retryAfter(service, leftMs) ?? usual;
+    const turnMs = this.canRoute(service, []) ? null : this.nextTurnMs(service, []);
+    return turnMs ?? this.admission.retryAfter(service, leftMs) ?? usual;
   }
 
   /** Headers of an endpoint's answer as they go to the caller. */
