A host that has left counts for a minute from when it left

Members are told of only when they change, so that a host was last noted as one at the change before: after a quiet minute it no longer counted at once, and the others took its share while it might only be out of reach. The test that a host still counts failed. Found by reading the change.

--- a/src/coordination/LimitShare.ts
+++ b/src/coordination/LimitShare.ts
@@ -18,7 +18,7 @@
 /** An entry host that is no longer a member counts for this long: it may only be out of reach. In ms. */
 export const HOST_LINGER_MS = 60_000;
 
-/** Entry hosts, with when each was last a member, ms. */
+/** Entry hosts, with when each was last a member, ms; infinite for those that are. */
 export type RecentHosts = ReadonlyMap<string, number>;
 
 /** Takes the entry hosts that are members now and drops those that have been none for long. */
@@ -27,14 +27,9 @@
   members: readonly string[],
   now: number,
 ): RecentHosts {
-  const next = new Map(hosts);
-  members.forEach((id) => next.set(id, now));
-  next.forEach((at, id) => {
-    if (now - at > HOST_LINGER_MS) {
-      next.delete(id);
-    }
-  });
-  return next;
+  const left = [...hosts].map(([id, at]): [string, number] => [id, Math.min(at, now)]);
+  const recent = left.filter(([, at]) => now - at <= HOST_LINGER_MS);
+  return new Map([...recent, ...members.map((id): [string, number] => [id, Infinity])]);
 }
 
 /** The hosts that may send to an endpoint. */
--- a/src/coordination/__tests__/unit/LimitShare.test.ts
+++ b/src/coordination/__tests__/unit/LimitShare.test.ts
@@ -85,8 +85,15 @@
   // Guards against: members that are out of reach no longer count, go on to send, and the others take their shares.
   it('count a host for a while after it was last a member', () => {
     const before = updateHosts(new Map(), ['a', 'b'], 0);
-    assert.deepEqual([...updateHosts(before, ['a'], HOST_LINGER_MS).keys()], ['a', 'b']);
-    assert.deepEqual([...updateHosts(before, ['a'], HOST_LINGER_MS + 1).keys()], ['a']);
+    // Nothing changes for long: members are told of only when they change.
+    const leftAt = HOST_LINGER_MS * 3;
+    const after = updateHosts(before, ['a'], leftAt);
+    assert.deepEqual([...after.keys()], ['a', 'b']);
+    const later = (ms: number): readonly string[] => [
+      ...updateHosts(after, ['a'], leftAt + ms).keys(),
+    ];
+    assert.deepEqual(later(HOST_LINGER_MS), ['a', 'b']);
+    assert.deepEqual(later(HOST_LINGER_MS + 1), ['a']);
   });
 
   it('let one request through an interval, and turns wait for each other', () => {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -224,7 +224,7 @@
   }
 
   /**
-   * No endpoint takes the request now. It waits for its turn at one that has named a limit, if that comes while its
+   * No endpoint takes the request now. It waits for its turn at one with a limit or at rest, if that comes while its
    * caller waits; else it is refused at once with the time of the next turn.
    */
   #awaitTurn(): void {
--- a/src/daemon/direct/DirectLimits.ts
+++ b/src/daemon/direct/DirectLimits.ts
@@ -36,6 +36,8 @@
 
   readonly #limits: DaemonLimits;
 
+  #members: readonly string[] = [];
+
   #hosts: RecentHosts = new Map();
 
   constructor(options: DirectLimitsOptions) {
@@ -64,8 +66,8 @@
 
   /** Follows the entry hosts that share the limits. */
   setHosts(members: readonly string[]): void {
-    const { self, runtime } = this.#options;
-    this.#hosts = updateHosts(this.#hosts, [...members, self], runtime.now());
+    this.#members = [...members, this.#options.self];
+    this.#updateHosts();
     this.#adjust();
   }
 
@@ -98,8 +100,18 @@
     this.#limits.introduce(this.#options.send);
   }
 
+  /** Forgets what is old: limits, and hosts that have left. */
   tick(): void {
     this.#limits.tick();
+    const count = this.#hosts.size;
+    this.#updateHosts();
+    if (this.#hosts.size !== count) {
+      this.#adjust();
+    }
+  }
+
+  #updateHosts(): void {
+    this.#hosts = updateHosts(this.#hosts, this.#members, this.#options.runtime.now());
   }
 
   /** Brings the paces in line with limits and hosts. */
