--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -136,7 +136,7 @@
     const { seed, callers, entries } = this.#options;
     await this.#engines.start();
     await this.#operator.configure();
-    await until('entry hosts are ready', async () => this.#allReady(), 30_000);
+    await until('entry hosts are ready', async () => this.#platform.areReady(), 30_000);
     const rng = xoroshiro128plus(seed);
     const stop = new AbortController();
     const load = new SoakCallers({
@@ -202,12 +202,6 @@
     this.#engines.stop();
   }
 
-  async #allReady(): Promise<boolean> {
-    const hosts = Array.from({ length: this.#options.entries }, (_item, i) => i + 1);
-    const ready = await Promise.all(hosts.map(async (n) => this.#platform.isReady(n)));
-    return ready.every(Boolean);
-  }
-
   async #disturb(faults: readonly SoakFault[]): Promise<void> {
     const begun = now();
     await Promise.all(
@@ -248,9 +242,11 @@
   /** Waits until the system serves, after everything that was done to it is undone. */
   async #recover(): Promise<void> {
     this.#platform.names.forEach((name) => this.#proxy.setMode(name, 'pass'));
-    await until('entry hosts are ready again', async () => this.#allReady(), RECOVER_MS).catch(
-      () => undefined,
-    );
+    await until(
+      'entry hosts are ready again',
+      async () => this.#platform.areReady(),
+      RECOVER_MS,
+    ).catch(() => undefined);
   }
 
   async #readBack(): Promise<readonly (number | null)[]> {
