--- a/src/daemon/direct/DirectLimits.ts
+++ b/src/daemon/direct/DirectLimits.ts
@@ -40,6 +40,9 @@
 
   #hosts: RecentHosts = new Map();
 
+  /** Intervals for limits, as long as the hosts stay the same: each takes a look at all hosts. */
+  readonly #intervals = new Map<EndpointLife, { perSecond: number; intervalMs: number }>();
+
   constructor(options: DirectLimitsOptions) {
     super(options.runtime.now);
     this.#options = options;
@@ -68,7 +71,7 @@
   setHosts(members: readonly string[]): void {
     this.#members = [...members, this.#options.self];
     this.#updateHosts();
-    this.#adjust();
+    this.#onHosts();
   }
 
   /** Marks a request that is sent now. */
@@ -106,23 +109,38 @@
     const count = this.#hosts.size;
     this.#updateHosts();
     if (this.#hosts.size !== count) {
-      this.#adjust();
+      this.#onHosts();
     }
   }
 
+  #onHosts(): void {
+    this.#intervals.clear();
+    this.#adjust();
+  }
+
   #updateHosts(): void {
     this.#hosts = updateHosts(this.#hosts, this.#members, this.#options.runtime.now());
   }
 
+  #intervalOf(life: EndpointLife, perSecond: number): number {
+    const known = this.#intervals.get(life);
+    if (known?.perSecond === perSecond) {
+      return known.intervalMs;
+    }
+    const hosts = [...this.#hosts.keys()];
+    const intervalMs = intervalOf(this.#options.self, life, perSecond, hosts);
+    this.#intervals.set(life, { perSecond, intervalMs });
+    return intervalMs;
+  }
+
   /** Brings the paces in line with limits and hosts. */
   #adjust(): void {
-    const { self, runtime } = this.#options;
-    const hosts = [...this.#hosts.keys()];
+    const now = this.#options.runtime.now();
     const paces = new Map<EndpointLife, SendPace>();
     this.#limits.state.forEach(({ life, perSecond }) => {
       if (perSecond !== null) {
-        const intervalMs = intervalOf(self, life, perSecond, hosts);
-        paces.set(life, adjustPace(this.paces.get(life), intervalMs, runtime.now()));
+        const intervalMs = this.#intervalOf(life, perSecond);
+        paces.set(life, adjustPace(this.paces.get(life), intervalMs, now));
       }
     });
     this.replace(paces);
