Failing tests: a stream that ends without an event

A caller that comes back after the last event of its stream gets 200 without the endpoint's seal: the head is written with the first event, and there is none.

--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -1,5 +1,10 @@
 import assert from 'node:assert/strict';
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { request } from 'undici';
@@ -108,7 +113,13 @@
     endpoint: string,
     replaced: object,
     deadlineMs = 5_000,
-  ): Promise<{ outcome: string; status: number; faults: unknown[] }> => {
+  ): Promise<{
+    outcome: string;
+    status: number;
+    headers: IncomingHttpHeaders;
+    body: string;
+    faults: unknown[];
+  }> => {
     const faults: unknown[] = [];
     let outcome = '';
     const entry = createServer((_req, res) => {
@@ -121,8 +132,9 @@
         .catch((err: unknown) => faults.push(err));
     });
     const answer = await request(await listen(entry), { method: 'POST' });
-    await answer.body.dump().catch(ignore);
-    return { outcome, status: answer.statusCode, faults };
+    const body = await answer.body.text().catch(() => 'broken off');
+    const { statusCode: status, headers } = answer;
+    return { outcome, status, headers, body, faults };
   };
 
   const fault = (): never => {
@@ -156,4 +168,28 @@
     const { outcome, status } = await serve(await listen(engine), { answerHeaders: fault });
     assert.deepEqual({ outcome, status }, { outcome: 'failed', status: 502 });
   });
+
+  const HEAD_LINES = ['HTTP/1.1 200 OK', 'content-type: text/event-stream', 'x-seal: s1'];
+
+  const EMPTY_STREAMS: Readonly<Record<string, readonly string[]>> = {
+    'in chunks': ['transfer-encoding: chunked', '', '0', '', ''],
+    'with a length': ['content-length: 0', '', ''],
+    'that ends with its connection': ['connection: close', '', ''],
+  };
+
+  // Guards against: a stream without an event is answered with the head that the HTTP library makes up.
+  Object.entries(EMPTY_STREAMS).forEach(([name, lines]) => {
+    it(`passes the head of a stream without an event on, ${name}`, async () => {
+      const engine = createTcpServer((socket) =>
+        socket.once('data', () => socket.end([...HEAD_LINES, ...lines].join('\r\n'))),
+      );
+      const passed = { answerHeaders: (raw: string[]) => raw.slice(0, 4) };
+      const { outcome, status, headers, body } = await serve(await listen(engine), passed);
+      const seal = headers['x-seal'];
+      assert.deepEqual(
+        { outcome, status, seal, body },
+        { outcome: 'whole', status: 200, seal: 's1', body: '' },
+      );
+    });
+  });
 });
