A stream that ends without an event bears the head of its endpoint

Callers got 200 with an empty body that ended as it should, and without the endpoint's seal and the id of their request; one was reported. It happens to a caller that comes back after the last event of its stream: its connection had broken between that event and the end, and there is nothing left to write.

Cause: the head was written by the code that passes events on. Where none came, the end was written to an answer without a head, and the HTTP server made one up: 200.

The end of a stream can't be told without the head that it belongs to any more: an attempt reports both together, and DirectReply, through which all that a caller gets is written, writes the head if nobody has.

--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -11,10 +11,14 @@
   type RunningCall,
 } from '../../transport/index.js';
 
-/** Answer of an endpoint that is passed on whole. */
-export interface WholeAnswer {
+/** Head of an endpoint's answer; `raw` are its headers as they came, names and values in turn. */
+export interface AttemptHead {
   readonly head: AnswerHead;
   readonly raw: readonly string[];
+}
+
+/** Answer of an endpoint that is passed on whole. */
+export interface WholeAnswer extends AttemptHead {
   readonly body: Buffer;
 }
 
@@ -38,10 +42,10 @@
   onStart: () => boolean;
   /** The head of the endpoint's answer to this request has come. */
   onHead: (head: AnswerHead) => void;
-  /** Whole events of a stream, one or more; `raw` are the headers of its answer. */
-  onEvents: (bytes: Buffer, answer: Pick<WholeAnswer, 'head' | 'raw'>) => void;
-  /** The stream has ended after a whole event. */
-  onStreamEnd: () => void;
+  /** Whole events of a stream, one or more, and the head of its answer. */
+  onEvents: (bytes: Buffer, answer: AttemptHead) => void;
+  /** The stream has ended after a whole event, or without any. */
+  onStreamEnd: (answer: AttemptHead) => void;
   onWhole: (answer: WholeAnswer) => void;
   onFailure: (failure: AttemptFailure) => void;
 }
@@ -125,11 +129,12 @@
     if (this.#over || head === null) {
       return;
     }
+    const raw = this.#raw;
     if (this.#isStream) {
-      this.#endStream();
+      this.#endStream({ head, raw });
       return;
     }
-    const answer = { head, raw: this.#raw, body: Buffer.concat(this.#chunks) };
+    const answer = { head, raw, body: Buffer.concat(this.#chunks) };
     if (head.notRun) {
       this.#fail('notRun', `status ${head.status}`, answer);
     } else if (head.status >= FIRST_FAILURE || !head.sealed) {
@@ -164,13 +169,13 @@
     }
   }
 
-  #endStream(): void {
+  #endStream(answer: AttemptHead): void {
     if (this.#chunks.length > 0) {
       this.#fail('broken', 'the stream ended inside an event');
       return;
     }
     this.#over = true;
-    this.#options.listener.onStreamEnd();
+    this.#options.listener.onStreamEnd(answer);
   }
 
   #fail(
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -8,9 +8,14 @@
   type DirectVerdict,
 } from '../../coordination/index.js';
 import { RequestError, type MemberRecord } from '../../protocol/index.js';
-import { DirectAttempt, type AttemptFailure, type WholeAnswer } from './DirectAttempt.js';
+import {
+  DirectAttempt,
+  type AttemptFailure,
+  type AttemptHead,
+  type WholeAnswer,
+} from './DirectAttempt.js';
 import type { DirectEntryState } from './DirectEntryState.js';
-import { quarantined } from './DirectReply.js';
+import { quarantined, type ReplyStart } from './DirectReply.js';
 import { placeRequestOf, type DirectOutcome, type DirectSpec } from './DirectSpec.js';
 
 /** An attempt with the endpoint that it went to. */
@@ -212,7 +217,7 @@
         },
         onHead: (answer) => this.#guard(() => turns.onAnswer(endpoint, answer, head.id, mark)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
-        onStreamEnd: () => this.#guard(() => this.#onStreamEnd()),
+        onStreamEnd: (answer) => this.#guard(() => this.#onStreamEnd(answer)),
         onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
         onFailure: (failure) => this.#guard(() => this.#onFailure(failure)),
       },
@@ -304,7 +309,7 @@
     }
   }
 
-  #onEvents(bytes: Buffer, { head, raw }: Pick<WholeAnswer, 'head' | 'raw'>): void {
+  #onEvents(bytes: Buffer, answer: AttemptHead): void {
     if (this.#isOver) {
       return;
     }
@@ -321,16 +326,22 @@
     }
     this.#eventsAt = now;
     this.#lastEvent = this.#state.lastEventId(bytes) ?? this.#lastEvent;
-    reply.passEvents({ status: head.status, headers: this.#state.answerHeaders(raw) }, bytes);
+    reply.passEvents(this.#startOf(answer), bytes);
+  }
+
+  /** How the answer of an endpoint begins for the caller. */
+  #startOf({ head, raw }: AttemptHead): ReplyStart {
+    return { status: head.status, headers: this.#state.answerHeaders(raw) };
   }
 
-  #onStreamEnd(): void {
+  #onStreamEnd(answer: AttemptHead): void {
     this.#settle('whole');
     this.#state.screening.onWhole(this.#spec.identity);
     if (this.#isOver) {
       return;
     }
-    this.#spec.reply.endStream();
+    this.#firstAt ??= this.#state.now();
+    this.#spec.reply.endStream(this.#startOf(answer));
     this.#finish('whole');
   }
 
@@ -343,9 +354,7 @@
       return;
     }
     this.#firstAt = this.#state.now();
-    const { head, raw } = answer;
-    const start = { status: head.status, headers: this.#state.answerHeaders(raw) };
-    this.#spec.reply.passWhole(answer, start);
+    this.#spec.reply.passWhole(answer, this.#startOf(answer));
     this.#finish(outcome);
   }
 
--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -71,8 +71,11 @@
     this.#res.write(bytes);
   }
 
-  /** Ends a stream that is whole. */
-  endStream(): void {
+  /** Ends a stream that is whole. One without an event, as after its last one, has its head only now. */
+  endStream(start: ReplyStart): void {
+    if (!this.begun) {
+      this.#writeHead('endpoint', start);
+    }
     this.#res.end();
   }
 
