A stream can't go on or end before its head

DirectReply now has begin, events and end; the latter two throw a typed error where there was no begin, so that the request fails with an error of ours and nothing is left for the HTTP library to make up. An endpoint that answers without an event has answered: it is no longer held silent. The log and the counter tell an answer that the library made up from none at all, and count early refusals too.

--- a/src/cli/CliExplain.ts
+++ b/src/cli/CliExplain.ts
@@ -106,7 +106,7 @@
 
 /** Says so where an answer's head was written neither for the endpoint nor for an error of this process. */
 function tellHead({ status, headOf }: LogLine): string {
-  return headOf === null && status !== null
+  return headOf === 'library'
     ? `; its head, with status ${String(status)}, is neither the endpoint's nor an error of this host`
     : '';
 }
--- a/src/daemon/DaemonEntryMetrics.ts
+++ b/src/daemon/DaemonEntryMetrics.ts
@@ -28,7 +28,7 @@
     });
     this.#replies = new Counter({
       name: 'laburnumgauge_replies_total',
-      help: 'Answers to callers, by whose head they bore: of the endpoint, of this process, or none',
+      help: 'Requests ended, by whose head the answer bore: endpoint, own, library, none for no answer',
       labelNames: ['head'],
       registers,
     });
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -15,7 +15,7 @@
   type WholeAnswer,
 } from './DirectAttempt.js';
 import type { DirectEntryState } from './DirectEntryState.js';
-import { quarantined, type ReplyStart } from './DirectReply.js';
+import { quarantined } from './DirectReply.js';
 import { placeRequestOf, type DirectOutcome, type DirectSpec } from './DirectSpec.js';
 
 /** An attempt with the endpoint that it went to. */
@@ -313,35 +313,44 @@
     if (this.#isOver) {
       return;
     }
-    const { reply } = this.#spec;
     const now = this.#state.now();
-    if (this.#sent !== null) {
-      this.#state.admission.onEvent(this.#sent.endpoint.id, !this.#sent.writes);
-      this.#sent = { ...this.#sent, writes: true };
-    }
-    if (!reply.begun) {
-      this.#firstAt = now;
-    } else {
+    this.#onWriting();
+    if (this.#spec.reply.begun) {
       this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#eventsAt);
     }
+    this.#begin(answer);
     this.#eventsAt = now;
     this.#lastEvent = this.#state.lastEventId(bytes) ?? this.#lastEvent;
-    reply.passEvents(this.#startOf(answer), bytes);
+    this.#spec.reply.passEvents(bytes);
   }
 
-  /** How the answer of an endpoint begins for the caller. */
-  #startOf({ head, raw }: AttemptHead): ReplyStart {
-    return { status: head.status, headers: this.#state.answerHeaders(raw) };
+  /** The endpoint of the running attempt has answered with a stream: it is neither silent nor stands still. */
+  #onWriting(): void {
+    if (this.#sent !== null) {
+      this.#state.admission.onEvent(this.#sent.endpoint.id, !this.#sent.writes);
+      this.#sent = { ...this.#sent, writes: true };
+    }
+  }
+
+  /** Passes the head of a stream on, unless the caller has that of an earlier attempt. */
+  #begin({ head, raw }: AttemptHead): void {
+    const { reply } = this.#spec;
+    if (!reply.begun) {
+      reply.begin({ status: head.status, headers: this.#state.answerHeaders(raw) });
+      this.#firstAt = this.#state.now();
+    }
   }
 
+  /** A stream has ended; one that had no event left, as after its last one, has only a head. */
   #onStreamEnd(answer: AttemptHead): void {
+    this.#onWriting();
     this.#settle('whole');
     this.#state.screening.onWhole(this.#spec.identity);
     if (this.#isOver) {
       return;
     }
-    this.#firstAt ??= this.#state.now();
-    this.#spec.reply.endStream(this.#startOf(answer));
+    this.#begin(answer);
+    this.#spec.reply.endStream();
     this.#finish('whole');
   }
 
@@ -354,7 +363,11 @@
       return;
     }
     this.#firstAt = this.#state.now();
-    this.#spec.reply.passWhole(answer, this.#startOf(answer));
+    const { head, raw, body } = answer;
+    this.#spec.reply.passWhole(
+      { status: head.status, headers: this.#state.answerHeaders(raw) },
+      body,
+    );
     this.#finish(outcome);
   }
 
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -310,6 +310,7 @@
       'refused',
     );
     reply.refuse(err, retryAfter, this.#state.isLeaving);
+    this.#state.countReply(reply);
   }
 
   get #knowsConfig(): boolean {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -48,6 +48,7 @@
   type PlaceVerdict,
 } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
+import type { DirectReply } from './DirectReply.js';
 import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
@@ -258,7 +259,7 @@
     }
     const { head, route, service, customer, startedAt, reply } = spec;
     const { status, head: headOf, bytes } = reply.account;
-    this.#metrics.onReply(headOf ?? 'none');
+    this.countReply(reply);
     const ms = Math.round(this.now() - startedAt);
     this.#options.runtime.log.info(
       {
@@ -286,6 +287,11 @@
     );
   }
 
+  /** Counts an answer by whose head it bore. */
+  countReply({ account }: DirectReply): void {
+    this.#metrics.onReply(account.head ?? 'none');
+  }
+
   /** Chooses an endpoint, and writes down why. */
   route(
     service: string,
--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -1,21 +1,20 @@
 /** Writing of the one answer of a request to its caller. */
 import type { ServerResponse } from 'node:http';
 import { RequestError } from '../../protocol/index.js';
-import type { WholeAnswer } from './DirectAttempt.js';
+import { ReplyError } from './DirectReplyError.js';
 
 /** The answer to a request that endpoints have ended under: until it is forgotten no try makes sense. */
 export function quarantined(): RequestError {
   return new RequestError('quarantined', 'endpoints have ended while they ran this request');
 }
 
-/** Whose head an answer bears. */
-export type ReplyHead = 'endpoint' | 'own';
+/** Whose head an answer bears: the endpoint's, an error's of this process, one that the HTTP library made up. */
+export type ReplyHead = 'endpoint' | 'own' | 'library';
 
 /** What a caller was sent. */
 export interface ReplyAccount {
-  /** Null where no head was written. */
+  /** Null where no head was sent, as to a caller that has left. */
   readonly status: number | null;
-  /** Null where neither an endpoint nor this process gave one. */
   readonly head: ReplyHead | null;
   /** Bytes of the body. */
   readonly bytes: number;
@@ -52,7 +51,9 @@
 
   get account(): ReplyAccount {
     const { headersSent, statusCode } = this.#res;
-    return { status: headersSent ? statusCode : null, head: this.#head, bytes: this.#bytes };
+    return headersSent
+      ? { status: statusCode, head: this.#head ?? 'library', bytes: this.#bytes }
+      : { status: null, head: null, bytes: 0 };
   }
 
   /** Registers what is called once the caller's connection, or the answer, has ended; returns its undo. */
@@ -61,26 +62,27 @@
     return () => this.#res.off('close', onClose);
   }
 
-  /** Passes events of an endpoint's stream on; the first ones bring its head along. */
-  passEvents(start: ReplyStart, bytes: Buffer): void {
-    if (!this.begun) {
-      this.#writeHead('endpoint', start);
-      this.#res.flushHeaders();
-    }
+  /** Begins a stream: its endpoint's head goes to the caller. */
+  begin(start: ReplyStart): void {
+    this.#writeHead('endpoint', start);
+    this.#res.flushHeaders();
+  }
+
+  /** Passes events of a stream that has begun on. */
+  passEvents(bytes: Buffer): void {
+    this.#assertBegun();
     this.#bytes += bytes.length;
     this.#res.write(bytes);
   }
 
-  /** Ends a stream that is whole. One without an event, as after its last one, has its head only now. */
-  endStream(start: ReplyStart): void {
-    if (!this.begun) {
-      this.#writeHead('endpoint', start);
-    }
+  /** Ends a stream that is whole. */
+  endStream(): void {
+    this.#assertBegun();
     this.#res.end();
   }
 
   /** Passes an endpoint's whole answer on, byte for byte. */
-  passWhole({ body }: WholeAnswer, { status, headers }: ReplyStart): void {
+  passWhole({ status, headers }: ReplyStart, body: Buffer): void {
     const framed = [...headers, 'Content-Length', String(body.length)];
     this.#writeHead('endpoint', { status, headers: framed });
     this.#end(body);
@@ -112,6 +114,13 @@
     this.#res.destroy();
   }
 
+  /** Without a head of ours the HTTP library sends one of its own, which tells of a success. */
+  #assertBegun(): void {
+    if (!this.begun) {
+      throw new ReplyError('a stream goes on that has no head');
+    }
+  }
+
   #writeHead(head: ReplyHead, { status, headers }: ReplyStart): void {
     this.#res.writeHead(status, [...headers]);
     this.#head = head;
