An endpoint that refuses is passed over for a while

What refuses at once has nothing in progress: by least work it drew first tries and second ones, and callers were refused while others had room. A refusal without a time to come back (a rest is kept apart) has the endpoint passed over for 0.1 s, twice as long with each one after that and 0.8 s at most, as long as another is left; an answer to a request ends it.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -193,6 +193,14 @@
   type LimitsState,
   type LimitsStep,
 } from './EndpointLimits.js';
+export {
+  dropRefusals,
+  endRefusals,
+  refusingNow,
+  takeRefusal,
+  type EndpointRefusal,
+  type EndpointRefusals,
+} from './EndpointRefusals.js';
 export { dropRested, takeRest, type RestPace, type RestPaces } from './EndpointRests.js';
 export {
   adjustPace,
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -25,6 +25,7 @@
   type MembershipView,
   type RetryAllowance,
   type RetryBudgetState,
+  type RoutingDecision,
   type RoutingState,
 } from '../../coordination/index.js';
 import type {
@@ -301,7 +302,7 @@
   ): MemberRecord | null {
     const { runtime } = this.#options;
     const without = this.turns.without(exclude);
-    const ranked = this.admission.choose(service, without);
+    const ranked = this.#chooseRank(service, without);
     if (ranked !== undefined) {
       const record = ranked === null ? null : (this.#view.get(ranked)?.record ?? null);
       const endpoint = record === null ? null : record.id;
@@ -311,9 +312,7 @@
       );
       return record;
     }
-    const key = serviceKey(DIRECT_FLEET, service);
-    const req = { service: key, prefix: null, exclude: without };
-    const decision = routeRequest(this.#routing, req, this.now(), runtime.rng);
+    const decision = this.#chooseByWork(service, without);
     runtime.log.info(
       {
         event: 'route',
@@ -330,6 +329,29 @@
     return decision.endpoint;
   }
 
+  /** An endpoint that has just refused is better than none. Undefined where the service has no groups. */
+  #chooseRank(service: string, without: readonly string[]): string | null | undefined {
+    const { passedOver } = this.turns.refusals;
+    const chosen = this.admission.choose(service, [...without, ...passedOver]);
+    return chosen === null && passedOver.length > 0
+      ? this.admission.choose(service, without)
+      : chosen;
+  }
+
+  #chooseByWork(service: string, without: readonly string[]): RoutingDecision {
+    const { passedOver } = this.turns.refusals;
+    const key = serviceKey(DIRECT_FLEET, service);
+    const choose = (exclude: readonly string[]): RoutingDecision =>
+      routeRequest(
+        this.#routing,
+        { service: key, prefix: null, exclude },
+        this.now(),
+        this.#options.runtime.rng,
+      );
+    const decision = choose([...without, ...passedOver]);
+    return decision.endpoint === null && passedOver.length > 0 ? choose(without) : decision;
+  }
+
   /** Whether an endpoint of the service is known; for model engines that are ranks, their group. */
   knowsEndpoint(service: string): boolean {
     const model = this.#modelOf(service);
--- a/src/daemon/direct/DirectTurns.ts
+++ b/src/daemon/direct/DirectTurns.ts
@@ -5,6 +5,7 @@
 import { idOf, lifeOf, type EndpointLife, type LimitMark } from '../../coordination/index.js';
 import type { AnswerHead, MemberRecord } from '../../protocol/index.js';
 import { DirectLimits, type DirectLimitsOptions } from './DirectLimits.js';
+import { DirectRefusals } from './DirectRefusals.js';
 import { DirectRests } from './DirectRests.js';
 
 /** An endpoint that leaves, and is no member any more, is remembered this long, ms. */
@@ -26,6 +27,8 @@
 export class DirectTurns {
   readonly limits: DirectLimits;
 
+  readonly refusals: DirectRefusals;
+
   readonly #rests: DirectRests;
 
   /** Endpoints that have said that they leave, with when they last did, ms: they take nothing any more. */
@@ -40,6 +43,7 @@
     this.#runtime = options.runtime;
     this.limits = new DirectLimits(options);
     this.#rests = new DirectRests(options.runtime);
+    this.refusals = new DirectRefusals(options.runtime);
   }
 
   /** Takes what the head of an endpoint's answer asks for; `sent` marks its request. */
@@ -47,6 +51,7 @@
     if (!head.wrongInstance) {
       this.limits.onAnswer(endpoint, sent, head.limit, request);
       this.#rests.onAnswer(endpoint, head.restMs, request);
+      this.refusals.onAnswer(endpoint, head, request);
       this.#onLeaving(endpoint, head.isLeaving, request);
     }
   }
@@ -103,6 +108,7 @@
   tick(): void {
     this.limits.tick();
     this.#rests.tick();
+    this.refusals.tick();
   }
 
   #onLeaving(endpoint: MemberRecord, isLeaving: boolean, request: string): void {
