--- a/src/coordination/DirectAttempts.ts
+++ b/src/coordination/DirectAttempts.ts
@@ -58,6 +58,14 @@
 /** Attempts that can't be sent are tried elsewhere this often: they cost the endpoints nothing. */
 const MOST_UNSENT = 4;
 
+/** Statuses that tell a caller that its request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Whether an answer with this status promises its caller that the request has not run. */
+export function promisesNotRun(status: number): boolean {
+  return NOT_RUN_STATUSES.has(status);
+}
+
 /** Whether nothing was sent. */
 export function isUnsent(failure: DirectFailure): boolean {
   return failure === 'unsent' || failure === 'heldBack';
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -208,6 +208,7 @@
   isUnsent,
   judgeFailure,
   LEAST_RETRY_MS,
+  promisesNotRun,
   type DirectFailure,
   type DirectProgress,
   type DirectVerdict,
