Soak: callers check seal and id, come back after any event, and engines answer unusually

Callers read answers off their own connections: each success must bear the seal of an engine that ran it and its id, a resumed stream must join, sealed failures must be their engine's, and no byte may belong to no answer. They break streams off after any event, the last one too, and go on at another entry host. Engines give second answers, at once and late, unframed, cut and odd ones by plans drawn apart from the disturbances of a seed.

SoakChecks.test.ts: records have the new fields; the record of a graceful stop that cuts has a head now, and the one without breaks a second rule, which is asserted.

--- /dev/null
+++ b/soak/SoakAnswerReader.ts
@@ -0,0 +1,172 @@
+/** Reads one answer off a connection, piece by piece. Pure; bodies are ASCII in a soak run. */
+
+type State = 'head' | 'length' | 'size' | 'chunk' | 'trailer' | 'untilClose' | 'whole' | 'garbled';
+
+const STATUS_LINE = /^HTTP\/1\.1 (\d{3})( .*)?$/;
+const HEADER_LINE = /^([!-9;-~]+):[ \t]*(.*)$/;
+const SIZE_LINE = /^([0-9a-f]+)$/i;
+
+const LINE_END = '\r\n';
+
+/** One answer; what follows it stays unread. */
+export class SoakAnswerReader {
+  #state: State = 'head';
+
+  #text = '';
+
+  #body = '';
+
+  #left = 0;
+
+  #status = 0;
+
+  #headers: ReadonlyMap<string, string> = new Map();
+
+  /** 0 before the head. */
+  get status(): number {
+    return this.#status;
+  }
+
+  get body(): string {
+    return this.#body;
+  }
+
+  get isWhole(): boolean {
+    return this.#state === 'whole';
+  }
+
+  /** Whether something came that is no answer in the protocol. */
+  get isGarbled(): boolean {
+    return this.#state === 'garbled';
+  }
+
+  /** What has come behind the answer. */
+  get rest(): string {
+    return this.isWhole ? this.#text : '';
+  }
+
+  header(name: string): string | null {
+    return this.#headers.get(name) ?? null;
+  }
+
+  feed(text: string): void {
+    this.#text += text;
+    let moves = true;
+    while (moves) {
+      moves = this.#step();
+    }
+  }
+
+  /** The other end sends nothing more: the end of an answer without a length. */
+  end(): void {
+    if (this.#state === 'untilClose') {
+      this.#state = 'whole';
+    }
+  }
+
+  /** Reads the next part, if it is there. */
+  #step(): boolean {
+    const steps: Readonly<Record<State, () => boolean>> = {
+      head: () => this.#onHead(),
+      length: () => this.#take('whole'),
+      size: () => this.#onSize(),
+      chunk: () => this.#onChunk(),
+      trailer: () => this.#onTrailer(),
+      untilClose: () => this.#onRest(),
+      whole: () => false,
+      garbled: () => false,
+    };
+    return steps[this.#state]();
+  }
+
+  #line(): string | null {
+    const end = this.#text.indexOf(LINE_END);
+    if (end < 0) {
+      return null;
+    }
+    const line = this.#text.slice(0, end);
+    this.#text = this.#text.slice(end + LINE_END.length);
+    return line;
+  }
+
+  #onHead(): boolean {
+    const end = this.#text.indexOf(LINE_END + LINE_END);
+    if (end < 0) {
+      return false;
+    }
+    const [first = '', ...lines] = this.#text.slice(0, end).split(LINE_END);
+    this.#text = this.#text.slice(end + 2 * LINE_END.length);
+    const status = STATUS_LINE.exec(first);
+    const headers = lines.map((line) => HEADER_LINE.exec(line));
+    if (status === null || headers.includes(null)) {
+      this.#state = 'garbled';
+      return false;
+    }
+    this.#status = Number(status[1]);
+    this.#headers = new Map(
+      headers.map((item) => [(item?.[1] ?? '').toLowerCase(), item?.[2] ?? '']),
+    );
+    this.#state = this.#framing();
+    return true;
+  }
+
+  #framing(): State {
+    if (this.header('transfer-encoding') === 'chunked') {
+      return 'size';
+    }
+    const length = this.header('content-length');
+    this.#left = Number(length ?? 0);
+    return length === null ? 'untilClose' : 'length';
+  }
+
+  /** Takes bytes of the body until none are left of its part. */
+  #take(next: State): boolean {
+    const part = this.#text.slice(0, this.#left);
+    this.#body += part;
+    this.#text = this.#text.slice(part.length);
+    this.#left -= part.length;
+    if (this.#left > 0) {
+      return false;
+    }
+    this.#state = next;
+    return true;
+  }
+
+  #onSize(): boolean {
+    const line = this.#line();
+    if (line === null) {
+      return false;
+    }
+    const size = SIZE_LINE.exec(line)?.[1];
+    this.#left = Number.parseInt(size ?? '0', 16);
+    const next: State = this.#left === 0 ? 'trailer' : 'chunk';
+    this.#state = size === undefined ? 'garbled' : next;
+    return true;
+  }
+
+  #onChunk(): boolean {
+    if (this.#left > 0 && !this.#take('chunk')) {
+      return false;
+    }
+    if (this.#text.length < LINE_END.length) {
+      return false;
+    }
+    this.#state = this.#text.startsWith(LINE_END) ? 'size' : 'garbled';
+    this.#text = this.#text.slice(LINE_END.length);
+    return true;
+  }
+
+  #onTrailer(): boolean {
+    const line = this.#line();
+    if (line === '') {
+      this.#state = 'whole';
+    }
+    return line !== null;
+  }
+
+  #onRest(): boolean {
+    this.#body += this.#text;
+    this.#text = '';
+    return false;
+  }
+}
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,9 +1,8 @@
 /** The promises, checked on what callers and engines saw. Pure: a record in, findings out. */
+import { checkAnswers } from './SoakAnswerChecks.js';
+import { isDisturbed } from './SoakDisturbed.js';
 import { checkNeeds } from './SoakNeeds.js';
-import type { SoakAttempt, SoakFinding, SoakRecord, SoakRun } from './SoakTypes.js';
-
-/** Events of every stream. */
-export const STREAM_EVENTS = 12;
+import type { SoakFinding, SoakRecord, SoakRun } from './SoakTypes.js';
 
 /** A withdrawn key must not be served for requests sent this long after the acknowledgement, ms. */
 export const REVOKE_MS = 5_000;
@@ -14,9 +13,6 @@
 /** A key is known everywhere this long after the acknowledgement of its version, ms. */
 const APPLY_MS = 2_000;
 
-/** After an unplanned disturbance cut answers are its own for this long, ms. */
-const DISTURBED_MS = 3_000;
-
 /** Engines that a request may end, and how often it may run once that is known. */
 const FATAL_ENDS = 3;
 const MOST_FATAL_RUNS = 3;
@@ -27,43 +23,12 @@
 /** Statuses that promise that the request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503]);
 
-/** Kinds of events that a system must bear without cutting off an answer. */
-const PLANNED = new Set(['entryTerm', 'hangUp', 'configure', 'withdraw', 'drain', 'orderLost']);
-
-/** Body of an engine's plain answer. */
-export function plainAnswer(id: string): string {
-  return `answer to ${id}`;
-}
-
-/** One event of an engine's stream. */
-export function streamEvent(id: string, event: number): string {
-  return `id: ${event}\ndata: ${id} token ${event}\n\n`;
-}
-
-function wholeBody({ id, kind }: SoakAttempt): string {
-  return kind === 'stream'
-    ? Array.from({ length: STREAM_EVENTS }, (_item, i) => streamEvent(id, i + 1)).join('')
-    : plainAnswer(id);
-}
-
 function finding(rule: string, detail: string): SoakFinding {
   return { rule, detail };
 }
 
 type Check = (record: SoakRecord, runs: ReadonlyMap<string, readonly SoakRun[]>) => SoakFinding[];
 
-/** A success is the engine's whole answer to this very request; a cut one is a beginning of it. */
-const ownWholeAnswer: Check = ({ attempts }) =>
-  attempts.flatMap((attempt) => {
-    const { id, end, status, body } = attempt;
-    const whole = wholeBody(attempt);
-    if (status !== 200) {
-      return [];
-    }
-    const right = end === 'whole' ? body === whole : whole.startsWith(body);
-    return right ? [] : [finding('own whole answer', `${id} ${end}: ${JSON.stringify(body)}`)];
-  });
-
 const atMostOnce: Check = ({ attempts }, runs) =>
   attempts.flatMap(({ id, kind }) => {
     const times = (runs.get(id) ?? []).length;
@@ -112,18 +77,6 @@
       ),
   );
 
-/** Whether anything but planned work disturbed the system while an attempt ran, or shortly before. */
-function isDisturbed(
-  { events, engineEnds }: Pick<SoakRecord, 'events' | 'engineEnds'>,
-  { sentAt, endedAt }: Pick<SoakAttempt, 'sentAt' | 'endedAt'>,
-): boolean {
-  const unplanned = events.filter(({ kind }) => !PLANNED.has(kind));
-  const ends = engineEnds.map(({ at }) => ({ from: at, until: at }));
-  return [...unplanned, ...ends].some(
-    ({ from, until }) => from <= endedAt && until + DISTURBED_MS >= sentAt,
-  );
-}
-
 /** A request that an entry host has read is answered whole though the host is stopped. */
 const gracefulStop: Check = (record, runs) =>
   record.attempts.flatMap((attempt) => {
@@ -176,7 +129,6 @@
 ];
 
 const CHECKS: readonly Check[] = [
-  ownWholeAnswer,
   atMostOnce,
   refusedNotRun,
   noUnknownRequests,
@@ -200,5 +152,9 @@
 export function checkRecord(record: SoakRecord): readonly SoakFinding[] {
   const runs = new Map<string, SoakRun[]>();
   record.runs.forEach((run) => runs.set(run.id, [...(runs.get(run.id) ?? []), run]));
-  return [...CHECKS.flatMap((check) => check(record, runs)), ...checkNeeds(record)];
+  return [
+    ...checkAnswers(record, runs),
+    ...CHECKS.flatMap((check) => check(record, runs)),
+    ...checkNeeds(record),
+  ];
 }
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -1,16 +1,18 @@
 /** The group of engines of a soak run: they run requests, announce themselves, crash, leave and misbehave. */
 import { setTimeout as delay } from 'node:timers/promises';
+import type { StandInBehaviour } from '../platform/__tests__/utils/StandInAnswers.js';
 import {
   StandInEngine,
+  type SeenAnswer,
   type SeenRefusal,
   type SeenRequest,
-  type StandInBehaviour,
 } from '../platform/__tests__/utils/StandInEngine.js';
 import { ENGINE_PORT, type StandInPlatform } from '../platform/__tests__/utils/StandInPlatform.js';
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
 import { BACK_AFTER_MS, FATAL_BODY } from '../platform/__tests__/utils/StandInFleet.js';
-import { STREAM_EVENTS } from './SoakChecks.js';
+import type { SoakOddity } from './SoakOddities.js';
+import { STREAM_EVENTS } from './SoakStream.js';
 import type { SoakEngineEnd } from './SoakTypes.js';
 
 /** Pause between two events of a stream, ms. */
@@ -30,6 +32,8 @@
 
   readonly refusals: SeenRefusal[] = [];
 
+  readonly answers: SeenAnswer[] = [];
+
   /** Engines that requests ended. */
   readonly ends: SoakEngineEnd[] = [];
 
@@ -101,6 +105,19 @@
     });
   }
 
+  /** Has an engine give one kind of unusual answers, or no longer. */
+  setOdd(n: number, oddity: SoakOddity, isOn: boolean): void {
+    this.#change(n, ({ behaviour }) => {
+      if (oddity === 'extra' || oddity === 'resetUnframed') {
+        Object.assign(behaviour, { [oddity]: isOn });
+      } else if (isOn) {
+        behaviour.odd.add(oddity);
+      } else {
+        behaviour.odd.delete(oddity);
+      }
+    });
+  }
+
   /** Has an engine ask for relief in its answers, until the result is called; its id. */
   setNeed(
     n: number,
@@ -143,6 +160,7 @@
       fatal: FATAL_BODY,
     });
     engine.onRefusal = (refusal) => this.refusals.push(refusal);
+    engine.onAnswer = (answer) => this.answers.push(answer);
     engine.onCrash = (body) => {
       this.ends.push({ body, engine: engine.id, at: performance.now() });
       this.#comeBack(n, engine).catch(() => undefined);
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { StandInPlatform } from '../platform/__tests__/utils/StandInPlatform.js';
 import type { SoakEngines } from './SoakEngines.js';
+import { ODDITIES, type SoakOddity } from './SoakOddities.js';
 import type { SoakOperator } from './SoakOperator.js';
 import type { ProxyMode, SoakProxy } from './SoakProxy.js';
 import type { SoakFault, SoakFaultKind } from './SoakSchedule.js';
@@ -65,8 +66,14 @@
   };
 }
 
+/** Unusual answers of an engine, for a while. */
+const ODD_FAULTS = Object.fromEntries(
+  ODDITIES.map((oddity) => [oddity, misbehave((engines, n, on) => engines.setOdd(n, oddity, on))]),
+) as Record<SoakOddity, CarryOut>;
+
 /** Each kind of disturbance; resolves once it is over. */
-export const FAULTS: Readonly<Record<SoakFaultKind, CarryOut>> = {
+export const FAULTS: Readonly<Record<SoakFaultKind | SoakOddity, CarryOut>> = {
+  ...ODD_FAULTS,
   entryKill: kill,
   entryPause: pause,
   entryTerm: async ({ fault: { target, forMs }, platform, alone }) =>
--- a/soak/SoakNeeds.ts
+++ b/soak/SoakNeeds.ts
@@ -6,6 +6,7 @@
   LIMIT_KNOWN_MS,
   mostInWindow,
 } from '../platform/__tests__/utils/StandInLimits.js';
+import { isOddity } from './SoakOddities.js';
 import type { SoakShape } from './SoakSchedule.js';
 import type { SoakFinding, SoakNeed, SoakNeedKind, SoakRecord } from './SoakTypes.js';
 
@@ -73,10 +74,17 @@
     .sort((a, b) => a.at - b.at);
 }
 
-/** Whether anything was done to a host in a time: what it knew may be lost, or held up on its way. */
+/**
+ * Whether anything was done to a host in a time: what it knew may be lost, or held up on its way. Unusual answers are
+ * no reason not to keep to what others say.
+ */
 function isTouched({ events }: SoakRecord, name: string, from: number, until: number): boolean {
   return events.some(
-    (event) => event.target === name && event.from <= until && event.until >= from - ON_THE_WAY_MS,
+    (event) =>
+      event.target === name &&
+      !isOddity(event.kind) &&
+      event.from <= until &&
+      event.until >= from - ON_THE_WAY_MS,
   );
 }
 
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -12,6 +12,7 @@
 import { checkRecord } from './SoakChecks.js';
 import { SoakEngines } from './SoakEngines.js';
 import { planNeeds, REST_S, type SoakNeedPlan } from './SoakNeeds.js';
+import { planOddities } from './SoakOddities.js';
 import { SoakOperator } from './SoakOperator.js';
 import { FAULTS } from './SoakFaults.js';
 import { SoakProxy } from './SoakProxy.js';
@@ -23,6 +24,7 @@
   type SoakFault,
   type SoakShape,
 } from './SoakSchedule.js';
+import { STREAM_EVENTS } from './SoakStream.js';
 import type {
   SoakDrain,
   SoakEvent,
@@ -83,6 +85,8 @@
     whole: count(({ status, end }) => status === 200 && end === 'whole'),
     refused: count(({ status }) => status === 503),
     failed: count(({ status }) => status >= 500 && status !== 503),
+    left: count(({ end }) => end === 'left'),
+    afterLast: count(({ after, status }) => after === STREAM_EVENTS && status === 200),
     broken: count(({ end }) => end === 'broken'),
     deadline: count(({ end }) => end === 'deadline'),
     runs: runs.length,
@@ -94,6 +98,12 @@
   };
 }
 
+/** All disturbances of a seed, unusual answers of engines among them. */
+export function planAll(seed: number, shape: SoakShape): readonly SoakFault[] {
+  const faults = planSoak(seed, shape);
+  return [...faults, ...planOddities(seed, shape, faults)];
+}
+
 /** What an engine in need says. */
 const NEED_BEHAVIOUR: Readonly<Record<SoakNeedKind, (perSecond: number) => object>> = {
   limit: (perSecond) => ({ limit: perSecond }),
@@ -151,7 +161,7 @@
       signal: stop.signal,
     });
     const calling = load.run();
-    const faults = this.#options.faults ?? planSoak(seed, this.#options);
+    const faults = this.#options.faults ?? planAll(seed, this.#options);
     const watch = setInterval(() => this.#watchEnds(), 100);
     const fatal = this.#options.fatal ?? planFatal(seed, this.#options);
     const needs = this.#options.needs ?? planNeeds(seed, this.#options);
@@ -180,6 +190,7 @@
         customer,
         resumed: lastEvent !== undefined,
       })),
+      answers: this.#engines.answers,
       withdrawals: this.#operator.withdrawals,
       drains: this.#drains,
       needs: this.#needs,
--- a/soak/SoakSchedule.ts
+++ b/soak/SoakSchedule.ts
@@ -2,6 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { FATAL_BODY } from '../platform/__tests__/utils/StandInFleet.js';
+import type { SoakOddity } from './SoakOddities.js';
 
 /** Kinds of disturbances; the name says what is done, and to which kind of host. */
 export type SoakFaultKind =
@@ -30,7 +31,7 @@
 
 /** One disturbance. */
 export interface SoakFault {
-  readonly kind: SoakFaultKind;
+  readonly kind: SoakFaultKind | SoakOddity;
   /** Host it is done to, or all. */
   readonly target: string;
   /** ms from the start of load. */
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -10,7 +10,9 @@
   /** The connection ended inside the answer, or before it. */
   | 'broken'
   /** The caller's own deadline passed. */
-  | 'deadline';
+  | 'deadline'
+  /** The caller broke it off. */
+  | 'left';
 
 /** One attempt of a caller; times are ms on the soak's steady clock. */
 export interface SoakAttempt {
@@ -24,7 +26,22 @@
   readonly end: SoakEnd;
   /** 0 where there was no answer. */
   readonly status: number;
+  /** Id of the request that the answer says it is for, and seal of the engine that gave it; null for none. */
+  readonly echoedId: string | null;
+  readonly seal: string | null;
   readonly body: string;
+  /** Bytes on the connection that belong to no answer. */
+  readonly stray: string;
+  /** Event after which a stream is to go on, and the attempt that it goes on from; 0 and null for a first one. */
+  readonly after: number;
+  readonly resumes: string | null;
+}
+
+/** An answer that an engine began to give. */
+export interface SoakAnswer {
+  readonly id: string;
+  readonly engine: string;
+  readonly status: number;
 }
 
 /** A run of a request at an engine. */
@@ -90,6 +107,7 @@
 export interface SoakRecord {
   readonly attempts: readonly SoakAttempt[];
   readonly runs: readonly SoakRun[];
+  readonly answers: readonly SoakAnswer[];
   readonly withdrawals: readonly SoakWithdrawal[];
   readonly drains: readonly SoakDrain[];
   readonly needs: readonly SoakNeed[];
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -1,13 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import {
-  checkRecord,
-  DRAIN_MS,
-  plainAnswer,
-  REVOKE_MS,
-  streamEvent,
-  STREAM_EVENTS,
-} from '../../SoakChecks.js';
+import { failureBody, sealOf } from '../../../platform/__tests__/utils/StandInOddities.js';
+import { checkRecord, DRAIN_MS, REVOKE_MS } from '../../SoakChecks.js';
+import { plainAnswer, streamEvent, STREAM_EVENTS } from '../../SoakStream.js';
 import type { SoakAttempt, SoakRecord, SoakRun } from '../../SoakTypes.js';
 
 const HOLD: SoakAttempt = {
@@ -19,14 +14,22 @@
   endedAt: 1_050,
   end: 'whole',
   status: 200,
+  echoedId: 's1',
+  seal: sealOf('i-1'),
   body: plainAnswer('s1'),
+  stray: '',
+  after: 0,
+  resumes: null,
 };
 
 const RUN: SoakRun = { id: 's1', engine: 'i-1', at: 1_010, customer: 'kano', resumed: false };
 
+const ANSWER = { id: 's1', engine: 'i-1', status: 200 };
+
 const GOOD: SoakRecord = {
   attempts: [HOLD],
   runs: [RUN],
+  answers: [ANSWER],
   withdrawals: [],
   drains: [],
   needs: [],
@@ -54,7 +57,7 @@
 const ALL = Array.from({ length: STREAM_EVENTS }, (_item, i) => i + 1);
 
 /** Attempts at one entry host, and their runs at an engine, at times. */
-function sentAt(times: readonly number[]): Pick<SoakRecord, 'attempts' | 'runs'> {
+function sentAt(times: readonly number[]): Pick<SoakRecord, 'attempts' | 'runs' | 'answers'> {
   const ids = times.map((at) => ({ id: `n${at}`, at }));
   return {
     attempts: ids.map(({ id, at }) => ({
@@ -62,8 +65,10 @@
       id,
       sentAt: at,
       endedAt: at + 20,
+      echoedId: id,
       body: plainAnswer(id),
     })),
+    answers: ids.map(({ id }) => ({ ...ANSWER, id })),
     runs: ids.map(({ id, at }) => ({ ...RUN, id, at: at + 5 })),
   };
 }
@@ -75,21 +80,47 @@
 
 const RESTING = sentAt([100, 900, 901, 902]);
 
+/** The parts of a stream that was resumed after its third event, the second with these events. */
+function resumedStream(events: readonly number[], after = 3): Partial<SoakRecord> {
+  const first = streamOf([1, 2, 3], 'left');
+  const body = events.map((event) => streamEvent('s2', event)).join('');
+  const next = { ...first, id: 's2', echoedId: 's2', end: 'whole' as const, body };
+  return {
+    attempts: [first, { ...next, after, resumes: 's1' }],
+    runs: [RUN, { ...RUN, id: 's2', resumed: true }],
+    answers: [ANSWER, { ...ANSWER, id: 's2' }],
+  };
+}
+
+/** A failure that an engine gave. */
+const FAILED: Partial<SoakRecord> = {
+  attempts: [{ ...HOLD, status: 500, body: failureBody('s1') }],
+  answers: [{ ...ANSWER, status: 500 }],
+};
+
 /** Each broken promise with a record in which it is broken, and nothing else. */
 const BROKEN: Readonly<Record<string, Partial<SoakRecord>>> = {
   'own whole answer': { attempts: [{ ...HOLD, body: plainAnswer('s2') }] },
+  'a success bears its seal and id': { attempts: [{ ...HOLD, seal: null }] },
+  'a success is of the engine that ran it': { attempts: [{ ...HOLD, seal: sealOf('i-2') }] },
+  'a sealed failure is its engine’s own': { ...FAILED, answers: [ANSWER] },
+  'nothing but answers': { attempts: [{ ...HOLD, stray: 'more' }] },
+  'a resumed stream goes on': resumedStream(ALL.slice(4), 4),
+  'what is passed on is answered': {
+    attempts: [{ ...HOLD, end: 'broken', status: 0, echoedId: null, seal: null, body: '' }],
+  },
   'at most once': { runs: [RUN, { ...RUN, engine: 'i-2' }] },
-  'refused means not run': { attempts: [{ ...HOLD, status: 503, body: '' }] },
+  'refused means not run': { attempts: [{ ...HOLD, status: 503, seal: null, body: '' }] },
   'nothing unasked': { runs: [RUN, { ...RUN, id: 's9' }] },
   'withdrawn keys are dead': {
     withdrawals: [{ key: 'key-1', ackedAt: HOLD.sentAt - REVOKE_MS - 1 }],
   },
-  'no configuration reverts': { attempts: [{ ...HOLD, status: 401 }] },
+  'no configuration reverts': { attempts: [{ ...HOLD, status: 401, seal: null }] },
   'a leaving engine gets nothing new': {
     drains: [{ engine: 'i-1', ackedAt: RUN.at - DRAIN_MS - 1 }],
   },
   'a graceful stop cuts nothing off': {
-    attempts: [{ ...HOLD, end: 'broken', status: 0, body: '' }],
+    attempts: [{ ...HOLD, end: 'broken', body: '' }],
     events: [{ kind: 'entryTerm', target: 'entry-1', from: 1_020, until: 9_000 }],
   },
   'a limit is kept': { ...LIMITED, needs: [{ ...NEED, kind: 'limit' }] },
@@ -132,6 +163,49 @@
     assert.deepEqual(rulesOf({ attempts: [streamOf([1, 2], 'whole')] }), rule);
   });
 
+  // Guards against: a success without the head of the engine that ran it, whose body is right, goes unseen.
+  it('find a success without its seal or id, and one of another engine or request', () => {
+    const bare = ['a success bears its seal and id'];
+    const foreign = ['a success is of the engine that ran it'];
+    const rest = resumedStream([], STREAM_EVENTS).attempts ?? [];
+    assert.deepEqual(rulesOf({ attempts: [{ ...HOLD, echoedId: null }] }), bare);
+    assert.deepEqual(rulesOf({ attempts: [{ ...HOLD, echoedId: 's2' }] }), foreign);
+    assert.deepEqual(rulesOf({ attempts: [{ ...HOLD, seal: 'x' }] }), foreign);
+    assert.deepEqual(rulesOf({ answers: [{ ...ANSWER, status: 500 }] }), foreign);
+    assert.deepEqual(rulesOf({ attempts: [{ ...streamOf([1], 'broken'), seal: null }] }), bare);
+    const headless = rest
+      .slice(1)
+      .map((item) => ({ ...item, id: 's1', seal: null, resumes: null }));
+    assert.deepEqual(rulesOf({ attempts: headless }), bare);
+  });
+
+  // Guards against: a failure of one engine is passed on with the seal of another, changed, or to another's caller.
+  it('find a failure that isn’t its engine’s own', () => {
+    const rule = ['a sealed failure is its engine’s own'];
+    const [failed] = FAILED.attempts ?? [];
+    const changed = (change: Partial<SoakAttempt>): Partial<SoakRecord> => ({
+      ...FAILED,
+      attempts: failed === undefined ? [] : [{ ...failed, ...change }],
+    });
+    assert.deepEqual(rulesOf(FAILED), []);
+    assert.deepEqual(rulesOf(changed({ seal: null, echoedId: null, body: '' })), []);
+    assert.deepEqual(rulesOf(changed({ seal: sealOf('i-2') })), rule);
+    assert.deepEqual(rulesOf(changed({ status: 502 })), rule);
+    assert.deepEqual(rulesOf(changed({ body: '' })), rule);
+    assert.deepEqual(rulesOf(changed({ seal: null, echoedId: 's2' })), rule);
+  });
+
+  // Guards against: the parts of a resumed stream, each right by itself, don't join.
+  it('find a resumed stream whose parts don’t join', () => {
+    assert.deepEqual(rulesOf(resumedStream(ALL.slice(3))), []);
+    assert.deepEqual([...rulesOf(resumedStream(ALL.slice(4)))].sort(), [
+      'a resumed stream goes on',
+      'own whole answer',
+    ]);
+    assert.deepEqual(rulesOf(resumedStream(ALL.slice(2), 2)), ['a resumed stream goes on']);
+    assert.deepEqual(rulesOf(resumedStream([], STREAM_EVENTS)), ['a resumed stream goes on']);
+  });
+
   it('leave out a need where something was done to the host in question', () => {
     ['a limit is kept', 'a rest is kept', 'an engine’s word that it leaves is kept'].forEach(
       (rule) =>
@@ -142,6 +216,15 @@
     );
   });
 
+  it('find a request that was passed on and got nothing where its entry host is stopped', () => {
+    const record = BROKEN['a graceful stop cuts nothing off'];
+    const nothing = BROKEN['what is passed on is answered'];
+    assert.deepEqual(rulesOf({ ...record, ...nothing }), [
+      'what is passed on is answered',
+      'a graceful stop cuts nothing off',
+    ]);
+  });
+
   it('leave out what an unplanned fault beside a stop may cut off', () => {
     const record = BROKEN['a graceful stop cuts nothing off'];
     const kill = { kind: 'engineCrash', target: 'engine-1', from: 900, until: 1_000 };
--- /dev/null
+++ b/soak/__tests__/unit/SoakConnection.test.ts
@@ -0,0 +1,122 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { SoakConnection, type SoakCall, type SoakExchange } from '../../SoakConnection.js';
+import { streamEvent } from '../../SoakStream.js';
+
+const CALL: SoakCall = {
+  path: '/ask/x',
+  headers: { host: 'a' },
+  body: 'question',
+  patienceMs: 300,
+  leaveAfter: null,
+};
+
+const HEAD = 'HTTP/1.1 200 OK\r\nX-Id: s1\r\n';
+
+const FRAMED = `${HEAD}Content-Length: 6\r\n\r\nanswer`;
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n${chunk(streamEvent('s1', 1))}${chunk(streamEvent('s1', 2))}`;
+
+describe('a connection of the soak’s callers', () => {
+  let onRequest: (socket: Socket) => void = () => undefined;
+  let asked = '';
+  let server: Server;
+  let place = { host: '127.0.0.1', port: 0 };
+
+  before(async () => {
+    server = createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => socket.destroy());
+      socket.on('data', (data) => {
+        asked += data.toString();
+        onRequest(socket);
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    place = { host: '127.0.0.1', port: (server.address() as AddressInfo).port };
+  });
+
+  after(() => server.close());
+
+  async function ask(
+    answer: (socket: Socket) => void,
+    call: Partial<SoakCall> = {},
+  ): Promise<{ readonly connection: SoakConnection; readonly result: SoakExchange }> {
+    onRequest = answer;
+    asked = '';
+    const connection = new SoakConnection(place);
+    const result = await connection.call({ ...CALL, ...call });
+    return { connection, result };
+  }
+
+  it('reads an answer in any pieces, and is used again', async () => {
+    const { connection, result } = await ask((socket) => {
+      [...Buffer.from(FRAMED)].forEach((byte, i) =>
+        setTimeout(() => socket.write(Buffer.of(byte)), i),
+      );
+    });
+    assert.equal(asked, 'POST /ask/x HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nquestion');
+    assert.deepEqual([result.end, result.status, result.body], ['whole', 200, 'answer']);
+    assert.equal(result.header('x-id'), 's1');
+    onRequest = (socket) => socket.write(`${CHUNKED}0\r\n\r\n`);
+    const next = await connection.call(CALL);
+    assert.deepEqual([next.end, next.body], ['whole', streamEvent('s1', 1) + streamEvent('s1', 2)]);
+    connection.close();
+  });
+
+  it('takes an answer without a length as whole at its end, not at a reset', async () => {
+    const open = `${HEAD}\r\nanswer`;
+    const { result } = await ask((socket) => socket.end(open));
+    assert.deepEqual([result.end, result.body], ['whole', 'answer']);
+    const broken = await ask((socket) => {
+      socket.write(open);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    });
+    assert.equal(broken.result.end, 'broken');
+  });
+
+  // Guards against: an answer that ends early looks complete.
+  it('takes an answer that ends before its last byte as broken, and leaves the connection open', async () => {
+    const { connection, result } = await ask((socket) => socket.end(CHUNKED));
+    assert.equal(result.end, 'broken');
+    assert.ok(connection.isOpen);
+    const short = await ask((socket) => socket.end(FRAMED.slice(0, -1)));
+    assert.equal(short.result.end, 'broken');
+    [connection, short.connection].forEach((item) => item.close());
+  });
+
+  // Guards against: bytes behind an answer, or on a connection with no request waiting, go unseen.
+  it('shows bytes that belong to no answer', async () => {
+    const { connection, result } = await ask((socket) => socket.write(`${FRAMED}more`));
+    assert.deepEqual([result.body, result.stray], ['answer', 'more']);
+    connection.close();
+    const late = await ask((socket) => {
+      socket.write(FRAMED);
+      setTimeout(() => socket.write(FRAMED), 20);
+    });
+    await delay(80);
+    onRequest = (socket) => socket.write(FRAMED);
+    assert.equal((await late.connection.call(CALL)).stray, FRAMED);
+    late.connection.close();
+    const garbled = await ask((socket) => socket.write('no answer\r\n\r\n'));
+    assert.notEqual(garbled.result.stray, '');
+    garbled.connection.close();
+  });
+
+  it('is broken off after as many events as its caller wants', async () => {
+    const { connection, result } = await ask((socket) => socket.write(CHUNKED), { leaveAfter: 2 });
+    assert.deepEqual([result.end, connection.isOpen], ['left', false]);
+  });
+
+  it('gives up after its caller’s patience', async () => {
+    const { result } = await ask(() => undefined);
+    assert.deepEqual([result.end, result.status], ['deadline', 0]);
+  });
+});
