A reset that meets a socket's own end no longer leaves it open

libuv refuses a reset while an end is under way, and Node takes the socket for closing all the same: no close event, and the process spins in its cleanup at 100 % of a core. That is what kept the soak's process from ending (seen by gdb in Environment::CleanupHandles, with one TCP socket left). The product's own resets go by it as well; no case of it was seen there.

--- a/soak/SoakProxy.ts
+++ b/soak/SoakProxy.ts
@@ -1,6 +1,7 @@
 /** Loopback proxy before the ports of hosts: it delays, resets, silences connections, or cuts one way. */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import { resetSocket } from '../src/transport/index.js';
 
 /** What a proxy does to the data of a host. */
 export type ProxyMode = 'pass' | 'delay' | 'cutInward' | 'cutOutward';
@@ -44,8 +45,8 @@
   /** Resets all connections of a host. */
   reset(host: string): void {
     this.#of(host).forEach(({ caller, callee }) => {
-      caller.resetAndDestroy();
-      callee.resetAndDestroy();
+      resetSocket(caller);
+      resetSocket(callee);
     });
   }
 
@@ -102,7 +103,7 @@
     from.on('end', () => inTurn(() => to.end()));
     from.on('error', () => {
       if (!pair.silent) {
-        to.resetAndDestroy();
+        resetSocket(to);
       }
     });
     from.on('close', () => {
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import { buildConnector, Pool } from 'undici';
+import { resetSocket } from './TransportReset.js';
 
 /** A call as it goes out. */
 export interface OutgoingCall {
@@ -62,7 +63,7 @@
     }
     // It calls `destroy` in its turn.
     isReset = true;
-    return socket.resetAndDestroy();
+    return resetSocket(socket);
   };
 }
 
