--- a/soak/SoakMain.ts
+++ b/soak/SoakMain.ts
@@ -2,9 +2,6 @@
 import { Command, Option, runExit } from 'clipanion';
 import { playSoak, type SoakResult } from './SoakRun.js';
 
-/** Addresses of runs side by side begin here: 127.100, 127.101 and so on. */
-const FIRST_NET = 100;
-
 function positive(text: string, name: string): number {
   const value = Number(text);
   if (!Number.isFinite(value) || value <= 0) {
@@ -44,23 +41,22 @@
     const seeds = Array.from({ length: positive(this.runs, '--runs') }, (_item, i) => first + i);
     const jobs = positive(this.jobs, '--jobs');
     let failed = 0;
-    const work = async (lane: number): Promise<void> => {
+    const work = async (): Promise<void> => {
       for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
         // Each lane plays one run at a time.
         // eslint-disable-next-line no-await-in-loop
-        const result = await this.#play(seed, FIRST_NET + lane);
+        const result = await this.#play(seed);
         failed += result.findings.length > 0 ? 1 : 0;
         this.context.stdout.write(`${JSON.stringify(result)}\n`);
       }
     };
-    await Promise.all(Array.from({ length: jobs }, async (_item, lane) => work(lane)));
+    await Promise.all(Array.from({ length: jobs }, work));
     return failed === 0 ? 0 : 1;
   }
 
-  async #play(seed: number, net: number): Promise<SoakResult> {
+  async #play(seed: number): Promise<SoakResult> {
     return playSoak({
       seed,
-      net,
       lengthMs: positive(this.seconds, '--seconds') * 1_000,
       rate: positive(this.rate, '--rate'),
       entries: positive(this.entries, '--entries'),
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -38,8 +38,6 @@
 export interface SoakOptions extends SoakShape {
   readonly seed: number;
   readonly callers: number;
-  /** Second part of all addresses: two runs at once need different ones. */
-  readonly net: number;
   /** Disturbances in place of the seed's own. */
   readonly faults?: readonly SoakFault[];
   /** Engines that ask for relief in place of the seed's own. */
@@ -319,8 +317,8 @@
 
 /** Plays one run; everything that it started has ended when it resolves. */
 export async function playSoak(options: SoakOptions): Promise<SoakResult> {
-  const { entries, endpoints, net, logs = 'ignore' } = options;
-  const platform = await StandInPlatform.start({ entries, endpoints, net, proxied: true, logs });
+  const { entries, endpoints, logs = 'ignore' } = options;
+  const platform = await StandInPlatform.start({ entries, endpoints, proxied: true, logs });
   const proxy = new SoakProxy();
   await proxy.listen(platform.proxiedPorts);
   const world = new SoakWorld(options, platform, proxy);
