Entry processes work members out together when many join

Each announcement had all members worked out anew: their service's lists, places, shares of limits and connections.

The first change counts at once, as before; those that come within 50 ms after it count together.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -312,3 +312,4 @@
 export { awaitsReport } from './MapSwitchOrders.js';
 export { hasHolderEnded, holderName, type LeaseHolder } from './LeaseHolder.js';
 export { STARTUP_MS, startupWait } from './StartupWait.js';
+export { endSettling, isSettlingDue, openSettling, SETTLED, type Settling } from './Settling.js';
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -157,6 +157,7 @@
       }
     });
     every(QUEUE_TICK_MS, signal, () => {
+      this.#state.settle();
       if (this.#state.admission.waiting > 0) {
         this.#state.admission.tick();
       }
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -2,19 +2,23 @@
 import {
   countFirst,
   EMPTY_RETRY_BUDGET,
+  endSettling,
   FRESHNESS_SHARE,
   holdConfig,
   initRouting,
   isFresh,
   isProven,
+  isSettlingDue,
   lifeOf,
   mergeDelta,
   MOST_ENDS,
+  openSettling,
   proveFresh,
   pruneView,
   routeRequest,
   serviceKey,
   servingMembers,
+  SETTLED,
   takeRetryOf,
   UNPROVEN,
   updateRouting,
@@ -27,6 +31,7 @@
   type RetryBudgetState,
   type RoutingDecision,
   type RoutingState,
+  type Settling,
 } from '../../coordination/index.js';
 import type {
   DirectoryDelta,
@@ -124,6 +129,9 @@
 
   #view: MembershipView = new Map();
 
+  /** Members that have changed since their view was last worked out. */
+  #settling: Settling = SETTLED;
+
   #routing: RoutingState;
 
   #routes: RouteView | null = null;
@@ -231,8 +239,16 @@
 
   onDirectory(delta: DirectoryDelta): void {
     this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
-    this.#setView(mergeDelta(this.#view, delta, this.now()));
-    this.startup.onNews();
+    this.#view = mergeDelta(this.#view, delta, this.now());
+    this.#settling = openSettling(this.#settling);
+    this.settle();
+  }
+
+  /** Works out what follows from members that have changed, a little later where many do one after the other. */
+  settle(): void {
+    if (isSettlingDue(this.#settling, this.now())) {
+      this.#setView(this.#view);
+    }
   }
 
   /** Drops what has been missing for too long. */
@@ -521,6 +537,7 @@
 
   #setView(view: MembershipView): void {
     this.#view = view;
+    this.#settling = endSettling(this.now());
     const serving = servingMembers(view).filter((record) => !this.#gone.has(lifeOf(record)));
     const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
     this.#entryHosts = entries.length;
@@ -530,6 +547,7 @@
     const lives = new Set([...view.values()].map(({ record }) => lifeOf(record)));
     this.turns.keep((life) => lives.has(life));
     this.#pools.keep((life) => lives.has(life) && !this.#gone.has(life));
+    this.startup.onNews();
   }
 
   #modelOf(service: string): ModelService | null {
