A stream goes on after its last event, also where a comment follows that

An event, a comment and then a broken connection, in one piece: the id was looked for in the last piece only, which has none, so that the rest was asked for from an older event on, or not at all. With a piece before it the caller would get events twice; here it got its stream cut.

Now the last piece that has an id counts.

--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -41,7 +41,7 @@
   MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import type { EndpointPool } from '../../transport/index.js';
+import { findLastId, type EndpointPool } from '../../transport/index.js';
 import type { SendNews } from '../DaemonQuarantine.js';
 import type { SendShared } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
@@ -514,10 +514,9 @@
     return this.isLeaving ? [...headers, 'Connection', 'close'] : headers;
   }
 
-  /** Id of the last event in some whole events. */
+  /** Id of the last of some whole events that has one: comments have none. */
   lastEventId(events: Buffer): string | null {
-    const start = events.lastIndexOf('\n\n', events.length - 3);
-    return this.#options.http.eventId(start < 0 ? events : events.subarray(start + 2));
+    return findLastId(events, this.#options.http.eventId);
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
--- a/src/transport/TransportFrames.ts
+++ b/src/transport/TransportFrames.ts
@@ -49,5 +49,21 @@
   return { end, events };
 }
 
+/** Id of the last of some whole events that has one, as `readId` finds it in an event: comments have none. */
+export function findLastId(
+  events: Buffer,
+  readId: (event: Buffer) => string | null,
+): string | null {
+  let end = events.length;
+  let id: string | null = null;
+  while (id === null && end > 0) {
+    const before = end > 2 ? events.lastIndexOf('\n\n', end - 3) : -1;
+    const start = before < 0 ? 0 : before + 2;
+    id = readId(events.subarray(start, end));
+    end = start;
+  }
+  return id;
+}
+
 /** Last event of a whole stream of completions. */
 export const DONE_EVENT = 'data: [DONE]\n\n';
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -9,7 +9,14 @@
   type RunningCall,
 } from './TransportCall.js';
 export { resetSocket } from './TransportReset.js';
-export { DONE_EVENT, findEvents, FRAMES_TYPE, FrameWriter, readFrames } from './TransportFrames.js';
+export {
+  DONE_EVENT,
+  findEvents,
+  findLastId,
+  FRAMES_TYPE,
+  FrameWriter,
+  readFrames,
+} from './TransportFrames.js';
 export { headerOf, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
 export {
   BEAT,
