An answer without a body bears the length that its endpoint named

Answers to HEAD, 204 and 304 were given `Content-Length: 0`, whatever the endpoint had said; 204 must have none. A 304 with a length, which names that of the body left out, became a 502: the client library misses the body.

Now the endpoint's own length is passed on, none with 204 or where it named none. The client library's complaint about a 304 comes once its head is whole, and there is nothing behind it.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -363,10 +363,10 @@
       return;
     }
     this.#firstAt = this.#state.now();
-    const { head, raw, body } = answer;
+    const { head, raw } = answer;
     this.#spec.reply.passWhole(
       { status: head.status, headers: this.#state.answerHeaders(raw) },
-      body,
+      answer,
     );
     this.#finish(outcome);
   }
--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -1,6 +1,7 @@
 /** Writing of the one answer of a request to its caller. */
 import type { ServerResponse } from 'node:http';
 import { RequestError } from '../../protocol/index.js';
+import type { WholeAnswer } from './DirectAttempt.js';
 import { ReplyError } from './DirectReplyError.js';
 
 /** The answer to a request that endpoints have ended under: until it is forgotten no try makes sense. */
@@ -27,6 +28,15 @@
   readonly headers: readonly string[];
 }
 
+/** Statuses of answers that have no body (RFC 9110, section 6.4.1). */
+const BARE_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Length that an endpoint has put on an answer without a body; null where there is none, as ever with 204. */
+function statedLength(status: number, raw: readonly string[]): string | null {
+  const at = raw.findIndex((name, i) => i % 2 === 0 && name.toLowerCase() === 'content-length');
+  return status === 204 || at < 0 ? null : (raw[at + 1] ?? null);
+}
+
 /** The answer of one request: every byte that its caller gets is written here. */
 export class DirectReply {
   readonly #res: ServerResponse;
@@ -82,8 +92,14 @@
   }
 
   /** Passes an endpoint's whole answer on, byte for byte. */
-  passWhole({ status, headers }: ReplyStart, body: Buffer): void {
-    const framed = [...headers, 'Content-Length', String(body.length)];
+  passWhole(
+    { status, headers }: ReplyStart,
+    { raw, body }: Pick<WholeAnswer, 'raw' | 'body'>,
+  ): void {
+    const isBare = this.#res.req.method === 'HEAD' || BARE_STATUSES.has(status);
+    // Without a body the length is that of another answer, and the endpoint alone knows it.
+    const length = isBare ? statedLength(status, raw) : String(body.length);
+    const framed = length === null ? headers : [...headers, 'Content-Length', length];
     this.#writeHead('endpoint', { status, headers: framed });
     this.#end(body);
   }
--- a/src/daemon/direct/__tests__/unit/DirectReply.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectReply.test.ts
@@ -64,7 +64,7 @@
 
   it('notes whose head an answer bore, and its bytes', async () => {
     const whole = await reply((to) =>
-      to.passWhole({ status: 200, headers: SEALED }, Buffer.from('abc')),
+      to.passWhole({ status: 200, headers: SEALED }, { raw: SEALED, body: Buffer.from('abc') }),
     );
     assert.deepEqual(whole.account, { status: 200, head: 'endpoint', bytes: 3 });
     const stream = await reply((to) => {
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -37,6 +37,10 @@
 /** An endpoint that doesn't say how long it keeps idle connections closes ours after this, ms. */
 const IDLE_MS = 4_000;
 
+/** A 304 names the length of the body that it doesn't have; the client library misses that body. */
+const NOT_MODIFIED = 304;
+const LENGTH_MISMATCH = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+
 /** Connections to one endpoint. */
 export interface EndpointPool {
   readonly pool: Pool;
@@ -138,6 +142,7 @@
 ): RunningCall {
   let sent = false;
   let over = false;
+  let answered = 0;
   let stop: ((err: Error) => void) | null = null;
   const finish = (): boolean => {
     const first = !over;
@@ -155,6 +160,7 @@
     onResponseStart: (controller, status, headers) => {
       const informational = status < 200;
       if (!over && !informational) {
+        answered = status;
         const { rawHeaders } = controller as unknown as { readonly rawHeaders: unknown };
         listener.onHead(status, headers, toText(rawHeaders));
       }
@@ -175,7 +181,13 @@
       }
     },
     onResponseError: (_controller, err) => {
-      if (finish()) {
+      if (!finish()) {
+        return;
+      }
+      const { code } = err as NodeJS.ErrnoException;
+      if (answered === NOT_MODIFIED && code === LENGTH_MISMATCH) {
+        listener.onEnd();
+      } else {
         listener.onError(err, sent);
       }
     },
