A cut stream doesn't look whole to a caller of HTTP/1.0

Such a caller gets no chunks; its stream ends with its connection. A cut closed that in order, and so did the HTTP server for a caller that had ended its side: to both the part looked like the whole. Tests failed before: "lets no cut stream look whole to a caller of HTTP/1.0", "lets no stream look whole to a caller of HTTP/1.0 that ended its side" (whole: true); with HTTP/1.1 the same test passed, for there the last chunk is missing.

Now a stream without a framing of its own is cut by a reset, which is no end of an answer. For the half-closed caller that must come before the server ends the connection in the same turn: after it the caller still saw an orderly end.

--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -76,6 +76,7 @@
   begin(start: ReplyStart): void {
     this.#writeHead('endpoint', start);
     this.#res.flushHeaders();
+    this.#watchHalfClose();
   }
 
   /** Passes events of a stream that has begun on. */
@@ -125,8 +126,16 @@
     this.#end(body);
   }
 
-  /** Ends a stream without its last chunk, which tells the caller that it isn't whole. */
+  /**
+   * Ends a stream so that it can't look whole: without its last chunk.
+   *
+   * Failure: a caller of HTTP/1.0 knows no chunks; its stream ends with the connection. Symptom: a stream that is cut
+   * looks whole to it. Enough: a connection that is reset is no end of an answer.
+   */
   cut(): void {
+    if (this.#isUnframed) {
+      this.#res.socket?.resetAndDestroy();
+    }
     this.#res.destroy();
   }
 
@@ -137,6 +146,22 @@
     }
   }
 
+  /** Whether the end of the connection is the end of the answer. */
+  get #isUnframed(): boolean {
+    return this.#res.headersSent && !this.#res.chunkedEncoding && this.#head === 'endpoint';
+  }
+
+  /** The HTTP server ends the connection of a caller that has ended its side, answered or not; this comes first. */
+  #watchHalfClose(): void {
+    if (this.#isUnframed) {
+      this.#res.socket?.prependOnceListener('end', () => {
+        if (!this.#res.writableEnded) {
+          this.cut();
+        }
+      });
+    }
+  }
+
   #writeHead(head: ReplyHead, { status, headers }: ReplyStart): void {
     this.#res.writeHead(status, [...headers]);
     this.#head = head;
