The HTTP server answers nothing by itself where the answer of a request that runs is due

Behind a request that an endpoint was running came bytes that were no request. The caller got 400 as its answer, and after a head that didn't come in time 408, which promises that the request has not run.

Cause: Node's default for `clientError` writes a status whenever no head has been written yet. Class: an answer that a library completes by a default. Now a connection with a request that was read whole takes nothing more, and ends once that is answered. Where nothing runs the same statuses are written as before.

--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -17,6 +17,7 @@
 import type { PlaceVerdict } from './DirectAdmission.js';
 import { DirectConfigWatch } from './DirectConfigWatch.js';
 import { DirectCall } from './DirectCall.js';
+import { DirectConnections } from './DirectConnections.js';
 import { DirectReply, quarantined } from './DirectReply.js';
 import { placeRequestOf, type DirectSpec } from './DirectSpec.js';
 import { DirectEntryState, type CallTimes } from './DirectEntryState.js';
@@ -85,6 +86,8 @@
 
   #server: Server | null = null;
 
+  #connections: DirectConnections | null = null;
+
   constructor(
     cfg: DirectEntrySettings,
     dialects: DirectDialects,
@@ -145,6 +148,7 @@
       });
     });
     server.requestTimeout = 0;
+    this.#connections = new DirectConnections(server);
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
@@ -241,6 +245,7 @@
 
   async #onRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
     res.sendDate = false;
+    this.#connections?.onRequest(req, res);
     const startedAt = this.#runtime.now();
     const reply = new DirectReply(res);
     let spec: DirectSpec;
--- /dev/null
+++ b/src/daemon/direct/__tests__/unit/DirectConnections.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { createServer } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { DirectConnections } from '../../DirectConnections.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nhost: x\r\n\r\n';
+
+/** How long a request runs, and how long a head may take to come; ms. */
+const RUN_MS = 150;
+const HEAD_MS = 40;
+
+describe('DirectConnections', () => {
+  const closers: (() => void)[] = [];
+
+  afterEach(() => closers.splice(0).forEach((close) => close()));
+
+  /** What comes on a connection on which this is sent, until it ends. */
+  const send = async (text: string): Promise<readonly string[]> => {
+    const server = createServer({ connectionsCheckingInterval: 10 });
+    const connections = new DirectConnections(server);
+    server.on('request', (req, res) => {
+      connections.onRequest(req, res);
+      req.resume();
+      req.on('end', () => {
+        setTimeout(() => res.writeHead(200, { 'content-length': 0 }).end(), RUN_MS);
+      });
+    });
+    server.headersTimeout = HEAD_MS;
+    server.requestTimeout = 0;
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    closers.push(
+      () => socket.destroy(),
+      () => server.close(),
+    );
+    return new Promise((resolve, reject) => {
+      let got = '';
+      socket.on('data', (data) => {
+        got += data.toString();
+      });
+      socket.on('error', reject);
+      socket.on('end', () =>
+        resolve([...got.matchAll(/^HTTP\/1.1 (.*)\r$/gm)].map(([, s]) => s ?? '')),
+      );
+      socket.write(text);
+    });
+  };
+
+  const LARGE = `GET / HTTP/1.1\r\nx: ${'a'.repeat(20_000)}\r\n\r\n`;
+
+  // Guards against: what comes behind a request that runs is answered where the answer to that is due.
+  const behind: Readonly<Record<string, string>> = {
+    'that is none': 'no request\r\n\r\n',
+    'whose head is too large': LARGE,
+    'whose head does not come in time': 'GET / HT',
+    'whose body can not be read':
+      'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\nx',
+  };
+  Object.entries(behind).forEach(([name, text]) => {
+    it(`answers the request that runs before one ${name}`, async () => {
+      assert.deepEqual(await send(REQUEST + text), ['200 OK']);
+    });
+  });
+
+  it('says what was wrong where nothing runs', async () => {
+    assert.deepEqual(await send('no request\r\n\r\n'), ['400 Bad Request']);
+    assert.deepEqual(await send(LARGE), ['431 Request Header Fields Too Large']);
+    assert.deepEqual(await send('GET / HT'), ['408 Request Timeout']);
+  });
+});
