A caller that leaves takes back requests that wait behind another on its connection

Of two requests on one connection only the first was taken back when the caller left; the endpoint worked on at the second until its end.

Cause: Node tells of a closed connection only the answer that is due on it. Now each request listens to the connection.

--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -66,10 +66,18 @@
       : { status: null, head: null, bytes: 0 };
   }
 
-  /** Registers what is called once the caller's connection, or the answer, has ended; returns its undo. */
+  /**
+   * Registers what is called once the caller's connection, or the answer, has ended; returns its undo. An answer
+   * that waits behind others on its connection hears nothing of the end of that itself.
+   */
   registerClose(onClose: () => void): () => void {
+    const { socket } = this.#res.req;
     this.#res.once('close', onClose);
-    return () => this.#res.off('close', onClose);
+    socket.once('close', onClose);
+    return () => {
+      this.#res.off('close', onClose);
+      socket.off('close', onClose);
+    };
   }
 
   /** Begins a stream: its endpoint's head goes to the caller. */
