A request sent to the same endpoint again goes there on a connection of its own

A request that went back to wait for a place may go to the same endpoint again. A late second "not run" of the first send, on the kept connection, was taken for the answer to the second: both bear one id. The caller got 503, the promise that its request has not run, while it ran. Test failed before: "credits no late answer of an earlier send to the same request" (503, refused; one run).

An id tells requests apart, not sends. On a connection that has carried nothing else no answer but the right one can come, and none of its late ones can meet a later request there. It costs one connection for each such send; sends that never left count as none.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -40,6 +40,9 @@
 
   readonly #tried: string[] = [];
 
+  /** Endpoints that it was sent to, also before a wait. */
+  readonly #known = new Set<string>();
+
   #mayHaveRun = false;
 
   #lastEvent: string | null = null;
@@ -197,6 +200,7 @@
     });
     this.#sends += 1;
     this.#tried.push(endpoint.id);
+    const isAgain = this.#known.has(endpoint.id);
     this.#state.onSent(service, endpoint.id);
     const { turns } = this.#state;
     let mark = turns.limits.mark(endpoint);
@@ -209,11 +213,17 @@
         path: req.url ?? '/',
         headers: raw,
         body: body.length === 0 ? null : body,
+        // A late second answer to what was sent there before bears the same id.
+        isAlone: isAgain,
       },
       listener: {
         onStart: () => {
           mark = turns.limits.mark(endpoint);
-          return turns.start(endpoint, turn !== null);
+          const starts = turns.start(endpoint, turn !== null);
+          if (starts) {
+            this.#known.add(endpoint.id);
+          }
+          return starts;
         },
         onHead: (answer) => this.#guard(() => turns.onAnswer(endpoint, answer, head.id, mark)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import { createServer as createTcpServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
 import type { AnswerHead, MemberRecord } from '../../../../protocol/index.js';
 import { openPool } from '../../../../transport/index.js';
@@ -32,20 +33,22 @@
 
 const ignore = (): void => undefined;
 
+const ADMISSION = {
+  hasGroups: () => false,
+  isClosed: () => false,
+  onUnused: ignore,
+  onUnanswered: ignore,
+  onEvent: ignore,
+  onStreamOver: ignore,
+};
+
 /** What a call asks of its process, one endpoint behind it; some of it may be replaced. */
 function stateOf(origin: string, faults: unknown[], replaced: object): DirectEntryState {
   const pool = openPool(origin, 2);
   const state = {
     now: () => performance.now(),
     isLeaving: false,
-    admission: {
-      hasGroups: () => false,
-      isClosed: () => false,
-      onUnused: ignore,
-      onUnanswered: ignore,
-      onEvent: ignore,
-      onStreamOver: ignore,
-    },
+    admission: ADMISSION,
     screening: { onWhole: ignore },
     dialect: { writeForward: () => [], readAnswer: () => HEAD },
     registerHeld: () => ignore,
@@ -192,4 +195,55 @@
       );
     });
   });
+
+  // Guards against: a late second refusal of what an endpoint was sent before is taken for the answer to the same
+  // request, which runs there; both bear its id.
+  it('credits no late answer of an earlier send to the same request', async () => {
+    const refusal = 'HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n';
+    const whole = 'HTTP/1.1 200 X\r\ncontent-length: 2\r\n\r\nok';
+    let first: Socket | null = null;
+    let runs = 0;
+    const engine = createTcpServer((socket) =>
+      socket.on('data', () => {
+        if (first === null) {
+          first = socket;
+          socket.write(refusal);
+          return;
+        }
+        runs += 1;
+        first.write(refusal);
+        setTimeout(() => socket.write(whole), 20);
+      }),
+    );
+    let isClosed = true;
+    const replaced = {
+      admission: {
+        ...ADMISSION,
+        isClosed: () => isClosed,
+        acquire: async () => {
+          // Until then its connection is free again.
+          await delay(20);
+          isClosed = false;
+          return { granted: true };
+        },
+      },
+      dialect: {
+        writeForward: () => [],
+        readAnswer: (status: number) => ({
+          ...HEAD,
+          status,
+          notRun: status === 503,
+          isStream: false,
+        }),
+      },
+      takeRetry: () => true,
+      logWait: ignore,
+      retryAfter: () => 1_000,
+    };
+    const { outcome, status, body, faults } = await serve(await listen(engine), replaced);
+    assert.deepEqual(
+      { outcome, status, body, faults, runs },
+      { outcome: 'whole', status: 200, body: 'ok', faults: [], runs: 1 },
+    );
+  });
 });
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -11,6 +11,8 @@
   /** Names and values in turn. */
   readonly headers: string[];
   readonly body: Buffer | null;
+  /** Whether it must not go on a connection that had calls before it, and none may go there after it. */
+  readonly isAlone?: boolean;
 }
 
 /** What happens to a call, in order; after `onEnd` or `onError` nothing follows. */
@@ -43,6 +45,7 @@
 
 /** Connections to one endpoint. */
 export interface EndpointPool {
+  readonly origin: string;
   readonly pool: Pool;
   /** Whether one of its sockets is failing right now. */
   readonly isFailing: () => boolean;
@@ -125,7 +128,7 @@
       givingUp = false;
     }
   };
-  return { pool, isFailing: () => failing, giveUp };
+  return { origin, pool, isFailing: () => failing, giveUp };
 }
 
 function toText(raw: unknown): readonly string[] {
@@ -136,10 +139,12 @@
 
 /** Sends a call. */
 export function startCall(
-  { pool, isFailing, giveUp }: EndpointPool,
+  endpoint: EndpointPool,
   call: OutgoingCall,
   listener: CallListener,
 ): RunningCall {
+  const isAlone = call.isAlone === true;
+  const { pool, isFailing, giveUp } = isAlone ? openPool(endpoint.origin, 1) : endpoint;
   let sent = false;
   let over = false;
   let answered = 0;
@@ -192,6 +197,10 @@
       }
     },
   });
+  if (isAlone) {
+    // Waits for the call; that it is aborted is told to its listener.
+    pool.close().catch(() => undefined);
+  }
   return {
     abort: () => {
       if (finish()) {
