An answer that can't go on with a stream fails that attempt

Where the rest of a stream was answered with no stream, the code wrote a second head; the HTTP server threw, and the stream was cut by the net for faults. The caller got a cut stream, as is right, but the request counted as whole at its endpoint and as sound in the screening of requests, and the log named a fault of ours.

Now it is a broken answer, and is judged as one.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -228,7 +228,7 @@
         onHead: (answer) => this.#guard(() => turns.onAnswer(endpoint, answer, head.id, mark)),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: (answer) => this.#guard(() => this.#onStreamEnd(answer)),
-        onWhole: (answer) => this.#guard(() => this.#onWhole(answer, 'whole')),
+        onWhole: (answer) => this.#guard(() => this.#onAnswer(answer)),
         onFailure: (failure) => this.#guard(() => this.#onFailure(failure)),
       },
     });
@@ -364,6 +364,22 @@
     this.#finish('whole');
   }
 
+  /** What should go on with a stream and is none can't be joined to it. */
+  #onAnswer(answer: WholeAnswer): void {
+    if (!this.#spec.reply.begun) {
+      this.#onWhole(answer, 'whole');
+      return;
+    }
+    this.#onFailure({
+      failure: 'broken',
+      reason: `status ${answer.head.status} in place of the rest of a stream`,
+      answer: null,
+      faultyInstance: null,
+      wrongInstance: false,
+      connectionEnded: false,
+    });
+  }
+
   #onWhole(answer: WholeAnswer, outcome: DirectOutcome): void {
     this.#settle('whole');
     if (outcome === 'whole') {
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -246,4 +246,34 @@
       { outcome: 'whole', status: 200, body: 'ok', faults: [], runs: 1 },
     );
   });
+
+  // Guards against: an answer that can't go on with a stream is counted as the whole of it.
+  it('cuts a stream whose rest is no stream, and counts it as failed', async () => {
+    let sends = 0;
+    const engine = createServer((_req, res) => {
+      sends += 1;
+      if (sends > 1) {
+        res.end('no stream');
+        return;
+      }
+      res.write('id: 1\n\n');
+      setTimeout(() => res.destroy(), 20);
+    });
+    const results: string[] = [];
+    const replaced = {
+      canRoute: () => sends < 2,
+      takeRetry: () => true,
+      onDone: (_service: string, _endpoint: string, result: string) => results.push(result),
+      screening: { onWhole: () => results.push('sound') },
+      dialect: {
+        writeForward: () => [],
+        readAnswer: () => ({ ...HEAD, isStream: sends === 1 }),
+      },
+    };
+    const { outcome, body, faults } = await serve(await listen(engine), replaced);
+    assert.deepEqual(
+      { outcome, body, faults, results },
+      { outcome: 'cut', body: 'broken off', faults: [], results: ['failed', 'failed'] },
+    );
+  });
 });
