A gate takes a reset for no end of an answer

An engine's answer without a length ended by a reset half way, and the caller of the entry process in front of the gate got 200 and the half as whole. Test failed before: "says that nobody can tell: no length, and a reset" (200 in place of 502, outcome_unknown). The direct path knew resets already; the gate had the client library as it is.

Cause: the library takes the reset of a connection for the end of an unframed answer. Now gates make their connections by the same watch as the direct path, and an answer that ends while one fails has failed.

--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -1,8 +1,8 @@
 /** Composition root of role `endpoint`: the gate in front of one engine. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
 import type { EndpointOffer } from '../protocol/index.js';
-import { probeUrl, serveHttp } from '../transport/index.js';
+import { openAgent, probeUrl, serveHttp } from '../transport/index.js';
 import { DaemonCoordinator } from './DaemonCoordinator.js';
 import { DaemonGate } from './DaemonGate.js';
 import { DaemonHubLink, preferOwn } from './DaemonHubLink.js';
@@ -12,12 +12,15 @@
 
 const TICK_MS = 500;
 
+/** How long a connection to the engine may take to be made, ms. */
+const CONNECT_MS = 1_000;
+
 /** A leaving process waits this long with nothing in progress, so that late attempts are refused
  * in so many words instead of meeting a closed port. In ms. */
 const LINGER_MS = 1_500;
 
 interface Cradle {
-  readonly agent: Agent;
+  readonly agent: Dispatcher;
   readonly hubLink: DaemonHubLink;
   readonly gate: DaemonGate;
   readonly coordinator: DaemonCoordinator | null;
@@ -42,7 +45,7 @@
   const { log, now } = runtime;
   const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY });
   container.register({
-    agent: asValue(new Agent({ headersTimeout: 0, bodyTimeout: 0, connect: { timeout: 1_000 } })),
+    agent: asValue(openAgent(CONNECT_MS)),
     hubLink: asFunction(
       () =>
         new DaemonHubLink({
--- a/src/daemon/DaemonGate.ts
+++ b/src/daemon/DaemonGate.ts
@@ -1,7 +1,7 @@
 /** Task of the gate in front of an engine: its HTTP interface towards entry processes. */
 import type { Context } from 'koa';
 import type Koa from 'koa';
-import type { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
 import {
   engineAnswered,
   engineEnded,
@@ -28,7 +28,7 @@
 /** What the task needs. */
 export interface GateOptions {
   readonly runtime: Runtime;
-  readonly agent: Agent;
+  readonly agent: Dispatcher;
   /** URL of the engine. */
   readonly engine: string;
   readonly slots: number;
--- /dev/null
+++ b/src/daemon/__tests__/unit/DaemonAnswers.test.ts
@@ -0,0 +1,186 @@
+import assert from 'node:assert/strict';
+import type { Server } from 'node:http';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import Koa from 'koa';
+import { Agent, request } from 'undici';
+import type { MemberRecord } from '../../../protocol/index.js';
+import { openAgent, serveHttp } from '../../../transport/index.js';
+import { DaemonGate, type GateOptions } from '../../DaemonGate.js';
+import { addCallerApi, type CallerApiOptions } from '../../DaemonEntryApi.js';
+import type { Runtime } from '../../DaemonRuntime.js';
+
+const ignore = (): void => undefined;
+
+const LOG = { info: ignore, warn: ignore, error: ignore, debug: ignore };
+
+const RUNTIME = { log: LOG, now: () => performance.now(), incarnation: 1 } as unknown as Runtime;
+
+const ANY_PORT = { host: '127.0.0.1', port: 0 };
+
+const SERVICE = {
+  fleet: 'f',
+  service: { name: 's', deadlineMs: 2_000, repeatable: false },
+};
+
+/** What a caller gets: status, content type, body and whether that is whole. */
+type Got = readonly [number, string | undefined, string, boolean];
+
+/** Writes an answer; what stands in front of the body ends with its empty line. */
+type Script = (socket: Socket) => void;
+
+function answer(status: number, lines: readonly string[], body = ''): Script {
+  return (socket) => socket.write([`HTTP/1.1 ${status} X`, ...lines, '', body].join('\r\n'));
+}
+
+const TEXT = 'content-type: text/x-own';
+
+const STREAM = 'content-type: text/event-stream';
+
+const DONE = 'data: [DONE]\n\n';
+
+const CASES: Readonly<Record<string, readonly [Script, Got]>> = {
+  '204': [answer(204, []), [204, undefined, '', true]],
+  '304': [answer(304, []), [304, undefined, '', true]],
+  'a stream': [
+    (socket) => {
+      answer(200, [STREAM, 'connection: close'], `data: 1\n\n${DONE}`)(socket);
+      socket.end();
+    },
+    [200, 'text/event-stream', `data: 1\n\n${DONE}`, true],
+  ],
+};
+
+describe('answers by entry process and gate', () => {
+  const closers: (() => void)[] = [];
+
+  afterEach(() => closers.splice(0).forEach((close) => close()));
+
+  const portOf = (server: Server | ReturnType<typeof createServer>): number =>
+    (server.address() as AddressInfo).port;
+
+  const serve = async (app: Koa): Promise<number> => {
+    const stop = new AbortController();
+    const server = await serveHttp(app, ANY_PORT, stop.signal);
+    closers.push(() => {
+      stop.abort();
+      server.closeAllConnections();
+    });
+    return portOf(server);
+  };
+
+  const startEngine = async (script: Script): Promise<number> => {
+    const sockets: Socket[] = [];
+    const server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', ignore);
+      socket.once('data', () => script(socket));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    closers.push(() => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    });
+    return portOf(server);
+  };
+
+  const startGate = async (enginePort: number): Promise<MemberRecord> => {
+    const agent = openAgent(1_000);
+    closers.push(() => {
+      agent.destroy().catch(ignore);
+    });
+    const app = new Koa();
+    const record = { id: 'e1', incarnation: 1 } as MemberRecord;
+    const options: GateOptions = {
+      runtime: RUNTIME,
+      agent,
+      engine: `http://127.0.0.1:${enginePort}`,
+      slots: 1,
+      probe: () => ({ result: Promise.resolve('open'), settled: Promise.resolve() }),
+      record: () => record,
+      onDrained: ignore,
+    };
+    const gate = new DaemonGate(options);
+    gate.input({ type: 'ready' });
+    gate.addApi(app);
+    return { ...record, address: `127.0.0.1:${await serve(app)}` };
+  };
+
+  const startEntry = async (endpoint: MemberRecord): Promise<number> => {
+    const agent = new Agent();
+    closers.push(() => {
+      agent.destroy().catch(ignore);
+    });
+    const state = {
+      isReady: true,
+      customer: () => ({ name: 'kano' }),
+      config: { byModel: new Map(), byPath: [['/', SERVICE]] },
+      screening: { onWhole: ignore, onLost: async () => Promise.resolve(), onEnded: ignore },
+      admit: ignore,
+      begin: ignore,
+      end: ignore,
+      takeRetry: () => false,
+      route: () => ({ endpoint }),
+      isHeld: () => false,
+      updateRouting: ignore,
+      observeFirstByte: ignore,
+    };
+    const hubLink = { record: { incarnation: 1 } };
+    const options = { id: 'n1', runtime: RUNTIME, state, agent, hubLink };
+    const app = new Koa();
+    addCallerApi(app, options as unknown as CallerApiOptions);
+    return serve(app);
+  };
+
+  const call = async (script: Script): Promise<Got> => {
+    const port = await startEntry(await startGate(await startEngine(script)));
+    const res = await request(`http://127.0.0.1:${port}/x`, { method: 'POST', body: 'b' });
+    const body = await res.body.text().catch(() => null);
+    return [
+      res.statusCode,
+      res.headers['content-type'] as string | undefined,
+      body ?? '',
+      body !== null,
+    ];
+  };
+
+  // Guards against: status, type or body that the engine didn't give, filled in by a library.
+  Object.entries(CASES).forEach(([name, [script, got]]) => {
+    it(`gives what an engine answered: ${name}`, async () => {
+      assert.deepEqual(await call(script), got);
+    });
+  });
+
+  const BROKEN: Readonly<Record<string, Script>> = {
+    'no length, and a reset': (socket) => {
+      answer(200, [TEXT, 'connection: close'], 'answer')(socket);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    },
+    'a length too long': (socket) => {
+      answer(200, [TEXT, 'content-length: 9'], 'answer')(socket);
+      socket.end();
+    },
+    'an end without a head': (socket) => socket.end(),
+    'bytes that are none': (socket) => socket.write('no answer\r\n\r\n'),
+  };
+
+  // Guards against: a part of an answer, or none, that looks like a success.
+  Object.entries(BROKEN).forEach(([name, script]) => {
+    it(`says that nobody can tell: ${name}`, async () => {
+      const [status, , body] = await call(script);
+      assert.deepEqual([status, /"code":"(\w+)"/.exec(body)?.[1]], [502, 'outcome_unknown']);
+    });
+  });
+
+  // Guards against: a stream without its final event looks finished.
+  it('lets no stream without its final event look finished', async () => {
+    const [status, , body] = await call((socket) => {
+      answer(200, [STREAM, 'connection: close'])(socket);
+      socket.end();
+    });
+    assert.equal(status, 200);
+    assert.match(body, /^event: error\n/);
+  });
+});
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -1,7 +1,7 @@
 /** One HTTP call to an endpoint, by undici, with what is needed to tell whether it was sent. */
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
-import { buildConnector, Pool } from 'undici';
+import { Agent, buildConnector, Pool, type Dispatcher } from 'undici';
 import { resetSocket } from './TransportReset.js';
 
 /** A call as it goes out. */
@@ -74,18 +74,23 @@
   };
 }
 
+/** Makes connections, and knows when one of them fails. */
+interface WatchedConnector {
+  readonly connect: buildConnector.connector;
+  readonly isFailing: () => boolean;
+}
+
 /**
- * Opens connections to one endpoint as calls need them.
+ * Watches the connections that it makes.
  *
  * Failure: an answer without a length ends with its connection, and that is reset half way. Symptom:
  * the client library takes the reset for the end, and a caller gets half an answer as whole. Enough:
  * the socket's error is seen before the library's own handler ends the answer in the same turn, so an
  * end that comes while a socket fails is known to be none.
  */
-export function openPool(origin: string, connections: number): EndpointPool {
+function watchConnections(timeout: number, onSocket: (socket: Socket) => void): WatchedConnector {
   let failing = false;
-  let givingUp = false;
-  const connector = buildConnector({ timeout: CONNECT_MS });
+  const connector = buildConnector({ timeout });
   const fail = (): void => {
     failing = true;
     setImmediate(() => {
@@ -93,7 +98,7 @@
     });
   };
   const watch = (socket: Socket): void => {
-    resetWhile(socket, () => givingUp);
+    onSocket(socket);
     socket.on('error', fail);
     // The reset may have been reported to another call on the socket; what is read then is an end
     // like any other, but a connection that was reset has no peer any more.
@@ -103,6 +108,45 @@
       }
     });
   };
+  const connect: buildConnector.connector = (options, callback) => {
+    connector(options, (...result) => {
+      const [, socket] = result;
+      if (socket) {
+        watch(socket);
+      }
+      callback(...result);
+    });
+  };
+  return { connect, isFailing: () => failing };
+}
+
+const RESET_MESSAGE = 'the connection was reset before the end of the answer';
+
+/** Connections to any origin, without time-outs of their own; an answer that is reset half way fails. */
+export function openAgent(connectMs: number): Dispatcher {
+  const { connect, isFailing } = watchConnections(connectMs, () => undefined);
+  const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0, connect });
+  return agent.compose(
+    (dispatch) => (options, handler) =>
+      dispatch(options, {
+        onRequestStart: (...args) => handler.onRequestStart?.(...args),
+        onResponseStart: (...args) => handler.onResponseStart?.(...args),
+        onResponseData: (...args) => handler.onResponseData?.(...args),
+        onResponseEnd: (controller, trailers) =>
+          isFailing()
+            ? handler.onResponseError?.(controller, new Error(RESET_MESSAGE))
+            : handler.onResponseEnd?.(controller, trailers),
+        onResponseError: (...args) => handler.onResponseError?.(...args),
+      }),
+  );
+}
+
+/** Opens connections to one endpoint as calls need them. */
+export function openPool(origin: string, connections: number): EndpointPool {
+  let givingUp = false;
+  const { connect, isFailing } = watchConnections(CONNECT_MS, (socket) =>
+    resetWhile(socket, () => givingUp),
+  );
   const pool = new Pool(origin, {
     connections,
     pipelining: 1,
@@ -110,15 +154,7 @@
     bodyTimeout: 0,
     keepAliveTimeout: IDLE_MS,
     keepAliveMaxTimeout: IDLE_MS * 4,
-    connect: (options, callback) => {
-      connector(options, (...result) => {
-        const [, socket] = result;
-        if (socket) {
-          watch(socket);
-        }
-        callback(...result);
-      });
-    },
+    connect,
   });
   const giveUp = (abort: () => void): void => {
     givingUp = true;
@@ -128,7 +164,7 @@
       givingUp = false;
     }
   };
-  return { origin, pool, isFailing: () => failing, giveUp };
+  return { origin, pool, isFailing, giveUp };
 }
 
 function toText(raw: unknown): readonly string[] {
@@ -180,7 +216,7 @@
         return;
       }
       if (isFailing()) {
-        listener.onError(new Error('the connection was reset before the end of the answer'), true);
+        listener.onError(new Error(RESET_MESSAGE), true);
       } else {
         listener.onEnd();
       }
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,6 +1,7 @@
 /** Layer `transport`: sockets, by libraries. Knows no policy. */
 export { parseAddress, type Address } from './TransportAddress.js';
 export {
+  openAgent,
   openPool,
   startCall,
   type CallListener,
