Whole answers by gate and entry process bear the type that the engine gave

Callers got `application/json; charset=utf-8` for `application/json`, `application/octet-stream` for a type that koa doesn't know, and that too where the engine named none. Tests failed before: eight cases of "gives what an engine answered".

Cause: koa spells types its own way and completes what is missing; the gate filled in a type as well. Now whole answers are written as streams are, past koa, with the engine's type or none, and without a length where there is no body.

--- a/src/daemon/DaemonEntryCall.ts
+++ b/src/daemon/DaemonEntryCall.ts
@@ -28,6 +28,9 @@
 /** How long a gate may take to acknowledge a revocation before the outcome is unknown. In ms. */
 const REVOKE_MS = 1_000;
 
+/** Statuses of answers that have no body (RFC 9112, section 6.3). */
+const BARE_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
 /** A request as read from its caller. */
 export interface CallSpec {
   readonly customer: Customer;
@@ -321,18 +324,26 @@
   }
 
   #answerWhole(): void {
-    if (this.#res.headersSent) {
-      this.#res.end();
-    } else {
-      this.#ctx.status = this.#status;
-      this.#ctx.type = this.#contentType;
-      this.#ctx.body = Buffer.concat(this.#parts);
+    if (!this.#res.headersSent) {
+      this.#writeWhole(Buffer.concat(this.#parts));
     }
+    this.#res.end();
     this.#options.state.screening.onWhole(this.#identity);
     this.#log('whole');
     this.#finish?.();
   }
 
+  /** Written past koa, which completes what an engine left out, and spells types its own way. */
+  #writeWhole(body: Buffer): void {
+    const isBare = this.#ctx.method === 'HEAD' || BARE_STATUSES.has(this.#status);
+    this.#ctx.respond = false;
+    this.#res.writeHead(this.#status, {
+      ...(this.#contentType === '' ? {} : { 'content-type': this.#contentType }),
+      ...(isBare ? {} : { 'content-length': body.length }),
+    });
+    this.#res.write(body);
+  }
+
   /** A stream that has begun ends with an error event and without its final event. */
   #answerError(error: RequestError): void {
     this.#outcome = error.outcome;
--- a/src/daemon/DaemonGate.ts
+++ b/src/daemon/DaemonGate.ts
@@ -190,7 +190,7 @@
         signal,
       });
       this.#lives = engineAnswered(this.#lives, begunAt);
-      const contentType = String(response.headers['content-type'] ?? 'application/octet-stream');
+      const contentType = String(response.headers['content-type'] ?? '');
       const streamed = contentType.startsWith('text/event-stream');
       const head = { kind: 'head', ...identity, seq: 0, status: response.statusCode } as const;
       writer.write({ ...head, contentType, streamed });
--- a/src/daemon/__tests__/unit/DaemonAnswers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonAnswers.test.ts
@@ -40,8 +40,22 @@
 const DONE = 'data: [DONE]\n\n';
 
 const CASES: Readonly<Record<string, readonly [Script, Got]>> = {
+  'a body': [answer(200, [TEXT, 'content-length: 1'], 'x'), [200, 'text/x-own', 'x', true]],
+  JSON: [
+    answer(200, ['content-type: application/json', 'content-length: 2'], '{}'),
+    [200, 'application/json', '{}', true],
+  ],
+  'no type': [answer(200, ['content-length: 1'], 'x'), [200, undefined, 'x', true]],
+  'an unknown type': [
+    answer(200, ['content-type: own', 'content-length: 1'], 'x'),
+    [200, 'own', 'x', true],
+  ],
+  'an empty body': [answer(200, [TEXT, 'content-length: 0']), [200, 'text/x-own', '', true]],
   '204': [answer(204, []), [204, undefined, '', true]],
   '304': [answer(304, []), [304, undefined, '', true]],
+  '404': [answer(404, [TEXT, 'content-length: 1'], 'x'), [404, 'text/x-own', 'x', true]],
+  '299': [answer(299, [TEXT, 'content-length: 1'], 'x'), [299, 'text/x-own', 'x', true]],
+  '599': [answer(599, [TEXT, 'content-length: 1'], 'x'), [599, 'text/x-own', 'x', true]],
   'a stream': [
     (socket) => {
       answer(200, [STREAM, 'connection: close'], `data: 1\n\n${DONE}`)(socket);
@@ -49,6 +63,13 @@
     },
     [200, 'text/event-stream', `data: 1\n\n${DONE}`, true],
   ],
+  'no length, and an end': [
+    (socket) => {
+      answer(200, [TEXT, 'connection: close'], 'answer')(socket);
+      socket.end();
+    },
+    [200, 'text/x-own', 'answer', true],
+  ],
 };
 
 describe('answers by entry process and gate', () => {
