A call that is given up closes its connection with its error

What callers saw: an entry process ended, with every stream on it, when it gave up an answer without a length in its middle (TransportCall.test.ts, 'may be given up in onData': AssertionError assert(!this.aborted) from undici, thrown where nobody awaits; fails on the code before, passes now). Cause: a give-up closes the socket by a reset. Node's resetAndDestroy calls destroy without an error, so undici saw the socket close without one, took that for the end of the answer and completed a request that was aborted. Why it holds: destroy gets the error of the give-up, undici's error handler keeps it, and its close handler then doesn't finish the answer. Resets still take requests back from a host that stands still (the tests beside it).

--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -51,17 +51,22 @@
  * Failure: a caller leaves while its request is on the way to a host that stands still. Symptom: closed in order,
  * the connection still delivers what the kernel holds; the host wakes and works for nobody. Enough: a reset drops
  * what wasn't delivered, and ends at once what was.
+ *
+ * Failure: a reset by Node forgets why the socket is closed. Symptom: the client library takes the end of the socket
+ * for that of an answer that was given up, and its assertion ends the process. Enough: it is closed with its error.
  */
 function resetWhile(socket: Socket, isResetting: () => boolean): void {
   const destroy = socket.destroy.bind(socket);
   let isReset = false;
+  let cause: Error | undefined;
   // eslint-disable-next-line no-param-reassign
   socket.destroy = (err) => {
     if (isReset || !isResetting()) {
-      return destroy(err);
+      return destroy(err ?? cause);
     }
-    // It calls `destroy` in its turn.
+    // It calls `destroy` in its turn, without the error.
     isReset = true;
+    cause = err;
     return socket.resetAndDestroy();
   };
 }
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -2,6 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
+import { createServer, type AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { openPool, startCall, type CallListener } from '../../index.js';
@@ -59,7 +60,36 @@
   return ending;
 }
 
+/** Gives a call up in the middle of an answer that ends with its connection; what was thrown where nobody awaits. */
+async function giveUpWithin(step: 'onHead' | 'onData'): Promise<readonly string[]> {
+  const thrown: string[] = [];
+  const onThrown = (err: Error): number => thrown.push(err.message);
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\nhalf'));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const endpoint = openPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
+  process.prependListener('uncaughtException', onThrown);
+  const call = { method: 'GET', path: '/', headers: [], body: null };
+  const running = startCall(endpoint, call, { ...SILENT, [step]: () => running.abort() });
+  await delay(100);
+  process.off('uncaughtException', onThrown);
+  // A client that has thrown may never be done with it.
+  await Promise.race([endpoint.pool.destroy(), delay(100)]);
+  server.close();
+  return thrown;
+}
+
 describe('startCall', () => {
+  // Guards against: a call that is given up while its answer comes ends the process and every stream on it.
+  (['onHead', 'onData'] as const).forEach((step) => {
+    it(`may be given up in ${step}`, async () => {
+      assert.deepEqual(await giveUpWithin(step), []);
+    });
+  });
+
   // A caller leaves while its request is on the way to a host that stands still. Taken back by an orderly
   // close, the request stays with the kernel, which goes on delivering it; the host wakes, reads it whole, and
   // works for nobody. A reset drops what wasn't delivered, and what was finds its connection gone.
