An answer in a transfer coding other than chunks is none

Cause: undici decodes chunks only. A body in another coding it hands over as it is, up to the end of the connection, and the coding's header, which concerns one connection, is dropped on the way to the caller. Why it holds: the call is given up at the head of such an answer, before any byte of it is passed on; it counts as lost.

--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -134,6 +134,16 @@
   );
 }
 
+/**
+ * Whether the body's end can be told.
+ *
+ * Failure: an answer is in a transfer coding other than chunks. Symptom: the client library hands its coded bytes over
+ * as the body, up to the end of the connection, and a caller gets them as whole. Enough: such an answer is none.
+ */
+function isFramed({ 'transfer-encoding': coding }: IncomingHttpHeaders): boolean {
+  return coding === undefined || coding.toLowerCase() === 'chunked';
+}
+
 /** Sends a call. */
 export function startCall(
   { pool, isFailing, giveUp }: EndpointPool,
@@ -158,6 +168,10 @@
     },
     onResponseStart: (controller, status, headers) => {
       const informational = status < 200;
+      if (!over && !isFramed(headers)) {
+        controller.abort(new Error('the answer is in a transfer coding that is not known'));
+        return;
+      }
       if (!over && !informational) {
         const { rawHeaders } = controller as unknown as { readonly rawHeaders: unknown };
         listener.onHead(status, headers, toText(rawHeaders));
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -82,7 +82,40 @@
   return thrown;
 }
 
+/** Sends a call to an endpoint that answers with these bytes, and ends; what is heard of it. */
+async function hear(answer: string): Promise<readonly string[]> {
+  const heard: string[] = [];
+  const server = createServer((socket) => socket.once('data', () => socket.end(answer)));
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const endpoint = openPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 1);
+  const call = { method: 'GET', path: '/', headers: [], body: null };
+  await new Promise<void>((resolve) => {
+    const end = (what: string): void => {
+      heard.push(what);
+      resolve();
+    };
+    startCall(endpoint, call, {
+      ...SILENT,
+      onHead: (status) => heard.push(String(status)),
+      onEnd: () => end('end'),
+      onError: (_err, sent) => end(sent ? 'error' : 'unsent'),
+    });
+  });
+  await endpoint.pool.destroy();
+  server.close();
+  return heard;
+}
+
 describe('startCall', () => {
+  // Guards against: bytes in a coding that nobody decodes are passed on as the body.
+  ['gzip', 'gzip, chunked', 'chunked, gzip'].forEach((coding) => {
+    it(`takes an answer in ${coding} for none`, async () => {
+      const answer = `HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n3\r\nabc\r\n0\r\n\r\n`;
+      assert.deepEqual(await hear(answer), ['error']);
+    });
+  });
+
   // Guards against: a call that is given up while its answer comes ends the process and every stream on it.
   (['onHead', 'onData'] as const).forEach((step) => {
     it(`may be given up in ${step}`, async () => {
