The head of a stream is passed on byte for byte

Cause: flushHeaders writes the head as UTF-8. Why it holds: the events that are written right behind the head send it along, as Latin-1, in which it was read.

--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -65,7 +65,6 @@
   passEvents(start: ReplyStart, bytes: Buffer): void {
     if (!this.begun) {
       this.#writeHead('endpoint', start);
-      this.#res.flushHeaders();
     }
     this.#bytes += bytes.length;
     this.#res.write(bytes);
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -192,4 +192,18 @@
       );
     });
   });
+
+  // Guards against: a head that is written together with an event has its bytes beyond ASCII changed.
+  it('passes a seal on byte for byte', async () => {
+    const head = [HEAD_LINES[0], HEAD_LINES[1], 'x-seal: s\xff', 'content-length: 7', '', ''];
+    const engine = createTcpServer((socket) =>
+      socket.once('data', () => socket.end(`${head.join('\r\n')}id: 1\n\n`, 'latin1')),
+    );
+    const passed = { answerHeaders: (raw: string[]) => raw.slice(0, 4) };
+    const { status, headers, body } = await serve(await listen(engine), passed);
+    assert.deepEqual(
+      { status, seal: Buffer.from(String(headers['x-seal']), 'latin1').toString('hex'), body },
+      { status: 200, seal: '73ff', body: 'id: 1\n\n' },
+    );
+  });
 });
