A stream that has begun is cut where its next endpoint answers by no stream

Cause: a whole answer was written to a caller that had the head of a stream. Why it holds: it is asked before a whole answer is passed on whether an answer has begun, and that is cut.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -353,6 +353,11 @@
     if (this.#isOver) {
       return;
     }
+    if (this.#spec.reply.begun) {
+      // A stream can't go on with an answer that is none.
+      this.#conclude('cut', null);
+      return;
+    }
     this.#firstAt = this.#state.now();
     this.#spec.reply.passWhole(answer, this.#startOf(answer));
     this.#finish(outcome);
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -206,4 +206,34 @@
       { status: 200, seal: '73ff', body: 'id: 1\n\n' },
     );
   });
+
+  // Guards against: a stream that has begun and is answered by no stream elsewhere ends by a fault of our own.
+  it('cuts a stream that goes on as no stream', async () => {
+    let calls = 0;
+    const chunked = ['transfer-encoding: chunked', '', '7', 'id: 1\n\n', ''];
+    const stream = [...HEAD_LINES, ...chunked].join('\r\n');
+    const plain = ['HTTP/1.1 200 OK', 'x-seal: s2', 'content-length: 2', '', 'no'].join('\r\n');
+    const engine = createTcpServer((socket) => {
+      socket.on('error', ignore);
+      socket.once('data', () => {
+        calls += 1;
+        socket.end(calls === 1 ? stream : plain);
+      });
+    });
+    const { outcome, body, faults } = await serve(await listen(engine), {
+      dialect: {
+        writeForward: () => [],
+        readAnswer: (_status: number, headers: IncomingHttpHeaders) => ({
+          ...HEAD,
+          isStream: headers['content-type'] !== undefined,
+        }),
+      },
+      canRoute: () => true,
+      takeRetry: () => true,
+    });
+    assert.deepEqual(
+      { outcome, body, faults, calls },
+      { outcome: 'cut', body: 'broken off', faults: [], calls: 2 },
+    );
+  });
 });
