Fuzzer of the path of a request, byte by byte

npm run fuzz plays cases between a raw TCP caller, the entry process's real path of a request and raw TCP endpoints that answer by script, changed at the level of bytes and time. A strict reader of its own judges what callers got by what endpoints wrote. DirectEntry is exported, with its state and its server, so that it can be driven in a process of a test.

--- /dev/null
+++ b/fuzz/FuzzEndpoint.ts
@@ -0,0 +1,128 @@
+/** Raw TCP endpoints that answer by script and write down what they sent. */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { WIRE_NAMES } from '../platform/__tests__/utils/StandInWire.js';
+import { EndpointConnection, type FuzzSent } from './FuzzConnection.js';
+import { renderAnswer, type RenderedAnswer } from './FuzzRender.js';
+import type { FuzzAnswer } from './FuzzTypes.js';
+
+/** A request as it came to an endpoint. */
+export interface FuzzArrival {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly lastEvent: string | null;
+  /** Whether the endpoint begins to run it. */
+  readonly runs: boolean;
+  readonly connection: FuzzSent;
+}
+
+/** The answer to an arrival; `nth` counts those of one id from 0. */
+export type ChooseAnswer = (id: string, nth: number) => FuzzAnswer;
+
+interface ArrivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly body: string;
+  /** Bytes that it takes. */
+  readonly length: number;
+}
+
+const HEAD_END = '\r\n\r\n';
+
+/** A whole request at the begin of some bytes; null where more are due. */
+function readRequest(text: string): ArrivedRequest | null {
+  const headEnd = text.indexOf(HEAD_END);
+  if (headEnd < 0) {
+    return null;
+  }
+  const [start = '', ...lines] = text.slice(0, headEnd).split('\r\n');
+  const [method = '', path = ''] = start.split(' ');
+  const headers = new Map(
+    lines.map((line) => {
+      const colon = line.indexOf(':');
+      return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+    }),
+  );
+  const from = headEnd + HEAD_END.length;
+  const length = from + Number(headers.get('content-length') ?? 0);
+  return text.length < length
+    ? null
+    : { method, path, headers, body: text.slice(from, length), length };
+}
+
+/** The endpoints of one case; arrivals at all of them stand in one list, in order. */
+export class FuzzEndpoints {
+  readonly arrivals: FuzzArrival[] = [];
+
+  readonly #choose: ChooseAnswer;
+
+  readonly #servers: Server[] = [];
+
+  readonly #sockets = new Set<Socket>();
+
+  constructor(choose: ChooseAnswer) {
+    this.#choose = choose;
+  }
+
+  /** Starts one more, and gives its port. */
+  async listen(): Promise<number> {
+    const server = createServer({ noDelay: true }, (socket) => this.#onConnection(socket));
+    this.#servers.push(server);
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    this.#servers.forEach((server) => server.close());
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  #onConnection(socket: Socket): void {
+    const connection = new EndpointConnection(socket);
+    let rest = '';
+    let pending = Buffer.alloc(0);
+    let earlierId = '';
+    this.#sockets.add(socket);
+    socket.once('close', () => this.#sockets.delete(socket));
+    // What ends a connection is the matter of the case.
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk) => {
+      rest += chunk.toString('latin1');
+      const req = readRequest(rest);
+      if (req === null) {
+        return;
+      }
+      rest = rest.slice(req.length);
+      connection.write(pending);
+      const { rendered, id } = this.#take(req, connection, earlierId);
+      pending = Buffer.from(rendered.onNext);
+      earlierId = id;
+      connection.play(rendered).catch(() => socket.destroy());
+    });
+  }
+
+  /** Writes an arrival down, and renders its answer. */
+  #take(
+    req: ArrivedRequest,
+    connection: FuzzSent,
+    earlierId: string,
+  ): { readonly rendered: RenderedAnswer; readonly id: string } {
+    const id = req.headers.get(WIRE_NAMES.id.toLowerCase()) ?? '';
+    const lastEvent = req.headers.get('last-event-id') ?? null;
+    const answer = this.#choose(id, this.arrivals.filter((known) => known.id === id).length);
+    const { method, path, body } = req;
+    const runs = answer.kind !== 'refusal' && answer.kind !== 'drop';
+    this.arrivals.push({ id, method, path, body, lastEvent, runs, connection });
+    const ctx = {
+      id,
+      earlierId,
+      seal: `seal.${this.arrivals.length}`,
+      lastEvent: Number(lastEvent ?? 0) || 0,
+    };
+    return { rendered: renderAnswer(answer, ctx), id };
+  }
+}
--- /dev/null
+++ b/fuzz/FuzzEntry.ts
@@ -0,0 +1,119 @@
+/** The real entry process's path of a request, in this process, with endpoints that it is told of. */
+import type { AddressInfo } from 'node:net';
+import { pino } from 'pino';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { Registry } from 'prom-client';
+import { readPlan } from '../platform/PlatformDocument.js';
+import { platformHttp } from '../platform/PlatformHttp.js';
+import { DIRECT_FLEET, entriesOfDocument } from '../src/daemon/direct/DirectDocument.js';
+import { DirectEntry } from '../src/daemon/direct/DirectEntry.js';
+import type { Runtime } from '../src/daemon/DaemonRuntime.js';
+import type { MemberRecord } from '../src/protocol/index.js';
+import { FUZZ_HOST } from './FuzzCaller.js';
+import type { FuzzRoute } from './FuzzTypes.js';
+
+const LOOPBACK = { host: '127.0.0.1', port: 0 } as const;
+
+const SERVICE = 'desk';
+
+/** What a route declares. */
+const ROUTES: Readonly<Record<FuzzRoute, object>> = {
+  ask: { type: 'idempotent' },
+  hold: { type: 'non_idempotent' },
+  stream: { type: 'streaming', resumable: true },
+  fixed: { type: 'streaming', resumable: false },
+};
+
+const CONFIG = {
+  index: 1,
+  entries: entriesOfDocument(
+    JSON.stringify({
+      version: 1,
+      routes: Object.entries(ROUTES).map(([name, kind]) => ({
+        name,
+        host: FUZZ_HOST,
+        pathPrefix: `/${name}/`,
+        timeoutMs: 1_000,
+        service: SERVICE,
+        maxAttempts: 2,
+        ...kind,
+      })),
+      services: [{ name: SERVICE, maxConns: 64 }],
+    }),
+  ),
+};
+
+/** Retries are never refused for want of budget: a case has a few requests only. */
+const RETRIES = { ratio: 1, extra: 100, windowMs: 1_000 };
+
+function recordOf(port: number, i: number): MemberRecord {
+  return {
+    id: `e${i}`,
+    role: 'endpoint',
+    zone: 'z1',
+    address: `127.0.0.1:${port}`,
+    incarnation: 1,
+    version: 1,
+    status: 'serving',
+    offer: { fleet: DIRECT_FLEET, service: SERVICE, slots: 8 },
+  };
+}
+
+function runtimeOf(seed: number, faults: string[]): Runtime {
+  const rng = xoroshiro128plus(seed);
+  return {
+    log: pino({ level: 'error' }, { write: (line: string) => faults.push(line) }),
+    registry: new Registry(),
+    rng,
+    now: () => performance.now(),
+    clocks: () => ({ steady: performance.now(), wall: Date.now() }),
+    random: () => uniformFloat64(rng),
+    incarnation: 1,
+  };
+}
+
+/** An entry under test. */
+export interface FuzzEntry {
+  readonly port: number;
+  /** Lines that it has logged of its own faults. */
+  readonly faults: readonly string[];
+  close: () => void;
+}
+
+/** Starts an entry that knows endpoints at some ports. */
+export async function startEntry(seed: number, ports: readonly number[]): Promise<FuzzEntry> {
+  const faults: string[] = [];
+  const stop = new AbortController();
+  const cfg = {
+    id: 'entry',
+    zone: 'z1',
+    callers: LOOPBACK,
+    readiness: LOOPBACK,
+    metrics: LOOPBACK,
+    controls: () => [],
+    revokeMs: 60_000,
+    graceMs: 1_000,
+    retries: RETRIES,
+  };
+  const dialects = { http: platformHttp, documents: { readPlan } };
+  const runtime = runtimeOf(seed, faults);
+  const entry = new DirectEntry(cfg, dialects, runtime, stop.signal);
+  const { state } = entry;
+  const records = ports.map(recordOf);
+  state.onConfig(CONFIG);
+  state.onNewest(CONFIG.index, runtime.clocks());
+  state.onDirectory({ full: true, records });
+  const server = await entry.serve(stop.signal);
+  return {
+    port: (server.address() as AddressInfo).port,
+    faults,
+    close: () => {
+      stop.abort();
+      server.close();
+      server.closeAllConnections();
+      const gone = records.map((record) => ({ ...record, version: 2, status: 'gone' as const }));
+      state.onDirectory({ full: false, records: gone });
+    },
+  };
+}
--- /dev/null
+++ b/fuzz/FuzzHead.ts
@@ -0,0 +1,127 @@
+/** Lines of an answer's head, and the changes that are made to them by name. */
+import { WIRE_NAMES } from '../platform/__tests__/utils/StandInWire.js';
+import type { FuzzHeadChange } from './FuzzTypes.js';
+
+/** One header line; `eol` ends it. */
+export interface HeadLine {
+  readonly name: string;
+  readonly value: string;
+  readonly eol: string;
+}
+
+/** A head; `before` are interim answers in front of it. */
+export interface AnswerHeadText {
+  readonly before: string;
+  readonly protocol: string;
+  readonly status: number;
+  readonly lines: readonly HeadLine[];
+}
+
+type Change = (head: AnswerHeadText) => AnswerHeadText;
+
+/** An id that no request has. */
+const OTHER_ID = 'ffffffff';
+
+export function headLine(name: string, value: string): HeadLine {
+  return { name, value, eol: '\r\n' };
+}
+
+function withLines(edit: (lines: readonly HeadLine[]) => readonly HeadLine[]): Change {
+  return (head) => ({ ...head, lines: edit(head.lines) });
+}
+
+function without(name: string): Change {
+  return withLines((lines) => lines.filter((line) => line.name !== name));
+}
+
+function add(name: string, value: string): Change {
+  return withLines((lines) => [...lines, headLine(name, value)]);
+}
+
+function addFirst(name: string, value: string): Change {
+  return withLines((lines) => [headLine(name, value), ...lines]);
+}
+
+function editLine(name: string, change: (line: HeadLine) => HeadLine): Change {
+  return withLines((lines) => lines.map((line) => (line.name === name ? change(line) : line)));
+}
+
+function setValue(name: string, value: (old: string) => string): Change {
+  return editLine(name, (line) => ({ ...line, value: value(line.value) }));
+}
+
+/** Moves a declared length; answers without one get it. */
+function setLength(value: (old: number) => string): Change {
+  return (head) => {
+    const known = head.lines.find(({ name }) => name === 'Content-Length');
+    return known === undefined
+      ? add('Content-Length', value(0))(head)
+      : setValue('Content-Length', (old) => value(Number(old)))(head);
+  };
+}
+
+function setStatus(status: number): Change {
+  return (head) => ({ ...head, status });
+}
+
+function putBefore(before: string): Change {
+  return (head) => ({ ...head, before });
+}
+
+function chain(...changes: readonly Change[]): Change {
+  return (head) => changes.reduce((changed, change) => change(changed), head);
+}
+
+const { id, seal, notRun } = WIRE_NAMES;
+
+const INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n';
+
+const CHANGES: Readonly<Record<FuzzHeadChange, Change>> = {
+  noSeal: without(seal),
+  emptySeal: setValue(seal, () => ''),
+  twoSeals: add(seal, 'second'),
+  otherId: setValue(id, () => OTHER_ID),
+  noId: without(id),
+  emptyId: setValue(id, () => ''),
+  ownIdThenOther: add(id, OTHER_ID),
+  otherIdThenOwn: addFirst(id, OTHER_ID),
+  doubledLine: withLines((lines) => [...lines, ...lines.slice(1, 2)]),
+  foldedLine: setValue('Content-Type', (value) => `${value}\r\n ;folded=1`),
+  emptyLine: withLines((lines) =>
+    lines.map((line, i) => (i === 1 ? { ...line, eol: '\r\n\r\n' } : line)),
+  ),
+  bareLf: editLine(seal, (line) => ({ ...line, eol: '\n' })),
+  nul: setValue(seal, (value) => `${value}\0`),
+  hopSeal: add('Connection', seal),
+  hopSealTwice: chain(add('Connection', 'keep-alive'), add('Connection', seal.toLowerCase())),
+  hopId: add('Connection', `keep-alive, ${id}`),
+  shortLength: setLength((old) => String(Math.max(0, old - 1))),
+  longLength: setLength((old) => String(old + 1)),
+  twoLengths: chain(add('Content-Length', '3'), add('Content-Length', '4')),
+  lengthAndChunks: chain(add('Content-Length', '2'), add('Transfer-Encoding', 'chunked')),
+  otherCoding: chain(without('Content-Length'), add('Transfer-Encoding', 'gzip')),
+  codedChunks: setValue('Transfer-Encoding', () => 'chunkee'),
+  signedLength: setLength((old) => `+${old}`),
+  notRun: add(notRun, '1'),
+  statusNoContent: setStatus(204),
+  statusUnmodified: setStatus(304),
+  statusMoved: setStatus(302),
+  statusMisdirected: setStatus(421),
+  statusUnavailable: setStatus(503),
+  statusError: setStatus(500),
+  statusHigh: setStatus(600),
+  interim: putBefore(INTERIM),
+  interimTwice: putBefore(`HTTP/1.1 100 Continue\r\n\r\n${INTERIM}`),
+  switching: setStatus(101),
+  olderProtocol: (head) => ({ ...head, protocol: 'HTTP/1.0' }),
+  plainType: setValue('Content-Type', () => 'text/plain'),
+  eventType: setValue('Content-Type', () => 'text/event-stream'),
+};
+
+/** Makes the changes in order. */
+export function changeHead(
+  head: AnswerHeadText,
+  changes: readonly FuzzHeadChange[],
+): AnswerHeadText {
+  return chain(...changes.map((name) => CHANGES[name]))(head);
+}
--- /dev/null
+++ b/fuzz/FuzzMain.ts
@@ -0,0 +1,42 @@
+/** `npm run fuzz -- --seed 1 --cases 1000`: plays cases; prints each that fails, and the run, as one JSON line each. */
+import { Command, Option, runExit } from 'clipanion';
+import { playFuzz } from './FuzzRun.js';
+
+function whole(text: string, name: string): number {
+  const value = Number(text);
+  if (!Number.isSafeInteger(value) || value <= 0) {
+    throw new Error(`${name}: "${text}" is not a whole number above 0`);
+  }
+  return value;
+}
+
+class FuzzCommand extends Command {
+  static override paths = [Command.Default];
+
+  static override usage = Command.Usage({
+    description: 'plays requests against endpoints that answer wrongly, byte by byte',
+  });
+
+  seed = Option.String('--seed', '1', { description: 'seed of the first case' });
+
+  cases = Option.String('--cases', '1000', { description: 'how many, with seeds that follow' });
+
+  jobs = Option.String('--jobs', '16', { description: 'cases at once' });
+
+  failures = Option.String('--failures', '5', { description: 'failed cases that end the run' });
+
+  override async execute(): Promise<number> {
+    const result = await playFuzz({
+      seed: whole(this.seed, '--seed'),
+      cases: whole(this.cases, '--cases'),
+      jobs: whole(this.jobs, '--jobs'),
+      mostFailures: whole(this.failures, '--failures'),
+    });
+    const { failures, ...figures } = result;
+    failures.forEach((failure) => this.context.stdout.write(`${JSON.stringify(failure)}\n`));
+    this.context.stdout.write(`${JSON.stringify({ ...figures, failures: failures.length })}\n`);
+    return failures.length === 0 && figures.leaks.length === 0 ? 0 : 1;
+  }
+}
+
+await runExit(FuzzCommand);
--- /dev/null
+++ b/fuzz/FuzzReader.ts
@@ -0,0 +1,248 @@
+/** Strict reader of HTTP/1.1 answers (RFC 9112). It is the oracle, and shares no code with the libraries under test. */
+
+/** How the end of a body is told. */
+export type AnswerFraming = 'none' | 'length' | 'chunked' | 'close';
+
+/** An answer as it stands on a connection. */
+export interface ReadAnswer {
+  readonly status: number;
+  /** Names in lower case. */
+  readonly headers: readonly (readonly [string, string])[];
+  readonly body: Buffer;
+  readonly framing: AnswerFraming;
+  /** Whether its framing says that nothing is missing. */
+  readonly isWhole: boolean;
+}
+
+/** How the sender has ended its side of a connection. */
+export type ConnectionEnd = 'open' | 'fin' | 'reset';
+
+/** What stands on a connection. */
+export interface ReadConnection {
+  /** In order; only the last may be not whole. Informational ones are among them. */
+  readonly answers: readonly ReadAnswer[];
+  /** Why what follows the answers is none, or the last one's body isn't framed; null where nothing is wrong. */
+  readonly fault: string | null;
+}
+
+/** Part of a message that was read; `next` is null where more bytes are due. */
+interface Part<T> {
+  readonly value: T;
+  readonly next: number | null;
+}
+
+interface Head {
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+}
+
+/** Who has sent the bytes: of an endpoint, what belongs to no answer and reaches nobody is passed over. */
+export type AnswerSender = 'entry' | 'endpoint';
+
+/** What can't be an answer. */
+class AnswerSyntaxError extends Error {
+  override name = 'AnswerSyntaxError';
+}
+
+const CRLF = '\r\n';
+
+const PROTOCOL = 'HTTP/1.';
+
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-9]\d\d) [\t\x20-\x7e\x80-\xff]*$/;
+
+/** Nobody passes a reason on, so that any is taken from an endpoint. */
+const ANY_REASON = /^HTTP\/1\.[01] ([1-9]\d\d)(?: [^\r\n]*)?$/;
+
+const BLANK = /[\r\n]*/y;
+
+const HEADER_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t\x20-\x7e\x80-\xff]*?)[ \t]*$/;
+
+const CHUNK_LINE = /^([0-9A-Fa-f]{1,8})(?:[ \t]*;[\t\x20-\x7e\x80-\xff]*)?$/;
+
+const LENGTH = /^\d{1,15}$/;
+
+/** Statuses without a body, whatever their headers say. */
+const BODILESS = new Set([204, 304]);
+
+/** The values of a header, in order. */
+export function valuesOf(
+  { headers }: Pick<ReadAnswer, 'headers'>,
+  name: string,
+): readonly string[] {
+  const wanted = name.toLowerCase();
+  return headers.filter(([own]) => own === wanted).map(([, value]) => value);
+}
+
+/** Whether an answer is an interim one: another follows. */
+export function isInformational({ status }: Pick<ReadAnswer, 'status'>): boolean {
+  return status < 200;
+}
+
+function readLine(text: string, at: number): Part<string> {
+  const end = text.indexOf(CRLF, at);
+  const line = text.slice(at, end < 0 ? undefined : end);
+  if (end < 0 && line.includes('\n')) {
+    throw new AnswerSyntaxError('a line ends without CR');
+  }
+  return { value: line, next: end < 0 ? null : end + CRLF.length };
+}
+
+function readHeaderLine(line: string): readonly [string, string] {
+  const match = HEADER_LINE.exec(line);
+  if (match === null) {
+    throw new AnswerSyntaxError(`no header: ${JSON.stringify(line)}`);
+  }
+  return [(match[1] ?? '').toLowerCase(), match[2] ?? ''];
+}
+
+/** Reads header lines up to the empty one. */
+function readHeaders(text: string, from: number): Part<Head['headers']> {
+  const headers: (readonly [string, string])[] = [];
+  let at = from;
+  for (;;) {
+    const { value, next } = readLine(text, at);
+    if (next === null || value === '') {
+      return { value: headers, next };
+    }
+    headers.push(readHeaderLine(value));
+    at = next;
+  }
+}
+
+function readHead(text: string, at: number, statusLine: RegExp): Part<Head> {
+  const start = text.slice(at, at + PROTOCOL.length);
+  if (!PROTOCOL.startsWith(start)) {
+    throw new AnswerSyntaxError(`no answer: ${JSON.stringify(start)}`);
+  }
+  const first = readLine(text, at);
+  if (first.next === null) {
+    return { value: { status: 0, headers: [] }, next: null };
+  }
+  const status = statusLine.exec(first.value)?.[1];
+  if (status === undefined) {
+    throw new AnswerSyntaxError(`no status line: ${JSON.stringify(first.value)}`);
+  }
+  const { value, next } = readHeaders(text, first.next);
+  return { value: { status: Number(status), headers: value }, next };
+}
+
+/** The framing that a head declares; `length` is 0 where it has none. */
+function framingOf(head: Head): { readonly framing: AnswerFraming; readonly length: number } {
+  const codings = valuesOf(head, 'transfer-encoding');
+  const lengths = valuesOf(head, 'content-length');
+  const [length = ''] = lengths;
+  if (codings.length > 0 && lengths.length > 0) {
+    throw new AnswerSyntaxError('a length and a transfer coding');
+  }
+  if (codings.length > 0 && codings.join().toLowerCase() !== 'chunked') {
+    throw new AnswerSyntaxError(`transfer coding ${JSON.stringify(codings.join())}`);
+  }
+  if (lengths.length > 1 || (lengths.length === 1 && !LENGTH.test(length))) {
+    throw new AnswerSyntaxError(`length ${JSON.stringify(lengths.join())}`);
+  }
+  if (isInformational(head) || BODILESS.has(head.status)) {
+    return { framing: 'none', length: 0 };
+  }
+  if (codings.length > 0) {
+    return { framing: 'chunked', length: 0 };
+  }
+  return lengths.length > 0
+    ? { framing: 'length', length: Number(length) }
+    : { framing: 'close', length: 0 };
+}
+
+/** Reads chunks and trailers. A fault in them is thrown with what came before it. */
+function readChunks(text: string, from: number, parts: string[]): number | null {
+  let at = from;
+  for (;;) {
+    const { value, next } = readLine(text, at);
+    if (next === null) {
+      return null;
+    }
+    const size = CHUNK_LINE.exec(value)?.[1];
+    if (size === undefined) {
+      throw new AnswerSyntaxError(`no chunk size: ${JSON.stringify(value)}`);
+    }
+    const length = Number.parseInt(size, 16);
+    if (length === 0) {
+      return readHeaders(text, next).next;
+    }
+    const data = text.slice(next, next + length);
+    parts.push(data);
+    const tail = text.slice(next + length, next + length + CRLF.length);
+    if (!CRLF.startsWith(tail)) {
+      throw new AnswerSyntaxError('bytes behind a chunk');
+    }
+    if (data.length < length || tail.length < CRLF.length) {
+      return null;
+    }
+    at = next + length + CRLF.length;
+  }
+}
+
+/** A body; `next` is null where it isn't whole. */
+type ReadBody = (text: string, at: number, length: number, end: ConnectionEnd) => Part<string>;
+
+const BODY_READERS: Readonly<Record<Exclude<AnswerFraming, 'chunked'>, ReadBody>> = {
+  none: (_text, at) => ({ value: '', next: at }),
+  length: (text, at, length) => {
+    const value = text.slice(at, at + length);
+    return { value, next: value.length < length ? null : at + length };
+  },
+  close: (text, at, _length, end) => ({
+    value: text.slice(at),
+    next: end === 'fin' ? text.length : null,
+  }),
+};
+
+/** Place of the next byte that isn't part of an empty line. */
+function skipBlank(text: string, at: number): number {
+  BLANK.lastIndex = at;
+  return at + (BLANK.exec(text)?.[0].length ?? 0);
+}
+
+/** Reads all that the sender of a connection has sent, up to the first fault. */
+export function readConnection(
+  bytes: Buffer,
+  end: ConnectionEnd,
+  sender: AnswerSender = 'entry',
+): ReadConnection {
+  const isStrict = sender === 'entry';
+  const text = bytes.toString('latin1');
+  const answers: ReadAnswer[] = [];
+  let at: number | null = 0;
+  try {
+    while (at !== null && at < text.length) {
+      const start: number = isStrict ? at : skipBlank(text, at);
+      const head: Part<Head> = readHead(text, start, isStrict ? STATUS_LINE : ANY_REASON);
+      if (head.next === null) {
+        break;
+      }
+      const { framing, length } = framingOf(head.value);
+      const parts: string[] = [];
+      const push = (isWhole: boolean): void => {
+        const body = Buffer.from(parts.join(''), 'latin1');
+        answers.push({ ...head.value, body, framing, isWhole });
+      };
+      try {
+        if (framing === 'chunked') {
+          at = readChunks(text, head.next, parts);
+        } else {
+          const body: Part<string> = BODY_READERS[framing](text, head.next, length, end);
+          parts.push(body.value);
+          at = body.next;
+        }
+      } catch (err) {
+        push(false);
+        throw err;
+      }
+      push(at !== null);
+    }
+  } catch (err) {
+    if (!(err instanceof AnswerSyntaxError)) {
+      throw err;
+    }
+    return { answers, fault: err.message };
+  }
+  return { answers, fault: null };
+}
--- /dev/null
+++ b/fuzz/FuzzRender.ts
@@ -0,0 +1,208 @@
+/** Writes an endpoint's answer as bytes, with what is changed in it. Pure. */
+import { WIRE_NAMES } from '../platform/__tests__/utils/StandInWire.js';
+import { changeHead, headLine, type AnswerHeadText, type HeadLine } from './FuzzHead.js';
+import type {
+  FuzzAnswer,
+  FuzzAnswerKind,
+  FuzzEdit,
+  FuzzExtra,
+  FuzzFraming,
+  FuzzRegion,
+  FuzzWrite,
+} from './FuzzTypes.js';
+
+/** What an arrival brings to its answer. */
+export interface RenderContext {
+  readonly id: string;
+  /** Id of the request before it on the connection. */
+  readonly earlierId: string;
+  /** Names the answer apart from all others. */
+  readonly seal: string;
+  /** Event after which a stream goes on. */
+  readonly lastEvent: number;
+}
+
+/** Bytes to write, and what follows them. */
+export interface RenderedAnswer {
+  readonly writes: readonly FuzzWrite[];
+  /** Written once the next request has come on the connection. */
+  readonly onNext: Buffer;
+  readonly end: 'keep' | 'fin' | 'reset';
+}
+
+interface Segment {
+  readonly region: FuzzRegion | null;
+  readonly text: string;
+}
+
+/** Pause before an answer that comes shortly after another, ms. */
+const SOON_MS = 2;
+
+/** How long endpoints that refuse want to rest, s. */
+const REST_S = '0.02';
+
+function bodyOf(kind: FuzzAnswerKind, size: number, { id, lastEvent }: RenderContext): Segment[] {
+  if (kind === 'stream') {
+    return Array.from({ length: Math.max(0, size - lastEvent) }, (_item, i) => {
+      const event = lastEvent + i + 1;
+      return { region: 'event' as const, text: `id: ${event}\ndata: ${id} ${event}\n\n` };
+    });
+  }
+  const text = `${kind} ${id} `.repeat(size).slice(0, size);
+  const half = Math.ceil(text.length / 2);
+  return [text.slice(0, half), text.slice(half)]
+    .filter((part) => part !== '')
+    .map((part) => ({ region: 'body' as const, text: part }));
+}
+
+const STATUS: Readonly<Record<FuzzAnswerKind, number>> = {
+  plain: 200,
+  stream: 200,
+  failure: 500,
+  refusal: 503,
+  drop: 500,
+};
+
+function framingLine(framing: FuzzFraming, length: number): HeadLine {
+  const lines: Readonly<Record<FuzzFraming, HeadLine>> = {
+    length: headLine('Content-Length', String(length)),
+    chunked: headLine('Transfer-Encoding', 'chunked'),
+    close: headLine('Connection', 'close'),
+  };
+  return lines[framing];
+}
+
+function headOf(
+  kind: FuzzAnswerKind,
+  framing: FuzzFraming,
+  length: number,
+  { id, seal }: RenderContext,
+): AnswerHeadText {
+  const type = kind === 'stream' ? 'text/event-stream' : 'application/octet-stream';
+  const own =
+    kind === 'refusal'
+      ? [headLine(WIRE_NAMES.notRun, '1'), headLine('Retry-After', REST_S)]
+      : [headLine(WIRE_NAMES.seal, seal)];
+  const lines = [
+    headLine(WIRE_NAMES.id, id),
+    headLine('Content-Type', type),
+    ...own,
+    framingLine(framing, length),
+  ];
+  return { before: '', protocol: 'HTTP/1.1', status: STATUS[kind], lines };
+}
+
+function headSegments({ before, protocol, status, lines }: AnswerHeadText): Segment[] {
+  return [
+    { region: null, text: before },
+    { region: 'status', text: `${protocol} ${status} OK\r\n` },
+    ...lines.flatMap(({ name, value, eol }) => [
+      { region: 'name' as const, text: name },
+      { region: null, text: ': ' },
+      { region: 'value' as const, text: value },
+      { region: null, text: eol },
+    ]),
+    { region: null, text: '\r\n' },
+  ];
+}
+
+function framed(parts: readonly Segment[], framing: FuzzFraming): Segment[] {
+  if (framing !== 'chunked') {
+    return [...parts];
+  }
+  const chunks = parts.flatMap((part) => [
+    { region: 'size' as const, text: `${part.text.length.toString(16)}\r\n` },
+    part,
+    { region: null, text: '\r\n' },
+  ]);
+  return [...chunks, { region: 'size', text: '0\r\n' }, { region: null, text: '\r\n' }];
+}
+
+/** Places of a region's bytes; all of a body's where the answer has none of that region. */
+function placesOf(segments: readonly Segment[], region: FuzzRegion): readonly number[] {
+  let at = 0;
+  return segments.flatMap((segment) => {
+    const from = at;
+    at += segment.text.length;
+    const isMeant = segment.region === region || (region === 'body' && segment.region === 'event');
+    return isMeant ? Array.from({ length: segment.text.length }, (_item, i) => from + i) : [];
+  });
+}
+
+type Edit = (text: string, at: number, value: number) => string;
+
+const EDITS: Readonly<Record<FuzzEdit['kind'], Edit>> = {
+  flip: (text, at, value) => {
+    // eslint-disable-next-line no-bitwise
+    const flipped = String.fromCharCode((text.charCodeAt(at) ^ value) % 256);
+    return text.slice(0, at) + flipped + text.slice(at + 1);
+  },
+  insert: (text, at, value) => text.slice(0, at) + String.fromCharCode(value) + text.slice(at),
+  double: (text, at, value) => text.slice(0, at + value) + text.slice(at),
+  drop: (text, at, value) => text.slice(0, at) + text.slice(at + value),
+};
+
+/** Makes the edits from the last place on, so that none moves another. */
+function editText(segments: readonly Segment[], edits: readonly FuzzEdit[]): string {
+  const text = segments.map((segment) => segment.text).join('');
+  const placed = edits.flatMap(({ kind, region, at, value }) => {
+    const places = placesOf(segments, region);
+    const place = places[Math.floor(at * places.length)];
+    return place === undefined ? [] : [{ kind, place, value }];
+  });
+  return [...placed]
+    .sort((a, b) => b.place - a.place)
+    .reduce((changed, { kind, place, value }) => EDITS[kind](changed, place, value), text);
+}
+
+const EXTRA_SIZE = 12;
+
+function renderExtra({ id, kind }: FuzzExtra, ctx: RenderContext): string {
+  const seal = `${ctx.seal}.extra`;
+  const ids = { same: ctx.id, earlier: ctx.earlierId, none: ctx.id };
+  const own = { ...ctx, id: ids[id], seal, lastEvent: 0 };
+  const parts = bodyOf(kind, kind === 'stream' ? 2 : EXTRA_SIZE, own);
+  const length = parts.reduce((sum, { text }) => sum + text.length, 0);
+  const head = headOf(kind, 'length', length, own);
+  const changed = id === 'none' ? changeHead(head, ['noId']) : head;
+  return [...headSegments(changed), ...parts].map(({ text }) => text).join('');
+}
+
+/** A text in the pieces in which it is written. */
+export function splitText(text: string, splits: readonly number[], pauseMs: number): FuzzWrite[] {
+  const places = splits.map((at) => Math.floor(at * text.length)).sort((a, b) => a - b);
+  const bounds = [0, ...places, text.length];
+  return bounds
+    .slice(1)
+    .map((end, i) => ({ text: text.slice(bounds[i], end), pauseMs: i === 0 ? 0 : pauseMs }))
+    .filter((part) => part.text !== '')
+    .map((part) => ({ bytes: Buffer.from(part.text, 'latin1'), pauseMs: part.pauseMs }));
+}
+
+function endOf({ cut, end, framing }: FuzzAnswer): RenderedAnswer['end'] {
+  if (cut !== null) {
+    return cut.by === 'stall' ? 'keep' : cut.by;
+  }
+  return end === 'keep' && framing === 'close' ? 'fin' : end;
+}
+
+/** An answer as it is written for one arrival. */
+export function renderAnswer(answer: FuzzAnswer, ctx: RenderContext): RenderedAnswer {
+  const { kind, framing, size, cut, extras, splits, pauseMs } = answer;
+  const parts = bodyOf(kind, size, ctx);
+  const length = parts.reduce((sum, { text }) => sum + text.length, 0);
+  const head = changeHead(headOf(kind, framing, length, ctx), answer.head);
+  const text = editText([...headSegments(head), ...framed(parts, framing)], answer.edits);
+  const kept = cut === null ? text : text.slice(0, Math.floor(cut.at * (text.length + 1)));
+  const extraTexts = (when: FuzzExtra['when']): string =>
+    extras.flatMap((extra) => (extra.when === when ? [renderExtra(extra, ctx)] : [])).join('');
+  const soon = extraTexts('soon');
+  return {
+    writes: [
+      ...splitText(kept + extraTexts('same'), splits, pauseMs),
+      ...(soon === '' ? [] : [{ bytes: Buffer.from(soon, 'latin1'), pauseMs: SOON_MS }]),
+    ],
+    onNext: Buffer.from(extraTexts('next'), 'latin1'),
+    end: endOf(answer),
+  };
+}
--- /dev/null
+++ b/fuzz/FuzzRun.ts
@@ -0,0 +1,180 @@
+/** Plays cases against the real code, some side by side, and shrinks those that fail. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { askOf, playCaller } from './FuzzCaller.js';
+import { FuzzEndpoints } from './FuzzEndpoint.js';
+import { startEntry } from './FuzzEntry.js';
+import { judgeCase, type FuzzOutcome, type FuzzVerdict } from './FuzzOracle.js';
+import { planCase } from './FuzzPlan.js';
+import { shrinkCase } from './FuzzShrink.js';
+import type { FuzzAnswer, FuzzCase, FuzzRequest } from './FuzzTypes.js';
+
+/** What arrivals beyond a request's script get. */
+const PROPER: FuzzAnswer = {
+  kind: 'plain',
+  framing: 'length',
+  size: 8,
+  head: [],
+  edits: [],
+  cut: null,
+  extras: [],
+  splits: [],
+  pauseMs: 0,
+  end: 'keep',
+};
+
+/** Ids of a case's requests, eight hexadecimal digits. */
+function idOf(seed: number, i: number): string {
+  const mixed = Math.imul(seed * 8 + i + 1, 0x9e3779b1);
+  // eslint-disable-next-line no-bitwise
+  return (mixed >>> 0).toString(16).padStart(8, '0');
+}
+
+function answerOf({ route, answers }: FuzzRequest, nth: number): FuzzAnswer {
+  const kind = route === 'stream' || route === 'fixed' ? 'stream' : 'plain';
+  return answers[nth] ?? { ...PROPER, kind };
+}
+
+/** Plays one case to its end. */
+export async function playCase(plan: FuzzCase, seed: number): Promise<FuzzVerdict> {
+  const requests = plan.requests.map((request, i) => askOf(request, idOf(seed, i)));
+  const plans = new Map(requests.map((asked) => [asked.id, asked.plan]));
+  const endpoints = new FuzzEndpoints((id, nth) => {
+    const own = plans.get(id);
+    return own === undefined ? PROPER : answerOf(own, nth);
+  });
+  const ports = await Promise.all(
+    Array.from({ length: plan.endpoints }, async () => endpoints.listen()),
+  );
+  const entry = await startEntry(seed, ports);
+  try {
+    const heard = await playCaller(entry.port, requests);
+    return judgeCase({ heard, arrivals: endpoints.arrivals, faults: entry.faults });
+  } finally {
+    entry.close();
+    endpoints.close();
+  }
+}
+
+/** A case that broke a promise, as small as it could be made. */
+export interface FuzzFailure {
+  readonly seed: number;
+  readonly findings: readonly string[];
+  readonly plan: FuzzCase;
+}
+
+/** What a run has shown. */
+export interface FuzzResult {
+  readonly cases: number;
+  readonly outcomes: Readonly<Record<FuzzOutcome, number>>;
+  readonly failures: readonly FuzzFailure[];
+  /** Kinds of resources of this process that the run has left behind. */
+  readonly leaks: readonly string[];
+}
+
+/** Size of a run. */
+export interface FuzzOptions {
+  /** Seed of the first case; the others follow. */
+  readonly seed: number;
+  readonly cases: number;
+  /** Cases played at once. */
+  readonly jobs: number;
+  /** The run ends with so many failures. */
+  readonly mostFailures: number;
+}
+
+/** Probes of endpoints end by themselves within this time, ms. */
+const SETTLE_MS = 1_000;
+
+/** How often a run's remains are counted until they are gone, ms. */
+const SETTLE_STEP_MS = 50;
+
+const RESOURCES = ['TCPSocketWrap', 'TCPServerWrap', 'TCPConnectWrap', 'Timeout', 'Immediate'];
+
+function countResources(): ReadonlyMap<string, number> {
+  // Only this tool, never a process of ours, depends on it.
+  // eslint-disable-next-line n/no-unsupported-features/node-builtins
+  const held = process.getActiveResourcesInfo();
+  return new Map(RESOURCES.map((kind) => [kind, held.filter((one) => one === kind).length]));
+}
+
+/** Resources beyond those of before, once they have had time to end. */
+async function findLeaks(before: ReadonlyMap<string, number>): Promise<readonly string[]> {
+  const until = performance.now() + SETTLE_MS;
+  for (;;) {
+    const leaks = [...countResources()]
+      .map(([kind, count]) => ({ kind, count: count - (before.get(kind) ?? 0) }))
+      .filter(({ count }) => count > 0)
+      .map(({ kind, count }) => `${count} ${kind}`);
+    if (leaks.length === 0 || performance.now() > until) {
+      return leaks;
+    }
+    // eslint-disable-next-line no-await-in-loop
+    await delay(SETTLE_STEP_MS);
+  }
+}
+
+async function shrinkFailure(failure: FuzzFailure): Promise<FuzzFailure> {
+  const { seed } = failure;
+  let { findings } = failure;
+  const plan = await shrinkCase(failure.plan, async (smaller) => {
+    const verdict = await playCase(smaller, seed);
+    findings = verdict.findings.length > 0 ? verdict.findings : findings;
+    return verdict.findings.length > 0;
+  });
+  return { seed, findings, plan };
+}
+
+async function playSeeds(
+  { seed, cases, jobs, mostFailures }: FuzzOptions,
+  playing: Set<number>,
+  thrown: readonly FuzzFailure[],
+): Promise<Omit<FuzzResult, 'leaks'>> {
+  const outcomes = { whole: 0, passed: 0, own: 0, notRun: 0, broken: 0 };
+  const failures: FuzzFailure[] = [];
+  let played = 0;
+  const work = async (): Promise<void> => {
+    while (played < cases && failures.length < mostFailures && thrown.length === 0) {
+      const own = seed + played;
+      played += 1;
+      const plan = planCase(own);
+      playing.add(own);
+      // eslint-disable-next-line no-await-in-loop
+      const verdict = await playCase(plan, own);
+      playing.delete(own);
+      verdict.outcomes.forEach((outcome) => {
+        outcomes[outcome] += 1;
+      });
+      if (verdict.findings.length > 0) {
+        failures.push({ seed: own, findings: verdict.findings, plan });
+      }
+    }
+  };
+  await Promise.all(Array.from({ length: jobs }, work));
+  const shrunk: FuzzFailure[] = [];
+  // eslint-disable-next-line no-restricted-syntax -- one at a time: what is rare needs a machine at rest
+  for (const failure of failures) {
+    // eslint-disable-next-line no-await-in-loop
+    shrunk.push(await shrinkFailure(failure));
+  }
+  return { cases: played, outcomes, failures: [...shrunk, ...thrown] };
+}
+
+/** Plays a run. */
+export async function playFuzz(options: FuzzOptions): Promise<FuzzResult> {
+  const before = countResources();
+  const playing = new Set<number>();
+  const thrown: FuzzFailure[] = [];
+  const onThrown = (err: unknown): void => {
+    const findings = [
+      `thrown where nobody awaits, in one of ${[...playing].join()}: ${String(err)}`,
+    ];
+    thrown.push(...[...playing].map((seed) => ({ seed, findings, plan: planCase(seed) })));
+  };
+  process.prependListener('uncaughtException', onThrown);
+  try {
+    const played = await playSeeds(options, playing, thrown);
+    return { ...played, leaks: await findLeaks(before) };
+  } finally {
+    process.off('uncaughtException', onThrown);
+  }
+}
--- /dev/null
+++ b/fuzz/__tests__/unit/FuzzOracle.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { WIRE_NAMES } from '../../../platform/__tests__/utils/StandInWire.js';
+import { askOf, type FuzzHeard } from '../../FuzzCaller.js';
+import type { FuzzArrival } from '../../FuzzEndpoint.js';
+import { judgeCase, type FuzzSeen } from '../../FuzzOracle.js';
+import type { ConnectionEnd } from '../../FuzzReader.js';
+import type { FuzzRoute } from '../../FuzzTypes.js';
+
+const { id: ID_NAME, seal: SEAL, notRun: NOT_RUN } = WIRE_NAMES;
+
+const ID = '0000000a';
+
+const HEAD = `HTTP/1.1 200 OK\r\n${ID_NAME}: ${ID}\r\n`;
+
+const PLAIN = `${HEAD}${SEAL}: s1\r\nContent-Length: 5\r\n\r\nhello`;
+
+const CHUNKS = `${HEAD}${SEAL}: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`;
+
+const EVENT_1 = 'id: 1\n\n';
+const EVENT_2 = 'id: 2\n\n';
+
+const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+const LAST_CHUNK = '0\r\n\r\n';
+
+const REFUSED = `HTTP/1.1 503 Busy\r\n${ID_NAME}: ${ID}\r\n${NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n`;
+
+const OWN_BODY = '{"error":{"code":"no_endpoint"}}';
+const OWN = `HTTP/1.1 503 Unavailable\r\nContent-Length: ${OWN_BODY.length}\r\n\r\n${OWN_BODY}`;
+
+/** Something seen on a connection, and how that ended. */
+type Seen = readonly [string, ConnectionEnd?];
+
+interface Sample {
+  readonly route?: FuzzRoute;
+  /** What endpoints sent, one arrival each; they run it unless it's said. */
+  readonly sent: readonly Seen[];
+  readonly got: Seen;
+  readonly runs?: boolean;
+  readonly lastEvents?: readonly (string | null)[];
+}
+
+function seenOf({ route = 'stream', sent, got, runs = true, lastEvents = [] }: Sample): FuzzSeen {
+  const plan = {
+    route,
+    size: 0,
+    isChunked: false,
+    splits: [],
+    pauseMs: 0,
+    lastEvent: null,
+    isPipelined: false,
+    answers: [],
+  };
+  const asked = askOf(plan, ID);
+  const arrivals = sent.map(([text, end = 'open'], i): FuzzArrival => {
+    const { method, path, body } = asked;
+    const connection = { bytes: Buffer.from(text, 'latin1'), end };
+    return { id: ID, method, path, body, lastEvent: lastEvents[i] ?? null, runs, connection };
+  });
+  const [text, end = 'open'] = got;
+  const heard: FuzzHeard = {
+    asked: [asked],
+    bytes: Buffer.from(text, 'latin1'),
+    end,
+    isStuck: false,
+  };
+  return { heard: [heard], arrivals, faults: [] };
+}
+
+const RESUMED = {
+  sent: [[CHUNKS + chunk(EVENT_1), 'reset'], [CHUNKS + chunk(EVENT_2) + LAST_CHUNK]] as const,
+  lastEvents: [null, '1'],
+};
+
+const KEPT: Readonly<Record<string, Sample>> = {
+  'a whole answer': { sent: [[PLAIN]], got: [PLAIN] },
+  'a connection that breaks off': { sent: [[PLAIN]], got: ['HTTP/1.1 200', 'reset'] },
+  'a stream in other chunks': {
+    sent: [[CHUNKS + chunk(EVENT_1) + chunk(EVENT_2) + LAST_CHUNK]],
+    got: [CHUNKS + chunk(EVENT_1 + EVENT_2) + LAST_CHUNK],
+  },
+  'a stream cut behind an event': {
+    sent: [[CHUNKS + chunk(EVENT_1), 'reset']],
+    got: [CHUNKS + chunk(EVENT_1), 'fin'],
+  },
+  'a stream that goes on elsewhere': {
+    ...RESUMED,
+    got: [CHUNKS + chunk(EVENT_1) + chunk(EVENT_2) + LAST_CHUNK],
+  },
+  'a refusal of what was refused': { sent: [[REFUSED]], got: [OWN], runs: false },
+};
+
+const BROKEN: Readonly<Record<string, Sample>> = {
+  'no seal': { sent: [[PLAIN]], got: [PLAIN.replace(`${SEAL}: s1\r\n`, '')] },
+  'the head that a library makes up': {
+    sent: [[CHUNKS + LAST_CHUNK]],
+    got: [`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${LAST_CHUNK}`],
+  },
+  'another request’s answer': { sent: [[PLAIN]], got: [PLAIN.replace(ID, '0000000b')] },
+  'another body': { sent: [[PLAIN]], got: [PLAIN.replace('hello', 'hullo')] },
+  'half an answer as a whole one': {
+    sent: [[PLAIN.slice(0, -2), 'fin']],
+    got: [PLAIN.replace('hello', 'hel').replace(': 5', ': 3')],
+  },
+  'a body that was reset as a whole one': {
+    sent: [[`${HEAD}${SEAL}: s1\r\n\r\nhello`, 'reset']],
+    got: [PLAIN],
+  },
+  'a success that the endpoint said was a failure': {
+    sent: [[PLAIN.replace('200', '500')]],
+    got: [PLAIN],
+  },
+  'a failure with another status': {
+    sent: [[PLAIN.replace('200', '500')]],
+    got: [PLAIN.replace('200', '501')],
+  },
+  'half an event': {
+    sent: [[CHUNKS + chunk(EVENT_1), 'reset']],
+    got: [CHUNKS + chunk(EVENT_1.slice(0, 3)), 'fin'],
+  },
+  'an event twice': {
+    ...RESUMED,
+    got: [CHUNKS + chunk(EVENT_1 + EVENT_1 + EVENT_2) + LAST_CHUNK],
+  },
+  'a cut stream as a whole one': {
+    sent: [[CHUNKS + chunk(EVENT_1), 'reset']],
+    got: [CHUNKS + chunk(EVENT_1) + LAST_CHUNK],
+  },
+  'a refusal of what has run': { sent: [[PLAIN]], got: [OWN] },
+  'two runs of what may run once': { route: 'hold', sent: [[PLAIN], [PLAIN]], got: [PLAIN] },
+  'bytes behind an answer': { sent: [[PLAIN]], got: [`${PLAIN}x`] },
+  'an answer too many': { sent: [[PLAIN]], got: [PLAIN + PLAIN] },
+  'no answer': { sent: [[PLAIN]], got: [''] },
+};
+
+describe('FuzzOracle', () => {
+  // Guards against: an oracle that finds fault with what is allowed.
+  Object.entries(KEPT).forEach(([name, sample]) => {
+    it(`allows ${name}`, () => assert.deepEqual(judgeCase(seenOf(sample)).findings, []));
+  });
+
+  // Guards against: an oracle that lets a broken promise pass.
+  Object.entries(BROKEN).forEach(([name, sample]) => {
+    it(`finds ${name}`, () => assert.notDeepEqual(judgeCase(seenOf(sample)).findings, []));
+  });
+});
--- /dev/null
+++ b/fuzz/__tests__/unit/FuzzReader.test.ts
@@ -0,0 +1,74 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { readConnection, type ConnectionEnd } from '../../FuzzReader.js';
+
+/** Number of answers, what the last one is, and the fault. */
+function summary(text: string, end: ConnectionEnd): object {
+  const { answers, fault } = readConnection(Buffer.from(text, 'latin1'), end);
+  const last = answers.at(-1);
+  return {
+    answers: answers.length,
+    status: last?.status,
+    body: last?.body.toString('latin1'),
+    isWhole: last?.isWhole,
+    isFaulty: fault !== null,
+  };
+}
+
+const OK = 'HTTP/1.1 200 OK\r\n';
+
+const HELLO = `${OK}Content-Length: 5\r\n\r\nhello`;
+
+const whole = { answers: 1, status: 200, body: 'hello', isWhole: true, isFaulty: false };
+const part = { ...whole, isWhole: false };
+
+const READ: Readonly<Record<string, readonly [string, ConnectionEnd, object]>> = {
+  'a length': [HELLO, 'open', whole],
+  'a length that is not reached': [HELLO.slice(0, -1), 'fin', { ...part, body: 'hell' }],
+  'bytes behind a length': [`${HELLO}x`, 'open', { ...whole, isFaulty: true }],
+  'two answers': [HELLO + HELLO, 'open', { ...whole, answers: 2 }],
+  chunks: [`${OK}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n`, 'open', whole],
+  'chunks without the last': [`${OK}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n`, 'fin', part],
+  'a chunk that is longer than its size': [
+    `${OK}Transfer-Encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n`,
+    'open',
+    { ...part, body: 'hell', isFaulty: true },
+  ],
+  'a body that ends with its connection': [`${OK}\r\nhello`, 'fin', whole],
+  'such a body on an open connection': [`${OK}\r\nhello`, 'open', part],
+  'such a body that is reset': [`${OK}\r\nhello`, 'reset', part],
+  'a status without a body': [
+    'HTTP/1.1 204 None\r\n\r\n',
+    'open',
+    { ...whole, status: 204, body: '' },
+  ],
+};
+
+/** What is no answer. */
+const FAULTS: Readonly<Record<string, string>> = {
+  'other bytes': 'hello',
+  'a status of two digits': 'HTTP/1.1 20 OK\r\n\r\n',
+  'another protocol': 'HTTP/2.0 200 OK\r\n\r\n',
+  'a line without CR': `${OK}A: b\n\r\n`,
+  'a folded line': `${OK}A: b\r\n c\r\n\r\n`,
+  'a space before the colon': `${OK}A : b\r\n\r\n`,
+  'NUL in a value': `${OK}A: \0\r\n\r\n`,
+  'two lengths': `${OK}Content-Length: 1\r\nContent-Length: 1\r\n\r\nx`,
+  'a signed length': `${OK}Content-Length: +1\r\n\r\nx`,
+  'a length and chunks': `${OK}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+  'another coding': `${OK}Transfer-Encoding: gzip\r\n\r\n`,
+};
+
+describe('FuzzReader', () => {
+  // Guards against: an oracle that takes half an answer for a whole one, or two for one.
+  Object.entries(READ).forEach(([name, [text, end, expected]]) => {
+    it(`reads ${name}`, () => assert.deepEqual(summary(text, end), expected));
+  });
+
+  // Guards against: an oracle as lenient as the library under test.
+  Object.entries(FAULTS).forEach(([name, text]) => {
+    it(`finds fault with ${name}`, () => {
+      assert.notEqual(readConnection(Buffer.from(text, 'latin1'), 'open').fault, null);
+    });
+  });
+});
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -70,7 +70,7 @@
 const UNSENT: CallTimes = { firstMs: null, longestPauseMs: 0, lastEvent: null, attempts: 0 };
 
 /** Entry process. */
-class DirectEntry {
+export class DirectEntry {
   readonly #cfg: DirectEntrySettings;
 
   readonly #runtime: Runtime;
@@ -136,7 +136,13 @@
     });
   }
 
-  async serve(signal: AbortSignal): Promise<void> {
+  /** What it knows and has in progress. */
+  get state(): DirectEntryState {
+    return this.#state;
+  }
+
+  /** Listens for callers; its own timers run until the signal. */
+  async serve(signal: AbortSignal): Promise<Server> {
     const { callers } = this.#cfg;
     const server = createServer({ keepAlive: true, noDelay: true }, (req, res) => {
       this.#onRequest(req, res).catch((err: unknown) => {
@@ -161,6 +167,7 @@
         this.#state.admission.tick();
       }
     });
+    return server;
   }
 
   get readiness(): string {
