--- a/fuzz/FuzzRender.ts
+++ b/fuzz/FuzzRender.ts
@@ -189,6 +189,9 @@
 /** An answer as it is written for one arrival. */
 export function renderAnswer(answer: FuzzAnswer, ctx: RenderContext): RenderedAnswer {
   const { kind, framing, size, cut, extras, splits, pauseMs } = answer;
+  if (kind === 'drop') {
+    return { writes: [], onNext: Buffer.alloc(0), end: answer.end === 'fin' ? 'fin' : 'reset' };
+  }
   const parts = bodyOf(kind, size, ctx);
   const length = parts.reduce((sum, { text }) => sum + text.length, 0);
   const head = changeHead(headOf(kind, framing, length, ctx), answer.head);
