--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -83,7 +83,6 @@
   /** Begins a stream: its endpoint's head goes to the caller. */
   begin(start: ReplyStart): void {
     this.#writeHead('endpoint', start);
-    this.#res.flushHeaders();
     this.#watchHalfClose();
   }
 
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -59,17 +59,22 @@
  * Failure: a caller leaves while its request is on the way to a host that stands still. Symptom: closed in order,
  * the connection still delivers what the kernel holds; the host wakes and works for nobody. Enough: a reset drops
  * what wasn't delivered, and ends at once what was.
+ *
+ * Failure: a reset by Node forgets why the socket is closed. Symptom: the client library takes the end of the socket
+ * for that of an answer that was given up, and its assertion ends the process. Enough: it is closed with its error.
  */
 function resetWhile(socket: Socket, isResetting: () => boolean): void {
   const destroy = socket.destroy.bind(socket);
   let isReset = false;
+  let cause: Error | undefined;
   // eslint-disable-next-line no-param-reassign
   socket.destroy = (err) => {
     if (isReset || !isResetting()) {
-      return destroy(err);
+      return destroy(err ?? cause);
     }
-    // It calls `destroy` in its turn.
+    // It calls `destroy` in its turn, without the error.
     isReset = true;
+    cause = err;
     return resetSocket(socket);
   };
 }
@@ -173,6 +178,16 @@
   );
 }
 
+/**
+ * Whether the body's end can be told.
+ *
+ * Failure: an answer is in a transfer coding other than chunks. Symptom: the client library hands its coded bytes over
+ * as the body, up to the end of the connection, and a caller gets them as whole. Enough: such an answer is none.
+ */
+function isFramed({ 'transfer-encoding': coding }: IncomingHttpHeaders): boolean {
+  return coding === undefined || coding.toLowerCase() === 'chunked';
+}
+
 /** Sends a call. */
 export function startCall(
   endpoint: EndpointPool,
@@ -200,6 +215,10 @@
     },
     onResponseStart: (controller, status, headers) => {
       const informational = status < 200;
+      if (!over && !isFramed(headers)) {
+        controller.abort(new Error('the answer is in a transfer coding that is not known'));
+        return;
+      }
       if (!over && !informational) {
         answered = status;
         const { rawHeaders } = controller as unknown as { readonly rawHeaders: unknown };
