--- a/bench/BenchMain.ts
+++ b/bench/BenchMain.ts
@@ -6,6 +6,7 @@
 const BENCHES: Readonly<Record<string, () => Promise<Bench>>> = {
   'control-cost': async () => (await import('./BenchControlCost.js')).benchControlCost,
   overhead: async () => (await import('./BenchOverhead.js')).benchOverhead,
+  plan: async () => (await import('./BenchPlan.js')).benchPlan,
   placement: async () => (await import('./BenchPlacement.js')).benchPlacement,
   routing: async () => (await import('./BenchRouting.js')).benchRouting,
   quarantine: async () => (await import('./BenchQuarantine.js')).benchQuarantine,
