--- /dev/null
+++ b/src/coordination/MapGain.ts
@@ -0,0 +1,50 @@
+/** What a copied expert must gain, by how near the group's passes come to the longest pause. */
+
+/** Part of the longest pause from which on a pass is worth making shorter. */
+const EASY_SHARE = 0.5;
+
+/** Part of the longest pause from which on shorter passes are worth whatever they cost. */
+const PRESSED_SHARE = 0.8;
+
+/** Gain a copy must bring where passes are only just worth making shorter. */
+const EASY_GAIN = 0.03;
+
+/** Time after a group has formed anew in which it is planned for whatever its passes take, ms. */
+const ANEW_MS = 1_500;
+
+/** What tells how much a copied expert must gain. */
+export interface PassOutlook {
+  /** Time of a pass lately; null where none is known. */
+  readonly passMs: number | null;
+  /** Longest pause between two events of a stream that is on time, ms. */
+  readonly pauseMs: number;
+  /** Whether the group uses the map that it has when it forms. */
+  readonly usesFirstMap: boolean;
+  /** Time since the group formed anew, ms; without end where it never did. */
+  readonly formedMsAgo: number;
+}
+
+/**
+ * What a copied expert must gain now; null where passes are short enough as they are.
+ *
+ * Failure: the map follows each shift though the group has time to spare. Symptom: copies cost more
+ * than even ranks bring. Enough: answers are late only where a pass comes near the longest pause, so
+ * the nearer it comes, the less a copy must gain.
+ *
+ * A group with its first map is not asked for its passes: that map takes no account of demand, and traffic that has
+ * just begun makes its passes long within a second. Until a map is in use that is planned then, another second goes,
+ * in which half of all answers are late. On a calm half minute of a group of 20 ranks the credit earned rose from
+ * 0.89 to 0.97 (one play each).
+ */
+export function gainWanted(outlook: PassOutlook, least: number): number | null {
+  const { passMs, pauseMs, usesFirstMap, formedMsAgo } = outlook;
+  if (usesFirstMap || formedMsAgo < ANEW_MS) {
+    return least;
+  }
+  const share = (passMs ?? 0) / pauseMs;
+  if (share < EASY_SHARE) {
+    return null;
+  }
+  const eased = Math.max(0, (PRESSED_SHARE - share) / (PRESSED_SHARE - EASY_SHARE));
+  return least + (EASY_GAIN - least) * Math.min(1, eased);
+}
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -239,15 +239,9 @@
   type ExpertCounts,
   type PackedDemand,
 } from './DemandEstimate.js';
-export {
-  gainWanted,
-  planMap,
-  slowRanks,
-  type MapPlanned,
-  type MapPolicy,
-  type MapShape,
-  type PassOutlook,
-} from './MapPlan.js';
+export { gainWanted, type PassOutlook } from './MapGain.js';
+export { slowRanks } from './MapPaces.js';
+export { planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
 export { initMapSwitch, PREPARE_MS, stepMapSwitch } from './MapSwitch.js';
 export {
   isStalled,
