--- a/bench/__tests__/unit/BenchPlan.test.ts
+++ b/bench/__tests__/unit/BenchPlan.test.ts
@@ -13,6 +13,10 @@
   return skewAfter.reduce((sum, skew) => sum + skew, 0) / skewAfter.length;
 }
 
+function median(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+}
+
 /** Skew and copies over three seeds. */
 function play(size: PlanSize): { readonly skew: number; readonly copies: number } {
   const runs = [1, 2, 3].map((seed) => runPlans(size, seed));
@@ -26,8 +30,10 @@
   // Load pattern: skewed demand on a large group, two thirds of which move every eight intervals. Guards against: a
   // plan takes as long as a pass of a coordinator that has two fifths of a core, and the map comes late each time.
   it('plans 63 ranks with 8 sets of 252 experts within a few ms', () => {
-    const { changeMs } = runPlans(sizeOf(63, 8), 1);
-    assert.ok(Math.min(...changeMs) < 15, `${changeMs.map(Math.round).join(', ')} ms`);
+    const size = sizeOf(63, 8);
+    // The fastest of three, for other programs take their part of the machine.
+    const medians = [1, 1, 1].map((seed) => median(runPlans(size, seed).changeMs));
+    assert.ok(Math.min(...medians) < 15, `${medians.join(', ')} ms`);
   });
 
   // The same load. Guards against: a faster search that settles for less even maps, or pays for them with copies.
