--- /dev/null
+++ b/src/coordination/__tests__/unit/MapStages.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { MapStages } from '../../index.js';
+
+function change(stages: MapStages, at: number): void {
+  stages.onPlan(5, at);
+  stages.onPhase('preparing', at);
+  stages.onPhase('holding', at + 200);
+  stages.onPhase('arming', at + 230);
+  stages.onPhase('releasing', at + 300);
+  stages.onPhase('idle', at + 340);
+}
+
+describe('MapStages', () => {
+  it('tells how long each stage of a change took', () => {
+    const stages = new MapStages();
+    stages.onCounts(1.1, 30, 1_000);
+    stages.onCounts(1.9, 40, 1_250);
+    stages.onCounts(2.2, 50, 1_500);
+    change(stages, 1_505);
+    assert.deepEqual(stages.finish(1_845), {
+      waitMs: 250,
+      countsMs: 50,
+      planMs: 5,
+      copyMs: 200,
+      holdMs: 30,
+      armMs: 70,
+      releaseMs: 40,
+    });
+  });
+
+  // Guards against: a map that became even by itself, or by a change, counts as behind ever since.
+  it('begins anew where the map suits the demand again', () => {
+    const stages = new MapStages();
+    stages.onCounts(1.9, 40, 1_000);
+    stages.onCounts(1.2, 40, 1_250);
+    stages.onCounts(1.9, 40, 1_500);
+    change(stages, 1_505);
+    assert.equal(stages.finish(1_845).waitMs, 0);
+    stages.onCounts(1.5, 40, 2_000);
+    change(stages, 2_005);
+    assert.equal(stages.finish(2_345).waitMs, 0);
+  });
+
+  // A pass that begins while the hold is still on its way: another is chosen, and the hold counts from the first.
+  it('counts a stage that has to be gone through again from its first begin', () => {
+    const stages = new MapStages();
+    stages.onCounts(1.9, 40, 1_000);
+    stages.onPlan(5, 1_005);
+    stages.onPhase('preparing', 1_005);
+    stages.onPhase('holding', 1_100);
+    stages.onPhase('holding', 1_160);
+    stages.onPhase('arming', 1_200);
+    stages.onPhase('releasing', 1_250);
+    assert.equal(stages.finish(1_300).holdMs, 100);
+  });
+});
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -293,6 +293,7 @@
   type WaitingRequest,
 } from './StreamQueue.js';
 export { addIncrements, countedRanks, packIncrements, type PackedCounts } from './DemandCounts.js';
+export { MapStages, type MapStageTimes } from './MapStages.js';
 export { applyMapDiff, diffMap, type MapRow } from './MapDiff.js';
 export { awaitsReport } from './MapSwitchOrders.js';
 export { hasHolderEnded, holderName, type LeaseHolder } from './LeaseHolder.js';
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -10,6 +10,7 @@
   initMapSwitch,
   isStalled,
   gainWanted,
+  MapStages,
   mayCoordinate,
   NO_PASSES,
   packDemand,
@@ -126,6 +127,8 @@
   /** Ranks whose counts of this round are still to come. */
   #awaited = new Set<number>();
 
+  readonly #stages = new MapStages();
+
   #passes: PassWatchState = NO_PASSES;
 
   #skew = 1;
@@ -372,16 +375,19 @@
     const begun = runtime.now();
     const isFirst = this.#plannedAt < this.#resetAt && this.#usesFirstMap;
     this.#plannedAt = begun;
-    const wanted = this.#wanted(limits);
+    const wanted = this.#switch.phase === 'idle' ? this.#wanted(limits) : null;
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
     const planned = planMap(this.#map, weights, limits.shape, adjusted, this.#paces);
     this.#skew = planned.skewBefore;
+    this.#stages.onCounts(this.#skew, begun - this.#countsAt, begun);
     this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
     this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
     const gain = planned.skewBefore - planned.skewAfter;
     if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
       return;
     }
+    const planMs = runtime.now() - begun;
+    this.#stages.onPlan(planMs, runtime.now());
     runtime.log.info(
       {
         event: 'plan',
@@ -391,7 +397,7 @@
         skewAfter: Number(planned.skewAfter.toFixed(3)),
         intervals: this.#demand.intervals.length,
         shifts: this.#demand.shifts,
-        planMs: Math.round(runtime.now() - begun),
+        planMs: Math.round(planMs),
       },
       'new expert map',
     );
@@ -425,6 +431,7 @@
         this.#order(output);
         return;
       case 'phase':
+        this.#stages.onPhase(output.phase, runtime.now());
         log.info(
           {
             event: 'map',
@@ -441,7 +448,13 @@
         this.#map = this.#proposed;
         this.#proposed = null;
         log.info(
-          { event: 'map_changed', group, version: output.version, ms: output.ms },
+          {
+            event: 'map_changed',
+            group,
+            version: output.version,
+            ms: Math.round(output.ms),
+            ...this.#stages.finish(runtime.now()),
+          },
           'map in use',
         );
         return;
