--- a/src/coordination/MapPlanSet.ts
+++ b/src/coordination/MapPlanSet.ts
@@ -55,12 +55,8 @@
   /** Experts planned in that were new to their rank, by rank. */
   readonly added: Uint16Array;
 
-  readonly #experts: number;
-
-  readonly #held: Uint8Array;
-
   /** What each rank holds in the map in use: bringing one of these back costs no copy. */
-  readonly #inUse: Uint8Array;
+  readonly #inUse: readonly (readonly number[])[];
 
   #skew: number;
 
@@ -69,32 +65,21 @@
     weights: readonly number[],
     paces: readonly number[],
   ) {
-    const highest = inUse.reduce((most, experts) => Math.max(most, ...experts), NONE);
-    this.#experts = Math.max(weights.length, highest + 1);
-    this.ranks = inUse.map((experts) => [...new Set(experts)]);
-    this.holders = Array.from({ length: this.#experts }, () => []);
-    this.#held = new Uint8Array(inUse.length * this.#experts);
-    this.ranks.forEach((experts, rank) =>
-      experts.forEach((expert) => {
-        this.holders[expert]?.push(rank);
-        this.#held[rank * this.#experts + expert] = 1;
-      }),
-    );
-    this.#inUse = this.#held.slice();
+    const experts = inUse.reduce((most, row) => Math.max(most, ...row), NONE) + 1;
+    this.#inUse = inUse;
+    this.ranks = inUse.map((row) => [...new Set(row)]);
+    this.holders = Array.from({ length: Math.max(weights.length, experts) }, () => []);
+    this.ranks.forEach((row, rank) => row.forEach((expert) => this.holders[expert]?.push(rank)));
     this.added = new Uint16Array(inUse.length);
-    this.paces = Float64Array.from(inUse, (_experts, rank) => paceOf(paces, rank));
-    const sum = weights.reduce(
-      (total, weight, e) => total + (this.copiesOf(e) > 0 ? weight : 0),
-      0,
-    );
-    const mean = sum / Math.max(1, inUse.length);
-    this.weights = Float64Array.from(this.holders, (_ranks, e) =>
-      mean === 0 ? 0 : (weights[e] ?? 0) / mean,
-    );
-    this.loads = Float64Array.from(
-      this.ranks,
-      (experts, rank) =>
-        experts.reduce((load, expert) => load + this.shareOf(expert), 0) * this.paceAt(rank),
+    this.paces = new Float64Array(inUse.map((_held, rank) => paceOf(paces, rank)));
+    const held = this.holders.map((ranks, e) => (ranks.length > 0 ? (weights[e] ?? 0) : 0));
+    const mean = held.reduce((sum, weight) => sum + weight, 0) / Math.max(1, inUse.length);
+    this.weights = new Float64Array(held.map((weight) => (mean === 0 ? 0 : weight / mean)));
+    this.loads = new Float64Array(
+      this.ranks.map(
+        (row, rank) =>
+          row.reduce((load, expert) => load + this.shareOf(expert), 0) * this.paceAt(rank),
+      ),
     );
     this.parts = this.loads.map(peakPart);
     this.#skew = mean === 0 ? 1 : largest(this.loads);
@@ -120,12 +105,12 @@
   }
 
   holds(rank: number, expert: number): boolean {
-    return this.#held[rank * this.#experts + expert] === 1;
+    return this.ranks[rank]?.includes(expert) ?? false;
   }
 
   /** Whether a rank would have to copy an expert. */
   isNew(rank: number, expert: number): boolean {
-    return this.#inUse[rank * this.#experts + expert] === 0;
+    return !(this.#inUse[rank]?.includes(expert) ?? false);
   }
 
   /** Carries a change out; returns the ranks that must copy an expert for it. */
@@ -159,12 +144,10 @@
     if (to !== NONE) {
       this.ranks[to]?.push(expert);
       this.holders[expert]?.push(to);
-      this.#held[to * this.#experts + expert] = 1;
     }
     if (from !== NONE) {
       take(this.ranks[from] ?? [], expert);
       take(this.holders[expert] ?? [], from);
-      this.#held[from * this.#experts + expert] = 0;
     }
     this.#load(expert, 1);
   }
