--- a/src/coordination/DemandCounts.ts
+++ b/src/coordination/DemandCounts.ts
@@ -47,9 +47,14 @@
   totals: ExpertCounts | null,
   { unit, sets }: PackedCounts,
 ): ExpertCounts {
-  return sets.map((set, s) =>
-    Array.from(set, (steps, e) => (totals?.[s]?.[e] ?? 0) + steps * unit),
-  );
+  return sets.map((set, s) => {
+    // Filled by index: taken one by one from an iterator, the counts of a round took twice as long as its sums.
+    const sums = totals?.[s]?.slice() ?? new Array<number>(set.length).fill(0);
+    set.forEach((steps, e) => {
+      sums[e] = (sums[e] ?? 0) + steps * unit;
+    });
+    return sums;
+  });
 }
 
 /**
