--- a/src/coordination/DemandEstimate.ts
+++ b/src/coordination/DemandEstimate.ts
@@ -20,6 +20,8 @@
   readonly last: readonly (ExpertCounts | null)[];
   /** Shifts seen. */
   readonly shifts: number;
+  /** Part of the choices that usually moves from one interval to the next; null where it isn't known. */
+  readonly usualMove: number | null;
 }
 
 /** Intervals kept: with four a second these are about one and a half seconds of demand. */
@@ -29,18 +31,31 @@
 const DECAY = 0.8;
 
 /**
- * Part of the choices that must have moved between two intervals to be taken for a shift. Requests
- * that come and go move 0.1 to 0.2 in a quarter of a second; a shift of two thirds of the demand
- * shows as 0.3 and more once requests from after it are half of those that run.
+ * Part of the choices that must have moved between two intervals to be taken for a shift, whatever is usual.
+ * In a small group requests that come and go move 0.1 to 0.2 in a quarter of a second.
  */
 const SHIFT_DISTANCE = 0.28;
 
+/** No less than this is taken for a shift. */
+const LEAST_SHIFT = 0.1;
+
+/** Times the usual move that a shift is. */
+const OVER_USUAL = 2.5;
+
+/** Weight of the newest move in the usual one. */
+const MOVE_WEIGHT = 0.2;
+
 /** An interval with fewer choices says nothing. */
 const LEAST_TOTAL = 2_000;
 
 /** Nothing seen. */
 export function initDemand(ranks: number): DemandState {
-  return { intervals: [], last: Array.from({ length: ranks }, () => null), shifts: 0 };
+  return {
+    intervals: [],
+    last: Array.from({ length: ranks }, () => null),
+    shifts: 0,
+    usualMove: null,
+  };
 }
 
 function sumOf(counts: ExpertCounts): number {
@@ -67,6 +82,33 @@
   return perSet.reduce((sum, part) => sum + part, 0) / Math.max(1, perSet.length);
 }
 
+/**
+ * Whether an interval's demand is another than before.
+ *
+ * Failure: a large group has so many requests that a shift of two thirds of their demand moves 0.2 of the choices at
+ * once. Symptom: it isn't told from requests that come and go, and what came before it weighs on maps for a second and
+ * a half. Enough: what is far beyond the usual move is a shift. Two intervals back counts too, for a shift amid an
+ * interval shows by half in each of two.
+ */
+function isShift(state: DemandState, moves: readonly number[]): boolean {
+  const usual = state.usualMove ?? SHIFT_DISTANCE;
+  const bound = Math.min(SHIFT_DISTANCE, Math.max(LEAST_SHIFT, OVER_USUAL * usual));
+  return moves.some((move) => move > bound);
+}
+
+function addInterval(state: DemandState, interval: Interval): DemandState {
+  const { intervals, shifts, usualMove } = state;
+  const moves = intervals.slice(-2).map((before) => distance(before, interval));
+  if (isShift(state, moves)) {
+    return { ...state, intervals: [interval], shifts: shifts + 1 };
+  }
+  const move = moves.at(-1) ?? null;
+  const mixed =
+    move === null ? usualMove : (usualMove ?? move) * (1 - MOVE_WEIGHT) + move * MOVE_WEIGHT;
+  const kept = intervals.slice(1 - MOST_INTERVALS);
+  return { ...state, intervals: [...kept, interval], usualMove: mixed };
+}
+
 /**
  * Takes the cumulative counts of the ranks, null for one that didn't answer. Counts that went back
  * are those of a rank that has restarted, and only set a new start.
@@ -95,10 +137,7 @@
   if (interval.total < LEAST_TOTAL) {
     return { ...state, last };
   }
-  const newest = state.intervals.at(-1);
-  const shifted = newest !== undefined && distance(newest, interval) > SHIFT_DISTANCE;
-  const kept = shifted ? [] : state.intervals.slice(1 - MOST_INTERVALS);
-  return { intervals: [...kept, interval], last, shifts: state.shifts + Number(shifted) };
+  return { ...addInterval(state, interval), last };
 }
 
 /** Expected share of each expert's load, by set; null before anything was seen. */
--- a/src/coordination/__tests__/unit/DemandEstimate.test.ts
+++ b/src/coordination/__tests__/unit/DemandEstimate.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import fc from 'fast-check';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
   adoptDemand,
   expectedLoad,
@@ -26,6 +29,36 @@
   return { state: next, counts };
 }
 
+/** Experts of the group whose demand is made by {@link steadily}. */
+const MANY = 200;
+
+/**
+ * Readings of a demand of which about `moves` differ from one to the next, and of which `shifted` has gone to other
+ * experts.
+ */
+function steadily(
+  from: DemandState,
+  readings: number,
+  moves: number,
+  seed: number,
+  shifted = 0,
+): DemandState {
+  const rng = xoroshiro128plus(seed);
+  return Array.from({ length: readings }).reduce<DemandState>((state) => {
+    const counts = Array.from({ length: MANY }, (_item, e) => {
+      const isHot = e < MANY / 2;
+      const share = isHot ? 1 - 2 * shifted : 1 + 2 * shifted;
+      // Two numbers out of an even spread differ by a third of it, and half of all differences is what moves.
+      return Math.round(1_000 * share * (1 + moves * 6 * (uniformFloat64(rng) - 0.5)));
+    });
+    const [last] = state.last;
+    const total = counts.map((count, e) => count + (last?.[0]?.[e] ?? 0));
+    return takeCounts(last === null ? takeCounts(state, [[counts.map(() => 0)]]) : state, [
+      [total],
+    ]);
+  }, from);
+}
+
 const ZERO = Array.from({ length: EXPERTS }, () => 0);
 
 describe('DemandEstimate', () => {
@@ -45,6 +78,35 @@
     assert.ok((load[1] ?? 1) < 0.15);
   });
 
+  // Load pattern: a large group, whose demand hardly moves from one reading to the next, and then a fifth of the
+  // choices at once. Guards against: that passes for requests that come and go, and six readings go until the map follows.
+  it('tells a shift by what is usual, and forgets what came before', () => {
+    const steady = steadily(initDemand(2), 10, 0.05, 1);
+    const shifted = steadily(steady, 1, 0.05, 1, 0.2);
+    assert.equal(steady.shifts, 0);
+    assert.equal(shifted.shifts, 1);
+    assert.equal(shifted.intervals.length, 1);
+  });
+
+  // Load pattern: the same shift, amid a reading. Guards against: each half of it is taken for what is usual.
+  it('tells a shift that two readings share', () => {
+    const steady = steadily(initDemand(2), 10, 0.05, 1);
+    const half = steadily(steady, 1, 0.05, 1, 0.1);
+    assert.equal(steadily(half, 1, 0.05, 1, 0.2).shifts, 1);
+  });
+
+  // Load pattern: a small group, whose requests come and go. Guards against: each that ends passes for a shift, and
+  // maps are planned from a quarter of a second.
+  it('takes for steady what moves as much as usual', () => {
+    fc.assert(
+      fc.property(fc.nat(), (seed) => {
+        assert.equal(steadily(initDemand(2), 30, 0.16, seed).shifts, 0);
+        assert.equal(steadily(initDemand(2), 30, 0.05, seed).shifts, 0);
+      }),
+      { seed: 3, numRuns: 20 },
+    );
+  });
+
   it('takes steady demand for steady', () => {
     assert.equal(run(initDemand(2), ZERO, [1, 1, 1, 1, 1, 1]).state.shifts, 0);
   });
