--- a/src/coordination/MapGain.ts
+++ b/src/coordination/MapGain.ts
@@ -48,3 +48,25 @@
   const eased = Math.max(0, (PRESSED_SHARE - share) / (PRESSED_SHARE - EASY_SHARE));
   return least + (EASY_GAIN - least) * Math.min(1, eased);
 }
+
+/** What was known when a map was last planned, and is now. */
+export interface PlanOutlook {
+  /** Time since the last plan, ms. */
+  readonly plannedMsAgo: number;
+  /** Time since the group formed anew, ms; without end where it never did. */
+  readonly formedMsAgo: number;
+  /** Shifts of demand seen by then, and by now. */
+  readonly plannedShifts: number;
+  readonly shifts: number;
+}
+
+/**
+ * Whether a plan is due before the next counts are in.
+ *
+ * Failure: demand shifts while a change of map is under way, which was planned for what came before. Symptom: the
+ * counts that show it are left unused until those of the next quarter of a second. Enough: they are planned from
+ * as soon as the change is over. So is a group that has formed anew, as soon as its map is known.
+ */
+export function isPlanDue(outlook: PlanOutlook): boolean {
+  return outlook.formedMsAgo < outlook.plannedMsAgo || outlook.shifts > outlook.plannedShifts;
+}
--- a/src/coordination/MapStages.ts
+++ b/src/coordination/MapStages.ts
@@ -8,7 +8,7 @@
 export interface MapStageTimes {
   /** From the first reading of counts that showed the map to be behind to the one that is planned from. */
   readonly waitMs: number;
-  /** Until the ranks' counts were there. */
+  /** Age of the counts that are planned from: from their reading to the plan. */
   readonly countsMs: number;
   readonly planMs: number;
   /** Until all ranks had their copies. */
--- a/src/coordination/__tests__/unit/MapPlan.test.ts
+++ b/src/coordination/__tests__/unit/MapPlan.test.ts
@@ -4,6 +4,7 @@
 import type { GroupMap } from '../../../protocol/index.js';
 import {
   gainWanted,
+  isPlanDue,
   planMap,
   type MapPolicy,
   type MapShape,
@@ -218,3 +219,20 @@
     assert.deepEqual([planned.map, planned.copies], [[[[1], [0, 2], [3]]], 0]);
   });
 });
+
+describe('isPlanDue', () => {
+  const settledPlan = { plannedMsAgo: 200, formedMsAgo: Infinity, plannedShifts: 2, shifts: 2 };
+
+  // Load pattern: demand shifts while a change of map is under way. Guards against: the counts that show it lie unused
+  // until the next ones are in.
+  it('plans from a shift that was seen during a change as soon as that is over', () => {
+    assert.equal(isPlanDue({ ...settledPlan, shifts: 3 }), true);
+    assert.equal(isPlanDue(settledPlan), false);
+  });
+
+  it('plans for a group that has formed anew since the last plan', () => {
+    assert.equal(isPlanDue({ ...settledPlan, formedMsAgo: 100 }), true);
+    assert.equal(isPlanDue({ ...settledPlan, formedMsAgo: 300 }), false);
+    assert.equal(isPlanDue({ ...settledPlan, plannedMsAgo: Infinity, formedMsAgo: 100 }), true);
+  });
+});
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -239,7 +239,7 @@
   type ExpertCounts,
   type PackedDemand,
 } from './DemandEstimate.js';
-export { gainWanted, type PassOutlook } from './MapGain.js';
+export { gainWanted, isPlanDue, type PassOutlook, type PlanOutlook } from './MapGain.js';
 export { slowRanks } from './MapPaces.js';
 export { planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
 export { initMapSwitch, PREPARE_MS, stepMapSwitch } from './MapSwitch.js';
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -8,6 +8,7 @@
   expectedLoad,
   initDemand,
   initMapSwitch,
+  isPlanDue,
   isStalled,
   gainWanted,
   MapStages,
@@ -140,6 +141,9 @@
 
   #plannedAt = -Infinity;
 
+  /** Shifts of demand seen when a map was last planned. */
+  #plannedShifts = 0;
+
   /** Sent to the other candidates with the next round of counts; null where nothing was seen yet. */
   #outlook: GroupOutlook | null = null;
 
@@ -341,9 +345,16 @@
     });
   }
 
-  /** A group that has formed anew gets its first plan as soon as its map is known, before any counts. */
+  /** Plans before the next counts where those at hand tell something new. */
   #planAnew(): void {
-    if (this.#switch.phase === 'idle' && this.#map !== null && this.#plannedAt < this.#resetAt) {
+    const now = this.#options.runtime.now();
+    const isDue = isPlanDue({
+      plannedMsAgo: now - this.#plannedAt,
+      formedMsAgo: now - this.#resetAt,
+      plannedShifts: this.#plannedShifts,
+      shifts: this.#demand.shifts,
+    });
+    if (this.#switch.phase === 'idle' && this.#map !== null && isDue) {
       this.#plan();
     }
   }
@@ -382,8 +393,12 @@
     this.#stages.onCounts(this.#skew, begun - this.#countsAt, begun);
     this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
     this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
+    if (this.#switch.phase !== 'idle') {
+      return;
+    }
+    this.#plannedShifts = this.#demand.shifts;
     const gain = planned.skewBefore - planned.skewAfter;
-    if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
+    if (planned.copies === 0 || gain < LEAST_GAIN) {
       return;
     }
     const planMs = runtime.now() - begun;
