--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -248,15 +248,9 @@
   type ExpertCounts,
   type PackedDemand,
 } from './DemandEstimate.js';
-export {
-  gainWanted,
-  planMap,
-  slowRanks,
-  type MapPlanned,
-  type MapPolicy,
-  type MapShape,
-  type PassOutlook,
-} from './MapPlan.js';
+export { gainWanted, isPlanDue, type PassOutlook, type PlanOutlook } from './MapGain.js';
+export { slowRanks } from './MapPaces.js';
+export { planMap, type MapPlanned, type MapPolicy, type MapShape } from './MapPlan.js';
 export { initMapSwitch, PREPARE_MS, stepMapSwitch } from './MapSwitch.js';
 export {
   isStalled,
@@ -308,6 +302,7 @@
   type WaitingRequest,
 } from './StreamQueue.js';
 export { addIncrements, countedRanks, packIncrements, type PackedCounts } from './DemandCounts.js';
+export { MapStages, type MapStageTimes } from './MapStages.js';
 export { applyMapDiff, diffMap, type MapRow } from './MapDiff.js';
 export { awaitsReport } from './MapSwitchOrders.js';
 export { hasHolderEnded, holderName, type LeaseHolder } from './LeaseHolder.js';
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -8,8 +8,10 @@
   expectedLoad,
   initDemand,
   initMapSwitch,
+  isPlanDue,
   isStalled,
   gainWanted,
+  MapStages,
   mayCoordinate,
   NO_PASSES,
   packDemand,
@@ -126,6 +128,8 @@
   /** Ranks whose counts of this round are still to come. */
   #awaited = new Set<number>();
 
+  readonly #stages = new MapStages();
+
   #passes: PassWatchState = NO_PASSES;
 
   #skew = 1;
@@ -137,6 +141,9 @@
 
   #plannedAt = -Infinity;
 
+  /** Shifts of demand seen when a map was last planned. */
+  #plannedShifts = 0;
+
   /** Sent to the other candidates with the next round of counts; null where nothing was seen yet. */
   #outlook: GroupOutlook | null = null;
 
@@ -338,9 +345,16 @@
     });
   }
 
-  /** A group that has formed anew gets its first plan as soon as its map is known, before any counts. */
+  /** Plans before the next counts where those at hand tell something new. */
   #planAnew(): void {
-    if (this.#switch.phase === 'idle' && this.#map !== null && this.#plannedAt < this.#resetAt) {
+    const now = this.#options.runtime.now();
+    const isDue = isPlanDue({
+      plannedMsAgo: now - this.#plannedAt,
+      formedMsAgo: now - this.#resetAt,
+      plannedShifts: this.#plannedShifts,
+      shifts: this.#demand.shifts,
+    });
+    if (this.#switch.phase === 'idle' && this.#map !== null && isDue) {
       this.#plan();
     }
   }
@@ -372,16 +386,23 @@
     const begun = runtime.now();
     const isFirst = this.#plannedAt < this.#resetAt && this.#usesFirstMap;
     this.#plannedAt = begun;
-    const wanted = this.#wanted(limits);
+    const wanted = this.#switch.phase === 'idle' ? this.#wanted(limits) : null;
     const adjusted = { ...limits.policy, gainPerCopy: wanted ?? Infinity };
     const planned = planMap(this.#map, weights, limits.shape, adjusted, this.#paces);
     this.#skew = planned.skewBefore;
+    this.#stages.onCounts(this.#skew, begun - this.#countsAt, begun);
     this.#firstSkew = isFirst ? planned.skewBefore : this.#firstSkew;
     this.#outlook = { demand: packDemand(weights), firstSkew: this.#firstSkew };
+    if (this.#switch.phase !== 'idle') {
+      return;
+    }
+    this.#plannedShifts = this.#demand.shifts;
     const gain = planned.skewBefore - planned.skewAfter;
-    if (this.#switch.phase !== 'idle' || planned.copies === 0 || gain < LEAST_GAIN) {
+    if (planned.copies === 0 || gain < LEAST_GAIN) {
       return;
     }
+    const planMs = runtime.now() - begun;
+    this.#stages.onPlan(planMs, runtime.now());
     runtime.log.info(
       {
         event: 'plan',
@@ -391,7 +412,7 @@
         skewAfter: Number(planned.skewAfter.toFixed(3)),
         intervals: this.#demand.intervals.length,
         shifts: this.#demand.shifts,
-        planMs: Math.round(runtime.now() - begun),
+        planMs: Math.round(planMs),
       },
       'new expert map',
     );
@@ -425,6 +446,7 @@
         this.#order(output);
         return;
       case 'phase':
+        this.#stages.onPhase(output.phase, runtime.now());
         log.info(
           {
             event: 'map',
@@ -441,7 +463,13 @@
         this.#map = this.#proposed;
         this.#proposed = null;
         log.info(
-          { event: 'map_changed', group, version: output.version, ms: output.ms },
+          {
+            event: 'map_changed',
+            group,
+            version: output.version,
+            ms: Math.round(output.ms),
+            ...this.#stages.finish(runtime.now()),
+          },
           'map in use',
         );
         return;
