--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -106,6 +106,7 @@
 
 /** What has ended three engines is soon sent to none any more, whoever has died or stood still before. */
 const fatalHeld: Check = (record) => {
+  const entryOf = new Map(record.attempts.map(({ id, entry }) => [id, entry]));
   const bodies = new Set(record.fatalRuns.map(({ body }) => body));
   return [...bodies].flatMap((body) => {
     const ends = record.engineEnds.filter((end) => end.body === body).map(({ at }) => at);
@@ -119,8 +120,12 @@
           { sentAt: run.at, endedAt: run.at },
         ),
     );
+    const seen = late.map(
+      ({ id, at }) =>
+        `${id} by ${entryOf.get(id)} ${Math.round(at - third)} ms after the third end`,
+    );
     return late.length > MOST_FATAL_RUNS
-      ? [finding('what ends engines is held', `"${body}" ran ${late.length} times too late`)]
+      ? [finding('what ends engines is held', `"${body}" ran too late as ${seen.join(', ')}`)]
       : [];
   });
 };
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -322,9 +322,9 @@
   const { entries, endpoints, net, logs = 'ignore' } = options;
   const platform = await StandInPlatform.start({ entries, endpoints, net, proxied: true, logs });
   const proxy = new SoakProxy();
-  await proxy.listen(platform.proxiedPorts);
   const world = new SoakWorld(options, platform, proxy);
   try {
+    await proxy.listen(platform.proxiedPorts);
     return await world.run();
   } finally {
     world.stop();
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -115,7 +115,7 @@
   readonly events: readonly SoakEvent[];
   /** Engines that requests ended, and all runs of such requests. */
   readonly engineEnds: readonly SoakEngineEnd[];
-  readonly fatalRuns: readonly Pick<SoakEngineEnd, 'body' | 'at'>[];
+  readonly fatalRuns: readonly (Pick<SoakEngineEnd, 'body' | 'at'> & Pick<SoakRun, 'id'>)[];
   /** Passes that began with two maps. */
   readonly mixedPasses: number;
   /** Newest version that was acknowledged, and what each control process reads back at the end. */
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -137,7 +137,7 @@
   'acknowledged is kept': { readBack: [3, 2, 3] },
   'what ends engines is held': {
     engineEnds: ['i-1', 'i-2', 'i-3'].map((engine, at) => ({ body: 'fatal 1', engine, at })),
-    fatalRuns: [3_003, 3_004, 3_005, 3_006].map((at) => ({ body: 'fatal 1', at })),
+    fatalRuns: [3_003, 3_004, 3_005, 3_006].map((at) => ({ id: `f${at}`, body: 'fatal 1', at })),
   },
   'no process ends by itself': { ownEnds: ['entry-1 ended by itself (1)'] },
   'serves again': { servedAtEnd: 0 },
