--- a/src/coordination/DemandEstimate.ts
+++ b/src/coordination/DemandEstimate.ts
@@ -93,12 +93,9 @@
 }
 
 /**
- * Whether an interval's demand is another than before.
- *
- * Failure: a large group has so many requests that a shift of two thirds of their demand moves 0.2 of the choices at
- * once. Symptom: it isn't told from requests that come and go, and what came before it weighs on maps for a second and
- * a half. Enough: what is far beyond the usual move is a shift. Two intervals back counts too, for a shift amid an
- * interval shows by half in each of two.
+ * Whether an interval's demand is another than before: what moved is far beyond the usual. In a large group a shift of
+ * two thirds of the demand moves 0.2 of the choices at once, and requests that come and go much less. One amid an
+ * interval shows by half in each of two, so that two intervals back counts too.
  */
 function isShift({ intervals, usualMove }: DemandState, interval: Interval): boolean {
   const usual = usualMove ?? SHIFT_DISTANCE;
--- a/src/coordination/MapGain.ts
+++ b/src/coordination/MapGain.ts
@@ -61,11 +61,8 @@
 }
 
 /**
- * Whether a plan is due before the next counts are in.
- *
- * Failure: demand shifts while a change of map is under way, which was planned for what came before. Symptom: the
- * counts that show it are left unused until those of the next quarter of a second. Enough: they are planned from
- * as soon as the change is over. So is a group that has formed anew, as soon as its map is known.
+ * Whether a plan is due before the next counts are in: demand has shifted while a change of map was under way that was
+ * planned for what came before, or the group has formed anew and its map is known.
  */
 export function isPlanDue(outlook: PlanOutlook): boolean {
   return outlook.formedMsAgo < outlook.plannedMsAgo || outlook.shifts > outlook.plannedShifts;
--- a/src/daemon/direct/DirectConnections.ts
+++ b/src/daemon/direct/DirectConnections.ts
@@ -36,11 +36,9 @@
 }
 
 /**
- * Keeps answers of the HTTP server's own away from requests that run.
- *
- * Failure: behind a request that runs comes one that can't be read, or that doesn't come in time. Symptom: the server
- * answers by itself, where the answer to the first is due: 400, or 408, which promises that it has not run. Enough:
- * such a connection takes nothing more, and ends once all that was read whole is answered.
+ * Keeps answers of the HTTP server's own away from requests that run: its 400 or 408 to what can't be read behind one
+ * would stand where the answer to that is due. Such a connection takes nothing more, and ends once all that was read
+ * whole is answered.
  */
 export class DirectConnections {
   readonly #connections = new WeakMap<Duplex, Connection>();
--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -134,10 +134,8 @@
   }
 
   /**
-   * Ends a stream so that it can't look whole: without its last chunk.
-   *
-   * Failure: a caller of HTTP/1.0 knows no chunks; its stream ends with the connection. Symptom: a stream that is cut
-   * looks whole to it. Enough: a connection that is reset is no end of an answer.
+   * Ends a stream so that it can't look whole: without its last chunk, or by a reset for a caller of HTTP/1.0, whose
+   * streams end with the connection.
    */
   cut(): void {
     if (this.#isUnframed) {
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -60,8 +60,8 @@
  * the connection still delivers what the kernel holds; the host wakes and works for nobody. Enough: a reset drops
  * what wasn't delivered, and ends at once what was.
  *
- * Failure: a reset by Node forgets why the socket is closed. Symptom: the client library takes the end of the socket
- * for that of an answer that was given up, and its assertion ends the process. Enough: it is closed with its error.
+ * A reset by Node forgets the error, without which the client library takes the end of the socket for the end of the
+ * answer that was given up, and throws where nobody catches.
  */
 function resetWhile(socket: Socket, isResetting: () => boolean): void {
   const destroy = socket.destroy.bind(socket);
@@ -181,8 +181,7 @@
 /**
  * Whether the body's end can be told.
  *
- * Failure: an answer is in a transfer coding other than chunks. Symptom: the client library hands its coded bytes over
- * as the body, up to the end of the connection, and a caller gets them as whole. Enough: such an answer is none.
+ * The client library hands over the bytes of any coding but chunks as they are, up to the end of the connection.
  */
 function isFramed({ 'transfer-encoding': coding }: IncomingHttpHeaders): boolean {
   return coding === undefined || coding.toLowerCase() === 'chunked';
