Lines and counts of requests are a part of their own in entry processes

DirectEntryState held routing, budgets, members and all that is written down of a request; the latter is DirectRequestLog now. What is written is as before.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -124,11 +124,11 @@
 
   #onFault(err: unknown): void {
     const attempt = this.#sent?.attempt;
-    this.#state.logFault(this.#spec.head.id, err);
+    this.#state.requests.fault(this.#spec.head.id, err);
     try {
       this.#settle('cancelled');
     } catch (settleErr) {
-      this.#state.logFault(this.#spec.head.id, settleErr);
+      this.#state.requests.fault(this.#spec.head.id, settleErr);
     }
     attempt?.abort();
     if (!this.#isOver) {
@@ -149,7 +149,7 @@
       return;
     }
     const isAllowed = verdict.granted && this.#state.takeRetry(service);
-    this.#state.logWait(head.id, service, verdict, isAllowed);
+    this.#state.requests.waited(head.id, service, verdict, isAllowed);
     if (isAllowed) {
       this.#send();
       return;
@@ -245,7 +245,7 @@
     const turn = this.#state.takeTurn(service, this.#tried, until - this.#state.now());
     const nextMs = turn?.waitMs ?? this.#state.nextTurnMs(service, this.#tried);
     if (nextMs !== null) {
-      this.#state.logTurn(head.id, turn?.endpoint.id ?? null, nextMs);
+      this.#state.requests.turn(head.id, turn?.endpoint.id ?? null, nextMs);
     }
     if (turn === null) {
       if (nextMs === null || this.#spec.reply.begun || this.#mayHaveRun) {
@@ -438,7 +438,7 @@
     // Whether the endpoint has ended must be known before the request is sent to another.
     this.#state
       .onConnectionEnded(endpoint, this.#spec)
-      .catch((err: unknown) => this.#state.logFault(this.#spec.head.id, err))
+      .catch((err: unknown) => this.#state.requests.fault(this.#spec.head.id, err))
       .finally(() => {
         if (!this.#isOver) {
           this.#guard(() => this.#judge(endpoint, failed));
@@ -455,7 +455,7 @@
       this.#unsent,
       () => this.#state.canRoute(service, this.#tried) && this.#state.takeRetry(service),
     );
-    this.#state.logAttempt(head.id, endpoint.id, failure, reason, verdict);
+    this.#state.requests.attemptFailed(head.id, endpoint.id, failure, reason, verdict);
     this.#conclude(verdict, answer);
   }
 
@@ -464,7 +464,7 @@
       retry: () => this.#send(),
       wait: () => {
         this.#waitAndSend().catch((err: unknown) => {
-          this.#state.logFault(this.#spec.head.id, err);
+          this.#state.requests.fault(this.#spec.head.id, err);
           this.#guard(() => this.#conclude(this.#hopeless, null));
         });
       },
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -20,7 +20,8 @@
 import { DirectConnections } from './DirectConnections.js';
 import { DirectReply, quarantined } from './DirectReply.js';
 import { placeRequestOf, type DirectSpec } from './DirectSpec.js';
-import { DirectEntryState, type CallTimes } from './DirectEntryState.js';
+import { DirectEntryState } from './DirectEntryState.js';
+import type { CallTimes } from './DirectRequestLog.js';
 import type { RetryAllowance } from '../../coordination/index.js';
 
 /** Settings of the process. */
@@ -193,7 +194,7 @@
     while (this.#leftMs > 0) {
       const now = this.#runtime.now();
       const isOut = now - begun > ROTATION_MS;
-      if (this.#state.inProgress > 0) {
+      if (this.#state.requests.inProgress > 0) {
         idleSince = now;
       } else if (isOut && now - idleSince > LINGER_MS) {
         break;
@@ -205,7 +206,7 @@
       // eslint-disable-next-line no-await-in-loop
       await delay(50);
     }
-    this.#runtime.log.info({ event: 'left', inProgress: this.#state.inProgress }, 'left');
+    this.#runtime.log.info({ event: 'left', inProgress: this.#state.requests.inProgress }, 'left');
     this.#server?.close();
     this.#server?.closeIdleConnections();
   }
@@ -265,7 +266,7 @@
       this.#refuse(req, reply, err);
       return;
     }
-    this.#state.begin();
+    this.#state.requests.begin();
     const verdict = await this.#acquire(spec);
     if (this.#state.isHeld(spec)) {
       this.#refuseHeld(spec, verdict);
@@ -278,7 +279,7 @@
     this.#state.countFirst(spec.service);
     const call = new DirectCall(this.#state, spec);
     const outcome = await call.run();
-    this.#state.end(spec, outcome, call);
+    this.#state.requests.end(spec, outcome, call);
   }
 
   /** Waits for a place at the service, as long as its caller does and the request may be sent at all. */
@@ -305,14 +306,14 @@
     screening.logHeld(spec.identity, spec.head.id);
     const heldForMs = screening.heldForMs(spec.identity);
     spec.reply.refuse(quarantined(), heldForMs, this.#state.isLeaving);
-    this.#state.end(spec, spec.reply.isClosed ? 'callerGone' : 'quarantined', UNSENT);
+    this.#state.requests.end(spec, spec.reply.isClosed ? 'callerGone' : 'quarantined', UNSENT);
   }
 
   #refuseWaiting(spec: DirectSpec, retryAfterMs: number): void {
     const gone = spec.reply.isClosed;
     const error = new RequestError('overloaded', 'the service has no place in time');
     spec.reply.refuse(error, retryAfterMs, this.#state.isLeaving);
-    this.#state.end(spec, gone ? 'callerGone' : 'refused', UNSENT);
+    this.#state.requests.end(spec, gone ? 'callerGone' : 'refused', UNSENT);
   }
 
   #refuse(req: IncomingMessage, reply: DirectReply, err: RequestError): void {
@@ -323,7 +324,7 @@
       'refused',
     );
     reply.refuse(err, retryAfter, this.#state.isLeaving);
-    this.#state.countReply(reply);
+    this.#state.requests.countReply(reply);
   }
 
   get #knowsConfig(): boolean {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -23,8 +23,6 @@
   UNPROVEN,
   updateRouting,
   type ClockReading,
-  type DirectFailure,
-  type DirectVerdict,
   type FreshnessState,
   type MembershipView,
   type RetryAllowance,
@@ -45,17 +43,11 @@
 import type { SendNews } from '../DaemonQuarantine.js';
 import type { SendShared } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
-import { EntryMetrics } from '../DaemonEntryMetrics.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import {
-  DirectAdmission,
-  USUAL_PAUSE_MS,
-  type ModelService,
-  type PlaceVerdict,
-} from './DirectAdmission.js';
+import { DirectAdmission, USUAL_PAUSE_MS, type ModelService } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
-import type { DirectReply } from './DirectReply.js';
-import type { DirectOutcome, DirectSpec } from './DirectSpec.js';
+import type { DirectSpec } from './DirectSpec.js';
+import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DirectTurns, type Turn } from './DirectTurns.js';
@@ -77,17 +69,6 @@
   readonly sendLimits: SendShared<LimitNews>;
 }
 
-/** What is noted of a request's way. */
-export interface CallTimes {
-  /** Time to the first byte of the answer, ms; null where there was none. */
-  readonly firstMs: number | null;
-  /** Longest pause between two events of a stream, ms. */
-  readonly longestPauseMs: number;
-  /** Id of the last event that was passed on; null where there was none. */
-  readonly lastEvent: string | null;
-  readonly attempts: number;
-}
-
 /** Instances proven gone are remembered this long, against late news of them. In ms. */
 const GONE_MS = 60_000;
 
@@ -114,7 +95,8 @@
 
   readonly #budgets = new Map<string, RetryBudgetState>();
 
-  readonly #metrics: EntryMetrics;
+  /** What is written down of requests. */
+  readonly requests: DirectRequestLog;
 
   readonly screening: DaemonScreening;
 
@@ -140,8 +122,6 @@
 
   #entryHosts = 0;
 
-  #inProgress = 0;
-
   isLeaving = false;
 
   constructor(options: DirectEntryOptions) {
@@ -151,7 +131,7 @@
     this.admission = new DirectAdmission(options.zone, options.runtime, (service) =>
       this.#modelOf(service),
     );
-    this.#metrics = new EntryMetrics(options.runtime.registry, () => this.#inProgress);
+    this.requests = new DirectRequestLog(options.runtime);
     this.turns = new DirectTurns({
       self: options.id,
       runtime: options.runtime,
@@ -160,7 +140,7 @@
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
-      metrics: this.#metrics,
+      metrics: this.requests.metrics,
       send: options.sendNews,
     });
   }
@@ -173,10 +153,6 @@
     return this.#routes;
   }
 
-  get inProgress(): number {
-    return this.#inProgress;
-  }
-
   get heldIndex(): number {
     return this.#freshness.held;
   }
@@ -263,52 +239,6 @@
     [...this.#gone].filter(([, at]) => at < old).forEach(([id]) => this.#gone.delete(id));
   }
 
-  begin(): void {
-    this.#inProgress += 1;
-  }
-
-  end(spec: DirectSpec, outcome: DirectOutcome, times: CallTimes): void {
-    const { firstMs, longestPauseMs, lastEvent, attempts } = times;
-    this.#inProgress -= 1;
-    this.#metrics.onEnded(outcome);
-    if (firstMs !== null) {
-      this.#metrics.onFirstByte(firstMs);
-    }
-    const { head, route, service, customer, startedAt, reply } = spec;
-    const { status, head: headOf, bytes } = reply.account;
-    this.countReply(reply);
-    const ms = Math.round(this.now() - startedAt);
-    this.#options.runtime.log.info(
-      {
-        event: 'answer',
-        request: head.id,
-        route: route.name,
-        service,
-        customer: customer?.name ?? null,
-        outcome,
-        status,
-        headOf,
-        bytes,
-        resumedAfter: head.lastEvent,
-        attempts,
-        firstMs: firstMs === null ? null : Math.round(firstMs),
-        objectiveMs: route.objectiveMs,
-        pauseMs: Math.round(longestPauseMs),
-        pauseAimMs: route.pauseMs,
-        lastEvent,
-        mostTokens: head.tokens?.answer ?? null,
-        hintTokens: head.expectedTokens,
-        ms,
-      },
-      'answered',
-    );
-  }
-
-  /** Counts an answer by whose head it bore. */
-  countReply({ account }: DirectReply): void {
-    this.#metrics.onReply(account.head ?? 'none');
-  }
-
   /** Chooses an endpoint, and writes down why. */
   route(
     service: string,
@@ -316,32 +246,15 @@
     exclude: readonly string[],
     attempt: number,
   ): MemberRecord | null {
-    const { runtime } = this.#options;
     const without = this.turns.without(exclude);
     const ranked = this.#chooseRank(service, without);
     if (ranked !== undefined) {
       const record = ranked === null ? null : (this.#view.get(ranked)?.record ?? null);
-      const endpoint = record === null ? null : record.id;
-      runtime.log.info(
-        { event: 'route', request, attempt, service, endpoint, reason: 'least_work' },
-        'routing decision',
-      );
+      this.requests.chosenRank({ service, request, attempt }, record?.id ?? null);
       return record;
     }
     const decision = this.#chooseByWork(service, without);
-    runtime.log.info(
-      {
-        event: 'route',
-        request,
-        attempt,
-        service,
-        endpoint: decision.endpoint?.id ?? null,
-        reason: decision.reason,
-        of: decision.of,
-        candidates: decision.candidates.map(({ id, score }) => `${id}=${score.toFixed(2)}`),
-      },
-      'routing decision',
-    );
+    this.requests.chosen({ service, request, attempt }, decision);
     return decision.endpoint;
   }
 
@@ -457,36 +370,6 @@
     }
   }
 
-  logAttempt(
-    request: string,
-    endpoint: string,
-    failure: DirectFailure,
-    reason: string,
-    verdict: DirectVerdict,
-  ): void {
-    this.#options.runtime.log.info(
-      { event: 'attempt', request, endpoint, failure, reason, verdict },
-      'attempt failed',
-    );
-  }
-
-  /** A fault of this process met a request. */
-  logFault(request: string, err: unknown): void {
-    this.#options.runtime.log.error({ event: 'fault', request, err }, 'request failed here');
-  }
-
-  /** A request that an endpoint didn't run has waited for a place again. */
-  logWait(request: string, service: string, verdict: PlaceVerdict, retry: boolean): void {
-    const { granted } = verdict;
-    this.#options.runtime.log.info({ event: 'waited', request, service, granted, retry }, 'waited');
-  }
-
-  /** A request has taken a turn at an endpoint that takes nothing now, or none that comes in time (null). */
-  logTurn(request: string, endpoint: string | null, waitMs: number): void {
-    const { log } = this.#options.runtime;
-    log.info({ event: 'turn', request, endpoint, waitMs: Math.round(waitMs) }, 'no endpoint free');
-  }
-
   countFirst(service: string): void {
     const { retries } = this.#options;
     const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -70,9 +70,12 @@
     onConnectionEnded: async () => Promise.resolve(),
     answerHeaders: () => [],
     lastEventId: () => '1',
-    logAttempt: ignore,
-    logTurn: ignore,
-    logFault: (_request: string, err: unknown) => faults.push(err),
+    requests: {
+      attemptFailed: ignore,
+      turn: ignore,
+      waited: ignore,
+      fault: (_request: string, err: unknown) => faults.push(err),
+    },
     ...replaced,
   };
   return state as unknown as DirectEntryState;
@@ -237,7 +240,6 @@
         }),
       },
       takeRetry: () => true,
-      logWait: ignore,
       retryAfter: () => 1_000,
     };
     const { outcome, status, body, faults } = await serve(await listen(engine), replaced);
