--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -388,11 +388,6 @@
     if (this.#isOver) {
       return;
     }
-    if (this.#spec.reply.begun) {
-      // A stream can't go on with an answer that is none.
-      this.#conclude('cut', null);
-      return;
-    }
     this.#firstAt = this.#state.now();
     const { head, raw } = answer;
     this.#spec.reply.passWhole(
