A stream goes on elsewhere only after an event that has an id

A caller got an event twice: its endpoint's bytes were spoilt so that an event had lost its id, the connection broke behind it, and the rest of the stream was asked for after the event before.

Cause: the place to go on from was the last id that had been passed on, not that of the last event. Now an event without an id, comments apart, leaves no place to go on from, and a stream that breaks there is cut.

--- a/fuzz/FuzzRegressions.ts
+++ b/fuzz/FuzzRegressions.ts
@@ -105,4 +105,26 @@
     seed: 1,
     plan: plan('stream', { ...STREAM, size: 0 }),
   },
+  {
+    name: 'an event that has lost its id, and a break behind it',
+    guards: 'an event twice in a stream that goes on after the one before',
+    seed: 905_711,
+    plan: {
+      endpoints: 2,
+      requests: [
+        { ...REQUEST, route: 'fixed' },
+        {
+          ...REQUEST,
+          route: 'stream',
+          answers: [
+            {
+              ...STREAM,
+              size: 4,
+              edits: [{ kind: 'drop', region: 'body', at: 0.2802788168206021, value: 4 }],
+            },
+          ],
+        },
+      ],
+    },
+  },
 ];
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -45,6 +45,7 @@
 
   #mayHaveRun = false;
 
+  /** Id of the last event that the caller has; null where there is none, or it has no id to go on after. */
   #lastEvent: string | null = null;
 
   #firstAt: number | null = null;
@@ -330,7 +331,10 @@
     }
     this.#begin(answer);
     this.#eventsAt = now;
-    this.#lastEvent = this.#state.lastEventId(bytes) ?? this.#lastEvent;
+    const last = this.#state.lastEvent(bytes);
+    if (last !== null) {
+      this.#lastEvent = last.id;
+    }
     this.#spec.reply.passEvents(bytes);
   }
 
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -39,7 +39,7 @@
   MemberRecord,
 } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import { findLastId, type EndpointPool } from '../../transport/index.js';
+import { findLast, type EndpointPool } from '../../transport/index.js';
 import type { SendNews } from '../DaemonQuarantine.js';
 import type { SendShared } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
@@ -397,9 +397,9 @@
     return this.isLeaving ? [...headers, 'Connection', 'close'] : headers;
   }
 
-  /** Id of the last of some whole events that has one: comments have none. */
-  lastEventId(events: Buffer): string | null {
-    return findLastId(events, this.#options.http.eventId);
+  /** The last of some whole events, with its id; null where there are only comments. */
+  lastEvent(events: Buffer): { readonly id: string | null } | null {
+    return findLast(events, this.#options.http.eventId);
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -69,7 +69,7 @@
     onAttemptFailed: ignore,
     onConnectionEnded: async () => Promise.resolve(),
     answerHeaders: () => [],
-    lastEventId: () => '1',
+    lastEvent: () => ({ id: '1' }),
     requests: {
       attemptFailed: ignore,
       turn: ignore,
--- a/src/transport/TransportFrames.ts
+++ b/src/transport/TransportFrames.ts
@@ -49,20 +49,30 @@
   return { end, events };
 }
 
-/** Id of the last of some whole events that has one, as `readId` finds it in an event: comments have none. */
-export function findLastId(
+/** Comments keep a connection busy, and are no part of a stream. */
+function isComment(event: Buffer): boolean {
+  return event
+    .toString('latin1')
+    .split('\n')
+    .every((line) => line === '' || line.startsWith(':'));
+}
+
+/** The last of some whole events that is no comment, with its id as `readId` finds it; null where all are comments. */
+export function findLast(
   events: Buffer,
   readId: (event: Buffer) => string | null,
-): string | null {
+): { readonly id: string | null } | null {
   let end = events.length;
-  let id: string | null = null;
-  while (id === null && end > 0) {
+  while (end > 0) {
     const before = end > 2 ? events.lastIndexOf('\n\n', end - 3) : -1;
     const start = before < 0 ? 0 : before + 2;
-    id = readId(events.subarray(start, end));
+    const event = events.subarray(start, end);
+    if (!isComment(event)) {
+      return { id: readId(event) };
+    }
     end = start;
   }
-  return id;
+  return null;
 }
 
 /** Last event of a whole stream of completions. */
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -13,7 +13,7 @@
 export {
   DONE_EVENT,
   findEvents,
-  findLastId,
+  findLast,
   FRAMES_TYPE,
   FrameWriter,
   readFrames,
