--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -39,14 +39,22 @@
 
   readonly #platform: StandInPlatform;
 
+  readonly #setGone: (n: number, isGone: boolean) => Promise<void>;
+
   readonly #engines = new Map<number, StandInEngine>();
 
   #incarnation = 0;
 
   #isStopped = false;
 
-  constructor(platform: StandInPlatform, count: number) {
+  /** `setGone` has the port before an engine refuse connections while it is gone. */
+  constructor(
+    platform: StandInPlatform,
+    count: number,
+    setGone: (n: number, isGone: boolean) => Promise<void>,
+  ) {
     this.#platform = platform;
+    this.#setGone = setGone;
     this.group = new StandInGroup(count);
   }
 
@@ -64,6 +72,7 @@
   /** Ends an engine with all its connections; the group forms anew. A new incarnation comes later. */
   async crash(n: number, forMs: number, wait: (ms: number) => Promise<void>): Promise<void> {
     this.#engines.get(n)?.stop();
+    await this.#setGone(n, true);
     this.group.lockstep.reform();
     await wait(forMs);
     await this.#startOne(n);
@@ -140,6 +149,7 @@
 
   /** An engine that a request has ended comes back, unless something else has replaced it meanwhile. */
   async #comeBack(n: number, ended: StandInEngine): Promise<void> {
+    await this.#setGone(n, true);
     this.group.lockstep.reform();
     await delay(BACK_AFTER_MS);
     if (this.#engines.get(n) === ended && !this.#isStopped) {
@@ -168,5 +178,6 @@
     this.#engines.set(n, engine);
     const place = { host: inside, port: ENGINE_PORT, reported: outside };
     await engine.start(place, this.#platform.controls);
+    await this.#setGone(n, false);
   }
 }
--- a/soak/SoakProxy.ts
+++ b/soak/SoakProxy.ts
@@ -24,18 +24,46 @@
   silent: boolean;
 }
 
+function keyOf({ host, port }: ProxyPort): string {
+  return `${host}:${port}`;
+}
+
+async function listenOn(server: Server, { outside, port }: ProxyPort): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({ host: outside, port, backlog: 512 }, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
 /** Proxies before all ports of a run; nothing is lost in it but by a reset or a silence. */
 export class SoakProxy {
-  readonly #servers: Server[] = [];
+  readonly #servers = new Map<string, Server>();
 
   readonly #pairs = new Set<Pair>();
 
+  readonly #turns = new Map<string, Promise<void>>();
+
+  #isClosed = false;
+
   readonly #modes = new Map<string, ProxyMode>();
 
   async listen(ports: readonly ProxyPort[]): Promise<void> {
     await Promise.all(ports.map(async (port) => this.#listen(port)));
   }
 
+  /** Refuses new connections to a port, as a host does whose process is gone, or takes them again. */
+  async setRefusing(place: ProxyPort, refuses: boolean): Promise<void> {
+    const key = keyOf(place);
+    // One after the other: a server that is about to listen can't be told so again.
+    const before = this.#turns.get(key) ?? Promise.resolve();
+    const turn = before.then(async () => this.#refuse(place, refuses));
+    this.#turns.set(key, turn);
+    return turn;
+  }
+
   /** Sets what is done to a host's data; what a cut held back goes on when it ends. */
   setMode(host: string, mode: ProxyMode): void {
     this.#modes.set(host, mode);
@@ -60,6 +88,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#servers.forEach((server) => server.close());
     this.#pairs.forEach(({ caller, callee }) => {
       caller.destroy();
@@ -71,15 +100,22 @@
     return [...this.#pairs].filter((pair) => pair.host === host);
   }
 
-  async #listen({ host, port, inside, outside }: ProxyPort): Promise<void> {
+  async #refuse(place: ProxyPort, refuses: boolean): Promise<void> {
+    const server = this.#servers.get(keyOf(place));
+    if (refuses) {
+      server?.close();
+    } else if (server?.listening === false && !this.#isClosed) {
+      await listenOn(server, place);
+    }
+  }
+
+  async #listen(place: ProxyPort): Promise<void> {
+    const { host, port, inside } = place;
     const server = createServer({ allowHalfOpen: true, pauseOnConnect: true }, (caller) => {
       this.#join(host, caller, connect({ host: inside, port, allowHalfOpen: true }));
     });
-    this.#servers.push(server);
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen({ host: outside, port, backlog: 512 }, resolve);
-    });
+    this.#servers.set(keyOf(place), server);
+    await listenOn(server, place);
   }
 
   #join(host: string, caller: Socket, callee: Socket): void {
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -3,6 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import {
+  ENGINE_PORT,
   readVersion,
   StandInPlatform,
   until,
@@ -138,7 +139,11 @@
     this.#options = options;
     this.#platform = platform;
     this.#proxy = proxy;
-    this.#engines = new SoakEngines(platform, options.endpoints);
+    const ports = platform.proxiedPorts.filter(({ port }) => port === ENGINE_PORT);
+    this.#engines = new SoakEngines(platform, options.endpoints, async (n, isGone) => {
+      const port = ports.find(({ host }) => host === `endpoint-${n}`);
+      await (port && proxy.setRefusing(port, isGone));
+    });
     this.#operator = new SoakOperator(platform, now);
   }
 
--- a/soak/__tests__/unit/SoakProxy.test.ts
+++ b/soak/__tests__/unit/SoakProxy.test.ts
@@ -3,7 +3,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { after, before, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
-import { SoakProxy } from '../../SoakProxy.js';
+import { SoakProxy, type ProxyPort } from '../../SoakProxy.js';
 
 const OUTSIDE = '127.99.0.1';
 
@@ -14,6 +14,7 @@
     socket.on('data', (data) => socket.write(data));
   });
   let port = 0;
+  let place: ProxyPort;
   const sockets: Socket[] = [];
 
   /** Opens a connection through the proxy; what comes back is kept as text. */
@@ -33,7 +34,8 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     port = (server.address() as AddressInfo).port;
-    await proxy.listen([{ host: 'h', port, inside: '127.0.0.1', outside: OUTSIDE }]);
+    place = { host: 'h', port, inside: '127.0.0.1', outside: OUTSIDE };
+    await proxy.listen([place]);
   });
 
   after(() => {
@@ -70,6 +72,20 @@
     assert.equal(next.heard(), 'b');
   });
 
+  // Guards against: an engine that is gone looks alive to whoever connects, since its proxy still takes connections.
+  it('refuses new connections for a while, and leaves open ones', async () => {
+    const { socket, heard } = await open();
+    await proxy.setRefusing(place, true);
+    await assert.rejects(open(), { code: 'ECONNREFUSED' });
+    socket.write('a');
+    await Promise.all([proxy.setRefusing(place, false), proxy.setRefusing(place, false)]);
+    const next = await open();
+    next.socket.write('b');
+    await delay(100);
+    assert.equal(heard(), 'a');
+    assert.equal(next.heard(), 'b');
+  });
+
   it('resets connections', async () => {
     const { socket } = await open();
     await delay(50);
