Log what a leader sends repeatedly, slow reads and late configurations

- `read`: a read of the newest index that fails or takes over 0.3 s, with role, leader, term and index.
- `config` (entry processes): how long ago the configuration before it was last proven to be the newest, an upper bound of how late the new one is.

No logic changes.

--- a/src/daemon/DaemonConsensus.ts
+++ b/src/daemon/DaemonConsensus.ts
@@ -30,6 +30,7 @@
   toRecords,
   type JournalRecord,
 } from './DaemonConsensusJournal.js';
+import { DaemonReplicationLog } from './DaemonReplicationLog.js';
 
 /** How long a proposal or read may be pending before its caller gets null, i.e. an unknown outcome, ms. */
 const REQUEST_TIMEOUT_MS = 2_500;
@@ -81,7 +82,10 @@
 
   /** Handlers of the outputs by type, called once all of their batch is synced. */
   readonly #outputHandlers: OutputHandlers = {
-    send: ({ to, message }) => this.#options.send(to, message),
+    send: ({ to, message }) => {
+      this.#replicationLog.onSend(to, message);
+      this.#options.send(to, message);
+    },
     commit: ({ entries }) => {
       this.#applyEntries(entries);
       this.#options.onStateChange(this.#control);
@@ -102,6 +106,8 @@
       this.#options.log.info({ event: 'role', role, term }, 'role of the replica changed'),
   };
 
+  readonly #replicationLog: DaemonReplicationLog;
+
   #state: ConsensusState;
 
   #control: ControlState;
@@ -116,6 +122,7 @@
 
   constructor(options: ConsensusOptions) {
     this.#options = options;
+    this.#replicationLog = new DaemonReplicationLog(options.log, options.now);
     const { recovery, commit } = recoverJournal(options.folder.recovered);
     this.#control = (recovery.snapshot.image as ControlState | null) ?? EMPTY_CONTROL;
     this.#state = initConsensus(options.folder.identity.replica, recovery, this.#context());
@@ -185,6 +192,7 @@
    * submits again.
    */
   expire(): void {
+    this.#replicationLog.tick();
     const now = this.#options.now();
     const expireIn = <T>(pending: PendingRequests<T | null>): void =>
       pending.forEach(({ expiresAt }, id) => {
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -42,6 +42,9 @@
 /** How long a read waits for a leader to be known, ms: long enough for an election among running hosts. */
 const LEADER_WAIT_MS = 400;
 
+/** A read of the newest index that takes longer than this is logged, ms. */
+const SLOW_READ_MS = 300;
+
 /** How often a replica that has not confirmed that it is up to date asks the leader, ms. */
 const CONFIRM_INTERVAL_MS = 50;
 
@@ -135,6 +138,28 @@
   return consensus.control.config.index;
 }
 
+/** Reads the newest index like {@link newestIndex}; logs the read if it fails or is slow. */
+async function loggedNewestIndex(cradle: Cradle): Promise<number> {
+  const { consensus, runtime } = cradle;
+  const startedAt = runtime.now();
+  const write = (result: string): void => {
+    const ms = Math.round(runtime.now() - startedAt);
+    const { role, leader, term } = consensus.state;
+    const { index } = consensus.control;
+    runtime.log.info({ event: 'read', result, ms, role, leader, term, index }, 'read of the log');
+  };
+  try {
+    const index = await newestIndex(cradle);
+    if (runtime.now() - startedAt > SLOW_READ_MS) {
+      write('slow');
+    }
+    return index;
+  } catch (err) {
+    write((err as Error).message);
+    throw err;
+  }
+}
+
 function compose(
   cfg: ControlCoreOptions,
   runtime: Runtime,
@@ -201,7 +226,7 @@
         }),
     ).singleton(),
     newest: asFunction(
-      () => new CoalescedRead(async () => newestIndex(container.cradle)),
+      () => new CoalescedRead(async () => loggedNewestIndex(container.cradle)),
     ).singleton(),
   });
   return container.cradle;
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -192,6 +192,7 @@
   }
 
   onConfig(config: ConfigState): void {
+    const provenAt = this.#freshness.provenAt?.monotonic;
     const text = textOfDocument(config.entries);
     if (text !== null) {
       this.#routes = viewRoutes(this.#options.documents.readPlan(text));
@@ -200,7 +201,12 @@
     this.#setView(this.#view);
     this.#setFreshness(receiveConfig(this.#freshness, config.index));
     const version = this.#routes?.plan.version ?? null;
-    this.#options.runtime.log.info({ event: 'config', index: config.index, version }, 'in force');
+    // How long ago the one before was last known to be the newest: this one was accepted after that.
+    const sinceProofMs = provenAt === undefined ? null : Math.round(this.now() - provenAt);
+    this.#options.runtime.log.info(
+      { event: 'config', index: config.index, version, sinceProofMs },
+      'in force',
+    );
     this.startup.recheck();
   }
 
