Failing tests: a leader sends a lagging replica everything again with each read

While a replica catches up, each heartbeat, read and commit sends it all that it lacks once more, since the leader advances only with the reply.

--- a/src/coordination/__tests__/unit/Consensus.test.ts
+++ b/src/coordination/__tests__/unit/Consensus.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import type { ConsensusMembers, ConsensusState } from '../../index.js';
+import type { ConsensusMembers, ConsensusMessage, ConsensusState } from '../../index.js';
 import { ConsensusCluster } from '../utils/ConsensusCluster.js';
 
 const IDS = ['a', 'b', 'c', 'd'] as const;
@@ -37,6 +37,20 @@
   },
 ];
 
+/** Number of entries on their way to a replica, repetitions included. */
+function countSent({ packets }: ConsensusCluster, replica: string): number {
+  return packets
+    .filter(({ to }) => to === replica)
+    .flatMap(({ message }) => (message.type === 'append' ? message.entries : [])).length;
+}
+
+const isSnapshot = ({ message }: { readonly message: ConsensusMessage }): boolean =>
+  message.type === 'install';
+
+function partition<T>(items: readonly T[], has: (item: T) => boolean): [T[], T[]] {
+  return [items.filter(has), items.filter((item) => !has(item))];
+}
+
 describe('stepConsensus', () => {
   // Messages are lost, duplicated and delayed; replicas restart from their disks, compact, and change
   // voters. In no order of these may a term have two leaders or an index two committed entries, and
@@ -130,6 +144,48 @@
     assert.equal(cluster.state('d').members.learners[0], 'd');
   });
 
+  // Guards against a leader whose processor and links are filled with repetitions while a replica catches up.
+  it('sends a replica what it lacks once, not again with each read, while its reply is on the way', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
+    const { id } = cluster.leader as ConsensusState;
+    cluster.isolate('d');
+    for (let i = 0; i < 20; i += 1) {
+      cluster.input(id, { type: 'propose', id: `${i}`, command: i });
+    }
+    cluster.runUntil(() => cluster.state(id).commit >= 21);
+    cluster.heal();
+    cluster.dropAll();
+    for (let i = 0; i < 50; i += 1) {
+      cluster.input(id, { type: 'read', id: `read ${i}` });
+    }
+    assert.ok(countSent(cluster, 'd') <= 20, `${countSent(cluster, 'd')} entries`);
+    cluster.runUntil(() => cluster.state('d').commit === cluster.state(id).commit);
+  });
+
+  // Guards against the same for the snapshot that a replica with an empty disk needs.
+  it('sends a replica with an empty disk one snapshot while its reply is on the way', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    cluster.isolate('d');
+    cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
+    const { id } = cluster.leader as ConsensusState;
+    cluster.input(id, { type: 'compact', index: cluster.state(id).commit, image: 'image' });
+    cluster.add('d');
+    cluster.heal();
+    cluster.dropAll();
+    for (let i = 0; i < 50; i += 1) {
+      cluster.input(id, { type: 'read', id: `read ${i}` });
+      const [snapshots, others] = partition(cluster.packets, isSnapshot);
+      cluster.packets = snapshots;
+      others.forEach(({ from, to, message }) =>
+        cluster.input(to, { type: 'message', from, message }),
+      );
+    }
+    const snapshots = cluster.packets.filter(isSnapshot);
+    assert.equal(snapshots.length, 1);
+    cluster.runUntil(() => cluster.state('d').commit === cluster.state(id).commit);
+  });
+
   it('changes one voter at a time', () => {
     const cluster = new ConsensusCluster(MEMBERS);
     cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
