Fix: a leader sends a lagging replica each transfer once, heartbeats meanwhile

What callers saw: after a power loss with lost disks, no control process answered reads of the configuration in time, and entry processes without a proof of the newest configuration refused everything.

Cause: a leader advances a replica's position only with its reply, and each heartbeat (150 ms), read and commit sent everything behind that position again, up to 128 entries, each with a whole document. Reads come from every entry process that waits for a proof, so the repetitions grow with the number of processes times the size of the log: the processor and link of the leader at the moment at which they are needed most.

A rejection counts only if it is for the entries sent last. The messages are the same, so replicas of the earlier build understand them.

The tests of the log and of the choice of voters pass unchanged.

--- a/src/coordination/ConsensusConstants.ts
+++ b/src/coordination/ConsensusConstants.ts
@@ -20,5 +20,14 @@
 /** Interval of a leader's heartbeats, in ms. */
 export const HEARTBEAT_MS = 150;
 
-/** Maximum entries in one append message, so that a lagging replica can't delay the others. */
-export const MAX_APPEND_ENTRIES = 128;
+/**
+ * Maximum entries in one append message. Entries may hold whole documents, and heartbeats wait behind them on the
+ * link.
+ */
+export const MAX_APPEND_ENTRIES = 16;
+
+/**
+ * Entries or a snapshot without a reply are sent again after this long, ms. They arrive unless their link breaks, so
+ * this only has to be well below the election timeout, and longer than a transfer takes.
+ */
+export const RESEND_AFTER_MS = 450;
--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -1,5 +1,5 @@
 /** Replication: messages that a leader sends, and how it handles the replies. */
-import { MAX_APPEND_ENTRIES, HEARTBEAT_MS } from './ConsensusConstants.js';
+import { HEARTBEAT_MS, MAX_APPEND_ENTRIES, RESEND_AFTER_MS } from './ConsensusConstants.js';
 import {
   chain,
   commitTo,
@@ -27,10 +27,12 @@
       match: 0,
       heardAt: state.heartbeatAt,
       round: 0,
+      inFlight: null,
     }
   );
 }
 
+/** The entries that a replica lacks or a snapshot; an append without entries if it lacks none. */
 function messageFor(state: ConsensusState, to: string): ConsensusMessage {
   const { next } = progressOf(state, to);
   const prevTerm = termAt(state, next - 1);
@@ -48,12 +50,73 @@
   };
 }
 
-/** Sends every other replica the entries that it lacks, or a heartbeat if it lacks none. */
-export function broadcast(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+/** A heartbeat that any log accepts, as it follows an entry that the replica is known to have. */
+function heartbeatFor(state: ConsensusState, { match }: ConsensusProgress): ConsensusMessage {
+  const matchTerm = termAt(state, match);
+  return {
+    type: 'append',
+    term: state.term,
+    prevIndex: matchTerm === undefined ? 0 : match,
+    prevTerm: matchTerm ?? 0,
+    entries: [],
+    commit: state.commit,
+    round: state.round,
+  };
+}
+
+/** Index of the last entry in a message; null if it contains none. */
+function lastIndexIn(message: ConsensusMessage): number | null {
+  if (message.type === 'install') {
+    return message.snapshot.index;
+  }
+  return message.type === 'append' ? (message.entries.at(-1)?.index ?? null) : null;
+}
+
+function setProgress(
+  state: ConsensusState,
+  id: string,
+  progress: ConsensusProgress,
+): ConsensusState {
+  return { ...state, progress: { ...state.progress, [id]: progress } };
+}
+
+/** Sends a replica what it lacks, or an append without entries. */
+function sendMissing(state: ConsensusState, to: string, { now }: ConsensusContext): ConsensusStep {
+  const message = messageFor(state, to);
+  const upTo = lastIndexIn(message);
+  const progress = progressOf(state, to);
   return {
+    state:
+      upTo === null
+        ? state
+        : setProgress(state, to, { ...progress, inFlight: { upTo, sentAt: now } }),
+    outputs: [{ type: 'send', to, message }],
+  };
+}
+
+/**
+ * Sends a replica what it lacks, or a heartbeat while a transfer to it is in progress. If each heartbeat and read
+ * repeated the transfer, a leader whose log holds large entries would be busy with repetitions while a replica
+ * catches up, and answer neither reads nor elections in time.
+ */
+function sendOrHeartbeat(state: ConsensusState, to: string, ctx: ConsensusContext): ConsensusStep {
+  const progress = progressOf(state, to);
+  const { inFlight } = progress;
+  return inFlight !== null && ctx.now - inFlight.sentAt < RESEND_AFTER_MS
+    ? { state, outputs: [{ type: 'send', to, message: heartbeatFor(state, progress) }] }
+    : sendMissing(state, to, ctx);
+}
+
+/** Sends every other replica the entries that it lacks, or a heartbeat. */
+export function broadcast(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
+  const started: ConsensusStep = {
     state: { ...state, heartbeatAt: ctx.now + HEARTBEAT_MS },
-    outputs: peersOf(state).map((to) => ({ type: 'send', to, message: messageFor(state, to) })),
+    outputs: [],
   };
+  return peersOf(state).reduce(
+    (step, to) => chain(step, (next) => sendOrHeartbeat(next, to, ctx)),
+    started,
+  );
 }
 
 type Transition = (state: ConsensusState) => ConsensusStep;
@@ -98,7 +161,13 @@
  * those of earlier terms, and it tells a replica that joined without a snapshot who the members are.
  */
 export function becomeLeader(state: ConsensusState, ctx: ConsensusContext): ConsensusStep {
-  const initialProgress = { next: lastIndex(state) + 1, match: 0, heardAt: ctx.now, round: 0 };
+  const initialProgress: ConsensusProgress = {
+    next: lastIndex(state) + 1,
+    match: 0,
+    heardAt: ctx.now,
+    round: 0,
+    inFlight: null,
+  };
   const next: ConsensusState = {
     ...state,
     role: 'leader',
@@ -129,6 +198,30 @@
   };
 }
 
+/**
+ * Progress of a replica after its reply. A rejection only counts if it is for the entries sent last: its hint is then
+ * below their predecessor. Earlier appends are rejected too, and would lower `next` beyond what the replica lacks.
+ */
+function progressAfter(
+  known: ConsensusProgress,
+  { ok, match, round }: Extract<ConsensusMessage, { type: 'appendReply' }>,
+  now: number,
+): ConsensusProgress {
+  const heard = { ...known, heardAt: now, round: Math.max(known.round, round) };
+  if (!ok) {
+    const isStale = match >= known.next - 1;
+    return isStale ? heard : { ...heard, next: Math.max(known.match, match) + 1, inFlight: null };
+  }
+  const matched = Math.max(known.match, match);
+  const isDone = known.inFlight !== null && matched >= known.inFlight.upTo;
+  return {
+    ...heard,
+    match: matched,
+    next: matched + 1,
+    inFlight: isDone ? null : known.inFlight,
+  };
+}
+
 /** Handles a follower's reply to an append or a snapshot. */
 export function onAppendReply(
   state: ConsensusState,
@@ -139,28 +232,17 @@
   if (state.role !== 'leader' || message.term !== state.term || !peersOf(state).includes(from)) {
     return { state, outputs: [] };
   }
-  const known = progressOf(state, from);
-  const match = message.ok ? Math.max(known.match, message.match) : known.match;
-  const progress: ConsensusProgress = {
-    match,
-    next: message.ok ? match + 1 : Math.max(match + 1, Math.min(known.next - 1, message.match + 1)),
-    heardAt: ctx.now,
-    round: Math.max(known.round, message.round),
-  };
-  const next = { ...state, progress: { ...state.progress, [from]: progress } };
+  const progress = progressAfter(progressOf(state, from), message, ctx.now);
+  const next = setProgress(state, from, progress);
   const advanced = chain({ state: next, outputs: [] }, advanceCommit);
   // Sent at once rather than with the next heartbeat, since followers serve only what they know to be
   // committed.
   const notifyFollowers = advanced.state.commit > next.commit ? broadcastStep(ctx) : unchanged;
   const committed = chain(chain(advanced, notifyFollowers), completeReads);
   const isBehind =
-    progress.next <= lastIndex(committed.state) && (!message.ok || match > known.match);
-  return isBehind
-    ? chain(committed, (now) => ({
-        state: now,
-        outputs: [{ type: 'send', to: from, message: messageFor(now, from) }],
-      }))
-    : committed;
+    progressOf(committed.state, from).inFlight === null &&
+    progress.next <= lastIndex(committed.state);
+  return isBehind ? chain(committed, (now) => sendMissing(now, from, ctx)) : committed;
 }
 
 /** Starts a read, which completes once a quorum has confirmed this leader in a round that begins now. */
--- a/src/coordination/ConsensusTypes.ts
+++ b/src/coordination/ConsensusTypes.ts
@@ -88,6 +88,16 @@
   readonly heardAt: number;
   /** Highest round that it has replied to; see {@link ConsensusRead}. */
   readonly round: number;
+  /** Entries or a snapshot sent to it that it has not replied to yet; null if there are none. */
+  readonly inFlight: ConsensusTransfer | null;
+}
+
+/** A transfer of entries or of a snapshot to a replica. */
+export interface ConsensusTransfer {
+  /** Index of the last entry that it contains. */
+  readonly upTo: number;
+  /** ms on the local monotonic clock. */
+  readonly sentAt: number;
 }
 
 /** A read that waits until a quorum has confirmed this replica as leader in `round`. */
--- a/src/coordination/__tests__/unit/Consensus.test.ts
+++ b/src/coordination/__tests__/unit/Consensus.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import type { ConsensusMembers, ConsensusMessage, ConsensusState } from '../../index.js';
+import { RESEND_AFTER_MS } from '../../ConsensusConstants.js';
 import { ConsensusCluster } from '../utils/ConsensusCluster.js';
 
 const IDS = ['a', 'b', 'c', 'd'] as const;
@@ -156,10 +157,12 @@
     cluster.runUntil(() => cluster.state(id).commit >= 21);
     cluster.heal();
     cluster.dropAll();
+    cluster.now += RESEND_AFTER_MS;
     for (let i = 0; i < 50; i += 1) {
       cluster.input(id, { type: 'read', id: `read ${i}` });
     }
-    assert.ok(countSent(cluster, 'd') <= 20, `${countSent(cluster, 'd')} entries`);
+    const sent = countSent(cluster, 'd');
+    assert.ok(sent > 0 && sent <= 20, `${sent} entries`);
     cluster.runUntil(() => cluster.state('d').commit === cluster.state(id).commit);
   });
 
@@ -173,6 +176,7 @@
     cluster.add('d');
     cluster.heal();
     cluster.dropAll();
+    cluster.now += RESEND_AFTER_MS;
     for (let i = 0; i < 50; i += 1) {
       cluster.input(id, { type: 'read', id: `read ${i}` });
       const [snapshots, others] = partition(cluster.packets, isSnapshot);
