--- a/src/coordination/Consensus.ts
+++ b/src/coordination/Consensus.ts
@@ -14,6 +14,7 @@
 import {
   chain,
   commitTo,
+  entriesFrom,
   lastIndex,
   membersOf,
   nextElection,
@@ -129,6 +130,17 @@
   return chain(committed, (next) => reply(next, from, true, match, round));
 }
 
+/**
+ * The entries behind a snapshot, if this log contains its last entry. They may have been acknowledged and accepted, so
+ * they must not be dropped.
+ */
+function entriesBehind(
+  state: ConsensusState,
+  { index, term }: ConsensusSnapshot,
+): readonly ConsensusEntry[] {
+  return termAt(state, index) === term ? entriesFrom(state, index + 1) : [];
+}
+
 function onInstall(
   state: ConsensusState,
   from: string,
@@ -143,13 +155,14 @@
   if (snapshot.index <= state.commit) {
     return chain(heard, (next) => reply(next, from, true, snapshot.index, round));
   }
+  const log = entriesBehind(heard.state, snapshot);
   const restored: ConsensusStep = {
     state: {
       ...heard.state,
       snapshot,
-      log: [],
+      log,
       commit: snapshot.index,
-      members: snapshot.members,
+      members: membersOf(snapshot, log),
     },
     outputs: [
       ...heard.outputs,
--- a/src/coordination/__tests__/unit/Consensus.test.ts
+++ b/src/coordination/__tests__/unit/Consensus.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import type { ConsensusMembers, ConsensusMessage, ConsensusState } from '../../index.js';
+import {
+  lastIndex,
+  type ConsensusMembers,
+  type ConsensusMessage,
+  type ConsensusState,
+} from '../../index.js';
 import { RESEND_AFTER_MS } from '../../ConsensusConstants.js';
 import { ConsensusCluster } from '../utils/ConsensusCluster.js';
 
@@ -190,6 +195,39 @@
     cluster.runUntil(() => cluster.state('d').commit === cluster.state(id).commit);
   });
 
+  // Guards against the loss of an accepted entry when a follower that holds it gets a snapshot of an earlier index.
+  it('keeps the entries behind a snapshot that it receives', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
+    const { id: from, term } = cluster.leader as ConsensusState;
+    const follower = IDS.find((id) => id !== from) ?? 'a';
+    ['compacted', 'accepted'].forEach((id) =>
+      cluster.input(from, { type: 'propose', id, command: id }),
+    );
+    const { log, members } = cluster.state(from);
+    const entries = log.slice(-2);
+    const index = entries[0]?.index ?? 0;
+    const fromLeader = { term, round: 0 };
+    const receive = (message: ConsensusMessage): void => {
+      cluster.input(follower, { type: 'message', from, message });
+    };
+    receive({
+      type: 'append',
+      prevIndex: index - 1,
+      prevTerm: term,
+      entries,
+      commit: 0,
+      ...fromLeader,
+    });
+    receive({
+      type: 'install',
+      snapshot: { index, term, members, image: 'image' },
+      ...fromLeader,
+    });
+    assert.equal(cluster.state(follower).snapshot.index, index);
+    assert.equal(lastIndex(cluster.state(follower)), index + 1);
+  });
+
   it('changes one voter at a time', () => {
     const cluster = new ConsensusCluster(MEMBERS);
     cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
