Fix: a change of members overtakes the full list that was sent before it

What callers could see: an engine or entry host that registers while a process attaches to a control process is not used by that process from 5 s later on, until its record changes again: requests refused though there is capacity, or an added route without a known endpoint.

Cause: large messages arrive in parts and were inflated asynchronously, so that a small message sent after one was handled before it. A full list without the new member then marked it as missing, and heartbeats without a change are not published again.

Evidence: the test failed before ('change' first) and passes.

--- a/src/transport/TransportParts.ts
+++ b/src/transport/TransportParts.ts
@@ -1,11 +1,10 @@
 /** Large messages over a link: packed, compressed, and sent in parts at a limited rate. */
 import { promisify } from 'node:util';
-import { deflateRaw, inflateRaw } from 'node:zlib';
+import { deflateRaw, inflateRawSync } from 'node:zlib';
 import { pack, unpack } from 'msgpackr';
 import type { LinkHandler, LinkHandlers, TransportLink } from './TransportLink.js';
 
 const deflate = promisify(deflateRaw);
-const inflate = promisify(inflateRaw);
 
 /** Maximum size of a part, in bytes. */
 export const PART_BYTES = 4_096;
@@ -123,7 +122,7 @@
   onProgress: () => void = () => undefined,
 ): LinkHandlers {
   const byLink = new WeakMap<TransportLink, PartialMessage>();
-  const onPart: LinkHandler = async (params, link) => {
+  const onPart: LinkHandler = (params, link) => {
     const { id, part, parts, method, bytes } = params as Part;
     const previous = part === 0 ? { id, parts: [] } : byLink.get(link);
     if (previous?.id !== id || previous.parts.length !== part) {
@@ -134,7 +133,9 @@
     onProgress();
     if (received.length === parts) {
       byLink.delete(link);
-      await handlers[method]?.(unpack(await inflate(Buffer.concat(received))), link);
+      // Synchronously, as a smaller message that arrives next must not overtake this one.
+      // eslint-disable-next-line n/no-sync
+      handlers[method]?.(unpack(inflateRawSync(Buffer.concat(received))), link);
     }
   };
   return { ...handlers, 'link.part': onPart };
--- a/src/transport/__tests__/unit/TransportParts.test.ts
+++ b/src/transport/__tests__/unit/TransportParts.test.ts
@@ -57,4 +57,25 @@
     assert.ok(most > 1);
     assert.deepEqual(new Set(got), new Set(sent.map(({ text }) => text)));
   });
+
+  // Guards against members that disappear: a list of all of them would be taken as newer than the change after it.
+  it('passes on a large message before a small one that was sent after it', async () => {
+    const sent: [string, unknown][] = [];
+    const link = { notify: (...message: [string, unknown]) => sent.push(message) };
+    const sender = new PartsSender(link as unknown as TransportLink, () => 0);
+    const full = Array.from({ length: 4_000 }, (_none, n) => (n * 7_919) % 8_191).join(' ');
+    sender.notify('directory', full);
+    sender.notify('directory', 'change');
+    for (let waited = 0; sent.at(-1)?.[1] !== 'change' && waited < 10_000; waited += 10) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(10);
+    }
+    const got: unknown[] = [];
+    const handlers = withParts({ directory: (text) => got.push(text) });
+    const results = sent.map(([method, params]) =>
+      handlers[method]?.(params, link as unknown as TransportLink),
+    );
+    await Promise.all(results);
+    assert.deepEqual(got, [full, 'change']);
+  });
 });
