Fix: an entry process serves by a configuration although it knows that a newer one had to be in force

What callers could see: a request handled by the old service, or refused as unknown though its route and key are accepted, up to 4.6 s after the acknowledgement, where 2 to 2.5 s are allowed.

Cause: the lease on the configuration is sized for revoked keys only (5 s). A process that had been told of a newer configuration, which was still on its way to it, went on by the older one until that lease ended.

Change: a process that has been told of a newer configuration refuses requests with 503 and Retry-After, and reports that it isn't ready, once that one has to be in force: 0.92 of `bounds.configApplyMs` after the poll by which the held one was last proven to be the newest. A process that gets no answer at all keeps the longer lease: it knows of no newer configuration, and would refuse at each election otherwise.

Evidence: the test fails without the rule (there was none), and checks both clocks of a suspended host.

--- a/fuzz/FuzzEntry.ts
+++ b/fuzz/FuzzEntry.ts
@@ -93,6 +93,7 @@
     metrics: LOOPBACK,
     controls: () => [],
     revokeMs: 60_000,
+    applyMs: 60_000,
     graceMs: 1_000,
     retries: RETRIES,
   };
--- a/src/coordination/ConfigFreshness.ts
+++ b/src/coordination/ConfigFreshness.ts
@@ -105,3 +105,20 @@
     Math.abs(wallElapsedMs - monotonicElapsedMs) < MAX_CLOCK_DIVERGENCE_MS
   );
 }
+
+/**
+ * Whether a newer configuration is known of that has to be in force by now. It was accepted after the one held was
+ * last proven to be the newest, at most `applyMs` before it must be used for every request.
+ */
+export function isOutdated(
+  { provenAt, pending }: FreshnessState,
+  now: ClockReading,
+  applyMs: number,
+): boolean {
+  if (provenAt === null || pending === null) {
+    return false;
+  }
+  // The later of two clocks counts, since the monotonic one stops while the host is suspended.
+  const elapsedMs = Math.max(now.monotonic - provenAt.monotonic, now.wall - provenAt.wall);
+  return elapsedMs >= applyMs;
+}
--- a/src/coordination/__tests__/unit/ConfigFreshness.test.ts
+++ b/src/coordination/__tests__/unit/ConfigFreshness.test.ts
@@ -3,6 +3,7 @@
 import {
   receiveConfig,
   isFresh,
+  isOutdated,
   receiveNewestIndex,
   UNPROVEN,
   type ClockReading,
@@ -10,6 +11,8 @@
 
 const LEASE_MS = 4_600;
 
+const APPLY_MS = 2_000;
+
 /** Both clocks of a host that was never suspended nor set. */
 function at(ms: number): ClockReading {
   return { monotonic: ms, wall: 1_000_000 + ms };
@@ -60,4 +63,15 @@
     const state = receiveNewestIndex(newer, 5, at(1_000));
     assert.equal(isFresh(state, at(3_000 + LEASE_MS - 1), LEASE_MS), true);
   });
+
+  // Guards against requests that are handled by a configuration although a newer one had to be in force before.
+  it('is outdated once a newer configuration that is known of has to be in force', () => {
+    const proven = receiveNewestIndex(HELD, 5, at(1_000));
+    assert.equal(isOutdated(proven, at(9_000), APPLY_MS), false);
+    const behind = receiveNewestIndex(proven, 6, at(1_700));
+    assert.equal(isOutdated(behind, at(1_000 + APPLY_MS - 1), APPLY_MS), false);
+    assert.equal(isOutdated(behind, at(1_000 + APPLY_MS), APPLY_MS), true);
+    assert.equal(isOutdated(behind, { monotonic: 1_800, wall: 1_009_000 }, APPLY_MS), true);
+    assert.equal(isOutdated(receiveConfig(behind, 6), at(1_000 + APPLY_MS), APPLY_MS), false);
+  });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -234,6 +234,7 @@
   FRESHNESS_LEASE_FRACTION,
   receiveConfig,
   isFresh,
+  isOutdated,
   isProven,
   receiveNewestIndex,
   UNPROVEN,
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -37,6 +37,7 @@
   /** Control processes in the current settings. */
   readonly controls: () => readonly ControlTarget[];
   readonly revokeMs: number;
+  readonly applyMs: number;
   /** Time from the stop signal until the process is killed, ms. */
   readonly graceMs: number;
   readonly retries: RetryAllowance;
@@ -100,12 +101,13 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, retries } = cfg;
+    const { id, zone, revokeMs, applyMs, retries } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
       runtime,
       revokeMs,
+      applyMs,
       retries,
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
@@ -393,15 +395,16 @@
    *
    * Callers don't retry after 401 or 404, so a process with an outdated configuration must not refuse a new key or
    * path with these. They are sent only if the configuration was proven to be the newest shortly before; else the
-   * request is refused with 503, which callers retry elsewhere. Known keys are accepted as long as none can
+   * request is refused with 503, which callers retry elsewhere. So is every request while a newer configuration that has
+   * to be in force hasn't arrived. Known keys are accepted as long as none can
    * have been revoked.
    */
   #authorize(
     req: IncomingMessage,
     key: string | null,
   ): { readonly route: Route; readonly customer: KeyedCustomer | null } {
-    const { routes, isFresh, isProven, mayDeny } = this.#state;
-    if (routes === null || !isProven) {
+    const { routes, isFresh, isProven, isOutdated, mayDeny } = this.#state;
+    if (routes === null || !isProven || isOutdated) {
       throw new RequestError('not_ready', this.#state.readiness);
     }
     const route = findRoute(routes, req.headers.host ?? '', req.url ?? '/');
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -7,6 +7,7 @@
   receiveConfig,
   initRouting,
   isFresh,
+  isOutdated,
   isProven,
   isUpdateDue,
   incarnationKeyOf,
@@ -62,6 +63,8 @@
   readonly documents: DocumentDialect;
   /** Time within which a revoked key must stop working, ms. */
   readonly revokeMs: number;
+  /** Time within which an accepted configuration must be in force, ms. */
+  readonly applyMs: number;
   readonly retries: RetryAllowance;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
@@ -172,6 +175,12 @@
     return isProven(this.#freshness);
   }
 
+  /** Whether a newer configuration is known of that must be in force by now, and has not arrived. */
+  get isOutdated(): boolean {
+    const applyMs = this.#options.applyMs * FRESHNESS_LEASE_FRACTION;
+    return isOutdated(this.#freshness, this.#options.runtime.clocks(), applyMs);
+  }
+
   /** Whether a key or path unknown to this process is unknown to the newest configuration too. */
   get mayDeny(): boolean {
     return isFresh(this.#freshness, this.#options.runtime.clocks(), DENIAL_MAX_AGE_MS);
@@ -185,6 +194,9 @@
     if (this.#routes === null) {
       return 'no configuration yet';
     }
+    if (this.isOutdated) {
+      return 'a newer configuration has not arrived';
+    }
     if (!this.isFresh) {
       return 'not sure that the configuration is the newest';
     }
