Fix: the proof that a configuration is the newest never advances in a series of changes

Cause: an entry process kept one reply that names a configuration which it doesn't hold yet, the last. Where the next change is named before the one before has arrived, the configuration that arrives is always older than the one named, so nothing is proven, and after 4.6 s the lease ends and everything is refused.

Change: the replies that are not met yet are kept, one for each index; a configuration that arrives proves by the last reply that names it or an earlier one.

Evidence: the test failed before (no lease after eight changes) and passes.

--- a/src/coordination/ConfigFreshness.ts
+++ b/src/coordination/ConfigFreshness.ts
@@ -17,6 +17,12 @@
   readonly wall: number;
 }
 
+/** Log index of the newest configuration in a leader's reply, and the send time of the request for it. */
+export interface NewestReply {
+  readonly index: number;
+  readonly requestedAt: ClockReading;
+}
+
 /** How recent the configuration of an entry process is known to be. */
 export interface FreshnessState {
   /** Log index of the configuration held; 0 for none. */
@@ -26,12 +32,12 @@
    * none.
    */
   readonly provenAt: ClockReading | null;
-  /** A reply that names a configuration which has not arrived yet, and the send time of its request. */
-  readonly pending: { readonly index: number; readonly requestedAt: ClockReading } | null;
+  /** Replies that name configurations which have not arrived yet, at most one for each, in order of index. */
+  readonly pending: readonly NewestReply[];
 }
 
 /** Initial state: no configuration held, nothing proven. */
-export const UNPROVEN: FreshnessState = { heldConfigIndex: 0, provenAt: null, pending: null };
+export const UNPROVEN: FreshnessState = { heldConfigIndex: 0, provenAt: null, pending: [] };
 
 /**
  * Duration of a lease as a fraction of the time allowed for revoking a key; the rest covers differing clock
@@ -45,20 +51,23 @@
  */
 const MAX_CLOCK_DIVERGENCE_MS = 250;
 
+/** Maximum number of pending replies; the oldest ones prove least. */
+const MAX_PENDING = 32;
+
 function newerOf(a: ClockReading | null, b: ClockReading): ClockReading {
   return a !== null && a.monotonic > b.monotonic ? a : b;
 }
 
-/** Records that a configuration has arrived. */
+/**
+ * Records that a configuration has arrived. Each pending reply that names it or an earlier one proves that it was the
+ * newest at that time: in a series of changes, the next one is often named before the one before it has arrived.
+ */
 export function receiveConfig(state: FreshnessState, index: number): FreshnessState {
-  const { pending } = state;
-  if (pending === null || index < pending.index) {
-    return { ...state, heldConfigIndex: index };
-  }
+  const met = state.pending.filter((reply) => reply.index <= index);
   return {
     heldConfigIndex: index,
-    provenAt: newerOf(state.provenAt, pending.requestedAt),
-    pending: null,
+    provenAt: met.reduce((at, reply) => newerOf(at, reply.requestedAt), state.provenAt),
+    pending: state.pending.filter((reply) => reply.index > index),
   };
 }
 
@@ -77,7 +86,9 @@
   if (state.heldConfigIndex >= newest) {
     return { ...state, provenAt: newerOf(state.provenAt, requestedAt) };
   }
-  return { ...state, pending: { index: newest, requestedAt } };
+  const earlier = state.pending.filter(({ index }) => index < newest);
+  const pending = [...earlier, { index: newest, requestedAt }].slice(-MAX_PENDING);
+  return { ...state, pending };
 }
 
 /**
@@ -115,7 +126,7 @@
   now: ClockReading,
   applyMs: number,
 ): boolean {
-  if (provenAt === null || pending === null) {
+  if (provenAt === null || pending.length === 0) {
     return false;
   }
   // The later of two clocks counts, since the monotonic one stops while the host is suspended.
--- a/src/coordination/__tests__/unit/ConfigFreshness.test.ts
+++ b/src/coordination/__tests__/unit/ConfigFreshness.test.ts
@@ -74,4 +74,16 @@
     assert.equal(isOutdated(behind, { monotonic: 1_800, wall: 1_009_000 }, APPLY_MS), true);
     assert.equal(isOutdated(receiveConfig(behind, 6), at(1_000 + APPLY_MS), APPLY_MS), false);
   });
+
+  // Guards against refusals in a series of changes, each of which arrives only after the next one was named.
+  it('renews the lease while changes follow each other faster than they arrive', () => {
+    const proven = receiveNewestIndex(HELD, 5, at(0));
+    const state = [1, 2, 3, 4, 5, 6, 7, 8].reduce((before, n) => {
+      const named = receiveNewestIndex(before, 5 + n, at(700 * n));
+      return n === 1 ? named : receiveConfig(named, 4 + n);
+    }, proven);
+    assert.equal(isFresh(state, at(5_600), LEASE_MS), true);
+    assert.equal(isOutdated(state, at(4_900 + APPLY_MS - 1), APPLY_MS), false);
+    assert.equal(isOutdated(state, at(4_900 + APPLY_MS), APPLY_MS), true);
+  });
 });
