Fix: a document is accepted with fewer disks than may be lost while the founders are the only voters

What callers could see: a change acknowledged in the first second of a cluster is older or missing after two disks were lost.

Cause: six hosts of which two disks may be lost are founded by three voters, the hosts named in the settings. Until the others are promoted a majority is two disks, and the acknowledgement waited for a majority only.

Change: an acknowledgement, also of a version that isn't higher, waits until one more voter than disks may be lost has synced the document (all voters, if there are fewer), at most 0.8 s; then the sender is asked to send it again. With 2 n + 1 voters and more a majority is always enough, so nothing changes then.

Evidence: the test failed before ('accepted' with two of three) and passes.

--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -1,4 +1,5 @@
 /** Services that a control process provides through the log: submissions, leases and joins. */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Logger } from 'pino';
 import {
   countRenewals,
@@ -37,6 +38,12 @@
  */
 const SUBMIT_ATTEMPTS = 4;
 
+/** How long an accepted document may be held by too few disks before its sender is asked to resend, ms. */
+const HOLDERS_TIMEOUT_MS = 800;
+
+/** Interval at which the number of disks that hold it is checked, ms. */
+const HOLDERS_POLL_MS = 10;
+
 /**
  * A request to get or renew a lease. With `observe`, a lease that another process holds is only reported, unless that
  * holder has exited.
@@ -150,16 +157,19 @@
     if ((await this.#consensus.readIndex()) === null) {
       return { result: 'unavailable', reason: 'no leader with a quorum' };
     }
-    const { index, fleets } = this.#consensus.control;
+    const { config, fleets } = this.#consensus.control;
     const held = fleets[fleet]?.version;
     if (held !== undefined && held >= version) {
-      this.#log.info({ event: 'replace', fleet, version, held, result: 'held' }, 'document');
-      return { result: 'accepted', fleet, version, digest, index };
+      const { index } = config;
+      const reply = await this.#onceHeld({ result: 'accepted', fleet, version, digest, index });
+      const outcome = reply.result === 'accepted' ? 'held' : reply.result;
+      this.#log.info({ event: 'replace', fleet, version, held, result: outcome }, 'document');
+      return reply;
     }
     const result = await this.#consensus.propose({ kind: 'replace', ...request });
     const reply: SubmitReply =
       result !== null && result.result === 'accepted'
-        ? result
+        ? await this.#onceHeld(result)
         : { result: 'unavailable', reason: 'not decided in time; submit again' };
     this.#log.info(
       {
@@ -175,6 +185,29 @@
     return reply;
   }
 
+  /**
+   * Waits until more disks hold an accepted document than may be lost at once. A majority is too few while the
+   * founders are the only voters and the others haven't joined them yet.
+   */
+  async #onceHeld(
+    reply: Extract<SubmitReply, { result: 'accepted' }>,
+  ): Promise<Extract<SubmitReply, { result: 'accepted' | 'unavailable' }>> {
+    const end = this.#now() + HOLDERS_TIMEOUT_MS;
+    const isHeld = (): boolean => {
+      const { state } = this.#consensus;
+      const needed = Math.min(this.#options.lossesBorne + 1, state.members.voters.length);
+      return votersWithEntry(state, reply.index).length >= needed;
+    };
+    while (!isHeld()) {
+      if (this.#now() > end) {
+        return { result: 'unavailable', reason: 'too few disks hold it; submit again' };
+      }
+      // eslint-disable-next-line no-await-in-loop
+      await delay(HOLDERS_POLL_MS);
+    }
+    return reply;
+  }
+
   /** For the log: the voters that have synced an accepted entry, and all voters, of which they are a majority. */
   #commitQuorum(reply: SubmitReply): object {
     const { state } = this.#consensus;
--- a/src/daemon/__tests__/unit/DaemonControlService.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlService.test.ts
@@ -50,7 +50,46 @@
   return (await openService(record).requestLease(request)).result;
 }
 
+/** A leader of three founding voters that has committed a document at index 7, which two of them hold. */
+function openFoundingService(matches: Record<string, number>): DaemonControlService {
+  const members = { voters: ['a', 'b', 'c'], learners: [] };
+  const reply = { result: 'accepted', fleet: 'f', version: 1, digest: 'd', index: 7 };
+  const consensus = {
+    state: {
+      id: 'a',
+      term: 1,
+      role: 'leader',
+      members,
+      get progress() {
+        return Object.fromEntries(Object.entries(matches).map(([id, match]) => [id, { match }]));
+      },
+    },
+    control: { index: 7, fleets: {}, config: { index: 7, entries: {} } },
+    readIndex: async () => 6,
+    propose: async () => reply,
+  };
+  return new DaemonControlService({
+    consensus: consensus as unknown as DaemonConsensus,
+    log: pino({ level: 'silent' }),
+    now: () => performance.now(),
+    heardAt: () => undefined,
+    lossesBorne: 2,
+    recordOf: () => undefined,
+  });
+}
+
+const DOCUMENT = { fleet: 'f', version: 1, digest: 'd', entries: {} };
+
 describe('DaemonControlService', () => {
+  // Guards against the loss of an accepted change with two disks while the founders are the only voters.
+  it('accepts a document only once one more disk holds it than may be lost', async () => {
+    const matches = { b: 7, c: 3 };
+    assert.equal((await openFoundingService(matches).replace(DOCUMENT)).result, 'unavailable');
+    const second = openFoundingService(matches).replace(DOCUMENT);
+    matches.c = 7;
+    assert.equal((await second).result, 'accepted');
+  });
+
   // Guards against a group that has no coordinator until the lease of a killed one runs out.
   it('grants a lease at once when its holder has exited', async () => {
     const ended: MemberRecord = { ...RECORD, status: 'gone', ended: true };
