Fix: a control process with an empty disk keeps the way to a leader that its settings don't name

What callers and operators saw: after lost disks some control processes answer each read of the configuration with 503 for good, and the next lost disk leaves too few voters for a leader: no configuration is read back, and entry processes without a proof refuse everything.

Cause: a control process has a client for each other one, over which it also sends its replies. Clients of processes that neither the settings nor the log name are dropped when they have no link. A process with an empty disk knows three hosts from its settings; of any other leader it learns by that leader's greeting, which makes a client, and the check each 0.5 s dropped it again if it ran before the new link was up, for good, since there is one greeting a link. The replica then gets the leader's appends and can't reply, so it is sent no entries, learns no members, and stays a learner without a vote for ever. With three control hosts all are in the settings, until one is replaced; with six, half are not.

Change: a client is kept as long as the peer's own link to this process is open. It ends with the peer: a host that is gone closes it, or it times out.

--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -7,6 +7,7 @@
   type Address,
   type LinkHandlers,
   type LinkSwitch,
+  type TransportLink,
 } from '../transport/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
 import type { DaemonHub, SharedUpdate, SharedTopic } from './DaemonHub.js';
@@ -65,6 +66,9 @@
   /** Addresses of peers that have sent `control.hello`, by name. */
   readonly #peerAddresses = new Map<string, ControlAddress>();
 
+  /** Open links on which peers have sent `control.hello`, by name. */
+  readonly #helloLinks = new Map<string, TransportLink>();
+
   #leaderlessLoggedAt = -Infinity;
 
   constructor(options: ControlPeersOptions) {
@@ -87,6 +91,7 @@
         // eslint-disable-next-line no-param-reassign
         link.peer = from;
         this.#peerAddresses.set(from, self);
+        this.#trackHelloLink(from, link);
         this.#connect(self);
         hub().onControlsChanged();
       },
@@ -111,6 +116,17 @@
     };
   }
 
+  #trackHelloLink(from: string, link: TransportLink): void {
+    this.#helloLinks.set(from, link);
+    link.closed
+      .then(() => {
+        if (this.#helloLinks.get(from) === link) {
+          this.#helloLinks.delete(from);
+        }
+      })
+      .catch(() => undefined);
+  }
+
   get identity(): PeerIdentity {
     const consensus = this.#options.consensus();
     const { self, zone } = this.#options;
@@ -239,8 +255,9 @@
   }
 
   /**
-   * Opens a link to each configured process and each member of the cluster; drops the clients of hosts that are
-   * neither, once they have no link.
+   * Opens a link to each configured process and each member of the cluster; drops the clients of other hosts once there
+   * is no link in either direction. A replica with an empty log knows no members, so the link from a leader is all that
+   * tells it where to reply.
    */
   #updateLinks(): void {
     const { consensus, locate, self } = this.#options;
@@ -254,7 +271,8 @@
         this.#connect({ name, address });
       }
     });
-    const kept = new Set([...members, ...targets.map(({ name }) => name), self]);
+    const named = targets.map(({ name }) => name);
+    const kept = new Set([...members, ...named, ...this.#helloLinks.keys(), self]);
     [...this.#clients].forEach(([name, client]) => {
       if (!kept.has(name) && client.link === null) {
         this.#stopControllers.get(name)?.abort();
