Log when a control process knows no way to a replica

The messages to such a replica were dropped without a line, so that the learners of the play could not be told from slow ones. At most one line in three seconds; no logic changes.

--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -22,8 +22,8 @@
 }
 
 /**
- * A replica that has heard from no leader for this long asks to be admitted again; also the interval of the log line
- * about it. In ms.
+ * A replica that has heard from no leader for this long asks to be admitted again; also the interval of the log lines
+ * about peers that can't be reached. In ms.
  */
 const LEADERLESS_MS = 3_000;
 
@@ -71,6 +71,8 @@
 
   #leaderlessLoggedAt = -Infinity;
 
+  #unknownPeerLoggedAt = -Infinity;
+
   constructor(options: ControlPeersOptions) {
     this.#options = options;
     options.targets().forEach((target) => this.#connect(target));
@@ -135,9 +137,22 @@
 
   /** Sends a consensus message to a replica; it may be lost. */
   send(to: string, message: ConsensusMessage): void {
+    const client = this.#clients.get(replicaName(to));
+    if (client === undefined) {
+      this.#logUnknownPeer(to);
+      return;
+    }
     const from = this.#options.consensus().state.id;
-    const params: RaftParams = { to, from, message };
-    this.#clients.get(replicaName(to))?.notify('raft', params);
+    client.notify('raft', { to, from, message } satisfies RaftParams);
+  }
+
+  /** Logs at most every LEADERLESS_MS that a message can't be sent, as the address of the replica's host is unknown. */
+  #logUnknownPeer(to: string): void {
+    const now = this.#options.now();
+    if (now - this.#unknownPeerLoggedAt >= LEADERLESS_MS) {
+      this.#unknownPeerLoggedAt = now;
+      this.#options.log.warn({ event: 'unknown_peer', to }, 'no way to a replica is known');
+    }
   }
 
   /** When a replica's host was last heard from over the link to it, ms; undefined if there is no client for it. */
