--- a/soak/SoakMain.ts
+++ b/soak/SoakMain.ts
@@ -1,7 +1,11 @@
 /** `npm run soak -- --seed 1 --runs 10`: does soak runs and prints one JSON line for each. */
 import { Command, Option, runExit } from 'clipanion';
+import { runConfigSoak, type SoakConfigResult } from './SoakConfigRun.js';
 import { runSoak, type SoakResult } from './SoakRun.js';
 
+/** Control hosts that may be lost at once in a run with `--configuration`. */
+const CONFIG_LOSSES_BORNE = 2;
+
 function parsePositive(text: string, name: string): number {
   const value = Number(text);
   if (!Number.isFinite(value) || value <= 0) {
@@ -37,6 +41,18 @@
 
   jobs = Option.String('--jobs', '1', { description: 'runs in parallel' });
 
+  configuration = Option.Boolean('--configuration', false, {
+    description: 'lose control hosts and disks, and read the configuration back',
+  });
+
+  controls = Option.String('--controls', '6', {
+    description: 'control hosts of a run with --configuration, two of which may be lost at once',
+  });
+
+  rounds = Option.String('--rounds', '2', {
+    description: 'losses of control hosts, one after the other, before power is lost',
+  });
+
   logs = Option.Boolean('--logs', false, { description: 'print the logs of the processes' });
 
   override async execute(): Promise<number> {
@@ -60,15 +76,27 @@
     return failed === 0 ? 0 : 1;
   }
 
-  async #run(seed: number): Promise<SoakResult> {
+  async #run(seed: number): Promise<SoakResult | SoakConfigResult> {
+    const entries = parsePositive(this.entries, '--entries');
+    const logs = this.logs ? 'inherit' : 'ignore';
+    if (this.configuration) {
+      return runConfigSoak({
+        seed,
+        controls: parsePositive(this.controls, '--controls'),
+        lossesBorne: CONFIG_LOSSES_BORNE,
+        entries,
+        rounds: parsePositive(this.rounds, '--rounds'),
+        logs,
+      });
+    }
     return runSoak({
       seed,
+      entries,
+      logs,
       durationMs: parsePositive(this.seconds, '--seconds') * 1_000,
       faultsPerSecond: parsePositive(this.rate, '--rate'),
-      entries: parsePositive(this.entries, '--entries'),
       endpoints: parsePositive(this.endpoints, '--endpoints'),
       callers: parsePositive(this.callers, '--callers'),
-      logs: this.logs ? 'inherit' : 'ignore',
     });
   }
 }
