--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -34,6 +34,7 @@
   makeVotersSpec({ hosts: 5, borne: 2, losses: 2, silences: 1, inOrder: true }, [
     VOTERS_SAFEGUARDS.PROMOTE_FIRST,
   ]),
+  makeVotersSpec({ hosts: 6, borne: 2, losses: 3, silences: 1, inOrder: true }, []),
   makeRolloutSpec({ changes: 3, restarts: 3, processes: 2 }),
   makeLeaseSpec({ grants: 3, restarts: 2 }),
   makeMapChangeSpec({ ranks: 3, proposals: [1, 0] }, [
