Fix: the reply to a heartbeat moves a replica's position back to its last known match

A reply only moves the position forward now; a rejection moves it back as before.

Evidence: the test failed before (predecessor 0 in place of 5) and passes; the other tests of the log pass.

--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -217,7 +217,7 @@
   return {
     ...heard,
     match: matched,
-    next: matched + 1,
+    next: Math.max(known.next, matched + 1),
     inFlight: isDone ? null : known.inFlight,
   };
 }
--- a/src/coordination/__tests__/unit/Consensus.test.ts
+++ b/src/coordination/__tests__/unit/Consensus.test.ts
@@ -50,6 +50,9 @@
     .flatMap(({ message }) => (message.type === 'append' ? message.entries : [])).length;
 }
 
+/** Progress of a replica of which a new leader knows nothing yet. */
+const PROBED = { next: 11, match: 0, heardAt: 0, round: 0, inFlight: null };
+
 const isSnapshot = ({ message }: { readonly message: ConsensusMessage }): boolean =>
   message.type === 'install';
 
@@ -195,6 +198,32 @@
     cluster.runUntil(() => cluster.state('d').commit === cluster.state(id).commit);
   });
 
+  // Guards against a transfer of the whole log after a lost one, as the reply to a heartbeat counted as one to it.
+  it('sends a lost transfer again from where the replica is, not from the begin of the log', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    cluster.isolate('d');
+    cluster.runUntil(() => cluster.leader !== undefined && cluster.committed.size > 0);
+    cluster.heal();
+    cluster.runUntil(() => cluster.state('d').commit > 0);
+    const { id } = cluster.leader as ConsensusState;
+    const replyOf = (match: number, ok: boolean): void => {
+      const message = { type: 'appendReply', term: cluster.state(id).term, ok, match, round: 0 };
+      cluster.input(id, { type: 'message', from: 'd', message: message as ConsensusMessage });
+    };
+    for (let i = 0; i < 10; i += 1) {
+      cluster.input(id, { type: 'propose', id: `${i}`, command: i });
+    }
+    const progress = { ...cluster.state(id).progress, d: PROBED };
+    cluster.replaceState(id, { progress });
+    replyOf(5, false);
+    replyOf(0, true);
+    cluster.dropAll();
+    cluster.now += RESEND_AFTER_MS;
+    cluster.input(id, { type: 'read', id: 'read' });
+    const [sent] = cluster.packets.filter(({ to }) => to === 'd');
+    assert.equal(sent?.message.type === 'append' && sent.message.prevIndex, 5);
+  });
+
   // Guards against the loss of an accepted entry when a follower that holds it gets a snapshot of an earlier index.
   it('keeps the entries behind a snapshot that it receives', () => {
     const cluster = new ConsensusCluster(MEMBERS);
--- a/src/coordination/__tests__/utils/ConsensusCluster.ts
+++ b/src/coordination/__tests__/utils/ConsensusCluster.ts
@@ -76,6 +76,11 @@
     return this.#states.get(id) as ConsensusState;
   }
 
+  /** Replaces a part of a replica's state. */
+  replaceState(id: string, part: Partial<ConsensusState>): void {
+    this.#states.set(id, { ...this.state(id), ...part });
+  }
+
   get leader(): ConsensusState | undefined {
     const reachable = this.ids.filter((id) => !this.#isolated.has(id));
     return reachable.map((id) => this.state(id)).find(({ role }) => role === 'leader');
