Fix: a control process connects to members that only its log names 0.5 s after its start

What callers saw: after a power loss nothing is decided until a leader is elected. In a play of the reported deployment each of the four hosts that kept their disks wrote that it knows no way to two of the others (`unknown_peer`, 43.4 to 43.7 s; the processes had started at 42.9 s, a leader was elected at 43.8 s). Three of six members are not in the settings, and with two disks lost all four votes are needed.

Cause: links to the members in the log were opened by the check each 0.5 s, whose first run is 0.5 s after the start; the votes that were asked for until then had no way.

Change: the check runs once at the start too.

--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -317,9 +317,10 @@
       );
     }
   });
-  runEvery(CLUSTER_CHECK_INTERVAL_MS, signal, () => {
-    logFailure(peers.formOrJoinCluster());
-  });
+  const checkCluster = (): void => logFailure(peers.formOrJoinCluster());
+  // At once too: after a power loss, the votes of members that only the log names are needed for a leader.
+  checkCluster();
+  runEvery(CLUSTER_CHECK_INTERVAL_MS, signal, checkCluster);
   runEvery(VOTER_CHECK_INTERVAL_MS, signal, () => {
     logFailure(service.updateVoters());
   });
