Failing test: a restarted leader counts a lost voter's silence from its own start

A host is replaced, its successor is a voter 4 s later; the leader's process is restarted in between and is elected again. Its link to the lost host was never up in its life, so it counts the 3 s from its own start, and the lost host is still one of four voters when the leader's disk is lost as all lose power. The neighbouring test passes since another host happens to be elected.

A way: peers report for how long they haven't heard of a host, and a leader that has never heard of it itself goes by that.

--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -216,6 +216,27 @@
     assert.equal(cluster.leader?.members.voters.length, 3);
   });
 
+  // As above, but the process that was restarted is elected again, and counts the silence of the lost host anew.
+  it('accepts commands again if the restarted process leads again when its disk is lost', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    commitCommand(cluster, 'first');
+    cluster.remove(cluster.leader?.id ?? '');
+    run(cluster, 1_000);
+    cluster.add('d.1');
+    run(cluster, 1_000);
+    commitCommand(cluster, 'second');
+    const restarted = cluster.leader?.id ?? '';
+    cluster.dropAll();
+    cluster.restart(restarted);
+    cluster.ids
+      .filter((id) => id !== restarted)
+      .forEach((id) => cluster.replaceState(id, { electionAt: cluster.now + 5_000 }));
+    run(cluster, 3_000);
+    commitCommand(cluster, 'third');
+    assert.equal(cluster.leader?.id, restarted);
+    recoverWithoutLeader(cluster, 'fourth');
+  });
+
   // As above with five hosts, which tolerate the loss of two disks. Two are replaced within a second and
   // their successors are promoted before the two count as unreachable: seven voters, an odd number, of
   // which two are lost for good. When two more disks are lost in a power loss, three of seven would elect
