--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -54,6 +54,16 @@
   cluster.add(successor);
 }
 
+/** The leader's host is replaced by an empty one, which becomes a voter. */
+function replaceLeadersHost(cluster: ConsensusCluster): void {
+  commitCommand(cluster, 'first');
+  cluster.remove(cluster.leader?.id ?? '');
+  run(cluster, 1_000);
+  cluster.add('d.1');
+  run(cluster, 1_000);
+  commitCommand(cluster, 'second');
+}
+
 /** All hosts lose power and the leader loses its disk; the others must accept commands again. */
 function recoverWithoutLeader(cluster: ConsensusCluster, command: string): void {
   const lost = cluster.leader?.id ?? '';
@@ -203,12 +213,7 @@
   // configuration, and callers would be refused until an operator intervenes.
   it('accepts commands again if the leader changes between the replacement and the next lost disk', () => {
     const cluster = new ConsensusCluster(MEMBERS);
-    commitCommand(cluster, 'first');
-    cluster.remove(cluster.leader?.id ?? '');
-    run(cluster, 1_000);
-    cluster.add('d.1');
-    run(cluster, 1_000);
-    commitCommand(cluster, 'second');
+    replaceLeadersHost(cluster);
     cluster.restart(cluster.leader?.id ?? '');
     run(cluster, 3_000);
     commitCommand(cluster, 'third');
@@ -219,12 +224,7 @@
   // As above, but the process that was restarted is elected again, and counts the silence of the lost host anew.
   it('accepts commands again if the restarted process leads again when its disk is lost', () => {
     const cluster = new ConsensusCluster(MEMBERS);
-    commitCommand(cluster, 'first');
-    cluster.remove(cluster.leader?.id ?? '');
-    run(cluster, 1_000);
-    cluster.add('d.1');
-    run(cluster, 1_000);
-    commitCommand(cluster, 'second');
+    replaceLeadersHost(cluster);
     const restarted = cluster.leader?.id ?? '';
     cluster.dropAll();
     cluster.restart(restarted);
