Fix: replicas report who has heard from a voter, so that a restarted leader knows a lost one

Cause: a leader measured the silence of a voter by its own links and by the replies in its term. Both start anew with its process, so that a host lost long ago kept its vote until a leader had run for 3 s, and two of four voters elected nobody if another disk was lost before that.

A voter is unreachable if a majority of the voters has stated so within 0.9 s, one of them has been without contact for 3 s, and none has heard from it within 3 s. A process without contact so far states something only after 0.5 s, the time to open a link. Late and repeated replies change nothing. DaemonControlPeers.heardAt tells a contact from the start of the attempts; it is passed to DaemonConsensus too. The log line on a removal states the silence by voter.

A voter that only the leader can't reach, or whose host still responds but not its replica, now keeps its vote while another voter hears from its host. A replica of an earlier version reports nothing and doesn't count towards the majority. The simulated cluster records when a link was cut, rather than counting from the start of the process.

--- a/src/coordination/Consensus.ts
+++ b/src/coordination/Consensus.ts
@@ -2,6 +2,7 @@
  * Raft state machine of the log that the control processes replicate, as pure functions. Safety depends only
  * on terms, quorums and synced state; clocks only decide when to attempt something.
  */
+import { reportContacts } from './ConsensusContacts.js';
 import {
   becomeFollower,
   hasLostQuorum,
@@ -70,19 +71,18 @@
   };
 }
 
+/** Replies to entries, a heartbeat or a snapshot. */
 function reply(
   state: ConsensusState,
   to: string,
-  ok: boolean,
-  match: number,
-  round: number,
+  { round, sentAt }: MessageOf<'append' | 'install'>,
+  { ok, match }: { readonly ok: boolean; readonly match: number },
+  ctx: ConsensusContext,
 ): ConsensusStep {
-  return {
-    state,
-    outputs: [
-      { type: 'send', to, message: { type: 'appendReply', term: state.term, ok, match, round } },
-    ],
-  };
+  const { term } = state;
+  const contacts = sentAt === undefined ? {} : { contacts: reportContacts(state, sentAt, ctx) };
+  const message = { type: 'appendReply', term, ok, match, round, ...contacts } as const;
+  return { state, outputs: [{ type: 'send', to, message }] };
 }
 
 /** Records contact with the leader of the current term; a replica in another role becomes its follower. */
@@ -115,19 +115,19 @@
   ctx: ConsensusContext,
 ): ConsensusStep {
   if (message.term < state.term) {
-    return reply(state, from, false, 0, message.round);
+    return reply(state, from, message, { ok: false, match: 0 }, ctx);
   }
   const heard = followLeader(state, from, ctx);
-  const { prevIndex, prevTerm, entries, round } = message;
+  const { prevIndex, prevTerm, entries } = message;
   const known = prevIndex < state.snapshot.index || termAt(state, prevIndex) === prevTerm;
   if (!known) {
     const hint = Math.min(prevIndex - 1, lastIndex(state));
-    return chain(heard, (next) => reply(next, from, false, hint, round));
+    return chain(heard, (next) => reply(next, from, message, { ok: false, match: hint }, ctx));
   }
   const match = prevIndex + entries.length;
   const merged = chain(heard, (next) => mergeEntries(next, entries));
   const committed = chain(merged, (next) => commitTo(next, Math.min(message.commit, match)));
-  return chain(committed, (next) => reply(next, from, true, match, round));
+  return chain(committed, (next) => reply(next, from, message, { ok: true, match }, ctx));
 }
 
 /**
@@ -148,12 +148,13 @@
   ctx: ConsensusContext,
 ): ConsensusStep {
   if (message.term < state.term) {
-    return reply(state, from, false, 0, message.round);
+    return reply(state, from, message, { ok: false, match: 0 }, ctx);
   }
   const heard = followLeader(state, from, ctx);
-  const { snapshot, round } = message;
+  const { snapshot } = message;
+  const accepted = { ok: true, match: snapshot.index };
   if (snapshot.index <= state.commit) {
-    return chain(heard, (next) => reply(next, from, true, snapshot.index, round));
+    return chain(heard, (next) => reply(next, from, message, accepted, ctx));
   }
   const log = entriesBehind(heard.state, snapshot);
   const restored: ConsensusStep = {
@@ -170,7 +171,7 @@
       { type: 'restore', snapshot },
     ],
   };
-  return chain(restored, (next) => reply(next, from, true, snapshot.index, round));
+  return chain(restored, (next) => reply(next, from, message, accepted, ctx));
 }
 
 type MessageHandlers = {
--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -1,5 +1,6 @@
 /** Replication: messages that a leader sends, and how it handles the replies. */
 import { HEARTBEAT_MS, MAX_APPEND_ENTRIES, RESEND_AFTER_MS } from './ConsensusConstants.js';
+import { mergeReport } from './ConsensusContacts.js';
 import {
   chain,
   commitTo,
@@ -33,25 +34,31 @@
 }
 
 /** The entries that a replica lacks or a snapshot; an append without entries if it lacks none. */
-function messageFor(state: ConsensusState, to: string): ConsensusMessage {
+function messageFor(state: ConsensusState, to: string, sentAt: number): ConsensusMessage {
   const { next } = progressOf(state, to);
+  const { term, snapshot, round } = state;
   const prevTerm = termAt(state, next - 1);
   if (prevTerm === undefined || next <= state.snapshot.index) {
-    return { type: 'install', term: state.term, snapshot: state.snapshot, round: state.round };
+    return { type: 'install', term, snapshot, round, sentAt };
   }
   return {
     type: 'append',
-    term: state.term,
+    term,
     prevIndex: next - 1,
     prevTerm,
     entries: entriesFrom(state, next, MAX_APPEND_ENTRIES),
     commit: state.commit,
-    round: state.round,
+    round,
+    sentAt,
   };
 }
 
 /** A heartbeat that any log accepts, as it follows an entry that the replica is known to have. */
-function heartbeatFor(state: ConsensusState, { match }: ConsensusProgress): ConsensusMessage {
+function heartbeatFor(
+  state: ConsensusState,
+  { match }: ConsensusProgress,
+  sentAt: number,
+): ConsensusMessage {
   const matchTerm = termAt(state, match);
   return {
     type: 'append',
@@ -61,6 +68,7 @@
     entries: [],
     commit: state.commit,
     round: state.round,
+    sentAt,
   };
 }
 
@@ -82,7 +90,7 @@
 
 /** Sends a replica what it lacks, or an append without entries. */
 function sendMissing(state: ConsensusState, to: string, { now }: ConsensusContext): ConsensusStep {
-  const message = messageFor(state, to);
+  const message = messageFor(state, to, now);
   const upTo = lastIndexIn(message);
   const progress = progressOf(state, to);
   return {
@@ -103,7 +111,7 @@
   const progress = progressOf(state, to);
   const { inFlight } = progress;
   return inFlight !== null && ctx.now - inFlight.sentAt < RESEND_AFTER_MS
-    ? { state, outputs: [{ type: 'send', to, message: heartbeatFor(state, progress) }] }
+    ? { state, outputs: [{ type: 'send', to, message: heartbeatFor(state, progress, ctx.now) }] }
     : sendMissing(state, to, ctx);
 }
 
@@ -204,10 +212,16 @@
  */
 function progressAfter(
   known: ConsensusProgress,
-  { ok, match, round }: Extract<ConsensusMessage, { type: 'appendReply' }>,
+  { ok, match, round, contacts }: Extract<ConsensusMessage, { type: 'appendReply' }>,
   now: number,
 ): ConsensusProgress {
-  const heard = { ...known, heardAt: now, round: Math.max(known.round, round) };
+  const heard = {
+    ...known,
+    heardAt: now,
+    hasReplied: true,
+    contacts: mergeReport(known.contacts ?? {}, contacts, now),
+    round: Math.max(known.round, round),
+  };
   if (!ok) {
     const isStale = match >= known.next - 1;
     return isStale ? heard : { ...heard, next: Math.max(known.match, match) + 1, inFlight: null };
--- a/src/coordination/ConsensusTypes.ts
+++ b/src/coordination/ConsensusTypes.ts
@@ -38,6 +38,28 @@
   readonly term: number;
 }
 
+/** Contact of a process with the host of a replica over the links between them. */
+export interface ReplicaContact {
+  /** Time of the last contact or, if there was none yet, of the first attempt; ms on the local monotonic clock. */
+  readonly at: number;
+  /** Whether there was any contact in the life of the process. */
+  readonly heard: boolean;
+}
+
+/** Contacts of a replica with voters, in its reply to a leader. Clocks differ, so it states ages. */
+export interface ContactReport {
+  /** `sentAt` of the message that it replies to. */
+  readonly askedAt: number;
+  /** Ages of its contacts in ms, by voter. */
+  readonly ages: Readonly<Record<string, { readonly ms: number; readonly heard: boolean }>>;
+}
+
+/** A contact that a replica has reported in this term, on the leader's clock. */
+export interface ReportedContact extends ReplicaContact {
+  /** Time up to which the report is known to hold: when the leader sent the message that it answers, ms. */
+  readonly asOf: number;
+}
+
 interface VoteRequest extends WithTerm {
   readonly lastIndex: number;
   readonly lastTerm: number;
@@ -60,6 +82,8 @@
       readonly entries: readonly ConsensusEntry[];
       readonly commit: number;
       readonly round: number;
+      /** Time on the leader's clock, ms; see {@link ContactReport}. */
+      readonly sentAt?: number;
     } & WithTerm)
   | ({
       readonly type: 'appendReply';
@@ -70,11 +94,13 @@
        */
       readonly match: number;
       readonly round: number;
+      readonly contacts?: ContactReport;
     } & WithTerm)
   | ({
       readonly type: 'install';
       readonly snapshot: ConsensusSnapshot;
       readonly round: number;
+      readonly sentAt?: number;
     } & WithTerm);
 
 /** Role of a replica in its term. */
@@ -84,8 +110,11 @@
 export interface ConsensusProgress {
   readonly next: number;
   readonly match: number;
-  /** Time of its last reply, ms on the local monotonic clock. */
+  /** Time of its last reply; before the first one, of the election. ms on the local monotonic clock. */
   readonly heardAt: number;
+  readonly hasReplied?: boolean;
+  /** Its contacts by voter, as reported in this term. */
+  readonly contacts?: Readonly<Record<string, ReportedContact>>;
   /** Highest round that it has replied to; see {@link ConsensusRead}. */
   readonly round: number;
   /** Entries or a snapshot sent to it that it has not replied to yet; null if there are none. */
@@ -173,9 +202,11 @@
   readonly outputs: readonly ConsensusOutput[];
 }
 
-/** Clock and random generator of a step. */
+/** Clock, random generator and links of a step. */
 export interface ConsensusContext {
   /** ms on the local monotonic clock. */
   readonly now: number;
   readonly rng: RandomGenerator;
+  /** Contact of this process with a replica's host; undefined if it has no way to it. */
+  readonly heardAt: (replica: string) => ReplicaContact | undefined;
 }
--- a/src/coordination/ConsensusVoters.ts
+++ b/src/coordination/ConsensusVoters.ts
@@ -2,7 +2,13 @@
  * Decides which replica a leader promotes to voter or removes next, since hosts get replaced and disks get
  * lost.
  */
-import type { ConsensusMembers, ConsensusState } from './ConsensusTypes.js';
+import {
+  isSilent,
+  isVoterUnreachable,
+  repliesFrom,
+  UNREACHABLE_VOTER_MS,
+} from './ConsensusContacts.js';
+import type { ConsensusContext, ConsensusMembers, ConsensusState } from './ConsensusTypes.js';
 
 /**
  * A change of members and its reason: the voter was superseded (`forgotten`) or is unreachable (`silent`), or
@@ -14,19 +20,12 @@
   readonly replica: string;
 }
 
-/**
- * A voter without contact to the leader for this long may be removed, ms. A replaced host has to be out of
- * the quorum by the time at which its successor must count as a voter, 4 s after the successor's start; hosts
- * that are only frozen or partitioned for longer return as learners and are voters again within a second.
- */
-export const UNREACHABLE_VOTER_MS = 3_000;
-
 /** Observations of a leader that are not part of its consensus state. */
 export interface VoterView {
   /** ms on the local monotonic clock. */
   readonly now: number;
-  /** Time of this process's last contact with a replica's host, in any term, ms; undefined if unknown. */
-  readonly heardAt: (replica: string) => number | undefined;
+  /** Contact of this process with a replica's host, in any term; undefined if it has no way to it. */
+  readonly heardAt: ConsensusContext['heardAt'];
   /** Number of disks that may be lost at once without losing an accepted entry. */
   readonly lossesBorne: number;
 }
@@ -43,20 +42,24 @@
   );
 }
 
+/** Whether a learner is unreachable for this leader, by its replies in this term or by the links between hosts. */
+function isLearnerUnreachable({ progress }: ConsensusState, id: string, view: VoterView): boolean {
+  const heard = [progress[id]?.heardAt, view.heardAt(id)?.at];
+  return heard.some((at) => at !== undefined && view.now - at > UNREACHABLE_VOTER_MS);
+}
+
 /**
- * Whether a replica is unreachable, by its replies in this term or by the links between hosts. Replies alone
- * would restart the count at each election, so that a lost host is noticed late or never and still has a vote
- * when the next disk is lost; links outlive elections.
+ * Whether a voter is unreachable. Where its host has returned under another id, contact with the host says nothing
+ * about the voter, so that only its replies count.
  */
-function isUnreachable(
-  { id, progress }: ConsensusState,
-  replica: string,
-  view: VoterView,
-): boolean {
-  const heard = [progress[replica]?.heardAt, view.heardAt(replica)];
-  return (
-    replica !== id && heard.some((at) => at !== undefined && view.now - at > UNREACHABLE_VOTER_MS)
+function isUnreachable(state: ConsensusState, replica: string, view: VoterView): boolean {
+  const { voters, learners } = state.members;
+  const hasReturned = [...voters, ...learners].some(
+    (id) => id !== replica && replicaName(id) === replicaName(replica),
   );
+  return hasReturned
+    ? isSilent(repliesFrom(state, replica), view.now)
+    : isVoterUnreachable(state, replica, view);
 }
 
 /** Minimum voters with which every quorum has an entry on one more disk than may be lost. */
@@ -82,7 +85,8 @@
 function findCaughtUp(state: ConsensusState, view: VoterView): string | undefined {
   const { members, progress, commit } = state;
   return members.learners.find(
-    (id) => commit > 0 && (progress[id]?.match ?? 0) >= commit && !isUnreachable(state, id, view),
+    (id) =>
+      commit > 0 && (progress[id]?.match ?? 0) >= commit && !isLearnerUnreachable(state, id, view),
   );
 }
 
@@ -113,7 +117,7 @@
   if (caughtUp !== undefined) {
     return { members: promoteLearner(members, caughtUp), reason: 'caughtUp', replica: caughtUp };
   }
-  const unreachable = voters.filter((id) => isUnreachable(state, id, view));
+  const unreachable = voters.filter((id) => id !== state.id && isUnreachable(state, id, view));
   const [dropped] = unreachable;
   return dropped !== undefined && canDropVoter(voters, unreachable.length, view)
     ? { members: removeVoter(members, dropped), reason: 'silent', replica: dropped }
--- a/src/coordination/__tests__/utils/ConsensusCluster.ts
+++ b/src/coordination/__tests__/utils/ConsensusCluster.ts
@@ -4,6 +4,7 @@
 import {
   initConsensus,
   stepConsensus,
+  type ConsensusContext,
   type ConsensusEntry,
   type ConsensusInput,
   type ConsensusMembers,
@@ -11,6 +12,7 @@
   type ConsensusOutput,
   type ConsensusRecovery,
   type ConsensusState,
+  type ReplicaContact,
 } from '../../index.js';
 
 interface Packet {
@@ -37,8 +39,11 @@
 
   readonly #states = new Map<string, ConsensusState>();
 
-  /** Replicas that are partitioned from all others. */
-  readonly #isolated = new Set<string>();
+  /** Replicas that are partitioned from all others, with the time since when. */
+  readonly #isolated = new Map<string, number>();
+
+  /** Links that are cut, as their two replicas, with the time since when. */
+  readonly #cuts = new Map<string, number>();
 
   /** Start time of each replica's process, and the time of its removal. */
   readonly #startedAt = new Map<string, number>();
@@ -88,7 +93,23 @@
 
   /** Partitions a replica from all others, which are not notified. */
   isolate(id: string): void {
-    this.#isolated.add(id);
+    this.#isolated.set(id, this.now);
+  }
+
+  /** Cuts the link between two replicas. */
+  cutLink(a: string, b: string): void {
+    this.#cuts.set([a, b].sort().join(), this.now);
+  }
+
+  /** Time since when two replicas can't reach each other; undefined if they can. */
+  #cutSince(a: string, b: string): number | undefined {
+    const since = [
+      this.#isolated.get(a),
+      this.#isolated.get(b),
+      this.#cuts.get([a, b].sort().join()),
+      this.#states.has(b) ? undefined : (this.#removedAt.get(b) ?? 0),
+    ].filter((at) => at !== undefined);
+    return since.length === 0 ? undefined : Math.min(...since);
   }
 
   isIsolated(id: string): boolean {
@@ -104,29 +125,29 @@
   /** Ends all partitions. */
   heal(): void {
     this.#isolated.clear();
+    this.#cuts.clear();
   }
 
   /** Restarts a replica from its disk; everything else that it knew is lost. */
   restart(id: string): void {
     const recovery = this.#disks.get(id) as ConsensusRecovery;
     this.#startedAt.set(id, this.now);
-    this.#states.set(id, initConsensus(id, recovery, { now: this.now, rng: this.#rng }));
+    this.#states.set(id, initConsensus(id, recovery, this.#contextOf(id)));
+  }
+
+  /** One process's last contact with another replica over the link between them; forgotten at a restart. */
+  heardAt(by: string, id: string): ReplicaContact {
+    const startedAt = this.#startedAt.get(by) ?? 0;
+    const at = this.#cutSince(by, id) ?? this.now;
+    return { at: Math.max(at, startedAt), heard: at >= startedAt };
   }
 
-  /**
-   * Time of one process's last contact with another replica over the link between them; lost at a restart.
-   */
-  heardAt(by: string, id: string): number {
-    const isReachable = this.#states.has(id) && !this.#isolated.has(id) && !this.#isolated.has(by);
-    const heard = isReachable ? this.now : (this.#removedAt.get(id) ?? 0);
-    return Math.max(heard, this.#startedAt.get(by) ?? 0);
+  #contextOf(id: string): ConsensusContext {
+    return { now: this.now, rng: this.#rng, heardAt: (other) => this.heardAt(id, other) };
   }
 
   input(id: string, input: ConsensusInput): readonly ConsensusOutput[] {
-    const { state, outputs } = stepConsensus(this.state(id), input, {
-      now: this.now,
-      rng: this.#rng,
-    });
+    const { state, outputs } = stepConsensus(this.state(id), input, this.#contextOf(id));
     this.#states.set(id, state);
     outputs.forEach((output) => this.#perform(id, output));
     return outputs;
@@ -171,8 +192,7 @@
       this.now += 10;
       this.ids.forEach((id) => this.input(id, { type: 'tick' }));
       const packets = this.packets.filter(
-        ({ from, to }) =>
-          this.#states.has(to) && !this.#isolated.has(from) && !this.#isolated.has(to),
+        ({ from, to }) => this.#states.has(to) && this.#cutSince(from, to) === undefined,
       );
       this.packets = [];
       packets.forEach(({ from, to, message }) =>
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -20,6 +20,7 @@
 } from './Attempts.js';
 export { initConsensus, stepConsensus, type ConsensusRecovery } from './Consensus.js';
 export { ELECTION_TIMEOUT_MS, HEARTBEAT_MS } from './ConsensusConstants.js';
+export { silenceByVoter } from './ConsensusContacts.js';
 export { hasLostQuorum } from './ConsensusElection.js';
 export { lastIndex, membersOf } from './ConsensusLog.js';
 export { votersWithEntry } from './ConsensusReplication.js';
@@ -33,6 +34,7 @@
   ConsensusSnapshot,
   ConsensusState,
   ConsensusStep,
+  ReplicaContact,
 } from './ConsensusTypes.js';
 export {
   nextVoterChange,
--- a/src/daemon/DaemonConsensus.ts
+++ b/src/daemon/DaemonConsensus.ts
@@ -9,6 +9,7 @@
   initConsensus,
   lastIndex,
   stepConsensus,
+  type ConsensusContext,
   type ConsensusEntry,
   type ConsensusInput,
   type ConsensusMembers,
@@ -46,6 +47,8 @@
   readonly now: () => number;
   readonly rng: RandomGenerator;
   readonly send: (to: string, message: ConsensusMessage) => void;
+  /** See {@link ConsensusContext}. */
+  readonly heardAt: ConsensusContext['heardAt'];
   /** Called after the replicated state has changed or may have changed. */
   readonly onStateChange: (state: ControlState) => void;
 }
@@ -221,8 +224,9 @@
     );
   }
 
-  #context() {
-    return { now: this.#options.now(), rng: this.#options.rng };
+  #context(): ConsensusContext {
+    const { now, rng, heardAt } = this.#options;
+    return { now: now(), rng, heardAt };
   }
 
   async #request<T>(
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -211,6 +211,7 @@
           now: runtime.now,
           rng: runtime.rng,
           send: (to, message) => peers.send(to, message),
+          heardAt: (replica) => peers.heardAt(replica),
           onStateChange: (state) => hub.onControlState(state),
         }),
     ).singleton(),
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,6 +1,11 @@
 /** Links from a control process to the others, and how a cluster is formed over them. */
 import type { Logger } from 'pino';
-import { replicaName, type ConsensusMessage, type ConsensusState } from '../coordination/index.js';
+import {
+  replicaName,
+  type ConsensusMessage,
+  type ConsensusState,
+  type ReplicaContact,
+} from '../coordination/index.js';
 import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
 import {
   TransportLinkClient,
@@ -155,9 +160,10 @@
     }
   }
 
-  /** When a replica's host was last heard from over the link to it, ms; undefined if there is no client for it. */
-  heardAt(replica: string): number | undefined {
-    return this.#clients.get(replicaName(replica))?.lastReceivedAt;
+  /** Contact with a replica's host over the link to it; undefined if there is no client for it. */
+  heardAt(replica: string): ReplicaContact | undefined {
+    const client = this.#clients.get(replicaName(replica));
+    return client && { at: client.lastReceivedAt, heard: client.hasReceived };
   }
 
   /** Sends changed member records to all peers. */
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -11,6 +11,7 @@
   nextVoterChange,
   recordRenewal,
   replicaName,
+  silenceByVoter,
   type LeaseRenewalsState,
   type VoterView,
 } from '../coordination/index.js';
@@ -295,13 +296,15 @@
     if (change === null || this.#isChangingVoters) {
       return;
     }
+    const silence =
+      change.reason === 'silent' ? { silence: silenceByVoter(state, change.replica, view) } : {};
     this.#isChangingVoters = true;
     const result = await this.#consensus.changeMembers(change.members);
     this.#isChangingVoters = false;
     const { replica, reason } = change;
     const { voters } = change.members;
     this.#log.info(
-      { event: 'voters', replica, reason, voters, committed: result !== null },
+      { event: 'voters', replica, reason, voters, committed: result !== null, ...silence },
       'voters change',
     );
   }
--- a/src/daemon/__tests__/unit/DaemonConsensus.test.ts
+++ b/src/daemon/__tests__/unit/DaemonConsensus.test.ts
@@ -39,6 +39,7 @@
         now: () => this.#now,
         rng: xoroshiro128plus(i + 1),
         send: (to, message) => this.#packets.push({ from: id, to, message }),
+        heardAt: () => undefined,
         onStateChange: () => undefined,
       });
       this.#tasks.set(id, task);
--- a/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
@@ -134,4 +134,22 @@
       message: REPLY,
     });
   });
+
+  // Guards against a restarted process that reports the start of its attempts as contact with a lost host.
+  it('tells whether it has ever heard from the host of a replica', async () => {
+    const { signal } = stop;
+    const up = await startControl({ name: 'up', members: [], targets: [], signal });
+    const lost = { name: 'lost', address: { host: '127.0.0.1', port: 1 } };
+    const targets = [up.target, lost];
+    const { peers } = await startControl({ name: 'self', members: [], targets, signal });
+    assert.equal(peers.heardAt('up.1')?.heard, false);
+    const end = performance.now() + LINK_UP_MS;
+    while (peers.heardAt('up.1')?.heard !== true && performance.now() < end) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(20);
+    }
+    assert.equal(peers.heardAt('up.1')?.heard, true);
+    assert.equal(peers.heardAt('lost.1')?.heard, false);
+    assert.equal(peers.heardAt('unknown.1'), undefined);
+  });
 });
--- a/src/daemon/__tests__/unit/DaemonControlService.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlService.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
-import { LEASE_MS } from '../../../coordination/index.js';
+import { LEASE_MS, type ConsensusMembers } from '../../../coordination/index.js';
 import type { MemberRecord } from '../../../protocol/index.js';
 import type { LeaseCommand, LeaseState } from '../../../state/index.js';
 import type { DaemonConsensus } from '../../DaemonConsensus.js';
@@ -78,6 +78,36 @@
   });
 }
 
+/** A leader that restarted 1 s ago, of four voters; b last heard from c `ms` ago, d has never heard from it. */
+async function votersAfterRestart(ms: number): Promise<readonly string[]> {
+  const now = 10_000;
+  const elected = { next: 8, match: 7, heardAt: now - 800, round: 0, inFlight: null };
+  const reportOf = (at: number, heard: boolean) => ({
+    ...elected,
+    hasReplied: true,
+    contacts: { c: { at, heard, asOf: now } },
+  });
+  const progress = { b: reportOf(now - ms, true), c: elected, d: reportOf(now - 2_000, false) };
+  const members: ConsensusMembers = { voters: ['a', 'b', 'c', 'd'], learners: [] };
+  let changed = members;
+  const consensus = {
+    state: { id: 'a', term: 2, role: 'leader', commit: 7, members, progress },
+    changeMembers: async (to: ConsensusMembers) => {
+      changed = to;
+    },
+  };
+  const service = new DaemonControlService({
+    consensus: consensus as unknown as DaemonConsensus,
+    log: pino({ level: 'silent' }),
+    now: () => now,
+    heardAt: () => ({ at: now - 1_000, heard: false }),
+    lossesBorne: 1,
+    recordOf: () => undefined,
+  });
+  await service.updateVoters();
+  return changed.voters;
+}
+
 const DOCUMENT = { fleet: 'f', version: 1, digest: 'd', entries: {} };
 
 describe('DaemonControlService', () => {
@@ -90,6 +120,12 @@
     assert.equal((await second).result, 'accepted');
   });
 
+  // Guards against a lost host that keeps its vote because the leader's process has restarted since.
+  it('drops a voter by what the other replicas report, and keeps it while one hears it', async () => {
+    assert.deepEqual(await votersAfterRestart(5_000), ['a', 'b', 'd']);
+    assert.deepEqual(await votersAfterRestart(100), ['a', 'b', 'c', 'd']);
+  });
+
   // Guards against a group that has no coordinator until the lease of a killed one runs out.
   it('grants a lease at once when its holder has exited', async () => {
     const ended: MemberRecord = { ...RECORD, status: 'gone', ended: true };
--- a/src/transport/TransportLinkClient.ts
+++ b/src/transport/TransportLinkClient.ts
@@ -78,8 +78,10 @@
   /** Resolves once no search is in progress. */
   #searchDone: Promise<void> = Promise.resolve();
 
+  readonly #createdAt = performance.now();
+
   /** When something was last received on an ended link; at first, when this client was created. */
-  #lastReceivedEarlier = performance.now();
+  #lastReceivedEarlier = this.#createdAt;
 
   constructor(options: LinkClientOptions) {
     this.#options = options;
@@ -97,6 +99,11 @@
     return this.#link?.hasReceived === true ? this.#link.lastReceivedAt : this.#lastReceivedEarlier;
   }
 
+  /** Whether anything was ever received; until then {@link lastReceivedAt} is when this client was created. */
+  get hasReceived(): boolean {
+    return this.lastReceivedAt > this.#createdAt;
+  }
+
   /** Calls a method of the peer. Rejects at once if there is no link. */
   async request(method: string, params: unknown, timeoutMs?: number): Promise<unknown> {
     if (this.#link === null) {
