Model check: the leader asks the replicas about a voter, and heeds one that hears it

Two cases of the choice of voters: the leader's process restarts and has seen no silence itself (3 hosts), and a voter is hidden from the leader alone (4 hosts). State and contacts of the specification are a module of their own, SpecVotersState.

--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -3,7 +3,8 @@
 import { makeLeaseSpec } from './SpecLease.js';
 import { makeMapChangeSpec } from './SpecMapChange.js';
 import { makeRolloutSpec } from './SpecRollout.js';
-import { makeVotersSpec, VOTERS_SAFEGUARDS } from './SpecVoters.js';
+import { makeVotersSpec } from './SpecVoters.js';
+import { VOTERS_SAFEGUARDS } from './SpecVotersState.js';
 import type { Spec, SpecEvent } from './SpecTypes.js';
 
 /** The specifications that `npm run check:model` explores. */
@@ -23,18 +24,24 @@
     { terms: 2, log: 1, crashes: 0, candidates: 'bd', replace: true, start: 'after one commit' },
     ['new identity after a lost disk', 'one voter at a time'],
   ),
-  makeVotersSpec({ hosts: 3, borne: 1, losses: 2, silences: 1, inOrder: false }, [
+  makeVotersSpec({ hosts: 3, borne: 1, losses: 2, silences: 1, reports: false, inOrder: false }, [
     VOTERS_SAFEGUARDS.SILENCE_OUTLIVES_ELECTION,
     VOTERS_SAFEGUARDS.DROP_SILENT,
   ]),
-  makeVotersSpec({ hosts: 5, borne: 2, losses: 4, silences: 0, inOrder: true }, [
+  makeVotersSpec({ hosts: 5, borne: 2, losses: 4, silences: 0, reports: false, inOrder: true }, [
     VOTERS_SAFEGUARDS.DROP_TWO_OF_ODD,
     VOTERS_SAFEGUARDS.KEEP_ENOUGH_VOTERS,
   ]),
-  makeVotersSpec({ hosts: 5, borne: 2, losses: 2, silences: 1, inOrder: true }, [
+  makeVotersSpec({ hosts: 5, borne: 2, losses: 2, silences: 1, reports: false, inOrder: true }, [
     VOTERS_SAFEGUARDS.PROMOTE_FIRST,
   ]),
-  makeVotersSpec({ hosts: 6, borne: 2, losses: 3, silences: 1, inOrder: true }, []),
+  makeVotersSpec({ hosts: 6, borne: 2, losses: 3, silences: 1, reports: false, inOrder: true }, []),
+  makeVotersSpec({ hosts: 3, borne: 1, losses: 2, silences: 0, reports: true, inOrder: true }, [
+    VOTERS_SAFEGUARDS.ASK_REPLICAS,
+  ]),
+  makeVotersSpec({ hosts: 4, borne: 1, losses: 1, silences: 1, reports: true, inOrder: true }, [
+    VOTERS_SAFEGUARDS.HEED_CONTACT,
+  ]),
   makeRolloutSpec({ changes: 3, restarts: 3, processes: 2 }),
   makeLeaseSpec({ grants: 3, restarts: 2 }),
   makeMapChangeSpec({ ranks: 3, proposals: [1, 0] }, [
--- a/spec/SpecVoters.ts
+++ b/spec/SpecVoters.ts
@@ -4,31 +4,26 @@
  */
 import {
   nextVoterChange,
-  type ConsensusMembers,
   type ConsensusState,
   type VoterChange,
 } from '../src/coordination/index.js';
 import type { Safeguards, Spec, SpecEvent } from './SpecTypes.js';
+import {
+  contactOfLeader,
+  NOW,
+  progressOf,
+  VOTERS_SAFEGUARDS,
+  type Replica,
+  type State,
+} from './SpecVotersState.js';
 
-/** A replica; its id is `host.n`, where n counts the host's disks. */
-interface Replica {
-  readonly id: string;
-  /** `gone`: its disk is lost permanently. `silent`: unreachable, with its disk intact. */
-  readonly status: 'sound' | 'silent' | 'gone';
-  /** Whether the leader treats it as unreachable. */
-  readonly suspected: boolean;
-  /** Whether its disk holds all accepted entries. */
-  readonly isUpToDate: boolean;
-}
-
-interface State {
-  readonly replicas: readonly Replica[];
-  readonly members: ConsensusMembers;
-  /** Lost disks that aren't made up for yet; at most `borne` of them at a time are tolerated. */
-  readonly unrepaired: number;
-  readonly losses: number;
-  readonly silences: number;
-}
+const {
+  SILENCE_OUTLIVES_ELECTION,
+  DROP_SILENT,
+  DROP_TWO_OF_ODD,
+  PROMOTE_FIRST,
+  KEEP_ENOUGH_VOTERS,
+} = VOTERS_SAFEGUARDS;
 
 interface Event extends SpecEvent {
   readonly id?: string;
@@ -41,28 +36,12 @@
   readonly borne: number;
   readonly losses: number;
   readonly silences: number;
+  /** Whether the leader's process restarts, and a replica is hidden from the leader alone, at some point. */
+  readonly reports: boolean;
   /** Only initial replicas fail, disks from the first on and silence from the last on; they are interchangeable. */
   readonly inOrder: boolean;
 }
 
-const SILENCE_OUTLIVES_ELECTION = 'silence is counted across elections';
-const DROP_SILENT = 'silent voters are dropped where the quorum gets smaller';
-const DROP_TWO_OF_ODD = 'two silent voters of an odd number are dropped';
-const PROMOTE_FIRST = 'newcomers are promoted before any voter is dropped';
-const KEEP_ENOUGH_VOTERS = 'as many voters stay as the disks that may be lost ask for';
-
-/** Names of the safeguards; each specification lists those whose mutants fail within its bounds. */
-export const VOTERS_SAFEGUARDS = {
-  SILENCE_OUTLIVES_ELECTION,
-  DROP_SILENT,
-  DROP_TWO_OF_ODD,
-  PROMOTE_FIRST,
-  KEEP_ENOUGH_VOTERS,
-};
-
-/** Current time, ms; a replica last heard from at 0 counts as unreachable. */
-const NOW = 10_000;
-
 function findReplica(state: State, id: string): Replica | undefined {
   return state.replicas.find((replica) => replica.id === id);
 }
@@ -118,17 +97,14 @@
   if (leader === undefined) {
     return null;
   }
-  const lastHeardAt = ({ suspected }: Replica): number => (suspected ? 0 : NOW);
-  const progress = Object.fromEntries(
-    state.replicas.map((replica) => [
-      replica.id,
-      { next: 2, match: replica.isUpToDate ? 1 : 0, heardAt: lastHeardAt(replica), round: 0 },
-    ]),
-  );
-  const view = { id: leader.id, members: state.members, progress, commit: 1 };
+  const { members } = state;
+  const view = { id: leader.id, members, progress: progressOf(state, enabled), commit: 1 };
   const found = nextVoterChange(view as unknown as ConsensusState, {
     now: NOW,
-    heardAt: () => undefined,
+    heardAt: (id) => {
+      const replica = findReplica(state, id);
+      return replica && contactOfLeader(state, replica);
+    },
     lossesBorne: enabled[KEEP_ENOUGH_VOTERS] === false ? 0 : bounds.borne,
   });
   if (found?.reason === 'caughtUp' && enabled[PROMOTE_FIRST] === false) {
@@ -160,6 +136,7 @@
     ({ id, status, suspected, isUpToDate }) =>
       (status === 'gone' && !suspected && enabled[SILENCE_OUTLIVES_ELECTION] !== false) ||
       status === 'silent' ||
+      id === state.hidden ||
       (status === 'sound' && !isUpToDate) ||
       (status === 'sound' &&
         !state.members.voters.includes(id) &&
@@ -199,6 +176,9 @@
   }),
   back: (state, { id = '' }) => setReplica(state, id, { status: 'sound', suspected: false }),
   notice: (state, { id = '' }) => setReplica(state, id, { suspected: true }),
+  restart: (state) => ({ ...state, isRestarted: true }),
+  hide: (state, { id = '' }) => ({ ...state, hidden: id }),
+  unhide: (state) => ({ ...state, hidden: null }),
   elect: (state) => ({
     ...state,
     replicas: state.replicas.map((replica) => ({ ...replica, suspected: false })),
@@ -224,7 +204,13 @@
   },
   change: (state, _event, bounds, enabled) => {
     const next = nextChange(state, bounds, enabled);
-    return next === null ? state : dropUnusedReplicas({ ...state, members: next.members });
+    if (next === null) {
+      return state;
+    }
+    const isHeard =
+      next.reason === 'silent' && findReplica(state, next.replica)?.status === 'sound';
+    const hasDroppedHeard = state.hasDroppedHeard || isHeard;
+    return dropUnusedReplicas({ ...state, members: next.members, hasDroppedHeard });
   },
   settle: (state) => ({ ...state, unrepaired: 0 }),
 };
@@ -242,6 +228,17 @@
     : [true, true];
 }
 
+/** The leader's process restarts, or a voter is hidden from the leader alone. */
+function reportEvents(state: State, leader: Replica | undefined): readonly Event[] {
+  const { voters } = state.members;
+  return [
+    ...(state.isRestarted ? [] : [{ type: 'restart' }]),
+    ...(state.hidden === null
+      ? voters.filter((id) => id !== leader?.id).map((id) => ({ type: 'hide', id }))
+      : [{ type: 'unhide' }]),
+  ];
+}
+
 function eventsOf(state: State, bounds: VotersBounds, enabled: Safeguards): readonly Event[] {
   const leader = leaderOf(state);
   const { voters, learners } = state.members;
@@ -270,6 +267,7 @@
       ];
     }),
     ...(leader === undefined ? [] : [{ type: 'accept' }]),
+    ...(bounds.reports ? reportEvents(state, leader) : []),
     ...(next !== null && canCommit(state, next) ? [{ type: 'change' }] : []),
     ...(enabled[SILENCE_OUTLIVES_ELECTION] === false ? [{ type: 'elect' }] : []),
     ...(state.unrepaired > 0 && isRepaired(state, bounds, enabled) ? [{ type: 'settle' }] : []),
@@ -281,6 +279,7 @@
   const canElectOutdated = hasQuorum(state, (replica) => hasDisk(replica) && !replica.isUpToDate);
   return [
     ...(hasQuorum(state, hasDisk) ? [] : ['no leader can be elected any more']),
+    ...(state.hasDroppedHeard ? ['a voter that another one heard was dropped'] : []),
     ...(canElectOutdated ? ['voters that lack what was accepted can elect a leader'] : []),
   ];
 }
@@ -301,6 +300,9 @@
       unrepaired: 0,
       losses: 0,
       silences: 0,
+      isRestarted: false,
+      hidden: null,
+      hasDroppedHeard: false,
     },
     events: (state, enabled) => eventsOf(state, bounds, enabled),
     step: (state, event, enabled) => STEPS[event.type]?.(state, event, bounds, enabled) ?? state,
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -31,10 +31,12 @@
   ConsensusMembers,
   ConsensusMessage,
   ConsensusOutput,
+  ConsensusProgress,
   ConsensusSnapshot,
   ConsensusState,
   ConsensusStep,
   ReplicaContact,
+  ReportedContact,
 } from './ConsensusTypes.js';
 export {
   nextVoterChange,
