Fix: a replica that acknowledges last learns of the commit at once

Cause: entries are sent one transfer at a time, and a heartbeat sent meanwhile covers only what the replica is known to have. A replica whose acknowledgment came after the commit learned of it with the next heartbeat, up to 0.15 s later.

Change: replies carry the follower's commit index; the leader answers an acknowledgment with a heartbeat if it covers committed entries that the follower doesn't know to be committed. Costs a message and a reply per entry and replica that acknowledges after the commit.

--- a/src/coordination/Consensus.ts
+++ b/src/coordination/Consensus.ts
@@ -79,9 +79,9 @@
   { ok, match }: { readonly ok: boolean; readonly match: number },
   ctx: ConsensusContext,
 ): ConsensusStep {
-  const { term } = state;
+  const { term, commit } = state;
   const contacts = sentAt === undefined ? {} : { contacts: reportContacts(state, sentAt, ctx) };
-  const message = { type: 'appendReply', term, ok, match, round, ...contacts } as const;
+  const message = { type: 'appendReply', term, ok, match, round, commit, ...contacts } as const;
   return { state, outputs: [{ type: 'send', to, message }] };
 }
 
--- a/src/coordination/ConsensusReplication.ts
+++ b/src/coordination/ConsensusReplication.ts
@@ -54,21 +54,22 @@
 }
 
 /** A heartbeat that any log accepts, as it follows an entry that the replica is known to have. */
-function heartbeatFor(
-  state: ConsensusState,
-  { match }: ConsensusProgress,
-  sentAt: number,
-): ConsensusMessage {
+function heartbeatTo(state: ConsensusState, to: string, ctx: ConsensusContext): ConsensusOutput {
+  const { match } = progressOf(state, to);
   const matchTerm = termAt(state, match);
   return {
-    type: 'append',
-    term: state.term,
-    prevIndex: matchTerm === undefined ? 0 : match,
-    prevTerm: matchTerm ?? 0,
-    entries: [],
-    commit: state.commit,
-    round: state.round,
-    sentAt,
+    type: 'send',
+    to,
+    message: {
+      type: 'append',
+      term: state.term,
+      prevIndex: matchTerm === undefined ? 0 : match,
+      prevTerm: matchTerm ?? 0,
+      entries: [],
+      commit: state.commit,
+      round: state.round,
+      sentAt: ctx.now,
+    },
   };
 }
 
@@ -108,10 +109,9 @@
  * catches up, and answer neither reads nor elections in time.
  */
 function sendOrHeartbeat(state: ConsensusState, to: string, ctx: ConsensusContext): ConsensusStep {
-  const progress = progressOf(state, to);
-  const { inFlight } = progress;
+  const { inFlight } = progressOf(state, to);
   return inFlight !== null && ctx.now - inFlight.sentAt < RESEND_AFTER_MS
-    ? { state, outputs: [{ type: 'send', to, message: heartbeatFor(state, progress, ctx.now) }] }
+    ? { state, outputs: [heartbeatTo(state, to, ctx)] }
     : sendMissing(state, to, ctx);
 }
 
@@ -236,6 +236,17 @@
   };
 }
 
+/**
+ * Whether a replica lacks the news that what it has just acknowledged is committed, which only an append after the
+ * acknowledgment can tell it. `committed` is the index before this reply; a commit that the reply causes is broadcast.
+ */
+function lacksCommit(
+  { ok, match, commit }: Extract<ConsensusMessage, { type: 'appendReply' }>,
+  committed: number,
+): boolean {
+  return ok && commit !== undefined && commit < Math.min(match, committed);
+}
+
 /** Handles a follower's reply to an append or a snapshot. */
 export function onAppendReply(
   state: ConsensusState,
@@ -256,7 +267,12 @@
   const isBehind =
     progressOf(committed.state, from).inFlight === null &&
     progress.next <= lastIndex(committed.state);
-  return isBehind ? chain(committed, (now) => sendMissing(now, from, ctx)) : committed;
+  if (isBehind) {
+    return chain(committed, (now) => sendMissing(now, from, ctx));
+  }
+  return lacksCommit(message, next.commit)
+    ? chain(committed, (now) => ({ state: now, outputs: [heartbeatTo(now, from, ctx)] }))
+    : committed;
 }
 
 /** Starts a read, which completes once a quorum has confirmed this leader in a round that begins now. */
--- a/src/coordination/ConsensusTypes.ts
+++ b/src/coordination/ConsensusTypes.ts
@@ -94,6 +94,8 @@
        */
       readonly match: number;
       readonly round: number;
+      /** The follower's commit index. */
+      readonly commit?: number;
       readonly contacts?: ContactReport;
     } & WithTerm)
   | ({
