--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -49,6 +49,8 @@
   readonly pauseMs: number;
   /** Number of entry processes that share the slots. */
   readonly entryHosts: number;
+  /** Whether requests may be sent to an endpoint; all are usable without it. The limit counts usable ranks only. */
+  readonly isUsable?: (endpoint: string) => boolean;
 }
 
 /** A load report older than this is ignored: the coordinator has crashed or is unreachable. In ms. */
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -54,8 +54,10 @@
 } from './ProtocolRequestError.js';
 export type {
   CallerLimits,
+  CappedGrantRow,
   EngineCosts,
   EngineOrder,
+  GrantRow,
   GroupLoad,
   GroupMap,
   KeyedCustomer,
@@ -67,4 +69,5 @@
   RoutePlan,
   RouteTarget,
   ServiceSpec,
+  SlotGrants,
 } from './ProtocolRoutes.js';
