Entry hosts keep the limit of a group across the loss of its coordinator

Cause: a load was used at face value whoever sent it, and an expired load was replaced by an optimistic initial state, so that the successors of a killed coordinator had full groups filled again (72 ranks, 353 running: limit 504).

Loads are now judged by token, by sending time (repeated or late loads) and by the number of ranks reported. Incomplete loads state only whether the group is open. The last limit is kept and discounted with age down to that of a first map, and a new epoch starts from the skew of the first map.

Tests changed: the expiry of a load used to give 16 free slots at once; the test now asserts that nothing is started beyond the last load until 3 s after it, when the even share applies. The rounding of the initial share is an argument, and the runtime of the admission tests has a metrics registry.

--- a/bench/BenchRoutingModel.ts
+++ b/bench/BenchRoutingModel.ts
@@ -133,6 +133,7 @@
           zone: `z${rank % ZONES}`,
         })),
         this.#parameters,
+        0.5,
       ),
     );
     // Callers are assigned to hosts by a hash, so that some hosts get up to three times the load of others.
--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -7,14 +7,19 @@
  * requests that it runs, and until the next one it may only replace those that end. The next report
  * redistributes the slots that other processes left unused.
  */
-import type { EngineCosts, GroupLoad } from '../protocol/index.js';
+import type { GroupLoad } from '../protocol/index.js';
+import { DEFAULT_PASS_CORRECTION, passTime } from './EngineModel.js';
 import {
-  passCorrection,
-  passTime,
-  skewCorrection,
-  DEFAULT_PASS_CORRECTION,
-  maxWritersFor,
-} from './EngineModel.js';
+  DISCOUNT_END_MS,
+  DISCOUNT_START_MS,
+  INITIAL_SLOT_LIMIT,
+  stepSlotLimit,
+  writersAt,
+  type LimitParameters,
+  type LoadVerdict,
+  type SlotLimit,
+  type SlotLimitStep,
+} from './load/index.js';
 
 /** Endpoint of one rank of a group. */
 export interface GroupRank {
@@ -23,19 +28,39 @@
   readonly zone: string;
 }
 
+/** Number of own requests at a time. */
+interface OwnCount {
+  readonly at: number;
+  readonly own: number;
+}
+
 /** What this process knows of one group. */
 export interface GroupSlots {
   readonly group: string;
   readonly ranks: readonly GroupRank[];
+  /** Last complete load; null if there is none, or it is too old. */
   readonly load: GroupLoad | null;
-  /** When the load report arrived, ms. */
+  /** When the last complete load arrived, ms. */
   readonly loadAt: number;
+  /** Whether the last load stated that the group is open; null if it is not known. */
+  readonly open: boolean | null;
+  /** When a load that was used arrived, complete or not, ms. */
+  readonly heardAt: number;
+  /** Use of the last load. */
+  readonly verdict: LoadVerdict;
+  readonly knowledge: SlotLimit;
   /** When the group was found broken, by a refusal of a rank or a stall, ms; null if it is not broken. */
   readonly brokenAt: number | null;
-  /** Requests of this process at each endpoint when the load report arrived. */
+  /** Requests of this process at each endpoint when the last complete load arrived. */
   readonly ownAtLoad: ReadonlyMap<string, number>;
-  /** Requests that this process may run at the group until the next load report. */
+  /** Recent numbers of own requests at usable ranks, oldest first. */
+  readonly ownHistory: readonly OwnCount[];
+  /** Requests that this process may run at the group until the next load. */
   readonly allowance: number;
+  /** Allowance by the last complete load. */
+  readonly allowanceAtLoad: number;
+  /** Random number from 0 to 1 that decides whether a fraction of a slot is rounded up. */
+  readonly rounding: number;
   /** Maximum number of requests that the whole group should run. */
   readonly limit: number;
   /** Duration of a pass, ms: observed, or else computed from the declared costs. */
@@ -43,24 +68,24 @@
 }
 
 /** Inputs to the calculation of slots. */
-export interface SlotParameters {
-  readonly costs: EngineCosts;
-  /** Longest pause between two events of a stream that counts as on time, ms. */
-  readonly pauseMs: number;
+export interface SlotParameters extends LimitParameters {
   /** Number of entry processes that share the slots. */
   readonly entryHosts: number;
   /** Whether requests may be sent to an endpoint; all are usable without it. The limit counts usable ranks only. */
   readonly isUsable?: (endpoint: string) => boolean;
 }
 
-/** A load report older than this is ignored: the coordinator has crashed or is unreachable. In ms. */
+/**
+ * Age of a load from which the requests that it reports, and whether it reports the group as open, are no longer
+ * considered known: the coordinator has crashed or is unreachable. In ms.
+ */
 export const LOAD_TTL_MS = 1_500;
 
-/** Part of the longest pause that a pass may take, since prompts are read between passes. */
-const MAX_PASS_SHARE = 0.9;
+/** Time for which the numbers of own requests are kept, ms; a load that is delayed for longer has expired. */
+const HISTORY_MS = LOAD_TTL_MS;
 
-/** Writers (streams being generated) that each rank may have even if passes are too long: late answers have value. */
-const MIN_WRITERS = 2;
+/** Interval between two recorded numbers of own requests, ms: a fraction of the interval between loads. */
+const HISTORY_INTERVAL_MS = 50;
 
 /** Factor on a process's even share of the free slots, since not all processes have work at once. */
 const OVERCOMMIT = 1.3;
@@ -69,79 +94,227 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-/** Maximum number of writers on a rank, by the costs and the correction; may be a fraction. */
-function maxWriters({ costs, pauseMs }: SlotParameters, correction: number): number {
-  const allowed = maxWritersFor(costs, correction, pauseMs * MAX_PASS_SHARE);
-  return Math.min(costs.slots, Math.max(MIN_WRITERS, allowed));
+/** Whether a rank of the group takes requests; a rank whose endpoint isn't known yet does. */
+function isUsableRank(
+  { ranks }: Pick<GroupSlots, 'ranks'>,
+  { isUsable }: SlotParameters,
+): (rank: number) => boolean {
+  if (isUsable === undefined) {
+    return () => true;
+  }
+  const unusable = new Set(
+    ranks.filter(({ endpoint }) => !isUsable(endpoint)).map(({ rank }) => rank),
+  );
+  return (rank) => !unusable.has(rank);
+}
+
+/** Number of ranks that the limit counts: usable and not slow, or just usable if all of them are slow. */
+function countUsableRanks(
+  state: Pick<GroupSlots, 'ranks'>,
+  load: GroupLoad | null,
+  params: SlotParameters,
+): number {
+  const isUsable = isUsableRank(state, params);
+  const all = load?.active.map((_value, rank) => rank) ?? state.ranks.map(({ rank }) => rank);
+  const usable = all.filter(isUsable);
+  const slow = new Set(load?.slow);
+  const fast = usable.filter((rank) => !slow.has(rank));
+  return fast.length > 0 ? fast.length : usable.length;
+}
+
+/** Number of own requests at the ranks that pass the filter. */
+function countOwn(
+  ranks: readonly GroupRank[],
+  own: ReadonlyMap<string, number>,
+  filter: (rank: number) => boolean,
+): number {
+  return sum(
+    ranks.filter(({ rank }) => filter(rank)).map(({ endpoint }) => own.get(endpoint) ?? 0),
+  );
+}
+
+/** Even share of a limit, rounded up or down at random so that the shares of all processes add up to it. */
+function evenShare(limit: number, { entryHosts }: SlotParameters, rounding: number): number {
+  return Math.floor(limit / Math.max(1, entryHosts) + rounding);
 }
 
-/** Initial state of a group: without a load report this process may use an even share of all slots. */
+/**
+ * Initial state of a group: without a load this process may use an even share of the slots under a first map. The
+ * random number `rounding`, from 0 to 1, decides whether a fraction of a slot is rounded up.
+ */
 export function initGroupSlots(
   group: string,
   ranks: readonly GroupRank[],
   params: SlotParameters,
+  rounding: number,
 ): GroupSlots {
-  const limit = ranks.length * maxWriters(params, DEFAULT_PASS_CORRECTION);
+  const writers = writersAt(INITIAL_SLOT_LIMIT, params, 0);
+  const limit = countUsableRanks({ ranks }, null, params) * writers;
   return {
     group,
     ranks,
     load: null,
     loadAt: -Infinity,
+    open: null,
+    heardAt: -Infinity,
+    verdict: 'incomplete',
+    knowledge: INITIAL_SLOT_LIMIT,
     brokenAt: null,
     ownAtLoad: new Map(),
-    allowance: Math.ceil(limit / Math.max(1, params.entryHosts)),
+    ownHistory: [],
+    allowance: evenShare(limit, params, rounding),
+    allowanceAtLoad: Infinity,
+    rounding,
     limit,
-    passMs: passTime(params.costs, limit / Math.max(1, ranks.length)),
+    passMs: passTime(params.costs, writers) * DEFAULT_PASS_CORRECTION,
   };
 }
 
+/** Records the number of own requests, so that a delayed load can be compared with those that it knew of. */
+function recordOwn(state: GroupSlots, own: number, now: number): GroupSlots {
+  const newest = state.ownHistory.at(-1);
+  if (newest !== undefined && now - newest.at < HISTORY_INTERVAL_MS) {
+    return state;
+  }
+  const recent = state.ownHistory.filter(({ at }) => now - at <= HISTORY_MS);
+  return { ...state, ownHistory: [...recent, { at: now, own }] };
+}
+
 /**
- * Factor by which passes take longer than declared: from observed passes, or, before any was observed, from the
- * skew of the map in use.
- *
- * No pass has been observed when a group has just opened with its first map. If all slots were given out at
- * once, passes would exceed the longest pause half a second later, and all these streams would be late. The
- * skew predicts how long passes will be. Once passes have been observed the skew is ignored: counting both
- * gives out fewer slots during each shift of demand, and more requests are late while they wait for one (a
- * score of 0.722 instead of 0.773 where demand shifts every 3.5 s).
+ * Number of own requests when a load was sent that was delayed. Requests that started since are not in that load; if
+ * they were not counted against its free slots, each load of the delay would give out the same slots again.
  */
-function loadCorrection({ costs }: SlotParameters, writers: number, load: GroupLoad): number {
-  const observed = passCorrection(costs, writers, load.passMs);
-  return load.passMs === null ? Math.max(observed, skewCorrection(costs, load.skew)) : observed;
+function ownWhenSent(state: GroupSlots, own: number, delayMs: number, now: number): number {
+  const known = state.ownHistory.findLast(({ at }) => at <= now - delayMs) ?? state.ownHistory[0];
+  return delayMs > 0 && known !== undefined ? known.own : own;
 }
 
-/** Applies a load report; `random`, from 0 to 1, decides whether a fraction of a slot is rounded up. */
-export function applyGroupLoad(
+/**
+ * Discounts the limit while no complete load arrives. Slots that the last one gave out may still be used, and requests
+ * that end may be replaced, up to this process's even share of the discounted limit. Once the limit is that under a
+ * first map, each process may use its even share: otherwise a group without a coordinator would end up unused.
+ */
+function discountLimit(state: GroupSlots, params: SlotParameters, now: number): GroupSlots {
+  const age = now - state.loadAt;
+  if (age <= DISCOUNT_START_MS || state.open === false) {
+    return state;
+  }
+  const limit =
+    countUsableRanks(state, state.load, params) * writersAt(state.knowledge, params, now);
+  const share = evenShare(limit, params, state.rounding);
+  const allowance = age < DISCOUNT_END_MS ? Math.min(state.allowanceAtLoad, share) : share;
+  return limit === state.limit && allowance === state.allowance
+    ? state
+    : { ...state, limit, allowance };
+}
+
+/** Forgets whether the group is open or broken if that was found too long ago to count. */
+function forgetOpen(state: GroupSlots, now: number): GroupSlots {
+  const { brokenAt, heardAt } = state;
+  const isBrokenLately = brokenAt !== null && now - brokenAt <= LOAD_TTL_MS;
+  const isKnown = state.open !== null || brokenAt !== null;
+  return isBrokenLately || !isKnown || now - heardAt <= LOAD_TTL_MS
+    ? state
+    : { ...state, open: null, brokenAt: null };
+}
+
+function forgetLoad(state: GroupSlots, now: number): GroupSlots {
+  return state.load === null || now - state.loadAt <= LOAD_TTL_MS
+    ? state
+    : { ...state, load: null, ownAtLoad: new Map() };
+}
+
+/** Applies the passage of time: loads get too old to count, and the limit is discounted. */
+export function refreshGroupSlots(
+  state: GroupSlots,
+  own: ReadonlyMap<string, number>,
+  params: SlotParameters,
+  now: number,
+): GroupSlots {
+  const counted = recordOwn(state, countOwn(state.ranks, own, isUsableRank(state, params)), now);
+  return discountLimit(forgetLoad(forgetOpen(counted, now), now), params, now);
+}
+
+/**
+ * Factor on the even share of the free slots. A group that was short of slots for a while, or has just formed, has many
+ * free ones and requests waiting at all processes, so nothing may be given out beyond what is free.
+ */
+function overcommit({ knowledge, loadAt }: GroupSlots, load: GroupLoad, now: number): number {
+  const isFirst = knowledge.token === 0;
+  const isNext = load.token === knowledge.token && now - loadAt <= DISCOUNT_START_MS;
+  return load.token === undefined || isFirst || isNext ? OVERCOMMIT : 1;
+}
+
+function applyCompleteLoad(
   state: GroupSlots,
   load: GroupLoad,
+  { limit: knowledge, writers: writersEach, delayMs }: SlotLimitStep,
   own: ReadonlyMap<string, number>,
   params: SlotParameters,
   now: number,
   random: number,
 ): GroupSlots {
-  const ranks = Math.max(1, load.active.length);
-  const running = sum(load.active) + sum(load.queued);
-  const writers = sum(load.active) / ranks;
-  const correction = loadCorrection(params, writers, load);
-  const slow = load.slow?.length ?? 0;
-  const usable = slow < ranks ? ranks - slow : ranks;
-  const limit = load.open ? usable * maxWriters(params, correction) : 0;
-  const ownRunning = sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
-  const free = limit - running;
-  const freeShare = (Math.max(0, free) / Math.max(1, params.entryHosts)) * OVERCOMMIT;
-  const kept = running > limit ? (ownRunning * limit) / running : ownRunning;
+  const isUsable = isUsableRank(state, params);
+  const running =
+    sum(load.active.filter((_value, rank) => isUsable(rank))) +
+    sum(load.queued.filter((_value, rank) => isUsable(rank)));
+  const limit = load.open ? countUsableRanks(state, load, params) * writersEach : 0;
+  const ownUsable = countOwn(state.ranks, own, isUsable);
+  const ownElsewhere = countOwn(state.ranks, own, (rank) => !isUsable(rank));
+  const ownSent = ownWhenSent(state, ownUsable, delayMs, now);
+  const free = Math.max(0, limit - running);
+  const freeShare = (free / Math.max(1, params.entryHosts)) * overcommit(state, load, now);
+  const kept = running > limit ? (ownSent * limit) / running : ownSent;
+  const allowance = Math.floor(kept + freeShare + random) + ownElsewhere;
+  const writers = sum(load.active) / Math.max(1, load.active.length);
+  const estimatedMs = passTime(params.costs, writers) * DEFAULT_PASS_CORRECTION;
+  const isPassKnown = load.passMs === null && knowledge.accepted?.isObserved === true;
   return {
     ...state,
     load,
     loadAt: now,
-    brokenAt: load.open ? null : state.brokenAt,
+    knowledge,
     ownAtLoad: new Map(own),
-    allowance: Math.floor(kept + freeShare + random),
+    allowance,
+    allowanceAtLoad: allowance,
+    rounding: random,
     limit,
-    passMs: load.passMs ?? passTime(params.costs, writers) * DEFAULT_PASS_CORRECTION,
+    passMs: load.passMs ?? (isPassKnown ? state.passMs : estimatedMs),
   };
 }
 
+/**
+ * Applies a load; `random`, from 0 to 1, decides whether a fraction of a slot is rounded up. An outdated load changes
+ * nothing; an incomplete one changes only whether the group is open, and what is known of its coordinator and epoch.
+ */
+export function applyGroupLoad(
+  state: GroupSlots,
+  load: GroupLoad,
+  own: ReadonlyMap<string, number>,
+  params: SlotParameters,
+  now: number,
+  random: number,
+): GroupSlots {
+  const step = stepSlotLimit(state.knowledge, load, params, now);
+  const { verdict } = step;
+  if (verdict === 'outdated') {
+    return { ...state, verdict };
+  }
+  const counted = recordOwn(state, countOwn(state.ranks, own, isUsableRank(state, params)), now);
+  const heard: GroupSlots = {
+    ...counted,
+    verdict,
+    open: load.open,
+    heardAt: now,
+    brokenAt: load.open ? null : state.brokenAt,
+    // All requests of the earlier epoch have ended, and so has what the last load said of them.
+    ...(step.isNewEpoch ? { load: null, loadAt: -Infinity, allowanceAtLoad: Infinity } : {}),
+  };
+  return verdict === 'complete'
+    ? applyCompleteLoad(heard, load, step, own, params, now, random)
+    : refreshGroupSlots({ ...heard, knowledge: step.limit }, own, params, now);
+}
+
 /**
  * Marks the group as broken, for as long as a load report would count.
  *
@@ -159,46 +332,8 @@
 }
 
 /** Whether the group answers, as far as this process knows. */
-export function isOpenGroup({ load, brokenAt }: GroupSlots): boolean {
-  return brokenAt === null && (load === null || load.open);
-}
-
-/** This process's own streams at a group. */
-export interface OwnStreams {
-  /** Number of streams whose first event has arrived and whose last has not. */
-  readonly writingCount: number;
-  /** When the last event of any of them arrived, ms. */
-  readonly lastEventAt: number;
-}
-
-/** Number of passes without an event of any own stream after which a group counts as stalled. */
-const STALL_PASSES = 4;
-
-/** Minimum time for that, ms: events arrive in bursts when a host is busy, and prompts lengthen a pass. */
-const MIN_STALL_MS = 300;
-
-/**
- * Whether a group has stalled: each pass brings an event of each stream, and none has arrived for several passes.
- *
- * When a rank is unreachable, the others wait 1.5 s for it before they report it. A request sent meanwhile
- * may have run when it fails, so its caller can't be told to retry and the request is lost; or it hangs
- * on a connection to the unreachable rank until its caller leaves. So the group counts as broken after 0.3 s
- * without an event, and new requests wait here, where they can't have run.
- */
-export function isGroupStalled(state: GroupSlots, own: OwnStreams, now: number): boolean {
-  const stallMs = Math.max(MIN_STALL_MS, STALL_PASSES * state.passMs);
-  return own.writingCount > 0 && now - own.lastEventAt > stallMs;
-}
-
-/** Resets the group's state if its load report, or the time it was found broken, is too old to count. */
-export function dropStaleLoad(state: GroupSlots, params: SlotParameters, now: number): GroupSlots {
-  const { load, loadAt, brokenAt } = state;
-  if (brokenAt !== null && now - brokenAt <= LOAD_TTL_MS) {
-    return state;
-  }
-  const isLoadStale = load !== null && now - loadAt > LOAD_TTL_MS;
-  const isBrokenStale = brokenAt !== null && load === null;
-  return isLoadStale || isBrokenStale ? initGroupSlots(state.group, state.ranks, params) : state;
+export function isOpenGroup({ open, brokenAt }: GroupSlots): boolean {
+  return brokenAt === null && open !== false;
 }
 
 /** Number of requests that this process runs at a group. */
@@ -210,93 +345,3 @@
 export function freeSlotsAt(state: GroupSlots, own: ReadonlyMap<string, number>): number {
   return Math.max(0, state.allowance - ownRequestsAt(state, own));
 }
-
-/**
- * Weight of the requests that other processes run at a rank, from the last load report. All processes see the
- * same report, so with full weight they would all choose one rank. Own requests count in full and at once.
- */
-const OTHERS_WEIGHT = 0.4;
-
-/** Weighted number of requests at a rank, for the choice of a rank. */
-export function workAt(
-  state: GroupSlots,
-  { endpoint, rank }: GroupRank,
-  own: ReadonlyMap<string, number>,
-): number {
-  const reported = (state.load?.active[rank] ?? 0) + (state.load?.queued[rank] ?? 0);
-  const others = Math.max(0, reported - (state.ownAtLoad.get(endpoint) ?? 0));
-  return (own.get(endpoint) ?? 0) + OTHERS_WEIGHT * others;
-}
-
-/** A rank in another AZ must have this many requests less to be worth the traffic between AZs. */
-const REMOTE_ZONE_PENALTY = 0.9;
-
-/** Number of ranks sampled for a request from the own AZ, and from all AZs. */
-const LOCAL_SAMPLE = 2;
-const ANY_SAMPLE = 2;
-
-interface Candidate {
-  readonly state: GroupSlots;
-  readonly rank: GroupRank;
-}
-
-function sample<T>(items: readonly T[], count: number, random: () => number): readonly T[] {
-  return Array.from({ length: count }, () => items[Math.floor(random() * items.length)]).flatMap(
-    (item) => (item === undefined ? [] : [item]),
-  );
-}
-
-/** Ranks of a group that may take a request; slow ranks only if there are no others. */
-function usableRanks(
-  { load, ranks }: GroupSlots,
-  exclude: readonly string[],
-): readonly GroupRank[] {
-  const left = ranks.filter(({ endpoint }) => !exclude.includes(endpoint));
-  const slow = load?.slow ?? [];
-  const notSlow = slow.length === 0 ? left : left.filter(({ rank }) => !slow.includes(rank));
-  return notSlow.length > 0 ? notSlow : left;
-}
-
-/** Ranks that may take a request: those of open groups with free slots, or else of any open group. */
-function listCandidates(
-  groups: readonly GroupSlots[],
-  own: ReadonlyMap<string, number>,
-  exclude: readonly string[],
-): readonly Candidate[] {
-  const usable = groups
-    .filter(isOpenGroup)
-    .filter(({ ranks }) => ranks.some(({ endpoint }) => !exclude.includes(endpoint)));
-  const withFreeSlots = usable.filter((state) => freeSlotsAt(state, own) > 0);
-  return (withFreeSlots.length > 0 ? withFreeSlots : usable).flatMap((state) =>
-    usableRanks(state, exclude).map((rank) => ({ state, rank })),
-  );
-}
-
-/**
- * Chooses the endpoint for a request: the one with the least work among a few ranks sampled at random, half of them
- * from the own AZ. Null if no rank may take it.
- *
- * Many processes see the same load report for a quarter of a second. If each compared all ranks, all would
- * send to those that were idle in the report, which then queue requests while others have free slots. With 31
- * processes and 72 ranks, 3 in 100 requests meet a full rank instead of 10 when all ranks are compared, and the
- * fullest rank has 1.8 times the mean instead of 2.5 (bench `routing`).
- */
-export function chooseRank(
-  groups: readonly GroupSlots[],
-  own: ReadonlyMap<string, number>,
-  zone: string,
-  exclude: readonly string[],
-  random: () => number,
-): string | null {
-  const all = listCandidates(groups, own, exclude);
-  const local = all.filter(({ rank }) => rank.zone === zone);
-  const drawn = [...sample(local, LOCAL_SAMPLE, random), ...sample(all, ANY_SAMPLE, random)];
-  const scored = drawn.map(({ state, rank }) => ({
-    endpoint: rank.endpoint,
-    score: workAt(state, rank, own) + (rank.zone === zone ? 0 : REMOTE_ZONE_PENALTY),
-  }));
-  const [first] = scored;
-  return first === undefined
-    ? null
-    : scored.reduce((a, b) => (b.score < a.score ? b : a), first).endpoint;
-}
--- a/src/coordination/__tests__/unit/GroupSlots.test.ts
+++ b/src/coordination/__tests__/unit/GroupSlots.test.ts
@@ -4,7 +4,6 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { EngineCosts, GroupLoad } from '../../../protocol/index.js';
 import {
-  dropStaleLoad,
   markGroupBroken,
   chooseRank,
   freeSlotsAt,
@@ -12,7 +11,9 @@
   isOpenGroup,
   LOAD_TTL_MS,
   passTime,
+  refreshGroupSlots,
   applyGroupLoad,
+  type GroupSlots,
   type SlotParameters,
 } from '../../index.js';
 
@@ -54,7 +55,7 @@
 
 const NONE: ReadonlyMap<string, number> = new Map();
 
-const START = initGroupSlots('g', RANKS, PARAMS);
+const START = initGroupSlots('g', RANKS, PARAMS, 0);
 
 /** Free slots of each of six processes, if each runs an even part of `each` requests per rank. */
 function freeForEach(each: number, passMs: number | null, open = true): number {
@@ -86,10 +87,17 @@
     assert.equal(freeForEach(0, null, false), 0);
   });
 
-  it('drops a load that is too old', () => {
+  // The coordinator of a full group is lost. If its last load were replaced by the state before any load, each process
+  // would start as many requests again as it may run.
+  it('starts nothing beyond the last load when it expires, until each process may use its even share', () => {
     const full = applyGroupLoad(START, load(8, 60), NONE, PARAMS, 0, 0);
-    assert.equal(dropStaleLoad(full, PARAMS, LOAD_TTL_MS), full);
-    assert.equal(freeSlotsAt(dropStaleLoad(full, PARAMS, LOAD_TTL_MS + 1), NONE), 16);
+    const refreshed = (now: number): GroupSlots => refreshGroupSlots(full, NONE, PARAMS, now);
+    assert.notEqual(refreshed(LOAD_TTL_MS).load, null);
+    assert.equal(refreshed(LOAD_TTL_MS + 1).load, null);
+    assert.deepEqual(
+      [LOAD_TTL_MS, LOAD_TTL_MS + 1, 2_990, 3_000].map((now) => freeSlotsAt(refreshed(now), NONE)),
+      [0, 0, 0, 16],
+    );
   });
 
   /** How often each endpoint is chosen in 1,200 draws, with the same own work before each. */
@@ -160,10 +168,17 @@
   it('keeps a broken group closed for a while after its load has expired', () => {
     const open = applyGroupLoad(START, load(2, 45), NONE, PARAMS, 0, 0);
     const broken = markGroupBroken(open, 1_400);
-    const aged = (now: number): boolean => isOpenGroup(dropStaleLoad(broken, PARAMS, now));
+    const aged = (now: number): boolean =>
+      isOpenGroup(refreshGroupSlots(broken, NONE, PARAMS, now));
     assert.deepEqual([1_400, 1_600, 2_800, 3_000].map(aged), [false, false, false, true]);
-    assert.equal(isOpenGroup(dropStaleLoad(markGroupBroken(START, 0), PARAMS, 1_000)), false);
-    assert.equal(isOpenGroup(dropStaleLoad(markGroupBroken(START, 0), PARAMS, 1_600)), true);
+    assert.equal(
+      isOpenGroup(refreshGroupSlots(markGroupBroken(START, 0), NONE, PARAMS, 1_000)),
+      false,
+    );
+    assert.equal(
+      isOpenGroup(refreshGroupSlots(markGroupBroken(START, 0), NONE, PARAMS, 1_600)),
+      true,
+    );
     assert.equal(isOpenGroup(applyGroupLoad(broken, load(0, null), NONE, PARAMS, 1_500, 0)), true);
   });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -290,23 +290,41 @@
   generationTime,
 } from './EngineModel.js';
 export {
-  dropStaleLoad,
   markGroupBroken,
-  chooseRank,
   freeSlotsAt,
   initGroupSlots,
   isOpenGroup,
-  isGroupStalled,
   markGroupRecovered,
   LOAD_TTL_MS,
   ownRequestsAt,
+  refreshGroupSlots,
   applyGroupLoad,
-  workAt,
-  type OwnStreams,
   type GroupSlots,
   type GroupRank,
   type SlotParameters,
 } from './GroupSlots.js';
+export {
+  DEFAULT_FIRST_SKEW,
+  describeLoad,
+  gainLease,
+  INITIAL_SLOT_LIMIT,
+  initLoadKnowledge,
+  isGroupOpen,
+  isLoadComplete,
+  noteFirstSkew,
+  noteReport,
+  noteSkew,
+  reformGroup,
+  slowdownsOf,
+  stepSlotLimit,
+  type LimitParameters,
+  type LoadKnowledge,
+  type LoadVerdict,
+  type SlotLimit,
+  type SlotLimitStep,
+} from './load/index.js';
+export { isGroupStalled, type OwnStreams } from './GroupStall.js';
+export { chooseRank, workAt } from './RankChoice.js';
 export {
   enqueue,
   admitWaiting,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -1,7 +1,7 @@
 /** Admission state of an entry process: slots at groups of ranks, and the queue of requests that wait for one. */
 import type { Logger } from 'pino';
 import {
-  dropStaleLoad,
+  refreshGroupSlots,
   markGroupBroken,
   chooseRank,
   enqueue,
@@ -26,6 +26,7 @@
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DIRECT_FLEET } from './DirectDocument.js';
+import { DirectLoadUse } from './DirectLoadUse.js';
 import { DirectSlotsLog } from './DirectSlotsLog.js';
 import { DirectStreams } from './DirectStreams.js';
 
@@ -106,6 +107,8 @@
 
   readonly #slotsLog: DirectSlotsLog;
 
+  readonly #loadUse: DirectLoadUse;
+
   readonly #modelOf: (service: string) => ModelService | null;
 
   readonly #services = new Map<string, ServiceState>();
@@ -135,6 +138,7 @@
     this.#runtime = runtime;
     this.#log = runtime.log;
     this.#slotsLog = new DirectSlotsLog(runtime.log, runtime.now);
+    this.#loadUse = new DirectLoadUse(runtime);
     this.#modelOf = modelOf;
   }
 
@@ -174,6 +178,10 @@
       if (group !== undefined && parameters !== null) {
         const { now, random } = this.#runtime;
         const next = applyGroupLoad(group, load, this.#own, parameters, now(), random());
+        this.#loadUse.record(next, load);
+        if (next.verdict === 'outdated') {
+          return;
+        }
         if (load.open) {
           this.#downSince.delete(service);
         }
@@ -194,6 +202,7 @@
   /** Requests a slot; granted at once where the service has no groups. */
   async acquire(req: SlotRequest, signal: AbortSignal): Promise<SlotDecision> {
     this.#detectStalledGroups();
+    this.#refreshGroups(req.service);
     const state = this.#services.get(req.service);
     const forecast = this.#forecast(req.service);
     const model = this.#modelOf(req.service);
@@ -337,20 +346,27 @@
   /** Re-evaluates the queue: the passage of time alone may change which requests can still be answered. */
   tick(): void {
     this.#detectStalledGroups();
-    this.#services.forEach(({ groups }, service) => {
-      const parameters = this.#slotParameters(service);
-      if (parameters !== null) {
-        groups.forEach((group) => {
-          const refreshed = dropStaleLoad(group, parameters, this.#runtime.now());
-          if (refreshed !== group) {
-            this.#replaceGroup(service, refreshed);
-          }
-        });
-      }
+    this.#services.forEach((_state, service) => {
+      this.#refreshGroups(service);
       this.#admitWaiting(service);
     });
   }
 
+  #refreshGroups(service: string): void {
+    const parameters = this.#slotParameters(service);
+    const groups = this.#services.get(service)?.groups;
+    if (parameters === null || groups === undefined) {
+      return;
+    }
+    groups.forEach((group) => {
+      const now = this.#runtime.now();
+      const refreshed = refreshGroupSlots(group, this.#own, parameters, now);
+      if (refreshed !== group) {
+        this.#replaceGroup(service, refreshed);
+      }
+    });
+  }
+
   /** Time after which the caller of a refused request should retry, ms; null where that isn't known. */
   retryAfter(service: string, leftMs: number): number | null {
     const forecast = this.#forecast(service);
@@ -387,7 +403,9 @@
       const before = known?.groups.get(group);
       groups.set(
         group,
-        before === undefined ? initGroupSlots(group, ranks, parameters) : { ...before, ranks },
+        before === undefined
+          ? initGroupSlots(group, ranks, parameters, this.#runtime.random())
+          : { ...before, ranks },
       );
     });
     this.#services.set(service, { groups, queue: known?.queue ?? [] });
--- a/src/daemon/direct/DirectSlotsLog.ts
+++ b/src/daemon/direct/DirectSlotsLog.ts
@@ -34,7 +34,7 @@
   write(state: GroupSlots, { own, waiting }: SlotUsage): void {
     const { group, load, allowance, limit, passMs } = state;
     const now = this.#now();
-    const open = load !== null && isOpenGroup(state);
+    const open = state.open !== null && isOpenGroup(state);
     const logged = this.#logged.get(group);
     if (waiting === 0 && logged?.open === open && now - logged.at < IDLE_LOG_INTERVAL_MS) {
       return;
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
+import { Registry } from 'prom-client';
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../../../protocol/index.js';
 import type { Runtime } from '../../../DaemonRuntime.js';
 import { DirectAdmission, type SlotRequest } from '../../DirectAdmission.js';
@@ -64,7 +65,7 @@
 };
 
 function openAdmission(log = pino({ level: 'silent' }), now = (): number => 0): DirectAdmission {
-  const runtime = { log, now, random: () => 0 };
+  const runtime = { log, now, random: () => 0, registry: new Registry() };
   const admission = new DirectAdmission('z1', runtime as unknown as Runtime, () => ({
     costs: COSTS,
     pauseMs: 120,
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -186,6 +186,8 @@
   readonly reported?: number;
   /** Skew of the group's first map, under the demand known before. */
   readonly firstSkew?: number;
+  /** When the load was sent, ms on the coordinator's monotonic clock; it increases under one token. */
+  readonly sentAt?: number;
   /** Requests that may start in the next interval; absent while there are slots for all. */
   readonly grants?: SlotGrants;
 }
