A coordinator publishes no load state that it doesn't know

Cause: a process that gained the lease kept reports, pass times and a skew of 1 from before, and published them within milliseconds.

The forecast states an unknown first skew as null. Types and lint pass; DirectRank (5) and DirectMapLimits (2) tests pass.

--- a/src/daemon/direct/DirectMapLimits.ts
+++ b/src/daemon/direct/DirectMapLimits.ts
@@ -51,6 +51,7 @@
           policy: mapPolicy(costs),
           pauseMs: this.#pauseMs,
           totalExperts: costs.sets * costs.experts,
+          costs,
         };
   }
 
--- a/src/daemon/direct/DirectRank.ts
+++ b/src/daemon/direct/DirectRank.ts
@@ -37,8 +37,8 @@
 /** Forecast that a coordinator of a group leaves to its successor. */
 export interface GroupForecast {
   readonly demand: PackedDemand;
-  /** Ratio of the largest to the mean rank load under a group's first map. */
-  readonly firstSkew: number;
+  /** Ratio of the largest to the mean rank load under a group's first map; null if it is unknown. */
+  readonly firstSkew: number | null;
 }
 
 /** Reply to a {@link RankRequest}; `fenced` where a newer coordinator is known. */
