Delayed loads don't give out the same slots twice

Cause: each load of a slow coordinator was compared with the requests of now, so that requests started since it was sent were not counted, and one free slot was given out by each load of the delay.

A load carries the time at which it was sent; a host compares it with the fastest load of the same coordinator, and the slots with its own requests of that time. A new coordinator counts as slow as its predecessor for 5 s. A coordinator leaves 150 ms between the load that completes its knowledge and that of the next round.

--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -248,7 +248,7 @@
 function applyCompleteLoad(
   state: GroupSlots,
   load: GroupLoad,
-  { limit: knowledge, writers: writersEach, delayMs }: SlotLimitStep,
+  { limit: knowledge, writers: writersEach }: SlotLimitStep,
   own: ReadonlyMap<string, number>,
   params: SlotParameters,
   now: number,
@@ -261,7 +261,7 @@
   const limit = load.open ? countUsableRanks(state, load, params) * writersEach : 0;
   const ownUsable = countOwn(state.ranks, own, isUsable);
   const ownElsewhere = countOwn(state.ranks, own, (rank) => !isUsable(rank));
-  const ownSent = ownWhenSent(state, ownUsable, delayMs, now);
+  const ownSent = ownWhenSent(state, ownUsable, knowledge.delayMs, now);
   const free = Math.max(0, limit - running);
   const freeShare = (free / Math.max(1, params.entryHosts)) * overcommit(state, load, now);
   const kept = running > limit ? (ownSent * limit) / running : ownSent;
--- a/src/coordination/load/SlotLimit.ts
+++ b/src/coordination/load/SlotLimit.ts
@@ -44,6 +44,12 @@
   readonly sentAt: number | null;
   /** Smallest difference between arrival and sending under the token, ms, which includes that of the two clocks. */
   readonly fastestMs: number;
+  /** When the first load under the token arrived, ms. */
+  readonly tokenSince: number;
+  /** Delay of the last load of the previous coordinator, ms; 0 once a load of this one has shown to be faster. */
+  readonly inheritedMs: number;
+  /** Delay of the last load, ms. */
+  readonly delayMs: number;
   /** Null where no load has been accepted in the group's epoch. */
   readonly accepted: AcceptedLimit | null;
 }
@@ -57,8 +63,6 @@
   readonly verdict: LoadVerdict;
   /** Writers that each rank may have. */
   readonly writers: number;
-  /** Time by which the load arrived later than the fastest one of its coordinator, ms. */
-  readonly delayMs: number;
   /** Whether the group has formed anew since the last load. */
   readonly isNewEpoch: boolean;
 }
@@ -78,6 +82,12 @@
 /** A load that arrives later by no more than this counts as timely, ms: the interval between loads. */
 const TIMELY_MS = 250;
 
+/**
+ * Time for which a new coordinator's loads count as delayed as much as its predecessor's, ms. How long they take can't
+ * be told from the first ones, and a slow path may well be slow for the successor too.
+ */
+const INHERITED_MS = 5_000;
+
 /** Part of the longest pause that a pass may take, since prompts are read between passes. */
 const MAX_PASS_SHARE = 0.9;
 
@@ -92,6 +102,9 @@
   completeness: { token: 0, halfSince: null },
   sentAt: null,
   fastestMs: Infinity,
+  tokenSince: -Infinity,
+  inheritedMs: 0,
+  delayMs: 0,
   accepted: null,
 };
 
@@ -159,20 +172,41 @@
   return token < limit.token || isRepeated;
 }
 
-/** Records the coordinator, the epoch and the completeness that a load states. */
+type Timing = Pick<SlotLimit, 'sentAt' | 'fastestMs' | 'tokenSince' | 'inheritedMs' | 'delayMs'>;
+
+/**
+ * Estimates by how much a load is delayed: it is compared with the fastest one of the same coordinator, since the
+ * clocks of two hosts can't be.
+ */
+function observeTiming(limit: SlotLimit, { token = 0, sentAt }: GroupLoad, now: number): Timing {
+  const isSameToken = token === limit.token;
+  const tokenSince = isSameToken ? limit.tokenSince : now;
+  if (sentAt === undefined) {
+    return { sentAt: null, fastestMs: Infinity, tokenSince, inheritedMs: 0, delayMs: 0 };
+  }
+  const transitMs = now - sentAt;
+  const knownMs = isSameToken ? limit.fastestMs : transitMs;
+  const isFaster = transitMs < knownMs - TIMELY_MS;
+  const inheritedMs = isSameToken ? limit.inheritedMs : limit.delayMs;
+  const assumedMs = isFaster || now - tokenSince > INHERITED_MS ? 0 : inheritedMs;
+  const fastestMs = Math.min(knownMs, transitMs);
+  const lateMs = Math.max(assumedMs, transitMs - fastestMs);
+  const delayMs = lateMs > TIMELY_MS ? lateMs : 0;
+  return { sentAt, fastestMs, tokenSince, inheritedMs: assumedMs, delayMs };
+}
+
+/** Records the coordinator, the epoch, the timing and the completeness that a load states. */
 function observeSender(limit: SlotLimit, load: GroupLoad, now: number): SlotLimit {
-  const { token = 0, sentAt } = load;
+  const { token = 0 } = load;
   const ranks = Math.max(1, load.active.length);
   const reportedShare = (load.reported ?? ranks) / ranks;
-  const fastestMs = token === limit.token ? limit.fastestMs : Infinity;
   const isNewEpoch = limit.epoch !== null && (load.epoch ?? limit.epoch) > limit.epoch;
   return {
+    ...observeTiming(limit, load, now),
     token,
     epoch: load.epoch === undefined ? limit.epoch : Math.max(load.epoch, limit.epoch ?? load.epoch),
     firstSkew: load.firstSkew ?? limit.firstSkew,
     completeness: observeCompleteness(limit.completeness, token, reportedShare, now),
-    sentAt: sentAt ?? null,
-    fastestMs: sentAt === undefined ? fastestMs : Math.min(fastestMs, now - sentAt),
     // The first map of a newly formed group has another skew, so the pass time observed before says nothing of it.
     accepted: isNewEpoch ? null : limit.accepted,
   };
@@ -187,7 +221,7 @@
 ): SlotLimitStep {
   if (isOutdated(before, load)) {
     const writers = writersAt(before, params, now);
-    return { limit: before, verdict: 'outdated', writers, delayMs: 0, isNewEpoch: false };
+    return { limit: before, verdict: 'outdated', writers, isNewEpoch: false };
   }
   const heard = observeSender(before, load, now);
   const isNewEpoch = before.epoch !== null && heard.epoch !== before.epoch;
@@ -197,12 +231,10 @@
   // While a group is closed it runs no passes, and the load says nothing of how fast they will be.
   const accepted = isComplete && load.open ? acceptLoad(heard, load, params, now) : heard.accepted;
   const limit = { ...heard, accepted };
-  const lateMs = load.sentAt === undefined ? 0 : now - load.sentAt - heard.fastestMs;
   return {
     limit,
     verdict: isComplete ? 'complete' : 'incomplete',
     writers: writersAt(limit, params, now),
-    delayMs: lateMs > TIMELY_MS ? lateMs : 0,
     isNewEpoch,
   };
 }
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -209,7 +209,7 @@
   /** Uses the counts of a round, with those that have arrived. */
   #onRound(counts: readonly (ExpertCounts | null)[]): void {
     this.#demand = recordCounts(this.#demand, counts);
-    this.#load.publish();
+    this.#load.publishRound();
     this.#plan();
   }
 
--- a/src/daemon/direct/DirectLoadPublisher.ts
+++ b/src/daemon/direct/DirectLoadPublisher.ts
@@ -48,12 +48,21 @@
   readonly grants?: (usage: GroupUsage) => SlotGrants | null;
 }
 
+/**
+ * Minimum time between a complete load and that of the next round, ms: ranks must have reported the requests that were
+ * started by the former, or the latter would give out the same slots again.
+ */
+const MIN_LOAD_INTERVAL_MS = 150;
+
 /** What a coordinator has published last. */
 interface Published {
+  readonly at: number;
   readonly open: boolean;
   readonly isComplete: boolean;
 }
 
+const NOTHING_PUBLISHED: Published = { at: -Infinity, open: false, isComplete: false };
+
 function sum(values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0);
 }
@@ -69,7 +78,7 @@
   /** The limit as entry processes derive it from the loads of this coordinator. */
   #limit: SlotLimit = INITIAL_SLOT_LIMIT;
 
-  #published: Published = { open: false, isComplete: false };
+  #published = NOTHING_PUBLISHED;
 
   constructor(options: LoadPublisherOptions) {
     this.#options = options;
@@ -115,7 +124,7 @@
   onGained(token: number, firstSkew: number | null): void {
     this.#knowledge = gainLease(this.#knowledge, token, firstSkew);
     this.#limit = INITIAL_SLOT_LIMIT;
-    this.#published = { open: false, isComplete: false };
+    this.#published = NOTHING_PUBLISHED;
   }
 
   onReport(rank: number, report: RankReport): void {
@@ -142,11 +151,19 @@
     const now = this.#options.runtime.now();
     const hasChanged = isGroupOpen(this.#knowledge, now) !== this.#published.open;
     if (hasChanged || (!this.#published.isComplete && isLoadComplete(this.#knowledge, now))) {
-      this.publish();
+      this.#publish();
+    }
+  }
+
+  /** Publishes the load of a round. */
+  publishRound(): void {
+    const { at, isComplete } = this.#published;
+    if (!isComplete || this.#options.runtime.now() - at >= MIN_LOAD_INTERVAL_MS) {
+      this.#publish();
     }
   }
 
-  publish(): void {
+  #publish(): void {
     const { publish, runtime } = this.#options;
     const now = runtime.now();
     const load = describeLoad(this.#knowledge, now);
@@ -158,7 +175,7 @@
       this.#incomplete.inc();
     }
     this.#logCompleteness(load, isComplete);
-    this.#published = { open: load.open, isComplete };
+    this.#published = { at: now, open: load.open, isComplete };
     const grants = isComplete && load.open ? this.#decideGrants(load, now) : null;
     publish(grants === null ? load : { ...load, grants });
   }
