--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -81,10 +81,7 @@
  */
 export const LOAD_TTL_MS = 1_500;
 
-/** Time for which the numbers of own requests are kept, ms; a load that is delayed for longer has expired. */
-const HISTORY_MS = LOAD_TTL_MS;
-
-/** Interval between two recorded numbers of own requests, ms: a fraction of the interval between loads. */
+/** Interval between two recorded numbers of own requests, ms; they are kept for {@link LOAD_TTL_MS}. */
 const HISTORY_INTERVAL_MS = 50;
 
 /** Factor on a process's even share of the free slots, since not all processes have work at once. */
@@ -122,7 +119,6 @@
   return fast.length > 0 ? fast.length : usable.length;
 }
 
-/** Number of own requests at the ranks that pass the filter. */
 function countOwn(
   ranks: readonly GroupRank[],
   own: ReadonlyMap<string, number>,
@@ -176,17 +172,18 @@
   if (newest !== undefined && now - newest.at < HISTORY_INTERVAL_MS) {
     return state;
   }
-  const recent = state.ownHistory.filter(({ at }) => now - at <= HISTORY_MS);
+  const recent = state.ownHistory.filter(({ at }) => now - at <= LOAD_TTL_MS);
   return { ...state, ownHistory: [...recent, { at: now, own }] };
 }
 
 /**
- * Number of own requests when a load was sent that was delayed. Requests that started since are not in that load; if
- * they were not counted against its free slots, each load of the delay would give out the same slots again.
+ * Number of own requests that a load with this delay knew of and that still run. Requests that started since are not in
+ * that load; if they were not counted against its free slots, each load of the delay would give out the same slots
+ * again.
  */
 function ownWhenSent(state: GroupSlots, own: number, delayMs: number, now: number): number {
   const known = state.ownHistory.findLast(({ at }) => at <= now - delayMs) ?? state.ownHistory[0];
-  return delayMs > 0 && known !== undefined ? known.own : own;
+  return delayMs > 0 && known !== undefined ? Math.min(known.own, own) : own;
 }
 
 /**
@@ -236,13 +233,15 @@
 }
 
 /**
- * Factor on the even share of the free slots. A group that was short of slots for a while, or has just formed, has many
- * free ones and requests waiting at all processes, so nothing may be given out beyond what is free.
+ * Factor on the even share of the free slots. After a time without a coordinator, without a known pass time or without
+ * the group, many slots may be free at once while requests wait at all processes, so nothing may be given out beyond
+ * what is free.
  */
-function overcommit({ knowledge, loadAt }: GroupSlots, load: GroupLoad, now: number): number {
-  const isFirst = knowledge.token === 0;
+function overcommit(state: GroupSlots, load: GroupLoad, now: number): number {
+  const { knowledge, loadAt, load: last } = state;
+  const isFirst = load.token === undefined || knowledge.token === 0;
   const isNext = load.token === knowledge.token && now - loadAt <= DISCOUNT_START_MS;
-  return load.token === undefined || isFirst || isNext ? OVERCOMMIT : 1;
+  return isFirst || (isNext && last !== null && last.passMs !== null) ? OVERCOMMIT : 1;
 }
 
 function applyCompleteLoad(
@@ -265,7 +264,9 @@
   const free = Math.max(0, limit - running);
   const freeShare = (free / Math.max(1, params.entryHosts)) * overcommit(state, load, now);
   const kept = running > limit ? (ownSent * limit) / running : ownSent;
-  const allowance = Math.floor(kept + freeShare + random) + ownElsewhere;
+  // Drawn anew by each load of a delay, it would in time round up the same free slots at all processes.
+  const rounding = knowledge.delayMs > 0 ? state.rounding : random;
+  const allowance = Math.floor(kept + freeShare + rounding) + ownElsewhere;
   const writers = sum(load.active) / Math.max(1, load.active.length);
   const estimatedMs = passTime(params.costs, writers) * DEFAULT_PASS_CORRECTION;
   const isPassKnown = load.passMs === null && knowledge.accepted?.isObserved === true;
@@ -277,7 +278,7 @@
     ownAtLoad: new Map(own),
     allowance,
     allowanceAtLoad: allowance,
-    rounding: random,
+    rounding,
     limit,
     passMs: load.passMs ?? (isPassKnown ? state.passMs : estimatedMs),
   };
--- a/src/coordination/__tests__/utils/LoadModel.ts
+++ b/src/coordination/__tests__/utils/LoadModel.ts
@@ -30,13 +30,24 @@
 /** Passes are reported in parts: with whole ones, the observed pass time would err by half where they take 150 ms. */
 const PASS_PARTS = 100;
 
+/** Longest delays of a report, of a successor's first reports, and of a load on its link, ms. */
+const REPORT_MS = 50;
+const FIRST_REPORTS_MS = 600;
+const LINK_MS = 60;
+
+/** Time after which a round ends, ms. */
+const ROUND_MS = 80;
+
 /** As in `DirectLoadPublisher`. */
 const MIN_LOAD_INTERVAL_MS = 150;
 
 const RANKS = 72;
 
+/** Skew of the group's first map, which coordinators leave to their successors. */
+const FIRST_SKEW = 3.3;
+
 /** Passes take 150 ms with 5.5 writers on each rank under a skew of 3.3. */
-const COSTS: EngineCosts = {
+export const COSTS: EngineCosts = {
   slots: 7,
   stepsPerPass: 5,
   stepMs: 4,
@@ -53,16 +64,12 @@
   usualAnswer: 140,
 };
 
-/** A coordinator, from when it gains the lease. */
+/** A coordinator's process. */
 interface Coordinator {
-  readonly from: number;
-  /** When it dies, ms. */
-  until: number;
-  knowledge: LoadKnowledge;
-  wasComplete: boolean;
-  publishedAt: number;
-  /** Time after which its first reports arrive, at the latest; in ms. */
-  readonly firstReportsMs: number;
+  readonly knowledge: LoadKnowledge;
+  /** When its last load was published, ms, and whether it was complete. */
+  readonly publishedAt: number;
+  readonly wasComplete: boolean;
 }
 
 /** Conditions of a run. */
@@ -83,15 +90,10 @@
   readonly joinsAt?: number;
 }
 
-interface Host {
-  readonly own: Map<string, number>;
-  slots: GroupSlots;
-}
-
 interface RunningRequest {
-  readonly host: Host;
+  readonly host: number;
   readonly rank: number;
-  passesLeft: number;
+  readonly passesLeft: number;
 }
 
 /** State at the end of a step. */
@@ -114,9 +116,12 @@
 
   readonly #params: SlotParameters;
 
-  readonly #hosts: readonly Host[];
+  /** Own requests of each host by endpoint, and its knowledge of the group. */
+  readonly #own: readonly Map<string, number>[];
+
+  readonly #slots: GroupSlots[];
 
-  readonly #coordinators: readonly Coordinator[];
+  readonly #coordinators: Coordinator[];
 
   readonly #ranks = range(RANKS).map((rank) => ({ endpoint: `e${rank}`, rank, zone: 'z' }));
 
@@ -132,17 +137,13 @@
     const rng = xoroshiro128plus(scenario.seed);
     this.#random = () => uniformFloat64(rng);
     this.#params = { costs: COSTS, pauseMs: 120, entryHosts: scenario.hosts };
-    this.#hosts = range(scenario.hosts).map(() => ({
-      own: new Map<string, number>(),
-      slots: initGroupSlots('g', this.#ranks, this.#params, this.#random()),
-    }));
-    this.#coordinators = scenario.lives.map(([from, until], i) => ({
-      from,
-      until,
-      knowledge: gainLease(initLoadKnowledge('g', RANKS), i + 1, null),
-      wasComplete: false,
+    const hosts = range(scenario.hosts);
+    this.#own = hosts.map(() => new Map<string, number>());
+    this.#slots = hosts.map(() => initGroupSlots('g', this.#ranks, this.#params, this.#random()));
+    this.#coordinators = scenario.lives.map((_life, i) => ({
+      knowledge: gainLease(initLoadKnowledge('g', RANKS), i + 1, FIRST_SKEW),
       publishedAt: -Infinity,
-      firstReportsMs: i === 0 ? 50 : 50 + 550 * this.#random(),
+      wasComplete: false,
     }));
   }
 
@@ -153,19 +154,23 @@
 
   #step(now: number): LoadSample {
     this.#work(now);
-    this.#coordinators.forEach((coordinator) => this.#poll(coordinator, now));
+    this.#scenario.lives.forEach((life, i) => this.#poll(i, life, now));
     const due = this.#later.filter(({ at }) => at <= now);
     this.#later = this.#later.filter(({ at }) => at > now);
     due.forEach(({ run }) => run(now));
-    const { hosts, joinsAt = 0 } = this.#scenario;
-    this.#hosts.forEach((host, i) => {
-      if (i < hosts - 1 || now >= joinsAt) {
+    this.#slots.forEach((_slots, host) => {
+      if (this.#hasJoined(host, now)) {
         this.#start(host, now);
       }
     });
     return { at: now, used: this.#requests.length, trueLimit: this.#trueLimit(now) };
   }
 
+  #hasJoined(host: number, now: number): boolean {
+    const { hosts, joinsAt = 0 } = this.#scenario;
+    return host < hosts - 1 || now >= joinsAt;
+  }
+
   #correction(now: number): number {
     return Math.max(1.3, skewCorrection(COSTS, this.#scenario.skewAt(now)));
   }
@@ -176,22 +181,28 @@
     return RANKS * Math.min(costs.slots, Math.max(2, allowed / costs.writerMs));
   }
 
+  #add(host: number, rank: number, requests: number): void {
+    const own = this.#own[host];
+    own?.set(`e${rank}`, (own.get(`e${rank}`) ?? 0) + requests);
+  }
+
   /** Advances the requests: each rank runs as many as it has slots, and the others wait there. */
   #work(now: number): void {
-    const active = this.#activePerRank();
+    const active = this.#perRank().map((n) => Math.min(n, COSTS.slots));
     const writers = active.reduce((sum, n) => sum + n, 0) / RANKS;
     const passes = STEP_MS / (passTime(COSTS, writers) * this.#correction(now));
     this.#passes += passes;
     const advanced = range(RANKS).map(() => 0);
-    this.#requests = this.#requests.filter((request) => {
-      const { host, rank } = request;
-      advanced[rank] = (advanced[rank] ?? 0) + 1;
-      request.passesLeft -= (advanced[rank] ?? 0) <= COSTS.slots ? passes : 0;
-      if (request.passesLeft <= 0) {
-        host.own.set(`e${rank}`, (host.own.get(`e${rank}`) ?? 1) - 1);
-      }
-      return request.passesLeft > 0;
+    const worked = this.#requests.map((request) => {
+      const before = advanced[request.rank] ?? 0;
+      advanced[request.rank] = before + 1;
+      const passesLeft = request.passesLeft - (before < COSTS.slots ? passes : 0);
+      return { ...request, passesLeft };
     });
+    this.#requests = worked.filter(({ passesLeft }) => passesLeft > 0);
+    worked
+      .filter(({ passesLeft }) => passesLeft <= 0)
+      .forEach(({ host, rank }) => this.#add(host, rank, -1));
   }
 
   #perRank(): readonly number[] {
@@ -202,84 +213,100 @@
     return counts;
   }
 
-  #activePerRank(): readonly number[] {
-    return this.#perRank().map((n) => Math.min(n, COSTS.slots));
+  #schedule(at: number, run: (now: number) => void): void {
+    this.#later = [...this.#later, { at, run }];
   }
 
-  #poll(coordinator: Coordinator, now: number): void {
-    const age = now - coordinator.from;
-    if (age < 0 || now >= coordinator.until || age % POLL_MS !== 0) {
+  #poll(i: number, [from, until]: readonly [number, number], now: number): void {
+    const age = now - from;
+    if (age < 0 || now >= until || age % POLL_MS !== 0) {
       return;
     }
     const { isMissing = () => false } = this.#scenario;
-    const delayMs = age === 0 ? coordinator.firstReportsMs : 50;
+    const delayMs = age === 0 && i > 0 ? FIRST_REPORTS_MS : REPORT_MS;
     range(RANKS).forEach((rank) => {
       if (!isMissing(rank)) {
-        this.#schedule(now + delayMs * this.#random(), (at) => this.#report(coordinator, rank, at));
+        this.#schedule(now + delayMs * this.#random(), (at) => this.#report(i, rank, at));
       }
     });
-    this.#schedule(now + 80, (at) => {
-      if (!coordinator.wasComplete || at - coordinator.publishedAt >= MIN_LOAD_INTERVAL_MS) {
-        this.#publish(coordinator, at);
+    this.#schedule(now + ROUND_MS, (at) => {
+      const { publishedAt = 0, wasComplete } = this.#coordinators[i] ?? {};
+      if (wasComplete !== true || at - publishedAt >= MIN_LOAD_INTERVAL_MS) {
+        this.#publish(i, at);
       }
     });
   }
 
-  #schedule(at: number, run: (now: number) => void): void {
-    this.#later = [...this.#later, { at, run }];
-  }
-
-  #report(coordinator: Coordinator, rank: number, now: number): void {
-    const counts = this.#perRank()[rank] ?? 0;
-    const report = {
-      ...IDLE_REPORT,
+  #report(i: number, rank: number, now: number): void {
+    const coordinator = this.#coordinators[i];
+    if (coordinator === undefined) {
+      return;
+    }
+    const count = this.#perRank()[rank] ?? 0;
+    const knowledge = noteReport(
+      coordinator.knowledge,
       rank,
-      step: Math.floor(this.#passes * PASS_PARTS),
-      active: Math.min(counts, COSTS.slots),
-      queued: Math.max(0, counts - COSTS.slots),
-    };
+      {
+        ...IDLE_REPORT,
+        step: Math.floor(this.#passes * PASS_PARTS),
+        active: Math.min(count, COSTS.slots),
+        queued: Math.max(0, count - COSTS.slots),
+      },
+      rank === 0,
+      now,
+    );
+    this.#coordinators[i] = { ...coordinator, knowledge };
     const isFirst = coordinator.knowledge.newest === null;
-    coordinator.knowledge = noteReport(coordinator.knowledge, rank, report, rank === 0, now);
-    if (isFirst || isLoadComplete(coordinator.knowledge, now) !== coordinator.wasComplete) {
-      this.#publish(coordinator, now);
+    if (isFirst || isLoadComplete(knowledge, now) !== coordinator.wasComplete) {
+      this.#publish(i, now);
     }
   }
 
   /** Publishes the load; the skew is known from the second round of counts on. */
-  #publish(coordinator: Coordinator, now: number): void {
-    const { copies = 1, loadDelayMs = () => 0, skewAt } = this.#scenario;
-    if (now - coordinator.from > 2 * POLL_MS) {
-      coordinator.knowledge = noteSkew(coordinator.knowledge, skewAt(now));
+  #publish(i: number, now: number): void {
+    const { copies = 1, lives, loadDelayMs = () => 0, skewAt } = this.#scenario;
+    const known = this.#coordinators[i];
+    const [from, until] = lives[i] ?? [0, 0];
+    if (known === undefined || now >= until) {
+      return;
     }
-    coordinator.wasComplete = isLoadComplete(coordinator.knowledge, now);
-    coordinator.publishedAt = now;
-    const described = describeLoad(coordinator.knowledge, now);
-    if (described === null || now >= coordinator.until) {
+    const isSkewKnown = now - from > 2 * POLL_MS;
+    const knowledge = isSkewKnown ? noteSkew(known.knowledge, skewAt(now)) : known.knowledge;
+    const wasComplete = isLoadComplete(knowledge, now);
+    this.#coordinators[i] = { knowledge, publishedAt: now, wasComplete };
+    const load = describeLoad(knowledge, now);
+    if (load === null) {
       return;
     }
-    const passMs = described.passMs === null ? null : described.passMs * PASS_PARTS;
-    const load = { ...described, passMs };
-    this.#hosts.forEach((host) =>
+    const passMs = load.passMs === null ? null : load.passMs * PASS_PARTS;
+    this.#slots.forEach((_slots, host) =>
       range(copies).forEach((copy) => {
-        const delayMs = loadDelayMs(now) + 60 * this.#random() + copy * 100;
-        this.#schedule(now + delayMs, (at) => this.#deliver(host, load, at));
+        const delayMs = loadDelayMs(now) + LINK_MS * this.#random() + copy * 100;
+        this.#schedule(now + delayMs, (at) => this.#deliver(host, { ...load, passMs }, at));
       }),
     );
   }
 
-  #deliver(host: Host, load: GroupLoad, now: number): void {
-    const { joinsAt = 0 } = this.#scenario;
-    if (host !== this.#hosts.at(-1) || now >= joinsAt) {
-      host.slots = applyGroupLoad(host.slots, load, host.own, this.#params, now, this.#random());
+  #deliver(host: number, load: GroupLoad, now: number): void {
+    const own = this.#own[host];
+    const slots = this.#slots[host];
+    if (own !== undefined && slots !== undefined && this.#hasJoined(host, now)) {
+      this.#slots[host] = applyGroupLoad(slots, load, own, this.#params, now, this.#random());
     }
   }
 
   /** Starts as many requests as the host may. */
-  #start(host: Host, now: number): void {
-    host.slots = refreshGroupSlots(host.slots, host.own, this.#params, now);
-    const started = range(freeSlotsAt(host.slots, host.own)).map(() => {
+  #start(host: number, now: number): void {
+    const own = this.#own[host];
+    const before = this.#slots[host];
+    if (own === undefined || before === undefined) {
+      return;
+    }
+    const slots = refreshGroupSlots(before, own, this.#params, now);
+    this.#slots[host] = slots;
+    const started = range(freeSlotsAt(slots, own)).map(() => {
       const rank = Math.floor(this.#random() * RANKS);
-      host.own.set(`e${rank}`, (host.own.get(`e${rank}`) ?? 0) + 1);
+      this.#add(host, rank, 1);
       const tokens = COSTS.usualAnswer * (0.2 + 1.6 * this.#random());
       return { host, rank, passesLeft: tokens / COSTS.stepsPerPass };
     });
