Pure modules for admission by urgency: decider of grants, their use at an entry host, order of the queue

Under overload each entry host orders only its own queue, so the most urgent callers wait behind less urgent ones of other hosts. SlotGrants distributes the starts of an interval over the demand of all hosts, GrantedSlots takes a host's part of them, UrgencyOrder orders its queue.

--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -6,13 +6,26 @@
  * still be on time, those with the earliest objective first. Requests that can only be late get the remaining
  * slots, since a late answer is worth about half and a refusal nothing. A request that can't be answered by its
  * deadline is refused at once, with a retry delay after which the queue will have drained.
+ *
+ * Where the routes of the service have different priorities, the order is that of {@link sortByUrgency}, and while the
+ * group's coordinator grants starts, a request starts only with a grant.
  */
+import {
+  grantedRate,
+  grantedStarts,
+  haveSameShares,
+  takeGrant,
+  type GroupGrants,
+} from './GrantedSlots.js';
+import { sortByUrgency } from './UrgencyOrder.js';
 
 /** A waiting request; times in ms on the local monotonic clock. */
 export interface WaitingRequest {
   readonly id: number;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** Empty for a request without a customer. */
+  readonly customer: string;
   readonly arrivedAt: number;
   /** A first event is on time until then, ms. */
   readonly objectiveAt: number;
@@ -41,6 +54,8 @@
   readonly firstMs: number;
   /** Time to generate an answer of this many tokens, ms. */
   readonly writeMs: (tokens: number) => number;
+  /** Groups that start requests only with a grant; null where all routes of the service have one priority. */
+  readonly grants: GroupGrants | null;
 }
 
 /** Waiting requests, in no particular order. */
@@ -57,6 +72,9 @@
   readonly queue: StreamQueue;
   readonly admitted: readonly number[];
   readonly refused: readonly QueueRefusal[];
+  /** Groups after the starts taken for the admitted requests, and the group by request for those with a grant. */
+  readonly grants: GroupGrants;
+  readonly grantedAt: ReadonlyMap<number, string>;
 }
 
 /** Minimum time between the expected end of an answer and its deadline, as estimates of length are rough. In ms. */
@@ -71,6 +89,11 @@
 /** Longest retry delay, as a part of the caller's remaining time; callers honor up to a third of it. */
 const MAX_RETRY_DELAY_SHARE = 0.333;
 
+/** Shortest retry delay, ms. */
+const MIN_RETRY_DELAY_MS = 50;
+
+const NO_GROUPS: GroupGrants = new Map();
+
 /** Whether the first event can still be on time if the request is sent now. */
 function isOnTime(request: WaitingRequest, forecast: QueueForecast, now: number): boolean {
   return now + forecast.firstMs <= request.objectiveAt;
@@ -149,13 +172,100 @@
   forecast: QueueForecast,
   random: number,
 ): number {
-  const latest = Math.max(50, remainingMs * MAX_RETRY_DELAY_SHARE);
+  const latest = Math.max(MIN_RETRY_DELAY_MS, remainingMs * MAX_RETRY_DELAY_SHARE);
   if (forecast.ratePerMs === 0) {
     return latest * (1 - STALLED_JITTER * random);
   }
   return Math.min(latest, 100 + expectedWaitMs(waiting, forecast) * (0.5 + random));
 }
 
+/** Expected wait, ms, of a request where starts are granted, behind those that wait for the same grants. */
+function grantedWaitMs(
+  ahead: StreamQueue,
+  request: WaitingRequest,
+  { free }: QueueForecast,
+  grants: GroupGrants,
+): number {
+  const states = [...grants.values()];
+  const starts = states.reduce((total, state) => total + grantedStarts(state, request), 0);
+  const rate = states.reduce((total, state) => total + grantedRate(state, request), 0);
+  const same = ahead.filter((other) => haveSameShares(grants, other, request)).length;
+  return Math.max(0, same + 1 - starts - free) / Math.max(rate, 1e-6);
+}
+
+/** Expected wait, ms, of a request behind those of its own or a more urgent priority that go before it. */
+function urgentWaitMs(
+  queue: StreamQueue,
+  request: WaitingRequest,
+  forecast: QueueForecast,
+  now: number,
+): number {
+  const ordered = sortByUrgency([...queue, request], (item) => isOnTime(item, forecast, now));
+  const ahead = ordered
+    .slice(0, ordered.indexOf(request))
+    .filter(({ priority }) => priority <= request.priority);
+  const { grants } = forecast;
+  return grants !== null && grants.size > 0
+    ? grantedWaitMs(ahead, request, forecast, grants)
+    : expectedWaitMs(ahead.length, forecast);
+}
+
+/** Expected wait, ms, of a request that joins the queue. */
+function waitInQueueMs(
+  queue: StreamQueue,
+  request: WaitingRequest,
+  forecast: QueueForecast,
+  now: number,
+): number {
+  if (forecast.grants !== null) {
+    return urgentWaitMs(queue, request, forecast, now);
+  }
+  const ahead = queue.filter((other) => compareUrgency(other, request, forecast, now) <= 0).length;
+  return expectedWaitMs(ahead, forecast);
+}
+
+/**
+ * Retry delay of a refused request, ms. By urgency it is the wait until the requests ahead have started, at the rate
+ * that its priority gets, but at most a third of the remaining time.
+ */
+function refusalDelayMs(
+  queue: StreamQueue,
+  request: WaitingRequest,
+  forecast: QueueForecast,
+  now: number,
+  random: number,
+): number {
+  const remainingMs = request.deadline - now;
+  if (forecast.grants === null || forecast.ratePerMs === 0) {
+    return retryDelayMs(remainingMs, queue.length, forecast, random);
+  }
+  const others = queue.filter(({ id }) => id !== request.id);
+  const waitMs = urgentWaitMs(others, request, forecast, now);
+  return Math.max(MIN_RETRY_DELAY_MS, Math.min(remainingMs * MAX_RETRY_DELAY_SHARE, waitMs));
+}
+
+/** Requests that start now: with a grant, or in a free slot. */
+function startable(
+  ordered: StreamQueue,
+  free: number,
+  grants: GroupGrants,
+): Pick<QueueStep, 'admitted' | 'grants' | 'grantedAt'> {
+  let left = Math.max(0, Math.floor(free));
+  let groups = grants;
+  const grantedAt = new Map<number, string>();
+  const admitted = ordered.filter((request) => {
+    const taken = takeGrant(groups, request);
+    if (taken !== null) {
+      groups = taken.groups;
+      grantedAt.set(request.id, taken.group);
+      return true;
+    }
+    left -= 1;
+    return left >= 0;
+  });
+  return { admitted: admitted.map(({ id }) => id), grants: groups, grantedAt };
+}
+
 /** Admits as many requests as there are free slots, and refuses those that can no longer be answered. */
 export function admitWaiting(
   queue: StreamQueue,
@@ -165,14 +275,17 @@
 ): QueueStep {
   const unservable = queue.filter((request) => !canFinish(request, forecast, now, 0));
   const servable = queue.filter((request) => !unservable.includes(request));
-  const ordered = [...servable].sort((a, b) => compareUrgency(a, b, forecast, now));
-  const admitted = ordered.slice(0, Math.max(0, Math.floor(forecast.free)));
+  const ordered =
+    forecast.grants === null
+      ? [...servable].sort((a, b) => compareUrgency(a, b, forecast, now))
+      : sortByUrgency(servable, (request) => isOnTime(request, forecast, now));
+  const started = startable(ordered, forecast.free, forecast.grants ?? NO_GROUPS);
   return {
-    queue: servable.filter((request) => !admitted.includes(request)),
-    admitted: admitted.map(({ id }) => id),
+    ...started,
+    queue: servable.filter(({ id }) => !started.admitted.includes(id)),
     refused: unservable.map((request) => ({
       id: request.id,
-      retryAfterMs: retryDelayMs(request.deadline - now, queue.length, forecast, random),
+      retryAfterMs: refusalDelayMs(queue, request, forecast, now, random),
     })),
   };
 }
@@ -192,13 +305,18 @@
   now: number,
   random: number,
 ): QueueStep {
-  const ahead = queue.filter((other) => compareUrgency(other, request, forecast, now) <= 0).length;
-  const queueWaitMs = expectedWaitMs(ahead, forecast);
+  const queueWaitMs = waitInQueueMs(queue, request, forecast, now);
   // A caller that retries doesn't do so again, so its request waits as long as it can.
   const waitMs = request.isCallerRetry || forecast.ratePerMs === 0 ? 0 : queueWaitMs;
   if (!canFinish(request, forecast, now, waitMs)) {
-    const retryAfterMs = retryDelayMs(request.deadline - now, queue.length, forecast, random);
-    return { queue, admitted: [], refused: [{ id: request.id, retryAfterMs }] };
+    const retryAfterMs = refusalDelayMs(queue, request, forecast, now, random);
+    return {
+      queue,
+      admitted: [],
+      refused: [{ id: request.id, retryAfterMs }],
+      grants: forecast.grants ?? NO_GROUPS,
+      grantedAt: new Map(),
+    };
   }
   return admitWaiting([...queue, request], forecast, now, random);
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -330,3 +330,29 @@
   IDLE_THROTTLE,
   type UpdateThrottle,
 } from './UpdateThrottle.js';
+export {
+  decideGrants,
+  startableRequests,
+  type CustomerDemand,
+  type GroupUsage,
+} from './SlotGrants.js';
+export {
+  DEMAND_TTL_MS,
+  recordDemands,
+  rowDemand,
+  sumDemands,
+  type DemandSum,
+  type GroupDemands,
+} from './GroupDemands.js';
+export { demandRows, recordArrival, type Arrival, type RequestClass } from './DemandReport.js';
+export {
+  applyGrants,
+  grantPhase,
+  isReportDue,
+  NO_GRANTS,
+  recordReport,
+  replacementSlots,
+  type GrantedSlots,
+  type GrantPhase,
+  type GroupGrants,
+} from './GrantedSlots.js';
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -143,7 +143,28 @@
   readonly counts: readonly (readonly number[])[];
 }
 
-/** Load of a group, as last seen by its coordinator. */
+/** Requests of one priority that may start in an interval: `granted` of the `demand` summed over all hosts. */
+export interface GrantRow {
+  readonly priority: number;
+  readonly demand: number;
+  readonly granted: number;
+}
+
+/** The same for a customer above the fair level of its priority. */
+export interface CappedGrantRow extends GrantRow {
+  readonly customer: string;
+}
+
+/** Number of requests that may start at a group in the next interval, while the demand exceeds it. */
+export interface SlotGrants {
+  readonly intervalMs: number;
+  readonly rows: readonly GrantRow[];
+  readonly capped: readonly CappedGrantRow[];
+}
+
+/**
+ * Load of a group, as last seen by its coordinator. Processes of an earlier version send none of the optional fields.
+ */
 export interface GroupLoad {
   readonly group: string;
   /** Whether all ranks take part; otherwise the group runs nothing. */
@@ -151,12 +172,22 @@
   /** Numbers of running and of waiting requests by rank. */
   readonly active: readonly number[];
   readonly queued: readonly number[];
-  /** Ranks that are much slower than the others; not sent by processes of an earlier version. */
+  /** Ranks that are much slower than the others. */
   readonly slow?: readonly number[];
-  /** Recent duration of a pass, ms; null if the group was idle. */
+  /** Recent duration of a pass, ms; null if it is unknown, for example since the group was idle. */
   readonly passMs: number | null;
   /** Maximum over mean rank load, averaged over sets. */
   readonly skew: number;
+  /** Fencing token of the coordinator's lease. */
+  readonly token?: number;
+  /** Epoch of the group; increases each time the group is formed again. */
+  readonly epoch?: number;
+  /** Number of ranks whose recent report was received under this token. */
+  readonly reported?: number;
+  /** Skew of the group's first map, under the demand known before. */
+  readonly firstSkew?: number;
+  /** Requests that may start in the next interval; absent while there are slots for all. */
+  readonly grants?: SlotGrants;
 }
 
 /** Experts of each rank, `map[set][rank]`. */
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -41,6 +41,12 @@
   type SubmitReply,
   type SubmitRequest,
 } from './ProtocolMessages.js';
+export {
+  isGroupDemand,
+  MAX_ROWS_PER_PRIORITY,
+  type DemandRow,
+  type GroupDemand,
+} from './ProtocolDemand.js';
 export type { LimitUpdate, LimitRecord } from './ProtocolLimits.js';
 export type { QuarantineUpdate, SuspectRecord } from './ProtocolQuarantine.js';
 export { digestRequest, isSameRequest, type RequestIdentity } from './ProtocolRequestDigest.js';
@@ -54,8 +60,10 @@
 } from './ProtocolRequestError.js';
 export type {
   CallerLimits,
+  CappedGrantRow,
   EngineCosts,
   EngineOrder,
+  GrantRow,
   GroupLoad,
   GroupMap,
   KeyedCustomer,
@@ -67,4 +75,5 @@
   RoutePlan,
   RouteTarget,
   ServiceSpec,
+  SlotGrants,
 } from './ProtocolRoutes.js';
