--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -25,10 +25,25 @@
   readonly configIndex: number;
   readonly inForce: number;
   readonly live: number;
+  /** Missing in answers of control processes of an earlier version. */
+  readonly urgencyLevels?: readonly Row[];
+}
+
+/** Formats the requests of one priority that were granted at a group in the last interval. */
+function formatLevel(row: Row): Row {
+  const demand = Number(row['demand']);
+  const granted = Number(row['granted']);
+  return {
+    ...row,
+    demand: demand.toFixed(1),
+    granted: granted.toFixed(1),
+    admitted: `${Math.round((100 * granted) / Math.max(demand, 0.001))} %`,
+  };
 }
 
 /** Formats the status of the whole system. */
 export function formatStatus(body: StatusBody): string {
+  const levels = (body.urgencyLevels ?? []).map(formatLevel);
   const controls = body.controls.map((row) => ({ ...row, attached: row.attached.length }));
   return [
     table(
@@ -37,6 +52,9 @@
     ),
     table(['fleet', 'version', 'digest'], body.fleets),
     table(['id', 'role', 'zone', 'address', 'status', 'appliedIndex'], body.processes),
+    ...(levels.length === 0
+      ? []
+      : [table(['group', 'priority', 'demand', 'granted', 'admitted'], levels)]),
     `configuration ${body.configIndex} in force on ${body.inForce} of ${body.live} processes`,
   ].join('\n\n');
 }
--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -14,10 +14,10 @@
   grantedRate,
   grantedStarts,
   haveSameShares,
+  sortByUrgency,
   takeGrant,
   type GroupGrants,
-} from './GrantedSlots.js';
-import { sortByUrgency } from './UrgencyOrder.js';
+} from './urgency/index.js';
 
 /** A waiting request; times in ms on the local monotonic clock. */
 export interface WaitingRequest {
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -15,12 +15,14 @@
   isLongDown: false,
   firstMs: 150,
   writeMs: (tokens) => (tokens / 5) * 60,
+  grants: null,
 };
 
 function request(id: number, change: Partial<WaitingRequest> = {}): WaitingRequest {
   return {
     id,
     priority: 1,
+    customer: '',
     arrivedAt: 0,
     objectiveAt: 400,
     deadline: 8_000,
--- a/src/coordination/__tests__/utils/OverloadModel.ts
+++ b/src/coordination/__tests__/utils/OverloadModel.ts
@@ -129,17 +129,14 @@
     rank,
     zone: 'z1',
   }));
-  const hosts = Array.from(
-    { length: hostCount },
-    (_item, i): Host => ({
-      id: `h${i}`,
-      queue: [],
-      own: 0,
-      slots: initGroupSlots('g', ranks, params),
-      grants: NO_GRANTS,
-      arrivals: [],
-    }),
-  );
+  const hosts = Array.from({ length: hostCount }, (_item, i): Host => ({
+    id: `h${i}`,
+    queue: [],
+    own: 0,
+    slots: initGroupSlots('g', ranks, params),
+    grants: NO_GRANTS,
+    arrivals: [],
+  }));
   const limit = RANKS * COSTS.slots;
   const callers = new Map<number, Caller>();
   const outcomes = new Map<Caller, 'onTime' | 'late' | 'none'>();
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -330,29 +330,26 @@
   IDLE_THROTTLE,
   type UpdateThrottle,
 } from './UpdateThrottle.js';
-export {
-  decideGrants,
-  startableRequests,
-  type CustomerDemand,
-  type GroupUsage,
-} from './SlotGrants.js';
-export {
-  DEMAND_TTL_MS,
-  recordDemands,
-  rowDemand,
-  sumDemands,
-  type DemandSum,
-  type GroupDemands,
-} from './GroupDemands.js';
-export { demandRows, recordArrival, type Arrival, type RequestClass } from './DemandReport.js';
 export {
   applyGrants,
+  decideGrants,
+  demandRows,
   grantPhase,
   isReportDue,
   NO_GRANTS,
+  recordArrival,
+  recordDemands,
   recordReport,
   replacementSlots,
+  startableRequests,
+  sumDemands,
+  type Arrival,
+  type CustomerDemand,
+  type DemandSum,
   type GrantedSlots,
   type GrantPhase,
+  type GroupDemands,
   type GroupGrants,
-} from './GrantedSlots.js';
+  type GroupUsage,
+  type RequestClass,
+} from './urgency/index.js';
--- a/src/coordination/DemandReport.ts
+++ b/src/coordination/urgency/DemandReport.ts
@@ -1,5 +1,5 @@
 /** Demand of one entry process for a service: its waiting requests and recent arrivals, as rows of a message. */
-import { MAX_ROWS_PER_PRIORITY, type DemandRow } from '../protocol/index.js';
+import { MAX_ROWS_PER_PRIORITY, type DemandRow } from '../../protocol/index.js';
 
 /** Priority and customer of a request. */
 export interface RequestClass {
--- a/src/coordination/GrantedSlots.ts
+++ b/src/coordination/urgency/GrantedSlots.ts
@@ -2,7 +2,7 @@
  * Starts that a group's coordinator has granted to all entry processes, as used by one of them. Each takes a part of
  * the grants in proportion to its own last reported demand.
  */
-import type { DemandRow, SlotGrants } from '../protocol/index.js';
+import type { DemandRow, SlotGrants } from '../../protocol/index.js';
 import type { RequestClass } from './DemandReport.js';
 import { rowDemand } from './GroupDemands.js';
 
@@ -121,7 +121,9 @@
   return new Map(
     [...sharesOf(state, grants)].map(([key, share], i) => {
       const known = state.shares.get(key);
-      const balance = known?.balance ?? (random + i * GOLDEN_RATIO) % 1;
+      const isFull = mayStartInAdvance({ grants }, Number(key.split(' ', 1)[0]));
+      const left = known?.balance ?? (random + i * GOLDEN_RATIO) % 1;
+      const balance = isFull ? Math.max(0, left) : left;
       const ratePerMs = share / grants.intervalMs;
       return [
         key,
@@ -214,7 +216,7 @@
  * of the next interval's share, as arrivals at one process vary more than those at all of them. Otherwise a request
  * of a priority that isn't short of slots would wait half a second for its process's next share.
  */
-function mayStartInAdvance({ grants }: GrantedSlots, priority: number): boolean {
+function mayStartInAdvance({ grants }: Pick<GrantedSlots, 'grants'>, priority: number): boolean {
   return (grants?.rows ?? []).every(
     (row) => row.priority > priority || row.granted >= row.demand * FULL_SHARE,
   );
--- a/src/coordination/GroupDemands.ts
+++ b/src/coordination/urgency/GroupDemands.ts
@@ -1,5 +1,5 @@
 /** Demand for a group's slots at all entry processes, as its coordinator knows it from their messages. */
-import type { GroupDemand } from '../protocol/index.js';
+import type { GroupDemand } from '../../protocol/index.js';
 import type { CustomerDemand } from './SlotGrants.js';
 
 interface HostDemand {
@@ -22,7 +22,9 @@
   demands: readonly GroupDemand[],
   now: number,
 ): GroupDemands {
-  const next = new Map([...state].filter(([, { receivedAt }]) => now - receivedAt <= DEMAND_TTL_MS));
+  const next = new Map(
+    [...state].filter(([, { receivedAt }]) => now - receivedAt <= DEMAND_TTL_MS),
+  );
   demands.forEach(({ host, rows }) => next.set(host, { rows, receivedAt: now }));
   return next;
 }
--- a/src/coordination/SlotGrants.ts
+++ b/src/coordination/urgency/SlotGrants.ts
@@ -5,8 +5,8 @@
  * goes to a less urgent request at one process while more urgent ones wait at another. Here one process distributes
  * the starts over the demand of all of them.
  */
-import type { CappedGrantRow, EngineCosts, GrantRow, SlotGrants } from '../protocol/index.js';
-import { generationTime } from './EngineModel.js';
+import type { CappedGrantRow, EngineCosts, GrantRow, SlotGrants } from '../../protocol/index.js';
+import { generationTime } from '../EngineModel.js';
 
 /** Use of a group's slots, from which the grants of the next interval are decided. */
 export interface GroupUsage {
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -18,6 +18,7 @@
 } from '../state/index.js';
 import { readBody } from '../transport/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
+import type { UrgencyLevel } from './DaemonDemand.js';
 import type { DaemonHub } from './DaemonHub.js';
 
 /** Dependencies of the API. */
@@ -85,12 +86,15 @@
   }));
   const live = processes.filter(({ status }) => status !== 'gone');
   const { index } = consensus.control.config;
+  // Every control process is sent the loads of all groups.
+  const urgencyLevels: readonly UrgencyLevel[] = hub.demand.levels;
   return {
     controls: all,
     processes,
     configIndex: index,
     inForce: live.filter(({ appliedIndex }) => (appliedIndex ?? -1) >= index).length,
     live: live.length,
+    urgencyLevels,
     fleets: Object.entries(consensus.control.fleets).map(([fleet, { version, digest }]) => ({
       fleet,
       version,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -199,6 +199,7 @@
           publishMembers: (records) => peers.publishMembers(records),
           controls: () => peers.controls,
           publishLoad: (load) => peers.publishLoad(load),
+          sendDemands: (name, demands) => peers.sendDemands(name, demands),
           publishUpdate: (topic, update) => peers.publishUpdate(topic, update),
         }),
     ).singleton(),
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -1,7 +1,13 @@
 /** Links from a control process to the others, and how a cluster is formed over them. */
 import type { Logger } from 'pino';
 import { replicaName, type ConsensusMessage, type ConsensusState } from '../coordination/index.js';
-import type { ControlAddress, DirectoryDelta, GroupLoad, MemberRecord } from '../protocol/index.js';
+import type {
+  ControlAddress,
+  DirectoryDelta,
+  GroupDemand,
+  GroupLoad,
+  MemberRecord,
+} from '../protocol/index.js';
 import {
   TransportLinkClient,
   type Address,
@@ -108,7 +114,8 @@
       'control.identity': () => this.identity,
       'control.found': async (params) =>
         this.#foundCluster(params as { voters: readonly string[] }),
-      'control.load': (params) => hub().onGroupLoad(params as GroupLoad),
+      'control.load': (params, link) => hub().onPeerLoad(params as GroupLoad, link.peer),
+      'control.demand': (params) => hub().demand.onPeerDemands(params),
       'control.quarantine': (params) => this.#onUpdate('quarantine', params),
       'control.limits': (params) => this.#onUpdate('limits', params),
       'control.directory': (params) => {
@@ -171,6 +178,11 @@
     this.#clients.forEach((client) => client.notify('control.load', load));
   }
 
+  /** Sends the demand for groups to one peer. */
+  sendDemands(name: string, demands: readonly GroupDemand[]): void {
+    this.#clients.get(name)?.notify('control.demand', demands);
+  }
+
   /** Sends an update of a shared set to all peers. */
   publishUpdate(topic: SharedTopic, update: SharedUpdate): void {
     this.#clients.forEach((_client, name) => this.#sendUpdate(name, topic, update));
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -21,6 +21,7 @@
 import type {
   ControlAddress,
   DirectoryDelta,
+  GroupDemand,
   GroupLoad,
   HelloMessage,
   HelloReply,
@@ -28,6 +29,7 @@
   MemberRecord,
   QuarantineUpdate,
 } from '../protocol/index.js';
+import { DaemonDemand } from './DaemonDemand.js';
 import { DaemonLimits } from './DaemonLimits.js';
 import { DaemonQuarantine } from './DaemonQuarantine.js';
 import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
@@ -53,6 +55,8 @@
   readonly controls: () => readonly ControlAddress[];
   /** Sends the load of a group to the other control processes. */
   readonly publishLoad: (load: GroupLoad) => void;
+  /** Sends the demand for groups to the control process of that name. */
+  readonly sendDemands: (name: string, demands: readonly GroupDemand[]) => void;
   /** Sends an update of a shared set to the other control processes. */
   readonly publishUpdate: (topic: SharedTopic, update: SharedUpdate) => void;
 }
@@ -100,6 +104,9 @@
   /** Limits that endpoints have advertised, as reported by entry processes. */
   readonly #limits: DaemonLimits;
 
+  /** Demand for the slots of groups, on its way to their coordinators. */
+  readonly demand: DaemonDemand;
+
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
   #rollout: RolloutState;
@@ -114,6 +121,12 @@
       runtime: options,
       publish: (update, from) => this.#publishSharedUpdate('quarantine', update, from),
     });
+    this.demand = new DaemonDemand({
+      log: options.log,
+      now: options.now,
+      sendToProcess: (id, demands) => this.#processes.get(id)?.link.notify('group.demand', demands),
+      sendToPeer: (name, demands) => options.sendDemands(name, demands),
+    });
     this.#limits = new DaemonLimits({
       runtime: options,
       publish: (update, from) => this.#publishSharedUpdate('limits', update, from),
@@ -151,10 +164,13 @@
         this.#stepRollout({ type: 'gap', id: link.peer, held });
       },
       'config.whole': () => this.#rollout.config,
-      'group.load': (params) => {
-        this.onGroupLoad(params as GroupLoad);
-        this.#options.publishLoad(params as GroupLoad);
+      'group.load': (params, link) => {
+        const load = params as GroupLoad;
+        this.demand.onLoad(load, { isPeer: false, name: link.peer });
+        this.#forwardLoad(load);
+        this.#options.publishLoad(load);
       },
+      'group.demand': (params) => this.demand.onDemand(params),
       quarantine: (params, link) =>
         this.#onAttachedUpdate('quarantine', params as SharedUpdate, link),
       limits: (params, link) => this.#onAttachedUpdate('limits', params as SharedUpdate, link),
@@ -204,8 +220,14 @@
     this.#processes.forEach(({ link }) => link.notify('controls', controls));
   }
 
+  /** Handles the load of a group from another control process. */
+  onPeerLoad(load: GroupLoad, from: string): void {
+    this.demand.onLoad(load, { isPeer: true, name: from });
+    this.#forwardLoad(load);
+  }
+
   /** Forwards the load of a group to the entry processes attached here. */
-  onGroupLoad(load: GroupLoad): void {
+  #forwardLoad(load: GroupLoad): void {
     this.#processes.forEach(({ link, record }) => {
       if (record.role === 'entry') {
         link.notify('group.load', load);
--- a/src/daemon/DaemonHubLink.ts
+++ b/src/daemon/DaemonHubLink.ts
@@ -34,6 +34,8 @@
   readonly onConfig: ((config: ConfigState) => void) | null;
   readonly onDirectory: (delta: DirectoryDelta) => void;
   readonly onGroupLoad?: (load: GroupLoad) => void;
+  /** Called with the demand for the group that this process coordinates. */
+  readonly onDemands?: (demands: unknown) => void;
   readonly onQuarantine?: (update: QuarantineUpdate) => void;
   readonly onLimits?: (update: LimitUpdate) => void;
   /** Called once attached, after each new link. */
@@ -72,6 +74,7 @@
             this.#controls = controls as readonly ControlAddress[];
           },
           'group.load': (load) => options.onGroupLoad?.(load as GroupLoad),
+          'group.demand': (demands) => options.onDemands?.(demands),
           limits: (update) => options.onLimits?.(update as LimitUpdate),
           quarantine: (update) => options.onQuarantine?.(update as QuarantineUpdate),
         },
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -1,39 +1,25 @@
-/** Admission state of an entry process: slots at groups of ranks, and the queue of requests that wait for one. */
+/** Admission of requests at an entry process: the queue of those that wait for a slot at a group of ranks. */
 import type { Logger } from 'pino';
 import {
-  dropStaleLoad,
-  markGroupBroken,
-  chooseRank,
   enqueue,
-  freeSlotsAt,
-  initGroupSlots,
-  isOpenGroup,
-  isGroupStalled,
-  markGroupRecovered,
-  ownRequestsAt,
   admitWaiting,
   retryDelayMs,
-  applyGroupLoad,
-  generationTime,
-  type GroupSlots,
-  type GroupRank,
-  type SlotParameters,
   type QueueForecast,
   type QueueStep,
+  type RequestClass,
   type StreamQueue,
   type WaitingRequest,
 } from '../../coordination/index.js';
-import type { EngineCosts, GroupLoad, MemberRecord } from '../../protocol/index.js';
+import type { GroupLoad, MemberRecord } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import { DIRECT_FLEET } from './DirectDocument.js';
-import { DirectSlotsLog } from './DirectSlotsLog.js';
-import { DirectStreams } from './DirectStreams.js';
+import { forecastService } from './DirectForecast.js';
+import { DirectGrants, type SendDemand } from './DirectGrants.js';
+import { DirectGroups, type ModelService } from './DirectGroups.js';
 
 /** A request for a slot. */
-export interface SlotRequest {
+export interface SlotRequest extends RequestClass {
   readonly request: string;
   readonly service: string;
-  readonly priority: number;
   /** When the request arrived, ms on the local monotonic clock. */
   readonly startedAt: number;
   /** Objective for the time to the first event, ms. */
@@ -54,88 +40,60 @@
 export type SlotDecision =
   { readonly granted: true } | { readonly granted: false; readonly retryAfterMs: number };
 
-/** Engine costs that a model service declares, and the longest pause between events that its routes aim for, ms. */
-export interface ModelService {
-  readonly costs: EngineCosts;
-  readonly pauseMs: number;
+/** Options of a {@link DirectAdmission}. */
+export interface AdmissionOptions {
+  readonly zone: string;
+  readonly runtime: Runtime;
+  readonly modelOf: (service: string) => ModelService | null;
+  readonly sendDemand: SendDemand;
 }
 
-/** Longest pause between events to aim for where no route sets one, ms. */
-export const DEFAULT_PAUSE_MS = 120;
-
-/** Number of engine passes between sending a request and its first event, apart from reading the prompt. */
-const FIRST_EVENT_PASSES = 1.5;
-
-/** Overhead of connections and forwarding in the time to the first event, ms. */
-const FIRST_EVENT_OVERHEAD_MS = 30;
-
-/**
- * If a service has been down for longer than this, requests aren't expected to be answered in time until it is open
- * again or sends an event: callers' deadlines are 8 s, and a partition that heals does so within 6 s. In ms.
- */
-const LONG_DOWN_MS = 10_000;
-
-/**
- * A service counts as recovering for this long after its groups have reopened; the requests that waited have started
- * by then. In ms.
- */
-const RECOVERY_MS = 2_000;
-
 interface Waiter {
   readonly waiting: WaitingRequest;
   readonly resolve: (decision: SlotDecision) => void;
 }
 
-interface ServiceState {
-  readonly groups: ReadonlyMap<string, GroupSlots>;
-  readonly queue: StreamQueue;
-}
-
-/** Host of an `ip:port`. */
-function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
+const EMPTY_QUEUE: StreamQueue = [];
 
 /** Admission of one entry process. */
 export class DirectAdmission {
-  readonly #zone: string;
-
   readonly #runtime: Runtime;
 
   readonly #log: Logger;
 
-  readonly #slotsLog: DirectSlotsLog;
-
   readonly #modelOf: (service: string) => ModelService | null;
 
-  readonly #services = new Map<string, ServiceState>();
-
-  readonly #waiters = new Map<number, Waiter>();
+  readonly #groups: DirectGroups;
 
-  /** Number of requests of this process in progress, by endpoint. */
-  readonly #own = new Map<string, number>();
+  readonly #grants: DirectGrants;
 
-  readonly #streams = new DirectStreams();
+  /** Waiting requests by service. */
+  readonly #queues = new Map<string, StreamQueue>();
 
-  /** Since when all groups of a service have been closed, without an event or an open load report in between, ms. */
-  readonly #downSince = new Map<string, number>();
-
-  /** When a service whose groups were all closed last had one open again, ms. */
-  readonly #reopenedAt = new Map<string, number>();
-
-  /** Number of granted slots whose requests haven't been sent yet, by service. */
-  readonly #granted = new Map<string, number>();
+  readonly #waiters = new Map<number, Waiter>();
 
-  #entryHosts = 1;
+  /** Number of admitted requests that haven't been sent yet, by service; without those that have a grant. */
+  readonly #unsent = new Map<string, number>();
 
   #counter = 0;
 
-  constructor(zone: string, runtime: Runtime, modelOf: (service: string) => ModelService | null) {
-    this.#zone = zone;
+  constructor({ zone, runtime, modelOf, sendDemand }: AdmissionOptions) {
     this.#runtime = runtime;
     this.#log = runtime.log;
-    this.#slotsLog = new DirectSlotsLog(runtime.log, runtime.now);
     this.#modelOf = modelOf;
+    this.#groups = new DirectGroups({
+      zone,
+      runtime,
+      modelOf,
+      waitingAt: (service) => this.#queueOf(service).length,
+    });
+    this.#grants = new DirectGrants({
+      runtime,
+      groups: this.#groups,
+      sendDemand,
+      isByUrgency: (service) => modelOf(service)?.byUrgency === true,
+      waitingAt: (service) => this.#queueOf(service),
+    });
   }
 
   /** Number of requests that wait for a slot. */
@@ -143,70 +101,60 @@
     return this.#waiters.size;
   }
 
-  /** Updates the groups from the members. The rank of an endpoint is announced by the sidecar on the same host. */
+  /** Updates the groups from the members. */
   setMembers(records: readonly MemberRecord[], entryHosts: number): void {
-    this.#entryHosts = Math.max(1, entryHosts);
-    const endpoints = new Map(
-      records
-        .filter(({ offer }) => offer?.fleet === DIRECT_FLEET)
-        .map((record) => [hostOf(record.address), record]),
-    );
-    const found = new Map<string, Map<string, GroupRank[]>>();
-    records.forEach(({ address, offer, zone }) => {
-      const endpoint = endpoints.get(hostOf(address));
-      const rank = offer?.ranks?.[0];
-      const service = endpoint?.offer?.service;
-      if (offer?.group === undefined || rank === undefined || service === undefined) {
-        return;
-      }
-      const groups = found.get(service) ?? new Map<string, GroupRank[]>();
-      found.set(service, groups);
-      const ranks = groups.get(offer.group) ?? [];
-      groups.set(offer.group, [...ranks, { endpoint: endpoint?.id ?? '', rank, zone }]);
-    });
-    found.forEach((groups, service) => this.#setGroups(service, groups));
+    this.#groups.setMembers(records, entryHosts);
   }
 
   onLoad(load: GroupLoad): void {
-    this.#services.forEach(({ groups }, service) => {
-      const group = groups.get(load.group);
-      const parameters = this.#slotParameters(service);
-      if (group !== undefined && parameters !== null) {
-        const { now, random } = this.#runtime;
-        const next = applyGroupLoad(group, load, this.#own, parameters, now(), random());
-        if (load.open) {
-          this.#downSince.delete(service);
+    this.#groups.services.forEach((service) => {
+      const group = this.#groups.applyLoad(service, load);
+      if (group !== undefined) {
+        if (group.load === load) {
+          this.#grants.onLoad(service, group, load);
         }
-        this.#replaceGroup(service, next);
-        this.#logLoad(service, next);
+        this.#grants.report(service);
         this.#admitWaiting(service);
       }
     });
   }
 
-  #logLoad(service: string, state: GroupSlots): void {
-    this.#slotsLog.write(state, {
-      own: this.#own,
-      waiting: this.#services.get(service)?.queue.length ?? 0,
-    });
-  }
-
   /** Requests a slot; granted at once where the service has no groups. */
   async acquire(req: SlotRequest, signal: AbortSignal): Promise<SlotDecision> {
-    this.#detectStalledGroups();
-    const state = this.#services.get(req.service);
-    const forecast = this.#forecast(req.service);
-    const model = this.#modelOf(req.service);
-    if (state === undefined || forecast === null || model === null) {
+    this.#groups.detectStalled();
+    const { service } = req;
+    const forecast = this.#forecast(service);
+    const model = this.#modelOf(service);
+    if (forecast === null || model === null) {
       return { granted: true };
     }
+    this.#grants.onArrival(service, req);
+    const waiting = this.#waitingRequest(req, model);
+    return new Promise((resolve) => {
+      this.#waiters.set(waiting.id, { waiting, resolve });
+      signal.addEventListener('abort', () => this.#removeWaiter(service, waiting.id), {
+        once: true,
+      });
+      const { now, random } = this.#runtime;
+      const step = enqueue(this.#queueOf(service), waiting, forecast, now(), random());
+      this.#log.debug(
+        { event: 'place', request: req.request, free: forecast.free },
+        'slot requested',
+      );
+      this.#applyStep(service, step);
+      this.#grants.report(service);
+    });
+  }
+
+  #waitingRequest(req: SlotRequest, { costs }: ModelService): WaitingRequest {
     this.#counter += 1;
-    const tokensReceived = req.eventsReceived * model.costs.stepsPerPass;
-    const tokens = Math.max(1, (req.tokens ?? model.costs.usualAnswer) - tokensReceived);
-    const likely = Math.max(1, (req.likelyTokens ?? model.costs.usualAnswer) - tokensReceived);
-    const waiting: WaitingRequest = {
+    const tokensReceived = req.eventsReceived * costs.stepsPerPass;
+    const tokens = Math.max(1, (req.tokens ?? costs.usualAnswer) - tokensReceived);
+    const likely = Math.max(1, (req.likelyTokens ?? costs.usualAnswer) - tokensReceived);
+    return {
       id: this.#counter,
       priority: req.priority,
+      customer: req.customer,
       arrivedAt: req.startedAt,
       objectiveAt: req.startedAt + req.objectiveMs,
       deadline: req.deadline,
@@ -215,138 +163,73 @@
       likelyTokens: Math.min(tokens, likely),
       isCallerRetry: req.isCallerRetry,
     };
-    return new Promise((resolve) => {
-      this.#waiters.set(waiting.id, { waiting, resolve });
-      signal.addEventListener('abort', () => this.#removeWaiter(req.service, waiting.id), {
-        once: true,
-      });
-      const { now, random } = this.#runtime;
-      const step = enqueue(state.queue, waiting, forecast, now(), random());
-      this.#log.debug(
-        { event: 'place', request: req.request, free: forecast.free },
-        'slot requested',
-      );
-      this.#applyStep(req.service, step);
-    });
   }
 
   /** Whether the endpoints of a service are ranks of groups. */
   hasGroups(service: string): boolean {
-    return (this.#services.get(service)?.groups.size ?? 0) > 0;
+    return this.#groups.has(service);
   }
 
   /** Whether the service has groups and none of them is open. */
   isClosed(service: string): boolean {
-    const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    return groups.length > 0 && !groups.some(isOpenGroup);
-  }
-
-  /** Marks each group as broken whose streams to this process have all stopped delivering events. */
-  #detectStalledGroups(): void {
-    const now = this.#runtime.now();
-    this.#services.forEach(({ groups }, service) => {
-      groups.forEach((group) => {
-        const own = this.#streams.combined(group.ranks.map(({ endpoint }) => endpoint));
-        if (isGroupStalled(group, own, now)) {
-          this.#markBroken(service, group);
-        }
-      });
-    });
-  }
-
-  #markBroken(service: string, group: GroupSlots): void {
-    const brokenGroup = markGroupBroken(group, this.#runtime.now());
-    this.#replaceGroup(service, brokenGroup);
-    if (group.brokenAt === null) {
-      this.#logLoad(service, brokenGroup);
-    }
+    return this.#groups.isClosed(service);
   }
 
   /** Records an event of a stream; `isFirst` for its first one. */
   onEvent(endpoint: string, isFirst: boolean): void {
-    this.#streams.onEvent(endpoint, isFirst, this.#runtime.now());
-    this.#services.forEach(({ groups }, service) => {
-      groups.forEach((group) => {
-        const wasDown = group.brokenAt !== null || this.#downSince.has(service);
-        const isAliveAgain = wasDown && group.ranks.some((rank) => rank.endpoint === endpoint);
-        if (isAliveAgain) {
-          this.#downSince.delete(service);
-          this.#replaceGroup(service, markGroupRecovered(group));
-          this.#admitWaiting(service);
-        }
-      });
-    });
+    this.#groups.onEvent(endpoint, isFirst).forEach((service) => this.#admitWaiting(service));
   }
 
   /** Records the end of a stream from which events were received. */
   onStreamFinished(endpoint: string): void {
-    this.#streams.onFinished(endpoint);
+    this.#groups.onStreamFinished(endpoint);
   }
 
   /** Records the end of a request without any event; `wasCancelled` where this process cancelled it. */
   onUnanswered(service: string, endpoint: string, wasCancelled: boolean): void {
-    const groups = [...(this.#services.get(service)?.groups.values() ?? [])];
-    const avoid =
-      wasCancelled && groups.some((group) => this.#unresponsiveIn(group).includes(endpoint));
-    this.#streams.onUnanswered(endpoint, avoid, this.#runtime.now());
+    this.#groups.onUnanswered(service, endpoint, wasCancelled);
   }
 
   /** Chooses an endpoint by free slots: null where none is available, undefined where the service has no groups. */
   choose(service: string, exclude: readonly string[]): string | null | undefined {
-    const groups = this.#services.get(service)?.groups;
-    if (groups === undefined || groups.size === 0) {
+    const groups = this.#groups.at(service);
+    if (groups.length === 0) {
       return undefined;
     }
-    const { random } = this.#runtime;
-    const all = [...groups.values()];
-    const unresponsive = all.flatMap((group) => this.#unresponsiveIn(group));
-    const choose = (excluded: readonly string[]): string | null =>
-      chooseRank(all, this.#own, this.#zone, excluded, random);
-    // An unresponsive endpoint is better than none: its whole group may have stalled, and may resume.
-    return (
-      choose([...exclude, ...unresponsive]) ?? (unresponsive.length > 0 ? choose(exclude) : null)
-    );
-  }
-
-  #unresponsiveIn({ ranks }: GroupSlots): readonly string[] {
-    const endpoints = ranks.map(({ endpoint }) => endpoint);
-    return this.#streams.unresponsiveAmong(endpoints, this.#runtime.now());
+    const preferred = this.#grants.preferred(groups);
+    const chosen = preferred.length === 0 ? null : this.#groups.choose(preferred, exclude);
+    return chosen ?? this.#groups.choose(groups, exclude);
   }
 
   onSent(service: string, endpoint: string): void {
-    this.#streams.onSent(endpoint, this.#runtime.now());
-    this.#own.set(endpoint, (this.#own.get(endpoint) ?? 0) + 1);
-    this.#granted.set(service, Math.max(0, (this.#granted.get(service) ?? 0) - 1));
+    this.#groups.onSent(endpoint);
+    if (!this.#grants.onSent(this.#groups.groupOf(service, endpoint)?.group)) {
+      this.#countSent(service);
+    }
   }
 
   onDone(service: string, endpoint: string): void {
-    const left = (this.#own.get(endpoint) ?? 1) - 1;
-    if (left > 0) {
-      this.#own.set(endpoint, left);
-    } else {
-      this.#own.delete(endpoint);
-    }
+    this.#groups.onDone(endpoint);
     this.#admitWaiting(service);
   }
 
   /** Returns a granted slot whose request isn't sent after all. */
   onUnused(service: string): void {
-    this.#granted.set(service, Math.max(0, (this.#granted.get(service) ?? 0) - 1));
+    if ((this.#unsent.get(service) ?? 0) > 0 || !this.#grants.onUnused(service)) {
+      this.#countSent(service);
+    }
+  }
+
+  #countSent(service: string): void {
+    this.#unsent.set(service, Math.max(0, (this.#unsent.get(service) ?? 0) - 1));
   }
 
   /** Re-evaluates the queue: the passage of time alone may change which requests can still be answered. */
   tick(): void {
-    this.#detectStalledGroups();
-    this.#services.forEach(({ groups }, service) => {
-      const parameters = this.#slotParameters(service);
-      if (parameters !== null) {
-        groups.forEach((group) => {
-          const refreshed = dropStaleLoad(group, parameters, this.#runtime.now());
-          if (refreshed !== group) {
-            this.#replaceGroup(service, refreshed);
-          }
-        });
-      }
+    this.#groups.detectStalled();
+    this.#groups.services.forEach((service) => {
+      this.#groups.dropStale(service);
+      this.#grants.report(service);
       this.#admitWaiting(service);
     });
   }
@@ -354,125 +237,50 @@
   /** Time after which the caller of a refused request should retry, ms; null where that isn't known. */
   retryAfter(service: string, leftMs: number): number | null {
     const forecast = this.#forecast(service);
-    const waiting = this.#services.get(service)?.queue.length ?? 0;
     return forecast === null
       ? null
-      : retryDelayMs(leftMs, waiting, forecast, this.#runtime.random());
+      : retryDelayMs(leftMs, this.#queueOf(service).length, forecast, this.#runtime.random());
   }
 
-  /**
-   * Marks the group of an endpoint as broken until a newer load report or an event shows otherwise.
-   *
-   * To be called when a rank's refusal blames another rank, since all ranks of the group refuse then. Otherwise each
-   * request would be tried at one rank after another and use up the retry budgets.
-   */
+  /** Marks the group of an endpoint as broken, see {@link DirectGroups.markBrokenAt}. */
   onGroupBroken(endpoint: string): void {
-    this.#services.forEach(({ groups }, service) => {
-      groups.forEach((group) => {
-        if (group.ranks.some((rank) => rank.endpoint === endpoint)) {
-          this.#markBroken(service, group);
-        }
-      });
-    });
-  }
-
-  #setGroups(service: string, found: ReadonlyMap<string, readonly GroupRank[]>): void {
-    const parameters = this.#slotParameters(service);
-    if (parameters === null) {
-      return;
-    }
-    const known = this.#services.get(service);
-    const groups = new Map<string, GroupSlots>();
-    found.forEach((ranks, group) => {
-      const before = known?.groups.get(group);
-      groups.set(
-        group,
-        before === undefined ? initGroupSlots(group, ranks, parameters) : { ...before, ranks },
-      );
-    });
-    this.#services.set(service, { groups, queue: known?.queue ?? [] });
-  }
-
-  #replaceGroup(service: string, group: GroupSlots): void {
-    const state = this.#services.get(service);
-    if (state === undefined) {
-      return;
-    }
-    const wasClosed = this.isClosed(service);
-    const groups = new Map(state.groups).set(group.group, group);
-    this.#services.set(service, { ...state, groups });
-    const now = this.#runtime.now();
-    if (!this.isClosed(service)) {
-      if (wasClosed) {
-        this.#reopenedAt.set(service, now);
-      }
-    } else if (!this.#downSince.has(service)) {
-      this.#downSince.set(service, now);
-    }
+    this.#groups.markBrokenAt(endpoint);
   }
 
-  #isLongDown(service: string): boolean {
-    const downSince = this.#downSince.get(service) ?? Infinity;
-    return this.isClosed(service) && this.#runtime.now() - downSince > LONG_DOWN_MS;
-  }
-
-  #isRecovering(service: string): boolean {
-    const reopenedAt = this.#reopenedAt.get(service) ?? -Infinity;
-    return this.isClosed(service) || this.#runtime.now() - reopenedAt < RECOVERY_MS;
-  }
-
-  #slotParameters(service: string): SlotParameters | null {
-    const model = this.#modelOf(service);
-    return model === null ? null : { ...model, entryHosts: this.#entryHosts };
+  #queueOf(service: string): StreamQueue {
+    return this.#queues.get(service) ?? EMPTY_QUEUE;
   }
 
   #forecast(service: string): QueueForecast | null {
-    const state = this.#services.get(service);
     const model = this.#modelOf(service);
-    if (state === undefined || model === null || state.groups.size === 0) {
+    if (model === null || !this.#groups.has(service)) {
       return null;
     }
-    const groups = [...state.groups.values()];
-    const openGroups = groups.filter(isOpenGroup);
-    const granted = this.#granted.get(service) ?? 0;
-    const free =
-      openGroups.reduce((sum, group) => sum + freeSlotsAt(group, this.#own), 0) - granted;
-    const slots = groups.reduce(
-      (total, group) => total + Math.max(group.allowance, ownRequestsAt(group, this.#own)),
-      0,
-    );
-    const passMs = groups.reduce((total, group) => total + group.passMs, 0) / groups.length;
-    const { costs } = model;
-    const writeMs = (tokens: number): number => generationTime(costs, tokens, passMs);
-    return {
-      free: Math.max(0, free),
-      isRecovering: this.#isRecovering(service),
-      isLongDown: this.#isLongDown(service),
-      ratePerMs: openGroups.length > 0 ? slots / Math.max(1, writeMs(costs.usualAnswer)) : 0,
-      firstMs:
-        FIRST_EVENT_PASSES * passMs +
-        costs.usualPrompt / costs.readTokensPerMs +
-        FIRST_EVENT_OVERHEAD_MS,
-      writeMs,
-    };
+    const grants = this.#grants.grantsAt(service);
+    return forecastService(this.#groups, {
+      service,
+      model,
+      unsent: this.#unsent.get(service) ?? 0,
+      freeAt: grants === null ? null : (group) => this.#grants.freeAt(group),
+      grants,
+    });
   }
 
   #admitWaiting(service: string): void {
-    const state = this.#services.get(service);
-    const forecast =
-      state === undefined || state.queue.length === 0 ? null : this.#forecast(service);
-    if (state !== undefined && forecast !== null) {
+    const queue = this.#queueOf(service);
+    const forecast = queue.length === 0 ? null : this.#forecast(service);
+    if (forecast !== null) {
       const { now, random } = this.#runtime;
-      this.#applyStep(service, admitWaiting(state.queue, forecast, now(), random()));
+      this.#applyStep(service, admitWaiting(queue, forecast, now(), random()));
     }
   }
 
-  #applyStep(service: string, { queue, admitted, refused }: QueueStep): void {
-    const state = this.#services.get(service);
-    if (state !== undefined) {
-      this.#services.set(service, { ...state, queue });
-    }
-    this.#granted.set(service, (this.#granted.get(service) ?? 0) + admitted.length);
+  #applyStep(service: string, step: QueueStep): void {
+    const { queue, admitted, refused, grantedAt } = step;
+    this.#queues.set(service, queue);
+    const withoutGrant = admitted.length - grantedAt.size;
+    this.#unsent.set(service, (this.#unsent.get(service) ?? 0) + withoutGrant);
+    this.#grants.onStep(step);
     admitted.forEach((id) => this.#resolve(id, { granted: true }));
     refused.forEach(({ id, retryAfterMs }) => this.#resolve(id, { granted: false, retryAfterMs }));
   }
@@ -484,12 +292,11 @@
 
   /** Removes an aborted request from the queue. */
   #removeWaiter(service: string, id: number): void {
-    const state = this.#services.get(service);
-    if (this.#waiters.has(id) && state !== undefined) {
-      this.#services.set(service, {
-        ...state,
-        queue: state.queue.filter((waiting) => waiting.id !== id),
-      });
+    if (this.#waiters.has(id)) {
+      this.#queues.set(
+        service,
+        this.#queueOf(service).filter((waiting) => waiting.id !== id),
+      );
       this.#resolve(id, { granted: false, retryAfterMs: 0 });
     }
   }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -16,7 +16,12 @@
 } from './DirectAttempt.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import { quarantineError } from './DirectReply.js';
-import { slotRequestOf, type DirectOutcome, type DirectRequest } from './DirectRequest.js';
+import {
+  forwardHeadOf,
+  slotRequestOf,
+  type DirectOutcome,
+  type DirectRequest,
+} from './DirectRequest.js';
 
 /** An attempt with its endpoint. */
 interface RunningAttempt {
@@ -185,7 +190,7 @@
    * a send slot.
    */
   #send(reservedEndpoint: MemberRecord | null = null): void {
-    const { service, route, head, customer, req, body, deadline } = this.#request;
+    const { service, head, req, body } = this.#request;
     if (this.#state.isQuarantined(this.#request)) {
       this.#state.admission.onUnused(service);
       this.#refuseQuarantined();
@@ -199,13 +204,8 @@
       return;
     }
     const { dialect } = this.#state;
-    const resumeAfter = this.#lastEvent;
-    const raw = dialect.writeForward(req.rawHeaders, {
-      instance: endpoint.id,
-      deadlineMs: deadline - this.#state.now(),
-      customer: route.anonymous ? null : (customer?.name ?? null),
-      resumeAfter,
-    });
+    const forward = forwardHeadOf(this.#request, endpoint.id, this.#lastEvent, this.#state);
+    const raw = dialect.writeForward(req.rawHeaders, forward);
     this.#sendCount += 1;
     this.#tried.push(endpoint.id);
     const isRepeat = this.#sentTo.has(endpoint.id);
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -25,6 +25,7 @@
   observeReport,
   type DemandState,
   type ExpertCounts,
+  type GroupUsage,
   type MapPolicy,
   type MapShape,
   type MapSwitchInput,
@@ -32,7 +33,7 @@
   type MapSwitchState,
   type PassMonitor,
 } from '../../coordination/index.js';
-import type { GroupLoad, GroupMap, RankReport } from '../../protocol/index.js';
+import type { GroupLoad, GroupMap, RankReport, SlotGrants } from '../../protocol/index.js';
 import type { DaemonCoordinator } from '../DaemonCoordinator.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import type { GroupForecast } from './DirectRank.js';
@@ -64,6 +65,8 @@
   readonly forecastSince: (token: number) => GroupForecast | null;
   /** Publishes the group's load to the entry processes. */
   readonly publish: (load: GroupLoad) => void;
+  /** Decides how many requests may start until the next load; null while there are slots for all. */
+  readonly grants?: (usage: GroupUsage) => SlotGrants | null;
 }
 
 /** Interval of reading counts, ms: a few hundred thousand expert choices at the usual rate. */
--- a/src/daemon/direct/DirectEndpoint.ts
+++ b/src/daemon/direct/DirectEndpoint.ts
@@ -10,6 +10,7 @@
 import { runEvery, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
 import { COORDINATOR_TICK_MS, DirectCoordinator } from './DirectCoordinator.js';
+import { DirectDemand } from './DirectDemand.js';
 import { DirectGroupMembers } from './DirectGroupMembers.js';
 import { DirectMapLimits } from './DirectMapLimits.js';
 import { DirectRank, type EngineClient } from './DirectRank.js';
@@ -81,6 +82,8 @@
   const { group, rank: own, ranks } = firstReport;
   log.info({ event: 'rank', group, rank: own, ranks }, 'engine is a rank of a group');
   const members = new DirectGroupMembers();
+  const limits = new DirectMapLimits(cfg.service, documents);
+  const demand = new DirectDemand({ group, runtime, costs: () => limits.costs });
   const peers = new DirectRankPeers(own, rank, signal, runtime, openEngine);
   const hubLink = new DaemonHubLink({
     targets: cfg.controls,
@@ -100,6 +103,7 @@
     // No subscription: only a coordinator needs the configuration, and reads it at an interval.
     onConfig: null,
     onDirectory: (delta) => members.apply(delta),
+    onDemands: (demands) => demand.onDemands(demands),
   });
   const isCandidate = (n: number): boolean => n % Math.ceil(ranks / MAX_CANDIDATES) === 0;
   if (!isCandidate(own)) {
@@ -111,7 +115,6 @@
     log,
     now: runtime.now,
   });
-  const limits = new DirectMapLimits(cfg.service, documents);
   const coordinator = new DirectCoordinator({
     group,
     ranks,
@@ -123,6 +126,7 @@
     isCandidate,
     forecastSince: (token) => rank.newerForecast(token),
     publish: (load) => hubLink.notify('group.load', load),
+    grants: (usage) => demand.grants(usage),
   });
   runEvery(LEASE_TICK_MS, signal, () => {
     if (hubLink.isAttached) {
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -8,16 +8,16 @@
   RequestError,
   type DocumentDialect,
   type HttpDialect,
-  type KeyedCustomer,
   type Route,
 } from '../../protocol/index.js';
-import { findRoute, pickTarget } from '../../state/index.js';
+import { pickTarget } from '../../state/index.js';
 import { readBody, serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
 import { waitForAbort, runEvery, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
 import type { SlotDecision } from './DirectAdmission.js';
+import { authorize } from './DirectAuthorization.js';
 import { DirectConfigWatch } from './DirectConfigWatch.js';
 import { DirectCall } from './DirectCall.js';
 import { DirectCallerConnections } from './DirectCallerConnections.js';
@@ -112,6 +112,7 @@
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
       sendLimitUpdate: (update) => this.#hubLink.notify('limits', update),
+      sendDemand: (demand) => this.#hubLink.notify('group.demand', { ...demand, host: id }),
     });
     this.#hubLink = new DaemonHubLink({
       targets: cfg.controls,
@@ -365,7 +366,7 @@
     const head = this.#state.dialect.readRequest(req.headers);
     const body = await readBody(req);
     await this.#awaitStartup(reply, startedAt, head.deadlineMs, () => this.#hasConfig);
-    const { route, customer } = this.#authorize(req, head.key);
+    const { route, customer } = authorize(this.#state, req, head.key);
     this.#refuseIfLeaving(route);
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
     const service = pickTarget(route, this.#runtime.random());
@@ -389,40 +390,6 @@
       deadline: startedAt + timeoutMs,
     };
   }
-
-  /**
-   * Finds the route and the customer of a request.
-   *
-   * Callers don't retry after 401 or 404, so a process with an outdated configuration must not refuse a new key or
-   * path with these. They are sent only if the configuration was proven to be the newest shortly before; else the
-   * request is refused with 503, which callers retry elsewhere. So is every request while a newer configuration that has
-   * to be in force hasn't arrived. Known keys are accepted as long as none can
-   * have been revoked.
-   */
-  #authorize(
-    req: IncomingMessage,
-    key: string | null,
-  ): { readonly route: Route; readonly customer: KeyedCustomer | null } {
-    const { routes, isFresh, isProven, isOutdated, mayDeny } = this.#state;
-    if (routes === null || !isProven || isOutdated) {
-      throw new RequestError('not_ready', this.#state.readiness);
-    }
-    const route = findRoute(routes, req.headers.host ?? '', req.url ?? '/');
-    const needsKey = routes.plan.customers.length > 0 && route?.anonymous !== true;
-    const customer = key === null ? undefined : routes.byKey.get(key);
-    const isOpen = route !== undefined && !needsKey;
-    const isKnown = route !== undefined && customer !== undefined && isFresh;
-    if (isOpen || isKnown) {
-      return { route, customer: customer ?? null };
-    }
-    if (!mayDeny) {
-      throw new RequestError('not_ready', 'not sure that the configuration is the newest');
-    }
-    if (route === undefined) {
-      throw new RequestError('unknown_path', `no route for ${req.url ?? ''}`);
-    }
-    throw new RequestError('unknown_key', 'no customer has this key');
-  }
 }
 
 /** Runs an entry process until the signal is aborted, then until no request is in progress. */
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -45,8 +45,10 @@
 import type { SendUpdate } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import { DirectAdmission, DEFAULT_PAUSE_MS, type ModelService } from './DirectAdmission.js';
+import { DirectAdmission } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
+import type { SendDemand } from './DirectGrants.js';
+import { DirectModels } from './DirectModels.js';
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
@@ -70,6 +72,8 @@
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
   /** Sends updates on limits to the control process. */
   readonly sendLimitUpdate: SendUpdate<LimitUpdate>;
+  /** Sends the demand for the slots of a group to the control process. */
+  readonly sendDemand: SendDemand;
 }
 
 /** Replaced instances are remembered this long, as late updates may still list them. In ms. */
@@ -109,8 +113,7 @@
 
   readonly sendSlots: DirectSendSlots;
 
-  /** Cache of model services by name, as the newest configuration declares them; null for other services. */
-  readonly #models = new Map<string, ModelService | null>();
+  readonly models = new DirectModels();
 
   #view: MembershipView = new Map();
 
@@ -131,9 +134,12 @@
     this.#options = options;
     this.#routing = initRouting(options.zone);
     this.startup = new DirectStartup(options.runtime);
-    this.admission = new DirectAdmission(options.zone, options.runtime, (service) =>
-      this.#modelOf(service),
-    );
+    this.admission = new DirectAdmission({
+      zone: options.zone,
+      runtime: options.runtime,
+      modelOf: (service) => this.models.at(service),
+      sendDemand: options.sendDemand,
+    });
     this.requests = new DirectRequestLog(options.runtime);
     this.sendSlots = new DirectSendSlots({
       self: options.id,
@@ -209,7 +215,7 @@
     if (text !== null) {
       this.#routes = viewRoutes(this.#options.documents.readPlan(text));
     }
-    this.#models.clear();
+    this.models.setRoutes(this.#routes);
     this.#setView(this.#view);
     this.#setFreshness(receiveConfig(this.#freshness, config.index));
     const version = this.#routes?.plan.version ?? null;
@@ -304,7 +310,7 @@
 
   /** Whether an endpoint of the service is known, or for model engines that run as ranks, a group. */
   knowsEndpoint(service: string): boolean {
-    const model = this.#modelOf(service);
+    const model = this.models.at(service);
     return model !== null && model.costs.experts > 0
       ? this.admission.hasGroups(service)
       : (this.#routing.services.get(serviceKey(DIRECT_FLEET, service))?.length ?? 0) > 0;
@@ -476,19 +482,4 @@
     );
     this.startup.recheck();
   }
-
-  #modelOf(service: string): ModelService | null {
-    const known = this.#models.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const costs = this.#routes?.services.get(service)?.engine ?? null;
-    const pauseLimits = (this.#routes?.plan.routes ?? [])
-      .filter(({ targets }) => targets.some((target) => target.service === service))
-      .flatMap(({ pauseMs }) => (pauseMs === null ? [] : [pauseMs]));
-    const pauseMs = pauseLimits.length === 0 ? DEFAULT_PAUSE_MS : Math.min(...pauseLimits);
-    const model = costs === null ? null : { costs, pauseMs };
-    this.#models.set(service, model);
-    return model;
-  }
 }
--- a/src/daemon/direct/DirectMapLimits.ts
+++ b/src/daemon/direct/DirectMapLimits.ts
@@ -3,9 +3,9 @@
 import type { DocumentDialect, EngineCosts } from '../../protocol/index.js';
 import type { ConfigState } from '../../state/index.js';
 import type { DaemonHubLink } from '../DaemonHubLink.js';
-import { DEFAULT_PAUSE_MS } from './DirectAdmission.js';
 import type { MapLimits } from './DirectCoordinator.js';
 import { textOfDocument } from './DirectDocument.js';
+import { DEFAULT_PAUSE_MS } from './DirectGroups.js';
 
 /**
  * Time that a rank may spend on the copies of one change, ms. A change takes some 350 ms besides, and until it is in
@@ -42,6 +42,11 @@
     this.#documents = documents;
   }
 
+  /** Costs of the service's engines; null until a configuration has been read. */
+  get costs(): EngineCosts | null {
+    return this.#costs;
+  }
+
   get value(): MapLimits | null {
     const costs = this.#costs;
     return costs === null
--- a/src/daemon/direct/DirectRequest.ts
+++ b/src/daemon/direct/DirectRequest.ts
@@ -1,6 +1,12 @@
 /** A request that an entry process has accepted, and its possible outcomes. */
 import type { IncomingMessage } from 'node:http';
-import type { KeyedCustomer, RequestHead, RequestIdentity, Route } from '../../protocol/index.js';
+import type {
+  ForwardHead,
+  KeyedCustomer,
+  RequestHead,
+  RequestIdentity,
+  Route,
+} from '../../protocol/index.js';
 import type { SlotRequest } from './DirectAdmission.js';
 import type { DirectReply } from './DirectReply.js';
 
@@ -26,13 +32,44 @@
   readonly deadline: number;
 }
 
+/** Priority of a request; its customer's own goes before its route's. */
+function priorityOf({ customer, route }: DirectRequest): number {
+  return customer?.priority ?? route.priority;
+}
+
+/** What the forwarding of a request needs to know of the process's state. */
+interface ForwardState {
+  readonly now: () => number;
+  readonly models: {
+    readonly urgencyOf: (service: string, priority: number) => number | null;
+  };
+}
+
+/** Metadata for the forwarding of a request to an instance. */
+export function forwardHeadOf(
+  request: DirectRequest,
+  instance: string,
+  resumeAfter: string | null,
+  state: ForwardState,
+): ForwardHead {
+  const { route, service, customer, deadline } = request;
+  return {
+    instance,
+    deadlineMs: deadline - state.now(),
+    customer: route.anonymous ? null : (customer?.name ?? null),
+    urgency: state.models.urgencyOf(service, priorityOf(request)),
+    resumeAfter,
+  };
+}
+
 /** The slot that a request needs, as input to admission. */
 export function slotRequestOf(request: DirectRequest): SlotRequest {
   const { head, route, service, customer, startedAt, deadline } = request;
   return {
     request: head.id,
     service,
-    priority: customer?.priority ?? route.priority,
+    priority: priorityOf(request),
+    customer: customer?.name ?? '',
     startedAt,
     objectiveMs: route.objectiveMs,
     deadline,
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
+import { Registry } from 'prom-client';
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../../../protocol/index.js';
 import type { Runtime } from '../../../DaemonRuntime.js';
 import { DirectAdmission, type SlotRequest } from '../../DirectAdmission.js';
+import type { SendDemand } from '../../DirectGrants.js';
 
 const COSTS: EngineCosts = {
   slots: 2,
@@ -53,6 +55,7 @@
   request: 'r',
   service: 's',
   priority: 1,
+  customer: '',
   startedAt: 0,
   objectiveMs: 400,
   deadline: 8_000,
@@ -63,12 +66,21 @@
   isCallerRetry: false,
 };
 
-function openAdmission(log = pino({ level: 'silent' }), now = (): number => 0): DirectAdmission {
-  const runtime = { log, now, random: () => 0 };
-  const admission = new DirectAdmission('z1', runtime as unknown as Runtime, () => ({
-    costs: COSTS,
-    pauseMs: 120,
-  }));
+type Demand = Parameters<SendDemand>[0];
+
+/** Opens an admission; `sent` receives its demand messages, null for a service with one priority. */
+function openAdmission(
+  log = pino({ level: 'silent' }),
+  now = (): number => 0,
+  sent: Demand[] | null = null,
+): DirectAdmission {
+  const runtime = { log, now, random: () => 0, registry: new Registry() };
+  const admission = new DirectAdmission({
+    zone: 'z1',
+    runtime: runtime as unknown as Runtime,
+    modelOf: () => ({ costs: COSTS, pauseMs: 120, byUrgency: sent !== null }),
+    sendDemand: (demand) => sent?.push(demand),
+  });
   admission.setMembers([engine(1), engine(2), sidecar(1), sidecar(2)], 1);
   return admission;
 }
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -49,6 +49,7 @@
     now: () => performance.now(),
     isLeaving: false,
     admission: ADMISSION,
+    models: { urgencyOf: () => null },
     screening: { onAnswered: ignore },
     dialect: { writeForward: () => [], readAnswer: () => HEAD },
     registerQuarantineListener: () => ignore,
--- a/src/protocol/ProtocolDialect.ts
+++ b/src/protocol/ProtocolDialect.ts
@@ -29,6 +29,8 @@
   readonly deadlineMs: number;
   /** Customer's name; null if the request needs no key. */
   readonly customer: string | null;
+  /** From 0, the most urgent, to 9; null where requests aren't admitted by urgency. */
+  readonly urgency: number | null;
   /** Id of the event after which a stream is resumed; null to forward the caller's own value. */
   readonly resumeAfter: string | null;
 }
