--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -31,8 +31,8 @@
 
 /** Formats the requests of one priority that were granted at a group in the last interval. */
 function formatLevel(row: Row): Row {
-  const demand = Number(row['demand']);
-  const granted = Number(row['granted']);
+  const demand = Number(row.demand);
+  const granted = Number(row.granted);
   return {
     ...row,
     demand: demand.toFixed(1),
--- a/src/coordination/urgency/GrantedSlots.ts
+++ b/src/coordination/urgency/GrantedSlots.ts
@@ -107,6 +107,17 @@
   ]);
 }
 
+/**
+ * Whether a priority gets all that it demands, and so do the more urgent ones. Its requests may then start in advance
+ * of the next interval's share, as arrivals at one process vary more than those at all of them. Otherwise a request
+ * of a priority that isn't short of slots would wait half a second for its process's next share.
+ */
+function mayStartInAdvance({ grants }: Pick<GrantedSlots, 'grants'>, priority: number): boolean {
+  return (grants?.rows ?? []).every(
+    (row) => row.priority > priority || row.granted >= row.demand * FULL_SHARE,
+  );
+}
+
 /**
  * Adds the starts of a new interval. A balance is at most the share of one interval and one request.
  *
@@ -211,17 +222,6 @@
   return Math.max(0, Math.floor(most - running));
 }
 
-/**
- * Whether a priority gets all that it demands, and so do the more urgent ones. Its requests may then start in advance
- * of the next interval's share, as arrivals at one process vary more than those at all of them. Otherwise a request
- * of a priority that isn't short of slots would wait half a second for its process's next share.
- */
-function mayStartInAdvance({ grants }: Pick<GrantedSlots, 'grants'>, priority: number): boolean {
-  return (grants?.rows ?? []).every(
-    (row) => row.priority > priority || row.granted >= row.demand * FULL_SHARE,
-  );
-}
-
 /** Number of requests like this one that may start now in phase `granted`. */
 export function grantedStarts(state: GrantedSlots, request: RequestClass): number {
   const { share, balance } = state.shares.get(classOf(state, request)) ?? { share: 0, balance: 0 };
