--- a/src/coordination/__tests__/utils/OverloadModel.ts
+++ b/src/coordination/__tests__/utils/OverloadModel.ts
@@ -38,7 +38,8 @@
   zone: 'z1',
 }));
 
-const COSTS: EngineCosts = {
+/** Costs of the engines in the model. */
+export const OVERLOAD_COSTS: EngineCosts = {
   slots: 5,
   stepsPerPass: 5,
   stepMs: 6,
@@ -73,6 +74,9 @@
 const DEADLINE_MS = 8_000;
 const WARM_UP_MS = 3_000;
 
+/** Time from the begin of the surge until the slots that were free before are in use, ms. */
+const FILLED_MS = 1_000;
+
 /** How slots are shared: by urgency, by each host on its own, or by grants without regard to priority. */
 export type SharingMode = 'urgency' | 'own' | 'byHost';
 
@@ -104,6 +108,8 @@
   readonly startedAt: number;
   readonly answerMs: number;
   outcome: Outcome;
+  /** Index of the host that it called last. */
+  host: number;
   hasRetried: boolean;
 }
 
@@ -123,7 +129,7 @@
   readonly served: readonly number[];
   /** Smallest share of served callers of one customer, over that of all. */
   readonly leastCustomer: number;
-  /** Mean use of the slots, and the worth of the answers. */
+  /** Mean use of the slots once the free ones have been filled, and the worth of the answers. */
   readonly used: number;
   readonly worth: number;
 }
@@ -178,7 +184,7 @@
       }
       this.#coordinate();
       this.#hosts.forEach((host) => this.#tickHost(host));
-      if (this.#sinceSurge >= 0 && this.#now < endsAt) {
+      if (this.#sinceSurge >= FILLED_MS && this.#now < endsAt) {
         this.#uses.push(this.#running / this.#limit);
       }
       this.#now += TICK_MS;
@@ -187,7 +193,7 @@
   }
 
   get #params(): { costs: EngineCosts; pauseMs: number; entryHosts: number } {
-    return { costs: COSTS, pauseMs: 120, entryHosts: this.#run.hosts };
+    return { costs: OVERLOAD_COSTS, pauseMs: 120, entryHosts: this.#run.hosts };
   }
 
   get #sinceSurge(): number {
@@ -199,7 +205,7 @@
   }
 
   get #limit(): number {
-    return RANKS.length * COSTS.slots * (1 - this.#cutHosts / this.#run.hosts);
+    return RANKS.length * OVERLOAD_COSTS.slots * (1 - this.#cutHosts / this.#run.hosts);
   }
 
   /** Running requests, without those of hosts that are cut off. */
@@ -231,6 +237,7 @@
           startedAt: this.#now,
           answerMs: answerMs * (0.5 + this.#random()),
           outcome: 'none',
+          host: 0,
           hasRetried: false,
         });
       }
@@ -238,10 +245,14 @@
   }
 
   #arrive(caller: Caller): void {
-    const host = this.#hosts[Math.floor(this.#random() * this.#hosts.length)];
-    if (host === undefined || host.index < this.#cutHosts) {
+    // Callers retry at a host that they reach; new callers of hosts that are cut off aren't part of the model.
+    const first = caller.hasRetried ? this.#cutHosts : 0;
+    const index = first + Math.floor(this.#random() * (this.#hosts.length - first));
+    const host = this.#hosts[index];
+    if (host === undefined || index < this.#cutHosts) {
       return;
     }
+    Object.assign(caller, { host: index });
     if (!caller.hasRetried && this.#sinceSurge >= 0) {
       this.#counted.push(caller);
     }
@@ -259,8 +270,8 @@
       objectiveAt: caller.startedAt + classOf(caller.priority).objectiveMs,
       deadline: caller.startedAt + DEADLINE_MS,
       firstEventDeadline: now + PATIENCE_MS,
-      tokens: COSTS.usualAnswer,
-      likelyTokens: COSTS.usualAnswer,
+      tokens: OVERLOAD_COSTS.usualAnswer,
+      likelyTokens: OVERLOAD_COSTS.usualAnswer,
       isCallerRetry: caller.hasRetried,
     };
     host.arrivals = recordArrival(host.arrivals, { priority, customer, at: now });
@@ -276,14 +287,14 @@
       replacing: replacementSlots(grants, running, Math.max(1, slots.limit / this.#run.hosts)),
       granted: 0,
     };
-    const usualMs = generationTime(COSTS, COSTS.usualAnswer, PASS_MS);
+    const usualMs = generationTime(OVERLOAD_COSTS, OVERLOAD_COSTS.usualAnswer, PASS_MS);
     return {
       free: free[phase],
       ratePerMs: Math.max(slots.allowance, running) / usualMs,
       isRecovering: false,
       isLongDown: false,
       firstMs: FIRST_MS,
-      writeMs: (tokens) => generationTime(COSTS, tokens, PASS_MS),
+      writeMs: (tokens) => generationTime(OVERLOAD_COSTS, tokens, PASS_MS),
       grants: isOwn ? null : new Map(phase === 'granted' ? [['g', grants]] : []),
     };
   }
@@ -337,7 +348,7 @@
     const running = this.#running;
     const usage = { limit: this.#limit, running, passMs: PASS_MS, intervalMs: INTERVAL_MS };
     const { demands } = sumDemands(this.#demands, INTERVAL_MS, this.#now);
-    const startable = startableRequests(usage, COSTS);
+    const startable = startableRequests(usage, OVERLOAD_COSTS);
     const grants = mode === 'own' ? null : decideGrants(demands, startable, INTERVAL_MS);
     const ranks = Math.round(RANKS.length * (1 - this.#cutHosts / hosts));
     const load: GroupLoad = {
@@ -386,7 +397,7 @@
   #summarize(): OverloadResult {
     const share = (callers: readonly Caller[], outcomes: readonly Outcome[]): number =>
       callers.filter(({ outcome }) => outcomes.includes(outcome)).length / callers.length;
-    const counted = this.#counted;
+    const counted = this.#counted.filter(({ host }) => host >= this.#cutHosts);
     const answered: readonly Outcome[] = ['onTime', 'late'];
     const byClass = CLASSES.map((_class, p) => counted.filter(({ priority }) => priority === p));
     const byCustomer = Array.from({ length: CUSTOMERS }, (_item, c) =>
--- a/src/coordination/urgency/GrantedSlots.ts
+++ b/src/coordination/urgency/GrantedSlots.ts
@@ -113,8 +113,10 @@
  * of a priority that isn't short of slots would wait half a second for its process's next share.
  */
 function mayStartInAdvance({ grants }: Pick<GrantedSlots, 'grants'>, priority: number): boolean {
-  return (grants?.rows ?? []).every(
-    (row) => row.priority > priority || row.granted >= row.demand * FULL_SHARE,
+  return (
+    grants?.rows.every(
+      (row) => row.priority > priority || row.granted >= row.demand * FULL_SHARE,
+    ) === true
   );
 }
 
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -2,7 +2,12 @@
 import { describe, it } from 'node:test';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
-import type { EngineCosts, GroupLoad, MemberRecord } from '../../../../protocol/index.js';
+import type {
+  EngineCosts,
+  GroupLoad,
+  MemberRecord,
+  SlotGrants,
+} from '../../../../protocol/index.js';
 import type { Runtime } from '../../../DaemonRuntime.js';
 import { DirectAdmission, type SlotRequest } from '../../DirectAdmission.js';
 import type { SendDemand } from '../../DirectGrants.js';
@@ -149,6 +154,63 @@
     assert.equal(waits(), true);
   });
 
+  const GRANTS: SlotGrants = {
+    intervalMs: 250,
+    rows: [
+      { priority: 0, demand: 1, granted: 1 },
+      { priority: 1, demand: 4, granted: 0 },
+    ],
+    capped: [],
+  };
+
+  // A service whose routes all have one priority. Guards against any change of its decisions and messages.
+  it('reports no demand and ignores grants where all routes have one priority', async () => {
+    const admission = openAdmission();
+    admission.onLoad({ ...load(1), grants: GRANTS });
+    assert.deepEqual(await admission.acquire(REQUEST, NEVER_ABORTED), { granted: true });
+    admission.onLoad({ ...load(2), grants: GRANTS });
+    const waiting = admission.acquire(REQUEST, NEVER_ABORTED);
+    assert.equal(admission.waiting, 1);
+    admission.onLoad({ ...load(0), grants: GRANTS });
+    assert.deepEqual(await waiting, { granted: true });
+  });
+
+  // Two hosts compete for the slots. Guards against a less urgent request that takes a slot granted to another host.
+  it('reports waiting requests at once, and starts them only with a grant', async () => {
+    let now = 0;
+    const sent: Demand[] = [];
+    const admission = openAdmission(undefined, () => now, sent);
+    admission.onLoad(load(2));
+    const less = admission.acquire({ ...REQUEST, customer: 'a' }, NEVER_ABORTED);
+    assert.deepEqual(sent, [
+      { group: 'g', rows: [{ priority: 1, customer: 'a', waiting: 1, perSecond: 1 }] },
+    ]);
+    now = 250;
+    admission.onLoad({ ...load(0), grants: GRANTS });
+    assert.equal(admission.waiting, 1);
+    const urgent = admission.acquire({ ...REQUEST, priority: 0 }, NEVER_ABORTED);
+    assert.deepEqual(await urgent, { granted: true });
+    assert.equal(admission.waiting, 1);
+    admission.onLoad(load(0));
+    assert.deepEqual(await less, { granted: true });
+  });
+
+  // The decider is lost. Guards against a host that never starts a request again, and one that takes others' slots.
+  it('replaces its own requests while no load arrives', async () => {
+    let now = 0;
+    const admission = openAdmission(undefined, () => now, []);
+    admission.onSent('s', 'e1');
+    admission.onLoad(load(2));
+    const waiting = admission.acquire(REQUEST, NEVER_ABORTED);
+    now = 250;
+    admission.onLoad({ ...load(2), grants: GRANTS });
+    now = 800;
+    admission.tick();
+    assert.equal(admission.waiting, 1);
+    admission.onDone('s', 'e1');
+    assert.deepEqual(await waiting, { granted: true });
+  });
+
   // A stream that broke off near its end must not be refused for lack of time to write the whole of it again.
   it('counts only the remaining tokens of a resumed stream', () => {
     const admission = openAdmission();
