--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -19,6 +19,7 @@
   recordCounts,
   type DemandState,
   type ExpertCounts,
+  type GroupUsage,
   type MapPolicy,
   type MapShape,
   type MapSwitchInput,
@@ -34,7 +35,7 @@
 } from '../../protocol/index.js';
 import type { DaemonCoordinator } from '../DaemonCoordinator.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import { DirectLoadPublisher, type GroupUsage } from './DirectLoadPublisher.js';
+import { DirectLoadPublisher } from './DirectLoadPublisher.js';
 import type { GroupForecast } from './DirectRank.js';
 import type { DirectRankPeers } from './DirectRankPeers.js';
 import { DirectRankPolls } from './DirectRankPolls.js';
--- a/src/daemon/direct/DirectLoadPublisher.ts
+++ b/src/daemon/direct/DirectLoadPublisher.ts
@@ -14,6 +14,7 @@
   reformGroup,
   slowdownsOf,
   stepSlotLimit,
+  type GroupUsage,
   type LimitParameters,
   type LoadKnowledge,
   type SlotLimit,
@@ -22,18 +23,6 @@
 import type { Runtime } from '../DaemonRuntime.js';
 import { COUNTS_INTERVAL_MS } from './DirectRankPolls.js';
 
-/** Use of a group's slots, from which the grants of the next interval are decided. */
-export interface GroupUsage {
-  /** Maximum number of requests that the group should run. */
-  readonly limit: number;
-  /** Running requests, and those that wait at ranks. */
-  readonly running: number;
-  /** Duration of a pass, ms: observed, or else estimated for a group at its limit. */
-  readonly passMs: number;
-  /** Time until the next load is published, ms. */
-  readonly intervalMs: number;
-}
-
 /** Options of the publication of loads. */
 export interface LoadPublisherOptions {
   readonly group: string;
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -41,6 +41,12 @@
   type SubmitReply,
   type SubmitRequest,
 } from './ProtocolMessages.js';
+export {
+  isGroupDemand,
+  MAX_ROWS_PER_PRIORITY,
+  type DemandRow,
+  type GroupDemand,
+} from './ProtocolDemand.js';
 export type { LimitUpdate, LimitRecord } from './ProtocolLimits.js';
 export type { QuarantineUpdate, SuspectRecord } from './ProtocolQuarantine.js';
 export { digestRequest, isSameRequest, type RequestIdentity } from './ProtocolRequestDigest.js';
