--- a/src/coordination/load/GroupLoadKnowledge.ts
+++ b/src/coordination/load/GroupLoadKnowledge.ts
@@ -170,7 +170,8 @@
     token,
     epoch: newest.report.epoch,
     reported: reports.filter((report) => report !== null).length,
-    sentAt: now,
-    ...(firstSkew === null ? {} : { firstSkew }),
+    // Rounded, since these numbers travel to every entry host four times a second.
+    sentAt: Math.round(now * 10) / 10,
+    ...(firstSkew === null ? {} : { firstSkew: Math.round(firstSkew * 100) / 100 }),
   };
 }
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -231,7 +231,9 @@
     const { mapLimits, runtime } = this.#options;
     const limits = mapLimits();
     const weights = expectedLoad(this.#demand);
-    if (limits === null || weights === null || this.#map === null) {
+    // A plan takes tens of ms, in which a change that a predecessor left unfinished would keep the group held.
+    const isRecovering = this.#switch.phase === 'observing' || this.#switch.phase === 'voiding';
+    if (limits === null || weights === null || this.#map === null || isRecovering) {
       return;
     }
     const planStartedAt = runtime.now();
