Evacuation of a zone as a command of the replicated log

A begin sets and a finish removes an entry of the configuration that belongs to no fleet, so a document keeps it, and

delayed is stale after any other change and can't undo a later order.

--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -4,6 +4,7 @@
  */
 import type { ConfigDelta, ConfigEntries, LeaseGrant, SubmitReply } from '../protocol/index.js';
 import { diffEntries, EMPTY_CONFIG, patchEntries, type ConfigState } from './StateConfig.js';
+import { evacuationDelta, evacuationEntries } from './StateEvacuation.js';
 
 /** Number of deltas kept for processes that missed some; a longer gap is closed by a snapshot. */
 export const DELTA_HISTORY = 512;
@@ -110,15 +111,27 @@
   readonly after: { readonly token: number };
 }
 
+/**
+ * Begins or finishes the evacuation of a zone. `base` is the index of the configuration that the order was based on:
+ * an order that was delayed on its way must not undo a later one.
+ */
+export interface EvacuateCommand {
+  readonly kind: 'evacuate';
+  readonly zone: string;
+  readonly evacuated: boolean;
+  readonly base: number;
+}
+
 /** A command of the log. A new leader commits a `noop` first. */
 export type ControlCommand =
-  SubmitCommand | ReplaceCommand | LeaseCommand | { readonly kind: 'noop' };
+  SubmitCommand | ReplaceCommand | LeaseCommand | EvacuateCommand | { readonly kind: 'noop' };
 
 /** Result of a command. With `stale`, its base has changed and the command has to be computed again. */
 export type CommandResult =
   | SubmitReply
   | { readonly result: 'granted'; readonly lease: LeaseGrant }
   | { readonly result: 'held'; readonly lease: LeaseState }
+  | { readonly result: 'evacuated'; readonly index: number }
   | { readonly result: 'stale' }
   | { readonly result: 'done' };
 
@@ -212,8 +225,9 @@
 }
 
 function applyReplace(state: ControlState, command: ReplaceCommand, index: number): Applied {
-  const { fleet, version, digest, entries } = command;
+  const { fleet, version, digest } = command;
   const known = state.fleets[fleet];
+  const entries = { ...command.entries, ...evacuationEntries(state.config.entries) };
   const accepted: SubmitReply = { result: 'accepted', fleet, version, digest, index };
   if (known !== undefined && version <= known.version) {
     return { state, result: accepted };
@@ -251,6 +265,25 @@
   };
 }
 
+function applyEvacuate(state: ControlState, command: EvacuateCommand, index: number): Applied {
+  const { zone, evacuated, base } = command;
+  if (state.config.index !== base) {
+    return { state, result: { result: 'stale' } };
+  }
+  const delta = evacuationDelta(state.config, zone, evacuated, index);
+  if (delta === null) {
+    return { state, result: { result: 'evacuated', index: base } };
+  }
+  return {
+    state: {
+      ...state,
+      config: { index, entries: patchEntries(state.config.entries, delta) },
+      deltas: [...state.deltas, delta].slice(-DELTA_HISTORY),
+    },
+    result: { result: 'evacuated', index },
+  };
+}
+
 type Handlers = {
   readonly [K in ControlCommand['kind']]: (
     state: ControlState,
@@ -263,6 +296,7 @@
   submit: applySubmit,
   replace: applyReplace,
   lease: applyLease,
+  evacuate: applyEvacuate,
   noop: (state) => ({ state, result: { result: 'done' } }),
 };
 
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -25,12 +25,14 @@
   type CommandResult,
   type ControlCommand,
   type ControlState,
+  type EvacuateCommand,
   type FleetState,
   type LeaseCommand,
   type LeaseState,
   type ReplaceCommand,
   type SubmitCommand,
 } from './StateControl.js';
+export { evacuationsOf, isEvacuated, type Evacuation } from './StateEvacuation.js';
 export { findRoute, pickTarget, viewRoutes, type RouteView } from './StateRoutes.js';
 export { StateCorruptError } from './StateCorruptError.js';
 export { StateDataFolder, type Identity } from './StateDataFolder.js';
