Orders to evacuate a zone: acknowledgement, APIs and CLI

Each control process takes orders on the platform's API, the administration API and by 'laburnumgauge evacuate ZONE'. An order is based on the newest configuration and is stale at the leader once that has changed, so one that is late on its way can't undo a later one; one that is read within 100 ms of a detected suspension is refused. It is acknowledged when more disks hold it than may be lost, by the wait that documents use, now in DaemonHolders.ts. The status lists evacuated zones, and the platform's control processes serve it too.

--- a/src/cli/CliCommands.ts
+++ b/src/cli/CliCommands.ts
@@ -1,4 +1,7 @@
-/** The commands. Operators change the system by manifests and quarantine releases; all other commands only read. */
+/**
+ * The commands. Operators change the system by manifests, evacuations and quarantine releases; all other commands only
+ * read.
+ */
 import { readFile } from 'node:fs/promises';
 import { Command, Option } from 'clipanion';
 import { FindingsError, formatFinding, parseManifest } from '../protocol/index.js';
@@ -6,6 +9,7 @@
 import {
   formatDiff,
   formatEndpoints,
+  formatEvacuation,
   formatGroups,
   formatManifest,
   formatQuarantine,
@@ -24,6 +28,8 @@
 interface CommandContext {
   /** The command's argument; empty if it takes none. */
   readonly argument: string;
+  /** Whether the command's flag is given; false if it has none. */
+  readonly flag: boolean;
   readonly call: (method: 'GET' | 'POST', path: string, body?: string) => Promise<ApiReply>;
   /** Prints a body as text or JSON. */
   readonly print: (body: unknown, format: Formatter) => void;
@@ -35,6 +41,7 @@
   readonly path: readonly string[];
   readonly description: string;
   readonly argument?: string;
+  readonly flag?: { readonly name: string; readonly description: string };
   readonly run: (ctx: CommandContext) => Promise<number>;
 }
 
@@ -92,6 +99,17 @@
     description: 'Show groups of ranks and their coordinators.',
     run: async ({ call, finish }) => finish(await call('GET', '/v1/groups'), formatGroups),
   },
+  {
+    path: ['evacuate'],
+    description: 'Send no more requests to the endpoints of a zone, or end that.',
+    argument: 'zone',
+    flag: { name: '--finish', description: 'End the evacuation' },
+    run: async ({ argument, flag, call, finish }) => {
+      const verb = flag ? 'finish' : 'begin';
+      const path = `/v1/evacuations/${encodeURIComponent(argument)}/${verb}`;
+      return finish(await call('POST', path), formatEvacuation);
+    },
+  },
   {
     path: ['quarantine', 'list'],
     description: 'Show requests that endpoints crashed on.',
@@ -122,10 +140,16 @@
     readonly argument =
       spec.argument === undefined ? '' : Option.String({ name: spec.argument, required: true });
 
+    readonly flag =
+      spec.flag === undefined
+        ? false
+        : Option.Boolean(spec.flag.name, false, { description: spec.flag.description });
+
     async execute(): Promise<number> {
       try {
         return await spec.run({
           argument: this.argument,
+          flag: this.flag,
           call: async (...args) => this.#call(...args),
           print: (...args) => this.#print(...args),
           finish: (...args) => this.#finish(...args),
--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -22,6 +22,8 @@
   readonly controls: readonly (Row & { readonly attached: readonly unknown[] })[];
   readonly processes: readonly Row[];
   readonly fleets: readonly Row[];
+  /** Not sent by control processes of an earlier version. */
+  readonly evacuations?: readonly Row[];
   readonly configIndex: number;
   readonly inForce: number;
   readonly live: number;
@@ -30,12 +32,17 @@
 /** Formats the status of the whole system. */
 export function formatStatus(body: StatusBody): string {
   const controls = body.controls.map((row) => ({ ...row, attached: row.attached.length }));
+  const evacuations = (body.evacuations ?? []).map((row) => ({
+    ...row,
+    'evacuated zone': row.zone,
+  }));
   return [
     table(
       ['name', 'replica', 'role', 'term', 'commit', 'rollout', 'configIndex', 'attached'],
       controls,
     ),
     table(['fleet', 'version', 'digest'], body.fleets),
+    ...(evacuations.length > 0 ? [table(['evacuated zone', 'since'], evacuations)] : []),
     table(['id', 'role', 'zone', 'address', 'status', 'appliedIndex'], body.processes),
     `configuration ${body.configIndex} in force on ${body.inForce} of ${body.live} processes`,
   ].join('\n\n');
@@ -117,3 +124,9 @@
 export function formatRelease({ digest }: Row): string {
   return `${String(digest)}: released from quarantine`;
 }
+
+/** Formats the result of an order to begin or finish an evacuation. */
+export function formatEvacuation({ zone, evacuated, index }: Row): string {
+  const state = evacuated === true ? 'evacuated' : 'not evacuated';
+  return `${String(zone)}: ${state}, configuration ${String(index)}`;
+}
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -15,6 +15,7 @@
   entriesOfFleet,
   flattenManifest,
   checkSubmission,
+  evacuationsOf,
 } from '../state/index.js';
 import { readBody } from '../transport/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
@@ -30,6 +31,9 @@
   readonly controls: () => Promise<readonly ControlStatus[]>;
 }
 
+/** The part of {@link AdminOptions} that the status needs. */
+export type StatusOptions = Pick<AdminOptions, 'consensus' | 'hub' | 'controls'>;
+
 /** Status that a control process reports about itself. */
 export interface ControlStatus {
   readonly name: string;
@@ -74,7 +78,7 @@
   return parseManifestQuickly(body.toString('utf8'));
 }
 
-async function getStatus({ controls, consensus, hub }: AdminOptions): Promise<unknown> {
+async function getStatus({ controls, consensus, hub }: StatusOptions): Promise<unknown> {
   const all = await controls();
   const applied = new Map(
     all.flatMap(({ attached }) => attached.map(({ id, appliedIndex }) => [id, appliedIndex])),
@@ -84,10 +88,11 @@
     appliedIndex: applied.get(record.id) ?? null,
   }));
   const live = processes.filter(({ status }) => status !== 'gone');
-  const { index } = consensus.control.config;
+  const { index, entries } = consensus.control.config;
   return {
     controls: all,
     processes,
+    evacuations: evacuationsOf(entries),
     configIndex: index,
     inForce: live.filter(({ appliedIndex }) => (appliedIndex ?? -1) >= index).length,
     live: live.length,
@@ -195,6 +200,17 @@
   return known;
 }
 
+/** Adds only the status to an application, where configurations don't come from manifests. */
+export function addStatusApi(app: Koa, options: StatusOptions): void {
+  app.use(async (ctx, next) => {
+    if (ctx.method === 'GET' && ctx.path === '/v1/status') {
+      ctx.body = await getStatus(options);
+    } else {
+      await next();
+    }
+  });
+}
+
 /** Adds the administration API to an application. Findings about a manifest are answered with status 422. */
 export function addAdminApi(app: Koa, options: AdminOptions): void {
   app.use(async (ctx) => {
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -1,6 +1,8 @@
 /** Composition root of role `control`, configured by the product's own settings. */
+import { regionsOf } from '../state/index.js';
 import { serveHttp } from '../transport/index.js';
 import { addAdminApi } from './DaemonAdmin.js';
+import { addEvacuationApi } from './DaemonEvacuationApi.js';
 import { addQuarantineApi } from './DaemonQuarantineApi.js';
 import { startControlCore } from './DaemonControlCore.js';
 import { createApp } from './DaemonApp.js';
@@ -45,6 +47,10 @@
   }));
   testSwitch.addApi(app);
   addQuarantineApi(app, hub.quarantine);
+  addEvacuationApi(app, {
+    core,
+    zones: () => [...regionsOf(consensus.control.config.entries).keys()],
+  });
   addAdminApi(app, {
     name: cfg.id,
     consensus,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,7 +1,5 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
-import { setTimeout as delay } from 'node:timers/promises';
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import { replicaName } from '../coordination/index.js';
 import type { Manifest, SubmitReply } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
@@ -14,10 +12,19 @@
   type LeaseReply,
   type ReplaceRequest,
 } from './DaemonControlService.js';
+import {
+  DaemonEvacuations,
+  type EvacuationLeaderReply,
+  type EvacuationOrder,
+  type EvacuationReply,
+  type EvacuationRequest,
+} from './DaemonEvacuations.js';
 import { DaemonHub } from './DaemonHub.js';
+import { callLeader, loggedNewestIndex } from './DaemonLeaderCalls.js';
 import { runEvery, type Runtime } from './DaemonRuntime.js';
 import type { ControlTarget } from './DaemonSettings.js';
 import { CoalescedRead } from './DaemonCoalescedRead.js';
+import { SuspensionWatch } from './DaemonSuspension.js';
 import type { DaemonTestSwitch } from './DaemonTestSwitch.js';
 
 const TICK_MS = 50;
@@ -30,21 +37,6 @@
  */
 const VOTER_CHECK_INTERVAL_MS = 100;
 
-/**
- * Timeout for a read of the newest index, ms: about a hundred round trips between AZs. If a read takes longer, the
- * leader counts as unreachable, and the caller should ask another control process.
- */
-const READ_TIMEOUT_MS = 800;
-
-/** How often a replica that is behind, or knows no leader, checks again, ms. */
-const CATCH_UP_POLL_MS = 20;
-
-/** How long a read waits for a leader to be known, ms: long enough for an election among running hosts. */
-const LEADER_WAIT_MS = 400;
-
-/** A read of the newest index that takes longer than this is logged, ms. */
-const SLOW_READ_MS = 300;
-
 /** How often a replica that has not confirmed that it is up to date asks the leader, ms. */
 const CONFIRM_INTERVAL_MS = 50;
 
@@ -77,89 +69,19 @@
   readonly hub: DaemonHub;
   readonly consensus: DaemonConsensus;
   readonly service: DaemonControlService;
+  readonly evacuations: DaemonEvacuations;
   readonly newest: CoalescedRead<number>;
 }
 
-/** Calls a method at the leader, which may be this replica. Rejects if no leader is known or it is unreachable. */
-async function callLeader<T>(
-  { consensus, peers }: Cradle,
-  method: string,
-  params: unknown,
-  local: () => Promise<T>,
-): Promise<T> {
-  const { role, leader } = consensus.state;
-  if (role === 'leader') {
-    return local();
-  }
-  if (leader === null) {
-    throw new Error('no leader');
-  }
-  return (await peers.request(replicaName(leader), method, params)) as T;
-}
-
-/**
- * Reads the newest log index from the leader, once a leader is known; rejects if none is known by `waitUntil`, ms on
- * the local monotonic clock.
- */
-async function readIndexAtLeader(cradle: Cradle, waitUntil: number): Promise<number | null> {
-  const { consensus, runtime } = cradle;
-  const hasLeader = (): boolean =>
-    consensus.state.role === 'leader' || consensus.state.leader !== null;
-  while (!hasLeader() && runtime.now() < waitUntil) {
-    // eslint-disable-next-line no-await-in-loop
-    await delay(CATCH_UP_POLL_MS);
-  }
-  return callLeader<number | null>(cradle, 'leader.readIndex', {}, async () =>
-    consensus.readIndex(),
+async function evacuateAtLeader(
+  cradle: Cradle,
+  request: EvacuationRequest,
+): Promise<EvacuationLeaderReply> {
+  return callLeader(cradle, 'leader.evacuate', request, async () =>
+    cradle.evacuations.decide(request),
   );
 }
 
-/**
- * Resolves with the index of the newest configuration once this replica has applied everything that was accepted
- * before. Rejects if no leader confirms that index, or this replica doesn't catch up in time.
- */
-async function newestIndex(cradle: Cradle): Promise<number> {
-  const { consensus, runtime } = cradle;
-  const until = runtime.now() + READ_TIMEOUT_MS;
-  const index = await Promise.race([
-    readIndexAtLeader(cradle, runtime.now() + LEADER_WAIT_MS),
-    delay(READ_TIMEOUT_MS, null, { ref: false }),
-  ]);
-  if (index === null) {
-    throw new Error('no leader with a quorum answered');
-  }
-  while (consensus.control.index < index) {
-    if (runtime.now() > until) {
-      throw new Error('this replica is behind');
-    }
-    // eslint-disable-next-line no-await-in-loop
-    await delay(CATCH_UP_POLL_MS);
-  }
-  return consensus.control.config.index;
-}
-
-/** Reads the newest index like {@link newestIndex}; logs the read if it fails or is slow. */
-async function loggedNewestIndex(cradle: Cradle): Promise<number> {
-  const { consensus, runtime } = cradle;
-  const startedAt = runtime.now();
-  const write = (result: string): void => {
-    const ms = Math.round(runtime.now() - startedAt);
-    const { role, leader, term } = consensus.state;
-    const { index } = consensus.control;
-    runtime.log.info({ event: 'read', result, ms, role, leader, term, index }, 'read of the log');
-  };
-  try {
-    const index = await newestIndex(cradle);
-    if (runtime.now() - startedAt > SLOW_READ_MS) {
-      write('slow');
-    }
-    return index;
-  } catch (err) {
-    write((err as Error).message);
-    throw err;
-  }
-}
-
 function compose(
   cfg: ControlCoreOptions,
   runtime: Runtime,
@@ -225,6 +147,18 @@
           recordOf: (id) => hub.membership.directory.get(id),
         }),
     ).singleton(),
+    evacuations: asFunction(
+      ({ consensus }: Cradle) =>
+        new DaemonEvacuations({
+          consensus,
+          log: runtime.log,
+          now: runtime.now,
+          lossesBorne: cfg.lossesBorne,
+          suspension: new SuspensionWatch(runtime.clocks, signal),
+          readNewest: async () => container.cradle.newest.read(),
+          callLeader: async (request) => evacuateAtLeader(container.cradle, request),
+        }),
+    ).singleton(),
     newest: asFunction(
       () => new CoalescedRead(async () => loggedNewestIndex(container.cradle)),
     ).singleton(),
@@ -232,9 +166,10 @@
   return container.cradle;
 }
 
-function leaderHandlers({ service, consensus }: Cradle): LinkHandlers {
+function leaderHandlers({ service, evacuations, consensus }: Cradle): LinkHandlers {
   return {
     'leader.replace': async (params) => service.replace(params as ReplaceRequest),
+    'leader.evacuate': async (params) => evacuations.decide(params as EvacuationRequest),
     'leader.submit': async (params) => service.submit(params as Manifest),
     'leader.lease': async (params) => service.requestLease(params as LeaseRequest),
     'leader.join': async (params) => service.join((params as { replica: string }).replica),
@@ -334,6 +269,8 @@
   submit: (manifest: Manifest) => Promise<SubmitReply>;
   /** Replaces a fleet's configuration by a document. */
   replace: (request: ReplaceRequest) => Promise<SubmitReply>;
+  /** Begins or finishes the evacuation of a zone. */
+  evacuate: (order: EvacuationOrder) => Promise<EvacuationReply>;
   /** The newest configuration. Rejects if this process can't confirm which one that is. */
   readNewest: () => Promise<ConfigState>;
   /** Status of each reachable control process, this one first. */
@@ -380,6 +317,7 @@
     hub,
     submit: async (manifest) => submitViaLeader(cradle, manifest),
     replace: replaceViaLeader(cradle),
+    evacuate: async (order) => cradle.evacuations.order(order),
     readNewest: async () => {
       await cradle.newest.read();
       return consensus.control.config;
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -1,5 +1,4 @@
 /** Services that a control process provides through the log: submissions, leases and joins. */
-import { setTimeout as delay } from 'node:timers/promises';
 import type { Logger } from 'pino';
 import {
   countRenewals,
@@ -31,6 +30,7 @@
   type LeaseState,
 } from '../state/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
+import { TOO_FEW_DISKS, waitForHolders } from './DaemonHolders.js';
 
 /**
  * How many times a submission is computed and proposed, when others race with it, before the caller is asked to
@@ -38,12 +38,6 @@
  */
 const SUBMIT_ATTEMPTS = 4;
 
-/** How long an accepted document may be held by too few disks before its sender is asked to resend, ms. */
-const HOLDERS_TIMEOUT_MS = 800;
-
-/** Interval at which the number of disks that hold it is checked, ms. */
-const HOLDERS_POLL_MS = 10;
-
 /**
  * A request to get or renew a lease. With `observe`, a lease that another process holds is only reported, unless that
  * holder has exited.
@@ -185,27 +179,13 @@
     return reply;
   }
 
-  /**
-   * Waits until more disks hold an accepted document than may be lost at once. A majority is too few while the
-   * founders are the only voters and the others haven't joined them yet.
-   */
+  /** Waits until more disks hold an accepted document than may be lost at once. */
   async #onceHeld(
     reply: Extract<SubmitReply, { result: 'accepted' }>,
   ): Promise<Extract<SubmitReply, { result: 'accepted' | 'unavailable' }>> {
-    const end = this.#now() + HOLDERS_TIMEOUT_MS;
-    const isHeld = (): boolean => {
-      const { state } = this.#consensus;
-      const needed = Math.min(this.#options.lossesBorne + 1, state.members.voters.length);
-      return votersWithEntry(state, reply.index).length >= needed;
-    };
-    while (!isHeld()) {
-      if (this.#now() > end) {
-        return { result: 'unavailable', reason: 'too few disks hold it; submit again' };
-      }
-      // eslint-disable-next-line no-await-in-loop
-      await delay(HOLDERS_POLL_MS);
-    }
-    return reply;
+    return (await waitForHolders(this.#options, reply.index))
+      ? reply
+      : { result: 'unavailable', reason: TOO_FEW_DISKS };
   }
 
   /** For the log: the voters that have synced an accepted entry, and all voters, of which they are a majority. */
--- /dev/null
+++ b/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
@@ -0,0 +1,158 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import {
+  applyCommand,
+  EMPTY_CONTROL,
+  evacuationsOf,
+  type ControlState,
+} from '../../../state/index.js';
+import {
+  DaemonEvacuations,
+  type EvacuationLeaderReply,
+  type EvacuationRequest,
+  type EvacuationsOptions,
+} from '../../DaemonEvacuations.js';
+
+/** A leader of three voters; its log is applied at once, and the other voters hold it up to index `held`. */
+class FakeLeader {
+  control: ControlState = EMPTY_CONTROL;
+
+  held = Infinity;
+
+  proposals = 0;
+
+  leads = true;
+
+  /** Changes the configuration by a document. */
+  replace(): void {
+    const index = this.control.index + 1;
+    const document = { kind: 'replace', fleet: 'f', digest: 'd', entries: {} } as const;
+    this.control = applyCommand(this.control, { ...document, version: index }, index).state;
+  }
+
+  get zones(): readonly string[] {
+    return evacuationsOf(this.control.config.entries).map(({ zone }) => zone);
+  }
+}
+
+function consensusOf(leader: FakeLeader): EvacuationsOptions['consensus'] {
+  return {
+    state: {
+      id: 'a',
+      members: { voters: ['a', 'b', 'c'], learners: [] },
+      get progress() {
+        return { b: { match: leader.held }, c: { match: leader.held } };
+      },
+    },
+    get control() {
+      return leader.control;
+    },
+    readIndex: async () => (leader.leads ? leader.control.index : null),
+    propose: async (command: never) => {
+      leader.proposals += 1;
+      const applied = applyCommand(leader.control, command, leader.control.index + 1);
+      leader.control = applied.state;
+      return applied.result;
+    },
+  } as unknown as EvacuationsOptions['consensus'];
+}
+
+function evacuationsAt(
+  leader: FakeLeader,
+  replaced: Partial<EvacuationsOptions> = {},
+): DaemonEvacuations {
+  const evacuations: DaemonEvacuations = new DaemonEvacuations({
+    consensus: consensusOf(leader),
+    log: pino({ level: 'silent' }),
+    now: () => performance.now(),
+    lossesBorne: 1,
+    suspension: { isRecent: false },
+    readNewest: async () => leader.control.config.index,
+    callLeader: async (request) => evacuations.decide(request),
+    ...replaced,
+  });
+  return evacuations;
+}
+
+const BEGIN = { zone: 'z1', evacuated: true };
+const FINISH = { zone: 'z1', evacuated: false };
+
+describe('DaemonEvacuations', () => {
+  // Guards against an acknowledged evacuation that is lost with the leader's disk.
+  it('acknowledges an order, also a repeated one, only once more disks hold it than may be lost', async () => {
+    const leader = new FakeLeader();
+    leader.held = 0;
+    const evacuations = evacuationsAt(leader);
+    assert.equal((await evacuations.order(BEGIN)).result, 'unavailable');
+    assert.equal((await evacuations.order(BEGIN)).result, 'unavailable');
+    leader.held = 1;
+    assert.deepEqual(await evacuations.order(BEGIN), { result: 'accepted', ...BEGIN, index: 1 });
+    assert.equal(leader.proposals, 1);
+  });
+
+  // Guards against an order whose answer was lost, and that changes something or fails when it is sent again.
+  it('acknowledges repeated orders, and a finish where nothing is evacuated, without a change', async () => {
+    const leader = new FakeLeader();
+    const [first, second] = [evacuationsAt(leader), evacuationsAt(leader)];
+    assert.equal((await first.order(FINISH)).result, 'accepted');
+    assert.equal(leader.proposals, 0);
+    assert.equal((await first.order(BEGIN)).result, 'accepted');
+    assert.deepEqual(await second.order(BEGIN), { result: 'accepted', ...BEGIN, index: 1 });
+    assert.equal((await second.order(FINISH)).result, 'accepted');
+    assert.deepEqual(await first.order(FINISH), { result: 'accepted', ...FINISH, index: 2 });
+    assert.equal(leader.proposals, 2);
+  });
+
+  // Guards against a document that is accepted between the read and the proposal and defeats the order.
+  it('repeats an order that races with a document', async () => {
+    const leader = new FakeLeader();
+    let races = 2;
+    const evacuations: DaemonEvacuations = evacuationsAt(leader, {
+      callLeader: async (request) => {
+        races -= 1;
+        if (races >= 0) {
+          leader.replace();
+        }
+        return evacuations.decide(request);
+      },
+    });
+    assert.equal((await evacuations.order(BEGIN)).result, 'accepted');
+    leader.replace();
+    assert.deepEqual(leader.zones, ['z1']);
+  });
+
+  // Guards against an order that is late on its way to the leader and undoes a later one of the same operator.
+  it('does not carry out an order that reaches the leader after a later one', async () => {
+    const leader = new FakeLeader();
+    let late: EvacuationRequest | null = null;
+    const cutOff = evacuationsAt(leader, {
+      callLeader: async (request): Promise<EvacuationLeaderReply> => {
+        late = request;
+        throw new Error('timeout');
+      },
+    });
+    assert.equal((await cutOff.order(BEGIN)).result, 'unavailable');
+    const other = evacuationsAt(leader);
+    await other.order(BEGIN);
+    await other.order(FINISH);
+    assert.ok(late);
+    assert.deepEqual(await other.decide(late), { result: 'stale' });
+    assert.deepEqual(leader.zones, []);
+  });
+
+  // Guards against an order that lay in the socket of a suspended process and is carried out after its revocation.
+  it('refuses orders right after a suspension', async () => {
+    const leader = new FakeLeader();
+    const evacuations = evacuationsAt(leader, { suspension: { isRecent: true } });
+    assert.equal((await evacuations.order(BEGIN)).result, 'unavailable');
+    assert.deepEqual(leader.zones, []);
+  });
+
+  it('refuses orders without a leader that a quorum confirms', async () => {
+    const leader = new FakeLeader();
+    leader.leads = false;
+    assert.equal((await evacuationsAt(leader).order(BEGIN)).result, 'unavailable');
+    assert.equal(leader.proposals, 0);
+  });
+});
