Entry hosts send nothing to endpoints in evacuated zones

A document is decoded only if it differs from the one in force, so an evacuation costs no decoding. Evacuated endpoints are excluded from the choice and checked again right before the first byte; also nothing is sent while a newer configuration is overdue by the time that an evacuation has. A service whose known endpoints are all in evacuated zones refuses at once and says so.

DirectCall.test.ts: its stub of the state has the two new methods, one of which replaces the stub of isClosed; no assertion changes.

--- a/fuzz/FuzzEntry.ts
+++ b/fuzz/FuzzEntry.ts
@@ -94,6 +94,7 @@
     controls: () => [],
     revokeMs: 60_000,
     applyMs: 60_000,
+    evacuateMs: null,
     graceMs: 1_000,
     retries: RETRIES,
   };
--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -49,6 +49,8 @@
   readonly pauseMs: number;
   /** Number of entry processes that share the slots. */
   readonly entryHosts: number;
+  /** Whether an endpoint may be sent requests; the limit counts only the ranks at such endpoints. By default all. */
+  readonly isUsable?: (endpoint: string) => boolean;
 }
 
 /** A load report older than this is ignored: the coordinator has crashed or is unreachable. In ms. */
--- a/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
+++ b/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
@@ -5,6 +5,7 @@
   applyCommand,
   EMPTY_CONTROL,
   evacuationsOf,
+  type CommandResult,
   type ControlState,
 } from '../../../state/index.js';
 import {
@@ -31,6 +32,13 @@
     this.control = applyCommand(this.control, { ...document, version: index }, index).state;
   }
 
+  propose(command: never): CommandResult {
+    this.proposals += 1;
+    const applied = applyCommand(this.control, command, this.control.index + 1);
+    this.control = applied.state;
+    return applied.result;
+  }
+
   get zones(): readonly string[] {
     return evacuationsOf(this.control.config.entries).map(({ zone }) => zone);
   }
@@ -49,12 +57,7 @@
       return leader.control;
     },
     readIndex: async () => (leader.leads ? leader.control.index : null),
-    propose: async (command: never) => {
-      leader.proposals += 1;
-      const applied = applyCommand(leader.control, command, leader.control.index + 1);
-      leader.control = applied.state;
-      return applied.result;
-    },
+    propose: async (command: never) => leader.propose(command),
   } as unknown as EvacuationsOptions['consensus'];
 }
 
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -126,6 +126,8 @@
   /** Number of granted slots whose requests haven't been sent yet, by service. */
   readonly #granted = new Map<string, number>();
 
+  #isUsable: ((endpoint: string) => boolean) | null = null;
+
   #entryHosts = 1;
 
   #counter = 0;
@@ -191,6 +193,24 @@
     });
   }
 
+  /** Sets which endpoints may be sent requests, so that slots count only at these; null for all. */
+  setUsable(isUsable: ((endpoint: string) => boolean) | null): void {
+    this.#isUsable = isUsable;
+  }
+
+  /** Refuses all requests that wait for a slot of a service. */
+  refuseWaiting(service: string): void {
+    const queue = this.#services.get(service)?.queue ?? [];
+    if (queue.length > 0) {
+      const now = this.#runtime.now();
+      const refused = queue.map(({ id, deadline }) => ({
+        id,
+        retryAfterMs: this.retryAfter(service, deadline - now) ?? 0,
+      }));
+      this.#applyStep(service, { queue: [], admitted: [], refused });
+    }
+  }
+
   /** Requests a slot; granted at once where the service has no groups. */
   async acquire(req: SlotRequest, signal: AbortSignal): Promise<SlotDecision> {
     this.#detectStalledGroups();
@@ -423,7 +443,8 @@
 
   #slotParameters(service: string): SlotParameters | null {
     const model = this.#modelOf(service);
-    return model === null ? null : { ...model, entryHosts: this.#entryHosts };
+    const usable = this.#isUsable === null ? {} : { isUsable: this.#isUsable };
+    return model === null ? null : { ...model, entryHosts: this.#entryHosts, ...usable };
   }
 
   #forecast(service: string): QueueForecast | null {
@@ -433,7 +454,7 @@
       return null;
     }
     const groups = [...state.groups.values()];
-    const openGroups = groups.filter(isOpenGroup);
+    const openGroups = groups.filter(isOpenGroup).filter(({ ranks }) => this.#hasUsable(ranks));
     const granted = this.#granted.get(service) ?? 0;
     const free =
       openGroups.reduce((sum, group) => sum + freeSlotsAt(group, this.#own), 0) - granted;
@@ -457,6 +478,10 @@
     };
   }
 
+  #hasUsable(ranks: readonly GroupRank[]): boolean {
+    return this.#isUsable === null || ranks.some(({ endpoint }) => this.#isUsable?.(endpoint));
+  }
+
   #admitWaiting(service: string): void {
     const state = this.#services.get(service);
     const forecast =
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -173,7 +173,7 @@
   /** Refuses a request that has not run. Where `retryAfterMs` is null, the process's own estimate is sent. */
   #refuse(retryAfterMs: number | null): void {
     const { reply, service, deadline } = this.#request;
-    const error = new RequestError('no_endpoint', 'no endpoint could take the request');
+    const error = this.#state.noEndpointError(service);
     const after = retryAfterMs ?? this.#state.retryAfter(service, deadline - this.#state.now());
     reply.refuse(error, after, this.#state.isLeaving);
     this.#finish('refused');
@@ -425,7 +425,7 @@
       mayHaveRun: this.#mayHaveRun,
       responseStarted: this.#request.reply.streamStarted,
       canResume: isStream && route.resumable && this.#lastEvent !== null,
-      isServiceDown: this.#state.admission.isClosed(service),
+      isServiceDown: this.#state.isServiceDown(service),
       remainingMs: deadline - this.#state.now(),
     };
   }
--- a/src/daemon/direct/DirectDocument.ts
+++ b/src/daemon/direct/DirectDocument.ts
@@ -99,6 +99,16 @@
   return decompress(packed);
 }
 
+/** Identity of the document in a configuration's entries: equal for equal documents; null if there is none. */
+export function documentKey(entries: ConfigEntries): string | null {
+  const whole = entries[WHOLE_KEY];
+  const order = entries[ORDER_KEY];
+  if (typeof whole === 'string') {
+    return whole;
+  }
+  return Array.isArray(order) ? order.join(' ') : null;
+}
+
 /**
  * The document in a configuration's entries; null if there is none.
  *
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -4,15 +4,8 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
-import {
-  RequestError,
-  type DocumentDialect,
-  type HttpDialect,
-  type KeyedCustomer,
-  type Route,
-} from '../../protocol/index.js';
-import { findRoute, pickTarget } from '../../state/index.js';
-import { readBody, serveHttp, type Address } from '../../transport/index.js';
+import { RequestError, type DocumentDialect, type HttpDialect } from '../../protocol/index.js';
+import { serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
 import { waitForAbort, runEvery, type Runtime } from '../DaemonRuntime.js';
@@ -21,8 +14,10 @@
 import { DirectConfigWatch } from './DirectConfigWatch.js';
 import { DirectCall } from './DirectCall.js';
 import { DirectCallerConnections } from './DirectCallerConnections.js';
+import { DirectLeaving } from './DirectLeaving.js';
 import { DirectReply, quarantineError } from './DirectReply.js';
 import { slotRequestOf, type DirectRequest } from './DirectRequest.js';
+import { DirectRequestReader } from './DirectRequestReader.js';
 import { DirectEntryState } from './DirectEntryState.js';
 import type { CallStats } from './DirectRequestLog.js';
 import type { RetryAllowance } from '../../coordination/index.js';
@@ -38,6 +33,8 @@
   readonly controls: () => readonly ControlTarget[];
   readonly revokeMs: number;
   readonly applyMs: number;
+  /** Null where zones aren't evacuated. */
+  readonly evacuateMs: number | null;
   /** Time from the stop signal until the process is killed, ms. */
   readonly graceMs: number;
   readonly retries: RetryAllowance;
@@ -57,21 +54,12 @@
 /** Interval of checking waiting requests, ms: short compared to the objective. */
 const QUEUE_TICK_MS = 25;
 
-/** A leaving process exits this long before it would be killed, ms. */
-const GRACE_MARGIN_MS = 700;
-
 /** A leaving process stays this long with nothing in progress, so that callers' connections drain. In ms. */
 const IDLE_DRAIN_MS = 1_200;
 
 /** A platform that checks readiness each second stops sending to an unready process within this time. In ms. */
 const DEREGISTRATION_MS = 2_500;
 
-/** A leaving process accepts streams for this long; later ones might outlast it. In ms. */
-const STREAM_ACCEPT_MS = 2_600;
-
-/** Time until its exit that a leaving process must have left to accept a call that isn't a stream, ms. */
-const MIN_CALL_MS = 1_500;
-
 /** Statistics of a request that was sent to no endpoint. */
 const UNSENT_STATS: CallStats = { firstMs: null, longestPauseMs: 0, lastEvent: null, attempts: 0 };
 
@@ -87,7 +75,9 @@
 
   readonly #watch: DirectConfigWatch;
 
-  #leavingSince: number | null = null;
+  readonly #leaving: DirectLeaving;
+
+  readonly #reader: DirectRequestReader;
 
   #server: Server | null = null;
 
@@ -101,18 +91,21 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, applyMs, retries } = cfg;
+    const { id, zone, revokeMs, applyMs, evacuateMs, retries } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
       runtime,
       revokeMs,
       applyMs,
+      evacuateMs,
       retries,
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
       sendLimitUpdate: (update) => this.#hubLink.notify('limits', update),
     });
+    this.#leaving = new DirectLeaving(cfg.graceMs, runtime.now);
+    this.#reader = new DirectRequestReader(this.#state, this.#leaving, runtime.random);
     this.#hubLink = new DaemonHubLink({
       targets: cfg.controls,
       record: {
@@ -168,7 +161,7 @@
     });
     runEvery(TICK_MS, signal, () => this.#tick());
     runEvery(UNPROVEN_TICK_MS, signal, () => {
-      if (!this.#state.isProven) {
+      if (!this.#state.config.isProven) {
         this.#watch.poll();
       }
     });
@@ -194,9 +187,9 @@
     this.#state.startup.end();
     this.#hubLink.announce({ status: 'leaving' });
     const drainStartedAt = this.#runtime.now();
-    this.#leavingSince = drainStartedAt;
+    this.#leaving.begin();
     let idleSince = drainStartedAt;
-    while (this.#remainingMs > 0) {
+    while (this.#leaving.remainingMs > 0) {
       const now = this.#runtime.now();
       const isDeregistered = now - drainStartedAt > DEREGISTRATION_MS;
       if (this.#state.requests.inProgress > 0) {
@@ -216,38 +209,10 @@
     this.#server?.closeIdleConnections();
   }
 
-  /** Time until this leaving process exits, ms; infinite for one that isn't leaving. */
-  get #remainingMs(): number {
-    const since = this.#leavingSince;
-    return since === null
-      ? Infinity
-      : since + this.#cfg.graceMs - GRACE_MARGIN_MS - this.#runtime.now();
-  }
-
-  /**
-   * Refuses requests that a leaving process can't complete.
-   *
-   * A long stream on a kept-alive connection would be cut when the process exits. Such a request is refused at once
-   * as not run, so that the caller sends it elsewhere.
-   */
-  #refuseIfLeaving(route: Route): void {
-    const since = this.#leavingSince;
-    if (since === null) {
-      return;
-    }
-    const isTooLate =
-      route.kind === 'stream'
-        ? this.#runtime.now() - since > STREAM_ACCEPT_MS
-        : this.#remainingMs < MIN_CALL_MS;
-    if (isTooLate) {
-      throw new RequestError('leaving', 'this process is about to end');
-    }
-  }
-
   #tick(): void {
     this.#state.tick();
     this.#state.admission.tick();
-    const { routes } = this.#state;
+    const { routes } = this.#state.config;
     if (this.#server !== null && routes !== null) {
       this.#server.keepAliveTimeout = routes.plan.limits.idleTimeoutMs;
       this.#server.headersTimeout = Math.max(1_000, routes.plan.limits.headerTimeoutMs * 2);
@@ -262,7 +227,7 @@
     const reply = new DirectReply(res);
     let request: DirectRequest;
     try {
-      request = await this.#read(req, reply, startedAt);
+      request = await this.#reader.read(req, reply, startedAt);
     } catch (err) {
       if (!(err instanceof RequestError)) {
         throw err;
@@ -277,7 +242,7 @@
       return;
     }
     if (!decision.granted) {
-      this.#refuseOverloaded(request, decision.retryAfterMs);
+      this.#refuseUnsent(request, decision.retryAfterMs);
       return;
     }
     this.#state.countFirst(request.service);
@@ -291,6 +256,11 @@
     if (this.#state.isQuarantined(request)) {
       return { granted: false, retryAfterMs: 0 };
     }
+    const { service, deadline } = request;
+    if (this.#state.evacuations.refusal(service) !== null) {
+      const leftMs = deadline - this.#runtime.now();
+      return { granted: false, retryAfterMs: this.#state.retryAfter(service, leftMs) };
+    }
     const waitAbort = new AbortController();
     const end = (): void => waitAbort.abort();
     const unregisterClose = request.reply.registerClose(end);
@@ -317,9 +287,12 @@
     );
   }
 
-  #refuseOverloaded(request: DirectRequest, retryAfterMs: number): void {
+  /** Refuses a request that got no slot, as its service is overloaded or evacuated. */
+  #refuseUnsent(request: DirectRequest, retryAfterMs: number): void {
     const isDisconnected = request.reply.isClosed;
-    const error = new RequestError('overloaded', 'the service has no place in time');
+    const error =
+      this.#state.evacuations.refusal(request.service) ??
+      new RequestError('overloaded', 'the service has no place in time');
     request.reply.refuse(error, retryAfterMs, this.#state.isLeaving);
     this.#state.requests.end(request, isDisconnected ? 'callerGone' : 'refused', UNSENT_STATS);
   }
@@ -334,95 +307,6 @@
     reply.refuse(err, retryAfter, this.#state.isLeaving);
     this.#state.requests.countReply(reply);
   }
-
-  get #hasConfig(): boolean {
-    return this.#state.routes !== null && this.#state.isProven;
-  }
-
-  /** Waits for a condition that a newly started process may not meet yet, while the caller stays connected. */
-  async #awaitStartup(
-    reply: DirectReply,
-    startedAt: number,
-    timeoutMs: number | null,
-    isMet: () => boolean,
-  ): Promise<void> {
-    if (isMet()) {
-      return;
-    }
-    const disconnected = new AbortController();
-    const unregister = reply.registerClose(() => disconnected.abort());
-    await this.#state.startup.waitUntil(
-      isMet,
-      startedAt,
-      timeoutMs ?? Infinity,
-      disconnected.signal,
-    );
-    unregister();
-  }
-
-  /** Reads a complete request, and determines its customer, route and service. */
-  async #read(req: IncomingMessage, reply: DirectReply, startedAt: number): Promise<DirectRequest> {
-    const head = this.#state.dialect.readRequest(req.headers);
-    const body = await readBody(req);
-    await this.#awaitStartup(reply, startedAt, head.deadlineMs, () => this.#hasConfig);
-    const { route, customer } = this.#authorize(req, head.key);
-    this.#refuseIfLeaving(route);
-    const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? route.timeoutMs);
-    const service = pickTarget(route, this.#runtime.random());
-    await this.#awaitStartup(reply, startedAt, timeoutMs, () => this.#state.knowsEndpoint(service));
-    return {
-      req,
-      reply,
-      head,
-      route,
-      service,
-      customer,
-      body,
-      identity: {
-        customer: route.anonymous ? '' : (customer?.name ?? ''),
-        method: req.method ?? 'GET',
-        host: req.headers.host ?? '',
-        path: req.url ?? '/',
-        body,
-      },
-      startedAt,
-      deadline: startedAt + timeoutMs,
-    };
-  }
-
-  /**
-   * Finds the route and the customer of a request.
-   *
-   * Callers don't retry after 401 or 404, so a process with an outdated configuration must not refuse a new key or
-   * path with these. They are sent only if the configuration was proven to be the newest shortly before; else the
-   * request is refused with 503, which callers retry elsewhere. So is every request while a newer configuration that has
-   * to be in force hasn't arrived. Known keys are accepted as long as none can
-   * have been revoked.
-   */
-  #authorize(
-    req: IncomingMessage,
-    key: string | null,
-  ): { readonly route: Route; readonly customer: KeyedCustomer | null } {
-    const { routes, isFresh, isProven, isOutdated, mayDeny } = this.#state;
-    if (routes === null || !isProven || isOutdated) {
-      throw new RequestError('not_ready', this.#state.readiness);
-    }
-    const route = findRoute(routes, req.headers.host ?? '', req.url ?? '/');
-    const needsKey = routes.plan.customers.length > 0 && route?.anonymous !== true;
-    const customer = key === null ? undefined : routes.byKey.get(key);
-    const isOpen = route !== undefined && !needsKey;
-    const isKnown = route !== undefined && customer !== undefined && isFresh;
-    if (isOpen || isKnown) {
-      return { route, customer: customer ?? null };
-    }
-    if (!mayDeny) {
-      throw new RequestError('not_ready', 'not sure that the configuration is the newest');
-    }
-    if (route === undefined) {
-      throw new RequestError('unknown_path', `no route for ${req.url ?? ''}`);
-    }
-    throw new RequestError('unknown_key', 'no customer has this key');
-  }
 }
 
 /** Runs an entry process until the signal is aborted, then until no request is in progress. */
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -1,70 +1,56 @@
 /** State of an entry process that calls endpoints directly: configuration, members, retry budgets. */
 import {
-  countFirstAttempt,
-  EMPTY_RETRY_BUDGET,
   finishUpdate,
-  FRESHNESS_LEASE_FRACTION,
-  receiveConfig,
   initRouting,
-  isFresh,
-  isOutdated,
-  isProven,
   isUpdateDue,
   incarnationKeyOf,
   mergeDelta,
   QUARANTINE_CRASHES,
   requestUpdate,
-  receiveNewestIndex,
   pruneView,
   routeRequest,
   serviceKey,
   servingMembers,
   IDLE_THROTTLE,
-  takeRetryWithin,
-  UNPROVEN,
   updateRouting,
   type ClockReading,
-  type FreshnessState,
   type MembershipView,
   type RetryAllowance,
-  type RetryBudgetState,
   type RoutingDecision,
   type RoutingState,
   type UpdateThrottle,
 } from '../../coordination/index.js';
-import type {
-  DirectoryDelta,
-  DocumentDialect,
-  HttpDialect,
-  LimitUpdate,
-  MemberRecord,
+import {
+  RequestError,
+  type DirectoryDelta,
+  type HttpDialect,
+  type LimitUpdate,
+  type MemberRecord,
 } from '../../protocol/index.js';
-import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
+import type { ConfigState } from '../../state/index.js';
 import { findLastEvent, type EndpointPool } from '../../transport/index.js';
 import type { SendQuarantineUpdate } from '../DaemonQuarantine.js';
 import type { SendUpdate } from '../DaemonSharedSet.js';
 import { DaemonScreening } from '../DaemonScreening.js';
 import type { Runtime } from '../DaemonRuntime.js';
-import { DirectAdmission, DEFAULT_PAUSE_MS, type ModelService } from './DirectAdmission.js';
+import { DirectAdmission } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
+import { DirectConfig, type DirectConfigOptions } from './DirectConfig.js';
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
+import { DirectRetries } from './DirectRetries.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
-import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
+import { DIRECT_FLEET } from './DirectDocument.js';
+import type { DirectEvacuations } from './DirectEvacuations.js';
 
 /** Options of a {@link DirectEntryState}. */
-export interface DirectEntryOptions {
+export interface DirectEntryOptions extends DirectConfigOptions {
   readonly id: string;
   readonly zone: string;
   readonly runtime: Runtime;
   readonly http: HttpDialect;
-  readonly documents: DocumentDialect;
-  /** Time within which a revoked key must stop working, ms. */
-  readonly revokeMs: number;
-  /** Time within which an accepted configuration must be in force, ms. */
-  readonly applyMs: number;
   readonly retries: RetryAllowance;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
@@ -75,12 +61,6 @@
 /** Replaced instances are remembered this long, as late updates may still list them. In ms. */
 const REPLACED_RETENTION_MS = 60_000;
 
-/**
- * Maximum age of the proof that the configuration is the newest for a key or path to be refused as unknown, ms:
- * just over two poll intervals, and below the 2 s within which a change must be in force.
- */
-const DENIAL_MAX_AGE_MS = 1_500;
-
 /** Connections that an endpoint accepts where its service doesn't declare a number. */
 const DEFAULT_CONNECTIONS = 64;
 
@@ -96,7 +76,9 @@
   /** When an incarnation of an endpoint was found to be replaced by another instance at its address, ms. */
   readonly #replaced = new Map<string, number>();
 
-  readonly #budgets = new Map<string, RetryBudgetState>();
+  readonly #retries: DirectRetries;
+
+  readonly config: DirectConfig;
 
   /** Logs and counts the requests. */
   readonly requests: DirectRequestLog;
@@ -109,9 +91,6 @@
 
   readonly sendSlots: DirectSendSlots;
 
-  /** Cache of model services by name, as the newest configuration declares them; null for other services. */
-  readonly #models = new Map<string, ModelService | null>();
-
   #view: MembershipView = new Map();
 
   /** Throttles the work that follows from changed members. */
@@ -119,10 +98,6 @@
 
   #routing: RoutingState;
 
-  #routes: RouteView | null = null;
-
-  #freshness: FreshnessState = UNPROVEN;
-
   #entryHosts = 0;
 
   isLeaving = false;
@@ -130,9 +105,11 @@
   constructor(options: DirectEntryOptions) {
     this.#options = options;
     this.#routing = initRouting(options.zone);
+    this.config = new DirectConfig(options);
+    this.#retries = new DirectRetries(options.retries, options.runtime);
     this.startup = new DirectStartup(options.runtime);
     this.admission = new DirectAdmission(options.zone, options.runtime, (service) =>
-      this.#modelOf(service),
+      this.config.modelOf(service),
     );
     this.requests = new DirectRequestLog(options.runtime);
     this.sendSlots = new DirectSendSlots({
@@ -140,6 +117,7 @@
       runtime: options.runtime,
       send: options.sendLimitUpdate,
       serving: (id) => this.#servingEndpoint(id),
+      mayReceive: (endpoint) => this.evacuations.mayReceive(endpoint),
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
@@ -152,83 +130,42 @@
     return this.#options.http;
   }
 
-  get routes(): RouteView | null {
-    return this.#routes;
-  }
-
-  get heldIndex(): number {
-    return this.#freshness.heldConfigIndex;
+  get evacuations(): DirectEvacuations {
+    return this.config.evacuations;
   }
 
   now(): number {
     return this.#options.runtime.now();
   }
 
-  /** Whether the configuration held here was proven to be the newest recently enough to accept keys by it. */
-  get isFresh(): boolean {
-    const leaseMs = this.#options.revokeMs * FRESHNESS_LEASE_FRACTION;
-    return isFresh(this.#freshness, this.#options.runtime.clocks(), leaseMs);
-  }
-
-  /** Whether the configuration held here was proven to be the newest since this process started. */
-  get isProven(): boolean {
-    return isProven(this.#freshness);
-  }
-
-  /** Whether a newer configuration is known of that must be in force by now, and has not arrived. */
-  get isOutdated(): boolean {
-    const applyMs = this.#options.applyMs * FRESHNESS_LEASE_FRACTION;
-    return isOutdated(this.#freshness, this.#options.runtime.clocks(), applyMs);
-  }
-
-  /** Whether a key or path unknown to this process is unknown to the newest configuration too. */
-  get mayDeny(): boolean {
-    return isFresh(this.#freshness, this.#options.runtime.clocks(), DENIAL_MAX_AGE_MS);
-  }
-
   /** Why the process can't serve, or `ready`. */
   get readiness(): string {
     if (this.isLeaving) {
       return 'leaving';
     }
-    if (this.#routes === null) {
-      return 'no configuration yet';
-    }
-    if (this.isOutdated) {
-      return 'a newer configuration has not arrived';
-    }
-    if (!this.isFresh) {
-      return 'not sure that the configuration is the newest';
+    const { obstacle } = this.config;
+    if (obstacle !== null) {
+      return obstacle;
     }
     return this.#routing.positions.size === 0 ? 'no endpoint known yet' : 'ready';
   }
 
   onConfig(config: ConfigState): void {
-    const provenAt = this.#freshness.provenAt?.monotonic;
-    const text = textOfDocument(config.entries);
-    if (text !== null) {
-      this.#routes = viewRoutes(this.#options.documents.readPlan(text));
+    try {
+      this.config.receive(config);
+    } finally {
+      this.#setView(this.#view);
     }
-    this.#models.clear();
-    this.#setView(this.#view);
-    this.#setFreshness(receiveConfig(this.#freshness, config.index));
-    const version = this.#routes?.plan.version ?? null;
-    // How long ago the one before was last known to be the newest: this one was accepted after that.
-    const sinceProofMs = provenAt === undefined ? null : Math.round(this.now() - provenAt);
-    this.#options.runtime.log.info(
-      { event: 'config', index: config.index, version, sinceProofMs },
-      'in force',
-    );
-    this.startup.recheck();
   }
 
-  /**
-   * Records the newest index, as named by a leader with a fresh quorum in reply to a poll sent at `requestedAt`.
-   * Returns whether that configuration is held here.
-   */
+  /** See {@link DirectConfig.onNewest}. */
   onNewest(index: number, requestedAt: ClockReading): boolean {
-    this.#setFreshness(receiveNewestIndex(this.#freshness, index, requestedAt));
-    return this.#freshness.heldConfigIndex >= index;
+    const { isProven } = this.config;
+    const isHeld = this.config.onNewest(index, requestedAt);
+    if (isProven !== this.config.isProven) {
+      this.startup.recheck();
+    }
+    return isHeld;
   }
 
   onDirectory(delta: DirectoryDelta): void {
@@ -266,7 +203,7 @@
     exclude: readonly string[],
     attempt: number,
   ): MemberRecord | null {
-    const without = this.sendSlots.withBlocked(exclude);
+    const without = this.#withUnusable(service, exclude);
     const rankId = this.#chooseRank(service, without);
     if (rankId !== undefined) {
       const record = rankId === null ? null : (this.#view.get(rankId)?.record ?? null);
@@ -304,7 +241,7 @@
 
   /** Whether an endpoint of the service is known, or for model engines that run as ranks, a group. */
   knowsEndpoint(service: string): boolean {
-    const model = this.#modelOf(service);
+    const model = this.config.modelOf(service);
     return model !== null && model.costs.experts > 0
       ? this.admission.hasGroups(service)
       : (this.#routing.services.get(serviceKey(DIRECT_FLEET, service))?.length ?? 0) > 0;
@@ -334,11 +271,24 @@
 
   /** Whether an endpoint is left for another attempt. */
   canRoute(service: string, exclude: readonly string[]): boolean {
-    const without = this.sendSlots.withBlocked(exclude);
+    const without = this.#withUnusable(service, exclude);
     const rankId = this.admission.choose(service, without);
     return rankId === undefined ? this.#hasOther(service, without) : rankId !== null;
   }
 
+  /** Whether the service has groups and all of them are closed, but may soon be open again. */
+  isServiceDown(service: string): boolean {
+    return this.admission.isClosed(service) && this.evacuations.refusal(service) === null;
+  }
+
+  /** The refusal of a request that no endpoint of its service can take. */
+  noEndpointError(service: string): RequestError {
+    return (
+      this.evacuations.refusal(service) ??
+      new RequestError('no_endpoint', 'no endpoint could take the request')
+    );
+  }
+
   /** Reserves the next send slot at a blocked endpoint of the service; null if there is none in time. */
   reserveSendSlot(service: string, exclude: readonly string[], withinMs: number): SendSlot | null {
     return this.admission.isClosed(service)
@@ -353,10 +303,18 @@
       : (this.sendSlots.next(service, exclude)?.waitMs ?? null);
   }
 
+  /** The endpoint with an id if it may be sent requests; undefined otherwise. */
   #servingEndpoint(id: string): MemberRecord | undefined {
     const record = this.#view.get(id)?.record;
     const serves = record?.status === 'serving' && !this.#replaced.has(incarnationKeyOf(record));
-    return serves ? record : undefined;
+    return serves && !this.evacuations.isEvacuated(id) ? record : undefined;
+  }
+
+  /** Ids of endpoints that must not be chosen: those given, the blocked ones, and those in evacuated zones. */
+  #withUnusable(service: string, exclude: readonly string[]): readonly string[] {
+    const evacuated = this.evacuations.endpointsOf(service);
+    const without = this.sendSlots.withBlocked(exclude);
+    return evacuated.length === 0 ? without : [...without, ...evacuated];
   }
 
   #hasOther(service: string, without: readonly string[]): boolean {
@@ -402,17 +360,11 @@
   }
 
   countFirst(service: string): void {
-    const { retries } = this.#options;
-    const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
-    this.#budgets.set(service, countFirstAttempt(known, this.now(), retries));
+    this.#retries.countFirst(service);
   }
 
   takeRetry(service: string): boolean {
-    const { retries } = this.#options;
-    const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
-    const { state, allowed } = takeRetryWithin(known, this.now(), retries, this.#entryHosts);
-    this.#budgets.set(service, state);
-    return allowed;
+    return this.#retries.take(service, this.#entryHosts);
   }
 
   /** Time after which a refused caller should retry, ms. */
@@ -434,7 +386,7 @@
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
-    const serviceSpec = this.#routes?.services.get(endpoint.offer?.service ?? '');
+    const serviceSpec = this.config.routes?.services.get(endpoint.offer?.service ?? '');
     return this.#pools.to(
       endpoint,
       serviceSpec?.maxConnections ?? DEFAULT_CONNECTIONS,
@@ -442,19 +394,6 @@
     );
   }
 
-  #setFreshness(freshness: FreshnessState): void {
-    const wasProven = this.isProven;
-    this.#freshness = freshness;
-    if (!wasProven && this.isProven) {
-      const { log } = this.#options.runtime;
-      log.info(
-        { event: 'proven', index: freshness.heldConfigIndex },
-        'configuration proven to be the newest',
-      );
-      this.startup.recheck();
-    }
-  }
-
   #setView(view: MembershipView): void {
     this.#view = view;
     this.#throttle = finishUpdate(this.now());
@@ -465,6 +404,7 @@
     this.#entryHosts = entries.length;
     this.sendSlots.limits.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
+    this.#applyEvacuations();
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const incarnationKeys = new Set(
       [...view.values()].map(({ record }) => incarnationKeyOf(record)),
@@ -477,18 +417,11 @@
     this.startup.recheck();
   }
 
-  #modelOf(service: string): ModelService | null {
-    const known = this.#models.get(service);
-    if (known !== undefined) {
-      return known;
-    }
-    const costs = this.#routes?.services.get(service)?.engine ?? null;
-    const pauseLimits = (this.#routes?.plan.routes ?? [])
-      .filter(({ targets }) => targets.some((target) => target.service === service))
-      .flatMap(({ pauseMs }) => (pauseMs === null ? [] : [pauseMs]));
-    const pauseMs = pauseLimits.length === 0 ? DEFAULT_PAUSE_MS : Math.min(...pauseLimits);
-    const model = costs === null ? null : { costs, pauseMs };
-    this.#models.set(service, model);
-    return model;
+  /** Refuses the requests that wait at services whose endpoints are all evacuated, and counts slots at the others. */
+  #applyEvacuations(): void {
+    this.evacuations.setMembers([...this.#view.values()].map(({ record }) => record));
+    const isUsable = (id: string): boolean => !this.evacuations.isEvacuated(id);
+    this.admission.setUsable(this.evacuations.zones.length === 0 ? null : isUsable);
+    this.evacuations.evacuatedServices.forEach((service) => this.admission.refuseWaiting(service));
   }
 }
--- a/src/daemon/direct/DirectSendSlots.ts
+++ b/src/daemon/direct/DirectSendSlots.ts
@@ -26,6 +26,8 @@
 export interface DirectSendSlotsOptions extends DirectLimitsOptions {
   /** The endpoint with an id; undefined if it isn't serving. */
   readonly serving: (id: string) => MemberRecord | undefined;
+  /** Whether an endpoint may be sent requests at all, whatever its limits. */
+  readonly mayReceive: (endpoint: MemberRecord) => boolean;
 }
 
 /** Send slots of one entry process. */
@@ -46,7 +48,10 @@
 
   readonly #serving: (id: string) => MemberRecord | undefined;
 
+  readonly #mayReceive: (endpoint: MemberRecord) => boolean;
+
   constructor(options: DirectSendSlotsOptions) {
+    this.#mayReceive = options.mayReceive;
     this.#serving = options.serving;
     this.#runtime = options.runtime;
     this.limits = new DirectLimits(options);
@@ -80,6 +85,9 @@
    * reserved before.
    */
   start(endpoint: MemberRecord, hasSlot: boolean): boolean {
+    if (!this.#mayReceive(endpoint)) {
+      return false;
+    }
     if (this.#backoffs.isBackedOff(endpoint) || this.#leaving.has(incarnationKeyOf(endpoint))) {
       return false;
     }
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -9,7 +9,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import { request } from 'undici';
-import type { AnswerHead, MemberRecord } from '../../../../protocol/index.js';
+import { RequestError, type AnswerHead, type MemberRecord } from '../../../../protocol/index.js';
 import { openPool } from '../../../../transport/index.js';
 import { DirectCall } from '../../DirectCall.js';
 import type { DirectEntryState } from '../../DirectEntryState.js';
@@ -35,7 +35,6 @@
 
 const ADMISSION = {
   hasGroups: () => false,
-  isClosed: () => false,
   onUnused: ignore,
   onUnanswered: ignore,
   onEvent: ignore,
@@ -55,6 +54,8 @@
     isQuarantined: () => false,
     route: () => ENDPOINT,
     canRoute: () => false,
+    isServiceDown: () => false,
+    noEndpointError: () => new RequestError('no_endpoint', 'no endpoint'),
     takeRetry: () => false,
     pool: () => pool,
     sendSlots: {
@@ -223,9 +224,9 @@
     );
     let isClosed = true;
     const replaced = {
+      isServiceDown: () => isClosed,
       admission: {
         ...ADMISSION,
-        isClosed: () => isClosed,
         acquire: async () => {
           // By then the connection of the first send is free again.
           await delay(20);
