Soak: evacuations of a zone, checked from what engines observe

Each run evacuates one of two zones, planned by a generator of its own so that the faults of a seed stay the same. No request may reach an engine of the zone later than 5 s after the acknowledgement and before the withdrawal, except shortly after a fault of the entry host, of the engine's link or of two control hosts.

--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -11,6 +11,7 @@
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
 import { RESTART_DELAY_MS, FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
+import { zoneOfHost } from './SoakEvacuations.js';
 import type { SoakUnusualAnswer } from './SoakUnusualAnswers.js';
 import { STREAM_EVENTS } from './SoakStream.js';
 import type { SoakEngineCrash } from './SoakTypes.js';
@@ -169,6 +170,7 @@
       rank,
       this.receivedRequests,
     );
+    engine.zone = zoneOfHost(n);
     Object.assign(engine.behaviour, {
       events: STREAM_EVENTS,
       pauseMs: EVENT_INTERVAL_MS,
--- /dev/null
+++ b/soak/SoakFigures.ts
@@ -0,0 +1,34 @@
+/** Figures that a soak run reports beside its findings. */
+import { STREAM_EVENTS } from './SoakStream.js';
+import type { SoakRecord } from './SoakTypes.js';
+
+/** Counts requests, faults and what followed from them. */
+export function figuresOf({
+  attempts,
+  executions,
+  ackedVersion,
+  injectedFaults,
+  engineCrashes,
+  refusals,
+  evacuations,
+}: SoakRecord): Readonly<Record<string, number>> {
+  const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
+    attempts.filter(test).length;
+  return {
+    attempts: attempts.length,
+    whole: count(({ status, outcome }) => status === 200 && outcome === 'whole'),
+    refused: count(({ status }) => status === 503),
+    failed: count(({ status }) => status >= 500 && status !== 503),
+    left: count(({ outcome }) => outcome === 'left'),
+    afterLast: count(({ lastEventId, status }) => lastEventId === STREAM_EVENTS && status === 200),
+    broken: count(({ outcome }) => outcome === 'broken'),
+    deadline: count(({ outcome }) => outcome === 'deadline'),
+    runs: executions.length,
+    resumed: executions.filter(({ resumed }) => resumed).length,
+    versions: ackedVersion,
+    faults: injectedFaults.length,
+    engineEnds: engineCrashes.length,
+    refusals: refusals.length,
+    evacuations: evacuations.length,
+  };
+}
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -12,6 +12,8 @@
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
 import { SoakEngines } from './SoakEngines.js';
+import { evacuate, planEvacuations, type SoakEvacuationPlan } from './SoakEvacuations.js';
+import { figuresOf } from './SoakFigures.js';
 import { planRelief, BACKOFF_S, type SoakReliefPlan } from './SoakRelief.js';
 import { planUnusualAnswers } from './SoakUnusualAnswers.js';
 import { SoakOperator } from './SoakOperator.js';
@@ -25,7 +27,6 @@
   type SoakFault,
   type SoakPlanOptions,
 } from './SoakSchedule.js';
-import { STREAM_EVENTS } from './SoakStream.js';
 import type {
   SoakDrain,
   SoakInjectedFault,
@@ -43,6 +44,8 @@
   readonly faults?: readonly SoakFault[];
   /** Relief requests in place of the seed's own. */
   readonly relief?: readonly SoakReliefPlan[];
+  /** Evacuations of a zone in place of the seed's own. */
+  readonly evacuations?: readonly SoakEvacuationPlan[];
   /** Requests that crash engines, in place of the seed's own. */
   readonly fatalRequests?: readonly SoakFatalRequest[];
   readonly logs?: 'ignore' | 'inherit';
@@ -69,34 +72,6 @@
 /** Time for a control process to return the newest acknowledged version, ms. */
 const READ_BACK_TIMEOUT_MS = 10_000;
 
-function figuresOf({
-  attempts,
-  executions,
-  ackedVersion,
-  injectedFaults,
-  engineCrashes,
-  refusals,
-}: SoakRecord): SoakResult['figures'] {
-  const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
-    attempts.filter(test).length;
-  return {
-    attempts: attempts.length,
-    whole: count(({ status, outcome }) => status === 200 && outcome === 'whole'),
-    refused: count(({ status }) => status === 503),
-    failed: count(({ status }) => status >= 500 && status !== 503),
-    left: count(({ outcome }) => outcome === 'left'),
-    afterLast: count(({ lastEventId, status }) => lastEventId === STREAM_EVENTS && status === 200),
-    broken: count(({ outcome }) => outcome === 'broken'),
-    deadline: count(({ outcome }) => outcome === 'deadline'),
-    runs: executions.length,
-    resumed: executions.filter(({ resumed }) => resumed).length,
-    versions: ackedVersion,
-    faults: injectedFaults.length,
-    engineEnds: engineCrashes.length,
-    refusals: refusals.length,
-  };
-}
-
 /** All faults of a seed, unusual answers of engines included. */
 export function planAllFaults(seed: number, options: SoakPlanOptions): readonly SoakFault[] {
   const faults = planFaults(seed, options);
@@ -168,7 +143,12 @@
     const exitWatch = setInterval(() => this.#watchExits(), 100);
     const fatalRequests = this.#options.fatalRequests ?? planFatalRequests(seed, this.#options);
     const reliefPlans = this.#options.relief ?? planRelief(seed, this.#options);
+    const evacuationPlans = this.#options.evacuations ?? planEvacuations(seed, this.#options);
+    const evacuating = Promise.all(
+      evacuationPlans.map(async (plan) => evacuate(plan, this.#platform.controls, now)),
+    );
     await Promise.all([
+      evacuating,
       this.#injectFaults(faults),
       this.#sendFatalRequests(fatalRequests, load),
       ...reliefPlans.map(async (plan) => this.#requestRelief(plan)),
@@ -197,6 +177,7 @@
       revokedKeys: this.#operator.revokedKeys,
       drains: this.#drains,
       reliefRequests: this.#reliefRequests,
+      evacuations: await evacuating,
       refusals: this.#engines.refusals,
       injectedFaults: this.#injectedFaults,
       engineCrashes: this.#engines.crashes,
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -96,6 +96,13 @@
   readonly until: number;
 }
 
+/** An evacuation of a zone: when it was acknowledged, and when its end was ordered. */
+export interface SoakEvacuation {
+  readonly zone: string;
+  readonly ackedAt: number;
+  readonly withdrawnAt: number;
+}
+
 /** An engine refused a request and asked for a backoff. */
 export interface SoakRefusal {
   readonly id: string;
@@ -111,6 +118,7 @@
   readonly revokedKeys: readonly SoakRevokedKey[];
   readonly drains: readonly SoakDrain[];
   readonly reliefRequests: readonly SoakReliefRequest[];
+  readonly evacuations: readonly SoakEvacuation[];
   readonly refusals: readonly SoakRefusal[];
   readonly injectedFaults: readonly SoakInjectedFault[];
   /** Engines that requests crashed, and all executions of such requests. */
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { EVACUATE_MS } from '../../../platform/__tests__/utils/StandInPlatform.js';
 import { failureBody, sealOf } from '../../../platform/__tests__/utils/StandInUnusualAnswers.js';
 import { checkRecord, MAX_DRAIN_MS, MAX_REVOKE_MS } from '../../SoakChecks.js';
 import { plainAnswer, streamEvent, STREAM_EVENTS } from '../../SoakStream.js';
@@ -39,6 +40,7 @@
   revokedKeys: [],
   drains: [],
   reliefRequests: [],
+  evacuations: [],
   refusals: [],
   injectedFaults: [],
   engineCrashes: [],
@@ -148,6 +150,9 @@
     ...recordOfRequestsAt([100, 5_000]),
     reliefRequests: [{ ...RELIEF_REQUEST, kind: 'leave' }],
   },
+  'an evacuated zone gets nothing': {
+    evacuations: [{ zone: 'z1', ackedAt: EXECUTION.at - EVACUATE_MS - 1, withdrawnAt: 9_000 }],
+  },
   'one map a pass': { mixedPasses: 1 },
   'acknowledged is kept': { readBackVersions: [3, 2, 3] },
   'what ends engines is held': {
@@ -261,6 +266,26 @@
     assert.equal(rulesOf({ ...record, injectedFaults: [before] }).length, 1);
   });
 
+  it('find requests to an evacuated zone unless a fault held them or the order back', () => {
+    const record = VIOLATIONS['an evacuated zone gets nothing'];
+    const [evacuation] = record?.evacuations ?? [];
+    const changed = (change: object): readonly string[] =>
+      rulesOf({ evacuations: evacuation === undefined ? [] : [{ ...evacuation, ...change }] });
+    assert.deepEqual(changed({ zone: 'z2' }), []);
+    assert.deepEqual(changed({ withdrawnAt: EXECUTION.at }), []);
+    assert.deepEqual(changed({ ackedAt: EXECUTION.at - EVACUATE_MS }), []);
+    const fault = { kind: 'linkSilent', from: EXECUTION.at - 100, until: EXECUTION.at };
+    const withFaults = (...targets: readonly string[]): number =>
+      rulesOf({ ...record, injectedFaults: targets.map((target) => ({ ...fault, target })) })
+        .length;
+    assert.equal(withFaults('entry-1'), 0);
+    assert.equal(withFaults('endpoint-1'), 0);
+    assert.equal(withFaults('all'), 0);
+    assert.equal(withFaults('control-1', 'control-2'), 0);
+    assert.equal(withFaults('control-1'), 1);
+    assert.equal(withFaults('entry-2', 'endpoint-2'), 1);
+  });
+
   it('ignore answers that an unplanned fault near a graceful stop may have cut off', () => {
     const record = VIOLATIONS['a graceful stop cuts nothing off'];
     const kill = { kind: 'engineCrash', target: 'engine-1', from: 900, until: 1_000 };
--- a/src/daemon/DaemonEntryState.ts
+++ b/src/daemon/DaemonEntryState.ts
@@ -27,7 +27,13 @@
   type MemberRecord,
   type RequestIdentity,
 } from '../protocol/index.js';
-import { EMPTY_CONFIG, viewConfig, type ConfigState, type ConfigView } from '../state/index.js';
+import {
+  EMPTY_CONFIG,
+  evacuationsOf,
+  viewConfig,
+  type ConfigState,
+  type ConfigView,
+} from '../state/index.js';
 import { EntryMetrics } from './DaemonEntryMetrics.js';
 import type { SendQuarantineUpdate } from './DaemonQuarantine.js';
 import { DaemonScreening } from './DaemonScreening.js';
@@ -52,6 +58,9 @@
 
   #config: ConfigView = viewConfig(EMPTY_CONFIG);
 
+  /** Zones to whose endpoints no requests are sent. */
+  #evacuatedZones: ReadonlySet<string> = new Set();
+
   #routing: RoutingState;
 
   #admission: AdmissionState = EMPTY_ADMISSION;
@@ -97,6 +106,8 @@
 
   onConfig(config: ConfigState): void {
     this.#config = viewConfig(config);
+    this.#evacuatedZones = new Set(evacuationsOf(config.entries).map(({ zone }) => zone));
+    this.#setView(this.#view);
     this.#runtime.log.info({ event: 'config', index: config.index }, 'configuration in force');
   }
 
@@ -205,7 +216,9 @@
 
   #setView(view: MembershipView): void {
     this.#view = view;
-    const records = servingMembers(view);
+    const records = servingMembers(view).filter(
+      ({ role, zone }) => role !== 'endpoint' || !this.#evacuatedZones.has(zone),
+    );
     const entries = records.filter(({ role }) => role === 'entry');
     this.#entryHosts = entries.length;
     const ownZoneEntries = entries.filter(({ zone }) => zone === this.#zone).map(({ id }) => id);
