--- a/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
+++ b/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
@@ -107,6 +107,22 @@
     assert.equal(leader.proposals, 2);
   });
 
+  // Guards against an order that fails or is made twice when its leader dies between commit and answer.
+  it('acknowledges an order that a leader committed before it died', async () => {
+    const [dying, successor] = [new FakeLeader(), new FakeLeader()];
+    const evacuations: DaemonEvacuations = evacuationsAt(dying, {
+      callLeader: async (request) => {
+        await evacuations.decide(request);
+        throw new Error('link closed');
+      },
+    });
+    assert.equal((await evacuations.order(BEGIN)).result, 'unavailable');
+    successor.control = dying.control;
+    const again = await evacuationsAt(successor).order(BEGIN);
+    assert.deepEqual(again, { result: 'accepted', ...BEGIN, index: 1 });
+    assert.equal(successor.proposals, 0);
+  });
+
   // Guards against a document that is accepted between the read and the proposal and defeats the order.
   it('repeats an order that races with a document', async () => {
     const leader = new FakeLeader();
