--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -22,6 +22,8 @@
   readonly controls: readonly (Row & { readonly attached: readonly unknown[] })[];
   readonly processes: readonly Row[];
   readonly fleets: readonly Row[];
+  /** Not sent by control processes of an earlier version. */
+  readonly evacuations?: readonly Row[];
   readonly configIndex: number;
   readonly inForce: number;
   readonly live: number;
@@ -45,12 +47,17 @@
 export function formatStatus(body: StatusBody): string {
   const levels = (body.urgencyLevels ?? []).map(formatLevel);
   const controls = body.controls.map((row) => ({ ...row, attached: row.attached.length }));
+  const evacuations = (body.evacuations ?? []).map((row) => ({
+    ...row,
+    'evacuated zone': row.zone,
+  }));
   return [
     table(
       ['name', 'replica', 'role', 'term', 'commit', 'rollout', 'configIndex', 'attached'],
       controls,
     ),
     table(['fleet', 'version', 'digest'], body.fleets),
+    ...(evacuations.length > 0 ? [table(['evacuated zone', 'since'], evacuations)] : []),
     table(['id', 'role', 'zone', 'address', 'status', 'appliedIndex'], body.processes),
     ...(levels.length === 0
       ? []
@@ -135,3 +142,9 @@
 export function formatRelease({ digest }: Row): string {
   return `${String(digest)}: released from quarantine`;
 }
+
+/** Formats the result of an order to begin or finish an evacuation. */
+export function formatEvacuation({ zone, evacuated, index }: Row): string {
+  const state = evacuated === true ? 'evacuated' : 'not evacuated';
+  return `${String(zone)}: ${state}, configuration ${String(index)}`;
+}
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -147,6 +147,25 @@
     });
   }
 
+  /** Sets which endpoints may be sent requests, so that slots count only at these; null for all. */
+  setUsable(isUsable: ((endpoint: string) => boolean) | null): void {
+    this.#groups.setUsable(isUsable);
+  }
+
+  /** Refuses all requests that wait for a slot of a service. */
+  refuseWaiting(service: string): void {
+    const queue = this.#queueOf(service);
+    if (queue.length > 0) {
+      const now = this.#runtime.now();
+      const refused = queue.map(({ id, deadline }) => ({
+        id,
+        retryAfterMs: this.retryAfter(service, deadline - now) ?? 0,
+      }));
+      const grants = this.#forecast(service)?.grants ?? new Map();
+      this.#applyStep(service, { queue: [], admitted: [], refused, grantedAt: new Map(), grants });
+    }
+  }
+
   #waitingRequest(req: SlotRequest, { costs }: ModelService): WaitingRequest {
     this.#counter += 1;
     const tokensReceived = req.eventsReceived * costs.stepsPerPass;
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -1,45 +1,33 @@
 /** State of an entry process that calls endpoints directly: configuration, members, retry budgets. */
 import {
-  countFirstAttempt,
-  EMPTY_RETRY_BUDGET,
   finishUpdate,
-  FRESHNESS_LEASE_FRACTION,
-  receiveConfig,
   initRouting,
-  isFresh,
-  isOutdated,
-  isProven,
   isUpdateDue,
   incarnationKeyOf,
   mergeDelta,
   QUARANTINE_CRASHES,
   requestUpdate,
-  receiveNewestIndex,
   pruneView,
   routeRequest,
   serviceKey,
   servingMembers,
   IDLE_THROTTLE,
-  takeRetryWithin,
-  UNPROVEN,
   updateRouting,
   type ClockReading,
-  type FreshnessState,
   type MembershipView,
   type RetryAllowance,
-  type RetryBudgetState,
   type RoutingDecision,
   type RoutingState,
   type UpdateThrottle,
 } from '../../coordination/index.js';
-import type {
-  DirectoryDelta,
-  DocumentDialect,
-  HttpDialect,
-  LimitUpdate,
-  MemberRecord,
+import {
+  RequestError,
+  type DirectoryDelta,
+  type HttpDialect,
+  type LimitUpdate,
+  type MemberRecord,
 } from '../../protocol/index.js';
-import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
+import type { ConfigState } from '../../state/index.js';
 import { findLastEvent, type EndpointPool } from '../../transport/index.js';
 import type { SendQuarantineUpdate } from '../DaemonQuarantine.js';
 import type { SendUpdate } from '../DaemonSharedSet.js';
@@ -47,26 +35,24 @@
 import type { Runtime } from '../DaemonRuntime.js';
 import { DirectAdmission } from './DirectAdmission.js';
 import type { AttemptFailure } from './DirectAttempt.js';
+import type { DirectModels } from './DirectModels.js';
+import { DirectConfig, type DirectConfigOptions } from './DirectConfig.js';
 import type { SendDemand } from './DirectGrants.js';
-import { DirectModels } from './DirectModels.js';
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
+import { DirectRetries } from './DirectRetries.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
-import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
+import { DIRECT_FLEET } from './DirectDocument.js';
+import type { DirectEvacuations } from './DirectEvacuations.js';
 
 /** Options of a {@link DirectEntryState}. */
-export interface DirectEntryOptions {
+export interface DirectEntryOptions extends DirectConfigOptions {
   readonly id: string;
   readonly zone: string;
   readonly runtime: Runtime;
   readonly http: HttpDialect;
-  readonly documents: DocumentDialect;
-  /** Time within which a revoked key must stop working, ms. */
-  readonly revokeMs: number;
-  /** Time within which an accepted configuration must be in force, ms. */
-  readonly applyMs: number;
   readonly retries: RetryAllowance;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
@@ -79,12 +65,6 @@
 /** Replaced instances are remembered this long, as late updates may still list them. In ms. */
 const REPLACED_RETENTION_MS = 60_000;
 
-/**
- * Maximum age of the proof that the configuration is the newest for a key or path to be refused as unknown, ms:
- * just over two poll intervals, and below the 2 s within which a change must be in force.
- */
-const DENIAL_MAX_AGE_MS = 1_500;
-
 /** Connections that an endpoint accepts where its service doesn't declare a number. */
 const DEFAULT_CONNECTIONS = 64;
 
@@ -100,7 +80,9 @@
   /** When an incarnation of an endpoint was found to be replaced by another instance at its address, ms. */
   readonly #replaced = new Map<string, number>();
 
-  readonly #budgets = new Map<string, RetryBudgetState>();
+  readonly #retries: DirectRetries;
+
+  readonly config: DirectConfig;
 
   /** Logs and counts the requests. */
   readonly requests: DirectRequestLog;
@@ -113,8 +95,6 @@
 
   readonly sendSlots: DirectSendSlots;
 
-  readonly models = new DirectModels();
-
   #view: MembershipView = new Map();
 
   /** Throttles the work that follows from changed members. */
@@ -122,10 +102,6 @@
 
   #routing: RoutingState;
 
-  #routes: RouteView | null = null;
-
-  #freshness: FreshnessState = UNPROVEN;
-
   #entryHosts = 0;
 
   isLeaving = false;
@@ -133,6 +109,8 @@
   constructor(options: DirectEntryOptions) {
     this.#options = options;
     this.#routing = initRouting(options.zone);
+    this.config = new DirectConfig(options);
+    this.#retries = new DirectRetries(options.retries, options.runtime);
     this.startup = new DirectStartup(options.runtime);
     this.admission = new DirectAdmission({
       zone: options.zone,
@@ -146,6 +124,7 @@
       runtime: options.runtime,
       send: options.sendLimitUpdate,
       serving: (id) => this.#servingEndpoint(id),
+      mayReceive: (endpoint) => this.evacuations.mayReceive(endpoint),
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
@@ -154,87 +133,50 @@
     });
   }
 
-  get dialect(): HttpDialect {
-    return this.#options.http;
+  get models(): DirectModels {
+    return this.config.models;
   }
 
-  get routes(): RouteView | null {
-    return this.#routes;
+  get dialect(): HttpDialect {
+    return this.#options.http;
   }
 
-  get heldIndex(): number {
-    return this.#freshness.heldConfigIndex;
+  get evacuations(): DirectEvacuations {
+    return this.config.evacuations;
   }
 
   now(): number {
     return this.#options.runtime.now();
   }
 
-  /** Whether the configuration held here was proven to be the newest recently enough to accept keys by it. */
-  get isFresh(): boolean {
-    const leaseMs = this.#options.revokeMs * FRESHNESS_LEASE_FRACTION;
-    return isFresh(this.#freshness, this.#options.runtime.clocks(), leaseMs);
-  }
-
-  /** Whether the configuration held here was proven to be the newest since this process started. */
-  get isProven(): boolean {
-    return isProven(this.#freshness);
-  }
-
-  /** Whether a newer configuration is known of that must be in force by now, and has not arrived. */
-  get isOutdated(): boolean {
-    const applyMs = this.#options.applyMs * FRESHNESS_LEASE_FRACTION;
-    return isOutdated(this.#freshness, this.#options.runtime.clocks(), applyMs);
-  }
-
-  /** Whether a key or path unknown to this process is unknown to the newest configuration too. */
-  get mayDeny(): boolean {
-    return isFresh(this.#freshness, this.#options.runtime.clocks(), DENIAL_MAX_AGE_MS);
-  }
-
   /** Why the process can't serve, or `ready`. */
   get readiness(): string {
     if (this.isLeaving) {
       return 'leaving';
     }
-    if (this.#routes === null) {
-      return 'no configuration yet';
-    }
-    if (this.isOutdated) {
-      return 'a newer configuration has not arrived';
-    }
-    if (!this.isFresh) {
-      return 'not sure that the configuration is the newest';
+    const { obstacle } = this.config;
+    if (obstacle !== null) {
+      return obstacle;
     }
     return this.#routing.positions.size === 0 ? 'no endpoint known yet' : 'ready';
   }
 
   onConfig(config: ConfigState): void {
-    const provenAt = this.#freshness.provenAt?.monotonic;
-    const text = textOfDocument(config.entries);
-    if (text !== null) {
-      this.#routes = viewRoutes(this.#options.documents.readPlan(text));
+    try {
+      this.config.receive(config);
+    } finally {
+      this.#setView(this.#view);
     }
-    this.models.setRoutes(this.#routes);
-    this.#setView(this.#view);
-    this.#setFreshness(receiveConfig(this.#freshness, config.index));
-    const version = this.#routes?.plan.version ?? null;
-    // How long ago the one before was last known to be the newest: this one was accepted after that.
-    const sinceProofMs = provenAt === undefined ? null : Math.round(this.now() - provenAt);
-    this.#options.runtime.log.info(
-      { event: 'config', index: config.index, version, sinceProofMs },
-      'in force',
-    );
-    this.startup.recheck();
   }
 
-  /**
-   * Records the newest index, as named by a leader with a fresh quorum in reply to a poll sent at `requestedAt`.
-   * Returns whether that configuration is held here.
-   */
+  /** See {@link DirectConfig.onNewest}. */
   onNewest(index: number, requestedAt: ClockReading): boolean {
-    this.#setFreshness(receiveNewestIndex(this.#freshness, index, requestedAt));
-    return this.#freshness.heldConfigIndex >= index;
+    const { isProven } = this.config;
+    const isHeld = this.config.onNewest(index, requestedAt);
+    if (isProven !== this.config.isProven) {
+      this.startup.recheck();
+    }
+    return isHeld;
   }
 
   onDirectory(delta: DirectoryDelta): void {
@@ -272,7 +214,7 @@
     exclude: readonly string[],
     attempt: number,
   ): MemberRecord | null {
-    const without = this.sendSlots.withBlocked(exclude);
+    const without = this.#withUnusable(service, exclude);
     const rankId = this.#chooseRank(service, without);
     if (rankId !== undefined) {
       const record = rankId === null ? null : (this.#view.get(rankId)?.record ?? null);
@@ -340,11 +282,24 @@
 
   /** Whether an endpoint is left for another attempt. */
   canRoute(service: string, exclude: readonly string[]): boolean {
-    const without = this.sendSlots.withBlocked(exclude);
+    const without = this.#withUnusable(service, exclude);
     const rankId = this.admission.choose(service, without);
     return rankId === undefined ? this.#hasOther(service, without) : rankId !== null;
   }
 
+  /** Whether the service has groups and all of them are closed, but may soon be open again. */
+  isServiceDown(service: string): boolean {
+    return this.admission.isClosed(service) && this.evacuations.refusal(service) === null;
+  }
+
+  /** The refusal of a request that no endpoint of its service can take. */
+  noEndpointError(service: string): RequestError {
+    return (
+      this.evacuations.refusal(service) ??
+      new RequestError('no_endpoint', 'no endpoint could take the request')
+    );
+  }
+
   /** Reserves the next send slot at a blocked endpoint of the service; null if there is none in time. */
   reserveSendSlot(service: string, exclude: readonly string[], withinMs: number): SendSlot | null {
     return this.admission.isClosed(service)
@@ -359,10 +314,18 @@
       : (this.sendSlots.next(service, exclude)?.waitMs ?? null);
   }
 
+  /** The endpoint with an id if it may be sent requests; undefined otherwise. */
   #servingEndpoint(id: string): MemberRecord | undefined {
     const record = this.#view.get(id)?.record;
     const serves = record?.status === 'serving' && !this.#replaced.has(incarnationKeyOf(record));
-    return serves ? record : undefined;
+    return serves && !this.evacuations.isEvacuated(id) ? record : undefined;
+  }
+
+  /** Ids of endpoints that must not be chosen: those given, the blocked ones, and those in evacuated zones. */
+  #withUnusable(service: string, exclude: readonly string[]): readonly string[] {
+    const evacuated = this.evacuations.endpointsOf(service);
+    const without = this.sendSlots.withBlocked(exclude);
+    return evacuated.length === 0 ? without : [...without, ...evacuated];
   }
 
   #hasOther(service: string, without: readonly string[]): boolean {
@@ -408,17 +371,11 @@
   }
 
   countFirst(service: string): void {
-    const { retries } = this.#options;
-    const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
-    this.#budgets.set(service, countFirstAttempt(known, this.now(), retries));
+    this.#retries.countFirst(service);
   }
 
   takeRetry(service: string): boolean {
-    const { retries } = this.#options;
-    const known = this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
-    const { state, allowed } = takeRetryWithin(known, this.now(), retries, this.#entryHosts);
-    this.#budgets.set(service, state);
-    return allowed;
+    return this.#retries.take(service, this.#entryHosts);
   }
 
   /** Time after which a refused caller should retry, ms. */
@@ -440,7 +397,7 @@
   }
 
   pool(endpoint: MemberRecord): EndpointPool {
-    const serviceSpec = this.#routes?.services.get(endpoint.offer?.service ?? '');
+    const serviceSpec = this.config.routes?.services.get(endpoint.offer?.service ?? '');
     return this.#pools.to(
       endpoint,
       serviceSpec?.maxConnections ?? DEFAULT_CONNECTIONS,
@@ -448,19 +405,6 @@
     );
   }
 
-  #setFreshness(freshness: FreshnessState): void {
-    const wasProven = this.isProven;
-    this.#freshness = freshness;
-    if (!wasProven && this.isProven) {
-      const { log } = this.#options.runtime;
-      log.info(
-        { event: 'proven', index: freshness.heldConfigIndex },
-        'configuration proven to be the newest',
-      );
-      this.startup.recheck();
-    }
-  }
-
   #setView(view: MembershipView): void {
     this.#view = view;
     this.#throttle = finishUpdate(this.now());
@@ -471,6 +415,7 @@
     this.#entryHosts = entries.length;
     this.sendSlots.limits.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
+    this.#applyEvacuations();
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const incarnationKeys = new Set(
       [...view.values()].map(({ record }) => incarnationKeyOf(record)),
@@ -482,4 +427,12 @@
     );
     this.startup.recheck();
   }
+
+  /** Refuses the requests that wait at services whose endpoints are all evacuated, and counts slots at the others. */
+  #applyEvacuations(): void {
+    this.evacuations.setMembers([...this.#view.values()].map(({ record }) => record));
+    const isUsable = (id: string): boolean => !this.evacuations.isEvacuated(id);
+    this.admission.setUsable(this.evacuations.zones.length === 0 ? null : isUsable);
+    this.evacuations.evacuatedServices.forEach((service) => this.admission.refuseWaiting(service));
+  }
 }
--- a/src/daemon/direct/DirectForecast.ts
+++ b/src/daemon/direct/DirectForecast.ts
@@ -33,7 +33,7 @@
   const { costs } = model;
   const { own } = groups;
   const all = groups.at(service);
-  const openGroups = all.filter(isOpenGroup);
+  const openGroups = all.filter(isOpenGroup).filter((group) => groups.hasUsable(group));
   const free = openGroups.reduce(
     (total, group) => total + (freeAt?.(group) ?? freeSlotsAt(group, own)),
     0,
--- a/src/daemon/direct/DirectGroups.ts
+++ b/src/daemon/direct/DirectGroups.ts
@@ -107,6 +107,8 @@
   /** When a service whose groups were all closed last had one open again, ms. */
   readonly #reopenedAt = new Map<string, number>();
 
+  #isUsable: ((endpoint: string) => boolean) | null = null;
+
   #entryHosts = 1;
 
   constructor(options: GroupsOptions) {
@@ -143,6 +145,16 @@
     return ownRequestsAt(group, this.#own);
   }
 
+  /** Sets which endpoints may be sent requests, so that slots count only at these; null for all. */
+  setUsable(isUsable: ((endpoint: string) => boolean) | null): void {
+    this.#isUsable = isUsable;
+  }
+
+  /** Whether a group has a rank that may be sent requests. */
+  hasUsable({ ranks }: GroupSlots): boolean {
+    return this.#isUsable === null || ranks.some(({ endpoint }) => this.#isUsable?.(endpoint));
+  }
+
   /** Updates the groups from the members. */
   setMembers(records: readonly MemberRecord[], entryHosts: number): void {
     this.#entryHosts = Math.max(1, entryHosts);
@@ -351,8 +363,9 @@
 
   #slotParameters(service: string): SlotParameters | null {
     const model = this.#options.modelOf(service);
+    const usable = this.#isUsable === null ? {} : { isUsable: this.#isUsable };
     return model === null
       ? null
-      : { costs: model.costs, pauseMs: model.pauseMs, entryHosts: this.#entryHosts };
+      : { costs: model.costs, pauseMs: model.pauseMs, entryHosts: this.#entryHosts, ...usable };
   }
 }
--- a/src/daemon/direct/__tests__/unit/DirectCoordinator.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCoordinator.test.ts
@@ -4,12 +4,12 @@
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { COSTS } from '../../../../coordination/__tests__/utils/LoadModel.js';
+import type { GroupUsage } from '../../../../coordination/index.js';
 import { IDLE_REPORT } from '../../../../__tests__/utils/RankFixtures.js';
 import type { EngineOrder, GroupLoad, RankReport } from '../../../../protocol/index.js';
 import type { DaemonCoordinator } from '../../../DaemonCoordinator.js';
 import type { Runtime } from '../../../DaemonRuntime.js';
 import { COORDINATOR_TICK_MS, DirectCoordinator } from '../../DirectCoordinator.js';
-import type { GroupUsage } from '../../DirectLoadPublisher.js';
 import type { RankOrderReply, RankReply, RankRequest } from '../../DirectRank.js';
 import type { DirectRankPeers } from '../../DirectRankPeers.js';
 
