Pure modules for the share of a cold endpoint's rate and for what is known of cold times

A cold endpoint tolerates few requests per second and crashes well above that. ColdShare plans a number of senders for which the bound holds in each second without any synchronization, with delays that differ by up to 20 ms and two senders too many. ColdEndpoints resolves stated, missing and doubted cold times.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -212,6 +212,32 @@
   type EndpointBackoff,
   type EndpointBackoffs,
 } from './EndpointBackoffs.js';
+export {
+  coldPartOf,
+  coldPlaceOf,
+  coldSendFrom,
+  coldWaitMs,
+  initColdHosts,
+  initColdRate,
+  isForgottenSender,
+  mayStartCold,
+  planColdSenders,
+  reserveColdSlot,
+  startCold,
+  updateColdRate,
+  type ColdPart,
+  type ColdRate,
+  type ColdTolerance,
+} from './ColdShare.js';
+export {
+  applyColdRecord,
+  coldTimeOf,
+  doubtWarmth,
+  stepColdStatement,
+  type ColdKnowledge,
+  type ColdStatement,
+  type ColdTime,
+} from './ColdEndpoints.js';
 export {
   updateInterval,
   sendIntervalOf,
--- a/src/protocol/ProtocolMessages.ts
+++ b/src/protocol/ProtocolMessages.ts
@@ -47,6 +47,11 @@
   readonly offer?: EndpointOffer;
   /** Lease of a member without a link, which announces itself by heartbeats, ms. */
   readonly leaseMs?: number;
+  /**
+   * Remaining cold time that the endpoint stated in its heartbeat, ms, 0 for a warm one; absent if it stated none. No
+   * hop subtracts anything.
+   */
+  readonly coldLeftMs?: number;
 }
 
 /** Address at which a control process accepts links. */
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -72,6 +72,21 @@
   readonly usualAnswer: number;
 }
 
+/** How an endpoint behaves for a time after it has started, or has become cold for another reason. */
+export interface ColdSpec {
+  /** How long an endpoint is cold after a start during traffic, ms. */
+  readonly startMs: number;
+  /** Requests per second that it tolerates while cold; above 0. */
+  readonly perSecond: number;
+}
+
+/** Requests that all entry hosts together may send to a cold endpoint beyond the rate that it tolerates. */
+export interface ColdBounds {
+  /** In each second: this factor times the tolerated rate, and a fixed number in addition. */
+  readonly overshoot: number;
+  readonly slack: number;
+}
+
 /** A service that is the target of routes. */
 export interface ServiceSpec {
   readonly name: string;
@@ -79,6 +94,8 @@
   readonly maxConnections: number;
   /** Cost model of a model engine; null for a plain service. */
   readonly engine: EngineCosts | null;
+  /** Absent if the service declares no limit for cold endpoints. */
+  readonly cold?: ColdSpec;
 }
 
 /** A customer with the keys that identify it. */
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -54,6 +54,8 @@
 } from './ProtocolRequestError.js';
 export type {
   CallerLimits,
+  ColdBounds,
+  ColdSpec,
   EngineCosts,
   EngineOrder,
   GroupLoad,
