Requests to cold endpoints are limited by the hosts' shares of their rate

Reads coldStartS and coldPerS of services, coldLeftMs of heartbeats and the two bounds of the settings. Hubs publish the begin, the end and an extension of a stated cold time, not its countdown. Entry hosts exclude a cold endpoint without a free send slot when they choose, and check it again right before the first byte. A service that declares no coldPerS is served as before.

--- a/src/coordination/ColdShare.ts
+++ b/src/coordination/ColdShare.ts
@@ -197,7 +197,7 @@
   return now >= until || (isSender && now - sentAt >= spacingMs);
 }
 
-/** Records that a request is sent now. */
+/** Records that a request with a send slot is sent now. */
 export function startCold(rate: ColdRate, now: number): ColdRate {
-  return { ...rate, sentAt: now, lastSendAt: Math.max(rate.lastSendAt, now) };
+  return { ...rate, sentAt: now };
 }
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -28,6 +28,7 @@
   MemberRecord,
   QuarantineUpdate,
 } from '../protocol/index.js';
+import { DaemonColdReports } from './DaemonColdReports.js';
 import { DaemonLimits } from './DaemonLimits.js';
 import { DaemonQuarantine } from './DaemonQuarantine.js';
 import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
@@ -100,6 +101,9 @@
   /** Limits that endpoints have advertised, as reported by entry processes. */
   readonly #limits: DaemonLimits;
 
+  /** Cold times that endpoints state in their heartbeats. */
+  readonly coldReports: DaemonColdReports;
+
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
   #rollout: RolloutState;
@@ -110,6 +114,7 @@
   constructor(options: HubOptions) {
     this.#options = options;
     this.#rollout = initRollout(options.now());
+    this.coldReports = new DaemonColdReports(options);
     this.quarantine = new DaemonQuarantine({
       runtime: options,
       publish: (update, from) => this.#publishSharedUpdate('quarantine', update, from),
@@ -180,7 +185,9 @@
    */
   onHeartbeat(record: MemberRecord): void {
     const known = this.#membership.directory.get(record.id);
+    const isColdNews = this.coldReports.isNews(record);
     const isUnchanged =
+      !isColdNews &&
       this.#membership.attached.has(record.id) &&
       known?.status === record.status &&
       known.incarnation === record.incarnation &&
@@ -228,6 +235,7 @@
     );
     this.#stepMembership({ type: 'heard', ids });
     this.#stepMembership({ type: 'tick' });
+    this.coldReports.tick((id) => this.#membership.attached.has(id));
     this.quarantine.tick();
     this.#limits.tick();
     this.#stepRollout({ type: 'tick' });
--- a/src/daemon/direct/DirectColdEndpoints.ts
+++ b/src/daemon/direct/DirectColdEndpoints.ts
@@ -119,7 +119,7 @@
           service: record.offer?.service ?? '',
           zone: record.zone,
           knowledge: applyColdRecord(known, record, isFirstList, now),
-          absentSince: null,
+          absentSince: record.status === 'gone' ? now : null,
         });
       });
     if (isFirstList) {
@@ -144,7 +144,7 @@
   keep(isKept: (incarnationKey: IncarnationKey) => boolean): void {
     const now = this.#options.runtime.now();
     this.#known.forEach((known, incarnationKey) => {
-      const absentSince = isKept(incarnationKey) ? null : (known.absentSince ?? now);
+      const absentSince = known.absentSince ?? (isKept(incarnationKey) ? null : now);
       if (absentSince !== null && now - absentSince > KNOWLEDGE_RETENTION_MS) {
         this.#known.delete(incarnationKey);
       } else if (absentSince !== known.absentSince) {
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -6,6 +6,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   RequestError,
+  type ColdBounds,
   type DocumentDialect,
   type HttpDialect,
   type KeyedCustomer,
@@ -41,6 +42,8 @@
   /** Time from the stop signal until the process is killed, ms. */
   readonly graceMs: number;
   readonly retries: RetryAllowance;
+  /** Bounds on the requests to cold endpoints; the defaults if absent. */
+  readonly coldBounds?: ColdBounds;
 }
 
 /** The platform's formats of HTTP messages and documents. */
@@ -101,7 +104,7 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, applyMs, retries } = cfg;
+    const { id, zone, revokeMs, applyMs, retries, coldBounds } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
@@ -109,6 +112,7 @@
       revokeMs,
       applyMs,
       retries,
+      ...(coldBounds === undefined ? {} : { coldBounds }),
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
       sendLimitUpdate: (update) => this.#hubLink.notify('limits', update),
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -33,6 +33,7 @@
   type UpdateThrottle,
 } from '../../coordination/index.js';
 import type {
+  ColdBounds,
   DirectoryDelta,
   DocumentDialect,
   HttpDialect,
@@ -51,6 +52,7 @@
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectStartup } from './DirectStartup.js';
+import { DEFAULT_COLD_BOUNDS } from './DirectColdEndpoints.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
 import { DIRECT_FLEET, textOfDocument } from './DirectDocument.js';
 
@@ -66,6 +68,7 @@
   /** Time within which an accepted configuration must be in force, ms. */
   readonly applyMs: number;
   readonly retries: RetryAllowance;
+  readonly coldBounds?: ColdBounds;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
   /** Sends updates on limits to the control process. */
@@ -140,6 +143,12 @@
       runtime: options.runtime,
       send: options.sendLimitUpdate,
       serving: (id) => this.#servingEndpoint(id),
+      cold: {
+        bounds: options.coldBounds ?? DEFAULT_COLD_BOUNDS,
+        specOf: (service) => this.#routes?.services.get(service)?.cold,
+        // A proof of the newest configuration is a round trip to the control processes.
+        contactAt: () => this.#freshness.provenAt?.monotonic ?? -Infinity,
+      },
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
@@ -234,6 +243,8 @@
   onDirectory(delta: DirectoryDelta): void {
     this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#view = mergeDelta(this.#view, delta, this.now());
+    const newest = delta.records.map((record) => this.#view.get(record.id)?.record ?? record);
+    this.sendSlots.cold.onRecords(newest, delta.full);
     this.#throttle = requestUpdate(this.#throttle);
     this.applyChanges();
   }
@@ -464,6 +475,7 @@
     const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
     this.#entryHosts = entries.length;
     this.sendSlots.limits.setHosts(entries);
+    this.sendSlots.cold.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
     const incarnationKeys = new Set(
--- a/src/daemon/direct/DirectSendSlots.ts
+++ b/src/daemon/direct/DirectSendSlots.ts
@@ -1,5 +1,5 @@
 /**
- * Decides when endpoints with a limit or a backoff accept a request from this entry process: consulted before an
+ * Decides when endpoints that are cold, or have a limit or a backoff, accept a request from this entry process: consulted before an
  * endpoint is chosen, and right before each send.
  */
 import {
@@ -9,6 +9,7 @@
   type LimitTimestamp,
 } from '../../coordination/index.js';
 import type { AnswerHead, MemberRecord } from '../../protocol/index.js';
+import { DirectColdEndpoints, type DirectColdOptions } from './DirectColdEndpoints.js';
 import { DirectLimits, type DirectLimitsOptions } from './DirectLimits.js';
 import { DirectRefusals } from './DirectRefusals.js';
 import { DirectBackoffs } from './DirectBackoffs.js';
@@ -26,6 +27,7 @@
 export interface DirectSendSlotsOptions extends DirectLimitsOptions {
   /** The endpoint with an id; undefined if it isn't serving. */
   readonly serving: (id: string) => MemberRecord | undefined;
+  readonly cold: Pick<DirectColdOptions, 'bounds' | 'specOf' | 'contactAt'>;
 }
 
 /** Send slots of one entry process. */
@@ -34,6 +36,8 @@
 
   readonly refusals: DirectRefusals;
 
+  readonly cold: DirectColdEndpoints;
+
   readonly #backoffs: DirectBackoffs;
 
   /**
@@ -52,6 +56,8 @@
     this.limits = new DirectLimits(options);
     this.#backoffs = new DirectBackoffs(options.runtime);
     this.refusals = new DirectRefusals(options.runtime);
+    const { self, runtime, cold } = options;
+    this.cold = new DirectColdEndpoints({ self, runtime, ...cold });
   }
 
   /** Applies what the head of an endpoint's answer requests; `sent` is the timestamp of its request. */
@@ -69,6 +75,7 @@
    * earlier.
    */
   keep(isKept: (incarnationKey: IncarnationKey) => boolean): void {
+    this.cold.keep(isKept);
     const old = this.#runtime.now() - LEAVING_RETENTION_MS;
     [...this.#leaving]
       .filter(([incarnationKey, at]) => at < old && !isKept(incarnationKey))
@@ -77,13 +84,14 @@
 
   /**
    * Whether a request may be sent to an endpoint now. Takes a send slot there, unless `hasSlot`: then one was
-   * reserved before.
+   * reserved before. A cold endpoint is checked in any case: a reserved request may be late, and too close to the
+   * next one.
    */
   start(endpoint: MemberRecord, hasSlot: boolean): boolean {
     if (this.#backoffs.isBackedOff(endpoint) || this.#leaving.has(incarnationKeyOf(endpoint))) {
       return false;
     }
-    const isFree = hasSlot || this.#waitMs(endpoint) === 0;
+    const isFree = (hasSlot || this.#waitMs(endpoint) === 0) && this.cold.start(endpoint);
     if (isFree && !hasSlot) {
       this.#reserve(endpoint);
     }
@@ -104,6 +112,7 @@
     if (next === null || next.waitMs > withinMs) {
       return null;
     }
+    this.cold.countWait(next.endpoint);
     this.#reserve(next.endpoint);
     return next;
   }
@@ -124,6 +133,7 @@
   tick(): void {
     this.limits.tick();
     this.#backoffs.tick();
+    this.cold.tick();
     this.refusals.tick();
   }
 
@@ -146,12 +156,17 @@
     if (this.#leaving.has(incarnationKeyOf(endpoint))) {
       return Infinity;
     }
-    return Math.max(this.limits.waitMs(endpoint), this.#backoffs.waitMs(endpoint));
+    return Math.max(
+      this.limits.waitMs(endpoint),
+      this.#backoffs.waitMs(endpoint),
+      this.cold.waitMs(endpoint),
+    );
   }
 
   #reserve(endpoint: MemberRecord): void {
     this.limits.reserve(endpoint);
     this.#backoffs.reserve(endpoint);
+    this.cold.reserve(endpoint);
   }
 
   /** Endpoints that accept nothing now. */
@@ -159,7 +174,7 @@
     const limited = [...this.limits.blocked, ...this.#backoffs.blocked].map(
       ([incarnationKey]) => incarnationKey,
     );
-    const incarnationKeys = new Set([...limited, ...this.#leaving.keys()]);
+    const incarnationKeys = new Set([...limited, ...this.cold.blocked, ...this.#leaving.keys()]);
     return [...incarnationKeys].flatMap((incarnationKey) => {
       const endpoint = this.#serving(endpointIdOf(incarnationKey));
       return endpoint !== undefined && incarnationKeyOf(endpoint) === incarnationKey
