--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,5 +1,6 @@
 /** Checks the system's guarantees on the record of a soak run. Pure: a record in, findings out. */
 import { checkAnswers } from './SoakAnswerChecks.js';
+import { checkCold } from './SoakCold.js';
 import { overlapsUnplannedFault } from './SoakFaultOverlap.js';
 import { checkRelief, hadFault } from './SoakRelief.js';
 import type { SoakFinding, SoakRecord, SoakExecution } from './SoakTypes.js';
@@ -194,5 +195,6 @@
     ...checkAnswers(record, executionsById),
     ...CHECKS.flatMap((check) => check(record, executionsById)),
     ...checkRelief(record),
+    ...checkCold(record),
   ];
 }
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -13,7 +13,7 @@
 import { RESTART_DELAY_MS, FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
 import type { SoakUnusualAnswer } from './SoakUnusualAnswers.js';
 import { STREAM_EVENTS } from './SoakStream.js';
-import type { SoakEngineCrash } from './SoakTypes.js';
+import type { SoakColdStart, SoakEngineCrash } from './SoakTypes.js';
 
 /** Interval between two events of a stream, ms. */
 const EVENT_INTERVAL_MS = 60;
@@ -34,6 +34,8 @@
 
   readonly answers: SeenAnswer[] = [];
 
+  readonly coldStarts: SoakColdStart[] = [];
+
   /** Engines that requests crashed. */
   readonly crashes: SoakEngineCrash[] = [];
 
@@ -70,12 +72,23 @@
   }
 
   /** Stops an engine and its connections, and re-forms the group; starts a new incarnation after `forMs`. */
-  async crash(n: number, forMs: number, wait: (ms: number) => Promise<void>): Promise<void> {
+  async crash(
+    n: number,
+    forMs: number,
+    wait: (ms: number) => Promise<void>,
+    coldMs = 0,
+  ): Promise<void> {
     this.#engines.get(n)?.stop();
     await this.#setRefusing(n, true);
     this.group.lockstep.restart();
     await wait(forMs);
-    await this.#startEngine(n);
+    await this.#startEngine(n, coldMs);
+  }
+
+  /** Stops an engine, and starts a new incarnation that is cold for `coldMs`. */
+  async restartCold(n: number, coldMs: number, wait: (ms: number) => Promise<void>): Promise<void> {
+    await this.crash(n, RESTART_DELAY_MS, wait, coldMs);
+    await wait(coldMs);
   }
 
   /** Reports an engine as draining; its id, and when that was acknowledged, or null if it wasn't. */
@@ -158,7 +171,7 @@
   }
 
   /** Starts an engine, and stops the one that it replaces: two faults of one engine may overlap. */
-  async #startEngine(n: number): Promise<void> {
+  async #startEngine(n: number, coldMs = 0): Promise<void> {
     this.#engines.get(n)?.stop();
     this.#incarnation += 1;
     const { inside, outside } = this.#platform.engineHost(n);
@@ -180,6 +193,10 @@
       this.crashes.push({ body, engine: engine.id, at: performance.now() });
       this.#restart(n, engine).catch(() => undefined);
     };
+    if (coldMs > 0) {
+      engine.coldUntil = performance.now() + coldMs;
+      this.coldStarts.push({ host: n, engine: engine.id, arrivals: engine.coldArrivals });
+    }
     this.#engines.set(n, engine);
     const listener = { host: inside, port: ENGINE_PORT, reported: outside };
     await engine.start(listener, this.#platform.controls);
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -5,7 +5,7 @@
 import { UNUSUAL_ANSWERS, type SoakUnusualAnswer } from './SoakUnusualAnswers.js';
 import type { SoakOperator } from './SoakOperator.js';
 import type { ProxyMode, SoakProxy } from './SoakProxy.js';
-import type { SoakFault, SoakFaultKind } from './SoakSchedule.js';
+import type { SoakFault } from './SoakSchedule.js';
 import type { SoakDrain } from './SoakTypes.js';
 
 /** What a fault injector may use. */
@@ -75,8 +75,10 @@
 ) as Record<SoakUnusualAnswer, FaultInjector>;
 
 /** Injector of each kind of fault; it resolves once the fault is over. */
-export const FAULT_INJECTORS: Readonly<Record<SoakFaultKind | SoakUnusualAnswer, FaultInjector>> = {
+export const FAULT_INJECTORS: Readonly<Record<SoakFault['kind'], FaultInjector>> = {
   ...UNUSUAL_ANSWER_INJECTORS,
+  coldStart: async ({ fault: { target, forMs }, engines, runExclusively }) =>
+    runExclusively([target], async () => engines.restartCold(hostNumberOf(target), forMs, sleep)),
   entryKill: kill,
   entryPause: pause,
   entryTerm: async ({ fault: { target, forMs }, platform, runExclusively }) =>
--- a/soak/SoakOperator.ts
+++ b/soak/SoakOperator.ts
@@ -4,6 +4,7 @@
   sampleDocument,
   type StandInPlatform,
 } from '../platform/__tests__/utils/StandInPlatform.js';
+import { SOAK_COLD } from './SoakCold.js';
 import { usableFrom } from './SoakChecks.js';
 import type { SoakRevokedKey } from './SoakTypes.js';
 
@@ -85,7 +86,7 @@
   async #submit(keys: readonly string[]): Promise<number> {
     this.#version += 1;
     const version = this.#version;
-    const text = sampleDocument(version, keys, 'writers');
+    const text = sampleDocument(version, keys, 'writers', SOAK_COLD);
     const { controls } = this.#platform;
     for (let i = version; ; i += 1) {
       const control = controls[i % controls.length] ?? '';
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -11,6 +11,7 @@
 import { FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
+import { planColdStarts, SOAK_COLD_SETTINGS } from './SoakCold.js';
 import { SoakEngines } from './SoakEngines.js';
 import { planRelief, BACKOFF_S, type SoakReliefPlan } from './SoakRelief.js';
 import { planUnusualAnswers } from './SoakUnusualAnswers.js';
@@ -45,6 +46,8 @@
   readonly relief?: readonly SoakReliefPlan[];
   /** Requests that crash engines, in place of the seed's own. */
   readonly fatalRequests?: readonly SoakFatalRequest[];
+  /** Engines that restart cold, in place of the seed's own; none by default if there are `faults`. */
+  readonly coldStarts?: readonly SoakFault[];
   readonly logs?: 'ignore' | 'inherit';
 }
 
@@ -76,6 +79,7 @@
   injectedFaults,
   engineCrashes,
   refusals,
+  coldStarts,
 }: SoakRecord): SoakResult['figures'] {
   const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
     attempts.filter(test).length;
@@ -94,6 +98,7 @@
     faults: injectedFaults.length,
     engineEnds: engineCrashes.length,
     refusals: refusals.length,
+    cold: coldStarts.flatMap(({ arrivals }) => arrivals).length,
   };
 }
 
@@ -164,7 +169,10 @@
       signal: stop.signal,
     });
     const calls = load.run();
-    const faults = this.#options.faults ?? planAllFaults(seed, this.#options);
+    const {
+      coldStarts = this.#options.faults === undefined ? planColdStarts(seed, this.#options) : [],
+    } = this.#options;
+    const faults = [...(this.#options.faults ?? planAllFaults(seed, this.#options)), ...coldStarts];
     const exitWatch = setInterval(() => this.#watchExits(), 100);
     const fatalRequests = this.#options.fatalRequests ?? planFatalRequests(seed, this.#options);
     const reliefPlans = this.#options.relief ?? planRelief(seed, this.#options);
@@ -198,6 +206,7 @@
       drains: this.#drains,
       reliefRequests: this.#reliefRequests,
       refusals: this.#engines.refusals,
+      coldStarts: this.#engines.coldStarts,
       injectedFaults: this.#injectedFaults,
       engineCrashes: this.#engines.crashes,
       fatalExecutions: this.#engines.receivedRequests.filter(({ body }) =>
@@ -329,7 +338,13 @@
 /** Does one run; all processes and servers that it started have stopped when it resolves. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { entries, endpoints, logs = 'ignore' } = options;
-  const platform = await StandInPlatform.start({ entries, endpoints, proxied: true, logs });
+  const platform = await StandInPlatform.start({
+    entries,
+    endpoints,
+    proxied: true,
+    logs,
+    settings: SOAK_COLD_SETTINGS,
+  });
   const proxy = new SoakProxy();
   const harness = new SoakHarness(options, platform, proxy);
   try {
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -103,6 +103,14 @@
   readonly at: number;
 }
 
+/** An engine that started cold, and when requests reached it while it was cold. */
+export interface SoakColdStart {
+  /** Number of the engine's host. */
+  readonly host: number;
+  readonly engine: string;
+  readonly arrivals: readonly number[];
+}
+
 /** Everything that one soak run recorded; the checks read nothing else. */
 export interface SoakRecord {
   readonly attempts: readonly SoakAttempt[];
@@ -112,6 +120,7 @@
   readonly drains: readonly SoakDrain[];
   readonly reliefRequests: readonly SoakReliefRequest[];
   readonly refusals: readonly SoakRefusal[];
+  readonly coldStarts: readonly SoakColdStart[];
   readonly injectedFaults: readonly SoakInjectedFault[];
   /** Engines that requests crashed, and all executions of such requests. */
   readonly engineCrashes: readonly SoakEngineCrash[];
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -40,6 +40,7 @@
   drains: [],
   reliefRequests: [],
   refusals: [],
+  coldStarts: [],
   injectedFaults: [],
   engineCrashes: [],
   fatalExecutions: [],
--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -25,6 +25,8 @@
   readonly configIndex: number;
   readonly inForce: number;
   readonly live: number;
+  /** Cold endpoints, with the remaining time when it was last published; not sent by earlier versions. */
+  readonly cold?: readonly Row[];
 }
 
 /** Formats the status of the whole system. */
@@ -37,6 +39,9 @@
     ),
     table(['fleet', 'version', 'digest'], body.fleets),
     table(['id', 'role', 'zone', 'address', 'status', 'appliedIndex'], body.processes),
+    ...(body.cold === undefined || body.cold.length === 0
+      ? []
+      : [`cold endpoints\n${table(['id', 'zone', 'service', 'statedMs'], body.cold)}`]),
     `configuration ${body.configIndex} in force on ${body.inForce} of ${body.live} processes`,
   ].join('\n\n');
 }
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -85,12 +85,18 @@
   }));
   const live = processes.filter(({ status }) => status !== 'gone');
   const { index } = consensus.control.config;
+  const cold = live.flatMap(({ id, zone, offer, coldLeftMs }) =>
+    offer !== undefined && coldLeftMs !== undefined && coldLeftMs > 0
+      ? [{ id, zone, service: offer.service, statedMs: coldLeftMs }]
+      : [],
+  );
   return {
     controls: all,
     processes,
     configIndex: index,
     inForce: live.filter(({ appliedIndex }) => (appliedIndex ?? -1) >= index).length,
     live: live.length,
+    cold,
     fleets: Object.entries(consensus.control.fleets).map(([fleet, { version, digest }]) => ({
       fleet,
       version,
