--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { failureBody, sealOf } from '../../../platform/__tests__/utils/StandInUnusualAnswers.js';
+import { SOAK_MAX_COLD } from '../../SoakCold.js';
 import { checkRecord, MAX_DRAIN_MS, MAX_REVOKE_MS } from '../../SoakChecks.js';
 import { plainAnswer, streamEvent, STREAM_EVENTS } from '../../SoakStream.js';
 import type { SoakAttempt, SoakRecord, SoakExecution } from '../../SoakTypes.js';
@@ -270,4 +271,22 @@
       [],
     );
   });
+
+  // Guards against a check that excuses everything, or that counts requests which a link has held back.
+  it('finds a cold engine that got too many requests in a second', () => {
+    const times = (count: number): readonly number[] =>
+      Array.from({ length: count }, (_item, i) => 1_000 + i * 200);
+    const rules = (count: number, fault: Partial<SoakRecord> = {}): readonly string[] => {
+      const arrivals = times(count);
+      return rulesOf({ coldStarts: [{ host: 1, engine: 'i-1-2', arrivals }], ...fault });
+    };
+    assert.deepEqual(rules(SOAK_MAX_COLD), []);
+    assert.deepEqual(rules(SOAK_MAX_COLD + 1), ['a cold engine gets few requests']);
+    const delay = { kind: 'linkDelay', from: 0, until: 500 };
+    const injected = (target: string): Partial<SoakRecord> => ({
+      injectedFaults: [{ ...delay, target }],
+    });
+    assert.deepEqual(rules(SOAK_MAX_COLD + 1, injected('endpoint-1')), []);
+    assert.equal(rules(SOAK_MAX_COLD + 1, injected('endpoint-2')).length, 1);
+  });
 });
