--- a/soak/SoakCold.ts
+++ b/soak/SoakCold.ts
@@ -5,7 +5,7 @@
 import type { SoakFinding, SoakRecord } from './SoakTypes.js';
 
 /** What the service of the engines declares; low enough that callers' load exceeds it. */
-export const SOAK_COLD = { coldStartS: 4, coldPerS: 2 };
+export const SOAK_COLD = { startS: 4, perSecond: 2 };
 
 /** Settings of the bound; a low addition, so that hosts that ignore the bound exceed it under a small load. */
 const OVERSHOOT = 1.5;
@@ -16,7 +16,7 @@
 ];
 
 /** Maximum number of requests in each second. */
-export const SOAK_MAX_COLD = Math.floor(SOAK_COLD.coldPerS * OVERSHOOT + SLACK);
+export const SOAK_MAX_COLD = Math.floor(SOAK_COLD.perSecond * OVERSHOOT + SLACK);
 
 const COLD_START_COUNT = 2;
 const MIN_COLD_MS = 3_000;
--- a/src/coordination/ColdEndpoints.ts
+++ b/src/coordination/ColdEndpoints.ts
@@ -26,8 +26,8 @@
   readonly source: 'stated' | 'appeared' | 'evacuation';
 }
 
-function statedEndOf(coldLeftMs: number, now: number): number {
-  return coldLeftMs > 0 ? now + coldLeftMs : -Infinity;
+function statedEndOf(statedColdMs: number, now: number): number {
+  return statedColdMs > 0 ? now + statedColdMs : -Infinity;
 }
 
 /**
@@ -36,7 +36,7 @@
  */
 export function applyColdRecord(
   known: ColdKnowledge | undefined,
-  { version, coldLeftMs }: Pick<MemberRecord, 'version' | 'coldLeftMs'>,
+  { version, statedColdMs }: Pick<MemberRecord, 'version' | 'statedColdMs'>,
   isFirstList: boolean,
   now: number,
 ): ColdKnowledge {
@@ -48,9 +48,9 @@
     statedEnd: null,
     doubtedAt: null,
   };
-  return coldLeftMs === undefined
+  return statedColdMs === undefined
     ? { version, appearedAt, statedEnd, doubtedAt }
-    : { version, appearedAt, statedEnd: statedEndOf(coldLeftMs, now), doubtedAt: null };
+    : { version, appearedAt, statedEnd: statedEndOf(statedColdMs, now), doubtedAt: null };
 }
 
 /** Marks an endpoint as possibly cold after the end of an evacuation of its zone. */
@@ -87,16 +87,16 @@
 /** A statement in a heartbeat, and whether it has to be published; null if the heartbeat has none or is old. */
 export function stepColdStatement(
   known: ColdStatement | undefined,
-  { incarnation, version, coldLeftMs }: MemberRecord,
+  { incarnation, version, statedColdMs }: MemberRecord,
   now: number,
 ): { readonly statement: ColdStatement; readonly isNews: boolean } | null {
   const isSame = known?.incarnation === incarnation;
   const isOld =
     known !== undefined && (isSame ? version <= known.version : incarnation < known.incarnation);
-  if (coldLeftMs === undefined || isOld) {
+  if (statedColdMs === undefined || isOld) {
     return null;
   }
-  const end = statedEndOf(coldLeftMs, now);
+  const end = statedEndOf(statedColdMs, now);
   const isEnded = isSame && end === -Infinity && known.end !== -Infinity;
   const isLater = !isSame || end > known.end + END_TOLERANCE_MS;
   return { statement: { incarnation, version, end }, isNews: isEnded || isLater };
--- a/src/coordination/__tests__/unit/ColdEndpoints.test.ts
+++ b/src/coordination/__tests__/unit/ColdEndpoints.test.ts
@@ -11,7 +11,7 @@
 
 const START_MS = 10_000;
 
-function record(version: number, coldLeftMs?: number, incarnation = 1): MemberRecord {
+function record(version: number, statedColdMs?: number, incarnation = 1): MemberRecord {
   return {
     id: 'i-1',
     role: 'endpoint',
@@ -20,7 +20,7 @@
     incarnation,
     version,
     status: 'serving',
-    ...(coldLeftMs === undefined ? {} : { coldLeftMs }),
+    ...(statedColdMs === undefined ? {} : { statedColdMs }),
   };
 }
 
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -85,9 +85,9 @@
   }));
   const live = processes.filter(({ status }) => status !== 'gone');
   const { index } = consensus.control.config;
-  const cold = live.flatMap(({ id, zone, offer, coldLeftMs }) =>
-    offer !== undefined && coldLeftMs !== undefined && coldLeftMs > 0
-      ? [{ id, zone, service: offer.service, statedMs: coldLeftMs }]
+  const cold = live.flatMap(({ id, zone, offer, statedColdMs }) =>
+    offer !== undefined && statedColdMs !== undefined && statedColdMs > 0
+      ? [{ id, zone, service: offer.service, statedMs: statedColdMs }]
       : [],
   );
   return {
--- a/src/daemon/DaemonColdReports.ts
+++ b/src/daemon/DaemonColdReports.ts
@@ -33,9 +33,9 @@
       this.#statements.set(record.id, step.statement);
     }
     if (step?.isNews === true && step.statement.end > now) {
-      const { id, incarnation, coldLeftMs } = record;
+      const { id, incarnation, statedColdMs } = record;
       this.#runtime.log.info(
-        { event: 'cold_stated', endpoint: id, incarnation, coldLeftMs },
+        { event: 'cold_stated', endpoint: id, incarnation, statedColdMs },
         'endpoint stated that it is cold',
       );
     }
--- a/src/daemon/direct/__tests__/unit/DirectColdEndpoints.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectColdEndpoints.test.ts
@@ -99,7 +99,7 @@
     it(`lets a zone that returns at once serve what it tolerates, with ${count} hosts`, () => {
       const hosts = new TestHosts(count);
       const entries = hosts.startAll();
-      const zone = Array.from({ length: 24 }, (_item, i) => endpoint(i, { coldLeftMs: 10_000 }));
+      const zone = Array.from({ length: 24 }, (_item, i) => endpoint(i, { statedColdMs: 10_000 }));
       hosts.now = 60_000;
       entries.forEach(({ receive }) => receive(zone));
       const rng = xoroshiro128plus(45);
@@ -128,7 +128,7 @@
   // the only endpoint could take them a moment later.
   it('excludes a cold rank without a send slot, and lets a request wait for the next one', () => {
     const { hosts, entry } = loneHost([endpoint(2)]);
-    const rank = endpoint(1, { coldLeftMs: 5_000 });
+    const rank = endpoint(1, { statedColdMs: 5_000 });
     entry.receive([rank]);
     assert.ok(entry.slots.start(rank, false));
     assert.deepEqual(entry.slots.withBlocked([]), ['i-1']);
@@ -144,7 +144,7 @@
     const hosts = new TestHosts(35);
     const entries = hosts.startAll();
     hosts.now = 60_000;
-    entries.forEach(({ receive }) => receive([endpoint(1, { coldLeftMs: 1_700 })]));
+    entries.forEach(({ receive }) => receive([endpoint(1, { statedColdMs: 1_700 })]));
     const nonSenders = entries.filter(({ slots }) => (slots.next('s', [])?.waitMs ?? 0) === 1_700);
     assert.equal(nonSenders.length, 10);
     hosts.now += 1_700;
@@ -153,7 +153,7 @@
 
   // Guards against hosts whose part changes with what is missing or wrong in reports.
   it('counts a new endpoint without a statement as cold, and one of the first list as warm', () => {
-    const { hosts, entry } = loneHost([endpoint(2), endpoint(3, { coldLeftMs: 70_000 })]);
+    const { hosts, entry } = loneHost([endpoint(2), endpoint(3, { statedColdMs: 70_000 })]);
     entry.receive([endpoint(1)]);
     const cold = entry.lines.map(({ event, source }) => [event, source]);
     assert.deepEqual(cold, [
@@ -168,7 +168,7 @@
 
   it('sends nothing while it has just started, or has long had no contact', () => {
     const { hosts, entry } = loneHost();
-    const cold = endpoint(1, { coldLeftMs: 300_000 });
+    const cold = endpoint(1, { statedColdMs: 300_000 });
     entry.receive([cold]);
     hosts.contactAt = hosts.now;
     hosts.now += 59_000;
@@ -190,7 +190,7 @@
     assert.equal(entry.lines.at(-1)?.source, 'evacuation');
     assert.equal(entry.lines.length, 1);
     hosts.now += 1_000;
-    entry.receive([endpoint(1, { version: 2, coldLeftMs: 0 })]);
+    entry.receive([endpoint(1, { version: 2, statedColdMs: 0 })]);
     assert.equal(entry.lines.at(-1)?.event, 'endpoint_warm');
   });
 
@@ -198,7 +198,7 @@
   it('limits nothing where the service declares nothing', async () => {
     const { hosts, entry } = loneHost();
     hosts.spec = undefined;
-    const cold = endpoint(1, { coldLeftMs: 5_000 });
+    const cold = endpoint(1, { statedColdMs: 5_000 });
     entry.receive([cold]);
     assert.deepEqual(entry.slots.withBlocked(['x']), ['x']);
     assert.ok([1, 2, 3].every(() => entry.slots.start(cold, false)));
--- a/src/protocol/ProtocolMessages.ts
+++ b/src/protocol/ProtocolMessages.ts
@@ -51,7 +51,7 @@
    * Remaining cold time that the endpoint stated in its heartbeat, ms, 0 for a warm one; absent if it stated none. No
    * hop subtracts anything.
    */
-  readonly coldLeftMs?: number;
+  readonly statedColdMs?: number;
 }
 
 /** Address at which a control process accepts links. */
