--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,5 +1,6 @@
 /** Checks the system's guarantees on the record of a soak run. Pure: a record in, findings out. */
 import { checkAnswers } from './SoakAnswerChecks.js';
+import { checkCold } from './SoakCold.js';
 import { checkEvacuations } from './SoakEvacuations.js';
 import { overlapsUnplannedFault } from './SoakFaultOverlap.js';
 import { checkRelief, hadFault } from './SoakRelief.js';
@@ -196,5 +197,6 @@
     ...CHECKS.flatMap((check) => check(record, executionsById)),
     ...checkRelief(record),
     ...checkEvacuations(record),
+    ...checkCold(record),
   ];
 }
--- a/soak/SoakFigures.ts
+++ b/soak/SoakFigures.ts
@@ -11,6 +11,7 @@
   engineCrashes,
   refusals,
   evacuations,
+  coldStarts,
 }: SoakRecord): Readonly<Record<string, number>> {
   const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
     attempts.filter(test).length;
@@ -30,5 +31,6 @@
     engineEnds: engineCrashes.length,
     refusals: refusals.length,
     evacuations: evacuations.length,
+    cold: coldStarts.flatMap(({ arrivals }) => arrivals).length,
   };
 }
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -11,6 +11,7 @@
 import { FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
+import { planColdStarts, SOAK_COLD_SETTINGS } from './SoakCold.js';
 import { SoakEngines } from './SoakEngines.js';
 import { evacuate, planEvacuations, type SoakEvacuationPlan } from './SoakEvacuations.js';
 import { figuresOf } from './SoakFigures.js';
@@ -48,6 +49,8 @@
   readonly evacuations?: readonly SoakEvacuationPlan[];
   /** Requests that crash engines, in place of the seed's own. */
   readonly fatalRequests?: readonly SoakFatalRequest[];
+  /** Engines that restart cold, in place of the seed's own; none by default if there are `faults`. */
+  readonly coldStarts?: readonly SoakFault[];
   readonly logs?: 'ignore' | 'inherit';
 }
 
@@ -139,7 +142,10 @@
       signal: stop.signal,
     });
     const calls = load.run();
-    const faults = this.#options.faults ?? planAllFaults(seed, this.#options);
+    const {
+      coldStarts = this.#options.faults === undefined ? planColdStarts(seed, this.#options) : [],
+    } = this.#options;
+    const faults = [...(this.#options.faults ?? planAllFaults(seed, this.#options)), ...coldStarts];
     const exitWatch = setInterval(() => this.#watchExits(), 100);
     const fatalRequests = this.#options.fatalRequests ?? planFatalRequests(seed, this.#options);
     const reliefPlans = this.#options.relief ?? planRelief(seed, this.#options);
@@ -179,6 +185,7 @@
       reliefRequests: this.#reliefRequests,
       evacuations: await evacuating,
       refusals: this.#engines.refusals,
+      coldStarts: this.#engines.coldStarts,
       injectedFaults: this.#injectedFaults,
       engineCrashes: this.#engines.crashes,
       fatalExecutions: this.#engines.receivedRequests.filter(({ body }) =>
@@ -310,7 +317,13 @@
 /** Does one run; all processes and servers that it started have stopped when it resolves. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
   const { entries, endpoints, logs = 'ignore' } = options;
-  const platform = await StandInPlatform.start({ entries, endpoints, proxied: true, logs });
+  const platform = await StandInPlatform.start({
+    entries,
+    endpoints,
+    proxied: true,
+    logs,
+    settings: SOAK_COLD_SETTINGS,
+  });
   const proxy = new SoakProxy();
   const harness = new SoakHarness(options, platform, proxy);
   try {
--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -29,6 +29,8 @@
   readonly live: number;
   /** Missing in answers of control processes of an earlier version. */
   readonly urgencyLevels?: readonly Row[];
+  /** Cold endpoints, with the remaining time when it was last published; not sent by earlier versions. */
+  readonly cold?: readonly Row[];
 }
 
 /** Formats the requests of one priority that were granted at a group in the last interval. */
@@ -62,6 +64,9 @@
     ...(levels.length === 0
       ? []
       : [table(['group', 'priority', 'demand', 'granted', 'admitted'], levels)]),
+    ...(body.cold === undefined || body.cold.length === 0
+      ? []
+      : [`cold endpoints\n${table(['id', 'zone', 'service', 'statedMs'], body.cold)}`]),
     `configuration ${body.configIndex} in force on ${body.inForce} of ${body.live} processes`,
   ].join('\n\n');
 }
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -92,6 +92,11 @@
   const { index, entries } = consensus.control.config;
   // Every control process is sent the loads of all groups.
   const urgencyLevels: readonly UrgencyLevel[] = hub.demand.levels;
+  const cold = live.flatMap(({ id, zone, offer, statedColdMs }) =>
+    offer !== undefined && statedColdMs !== undefined && statedColdMs > 0
+      ? [{ id, zone, service: offer.service, statedMs: statedColdMs }]
+      : [],
+  );
   return {
     controls: all,
     processes,
@@ -100,6 +105,7 @@
     inForce: live.filter(({ appliedIndex }) => (appliedIndex ?? -1) >= index).length,
     live: live.length,
     urgencyLevels,
+    cold,
     fleets: Object.entries(consensus.control.fleets).map(([fleet, { version, digest }]) => ({
       fleet,
       version,
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -29,10 +29,17 @@
   MemberRecord,
   QuarantineUpdate,
 } from '../protocol/index.js';
+import { DaemonColdReports } from './DaemonColdReports.js';
 import { DaemonDemand } from './DaemonDemand.js';
 import { DaemonLimits } from './DaemonLimits.js';
 import { DaemonQuarantine } from './DaemonQuarantine.js';
-import { mergeDeltas, regionsOf, type ConfigState, type ControlState } from '../state/index.js';
+import {
+  finishedEvacuations,
+  mergeDeltas,
+  regionsOf,
+  type ConfigState,
+  type ControlState,
+} from '../state/index.js';
 import {
   parseAddress,
   PartsSender,
@@ -107,6 +114,9 @@
   /** Demand for the slots of groups, on its way to their coordinators. */
   readonly demand: DaemonDemand;
 
+  /** Cold times that endpoints state in their heartbeats. */
+  readonly coldReports: DaemonColdReports;
+
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
   #rollout: RolloutState;
@@ -117,6 +127,7 @@
   constructor(options: HubOptions) {
     this.#options = options;
     this.#rollout = initRollout(options.now());
+    this.coldReports = new DaemonColdReports(options);
     this.quarantine = new DaemonQuarantine({
       runtime: options,
       publish: (update, from) => this.#publishSharedUpdate('quarantine', update, from),
@@ -196,7 +207,9 @@
    */
   onHeartbeat(record: MemberRecord): void {
     const known = this.#membership.directory.get(record.id);
+    const isColdNews = this.coldReports.isNews(record);
     const isUnchanged =
+      !isColdNews &&
       this.#membership.attached.has(record.id) &&
       known?.status === record.status &&
       known.incarnation === record.incarnation &&
@@ -250,6 +263,7 @@
     );
     this.#stepMembership({ type: 'heard', ids });
     this.#stepMembership({ type: 'tick' });
+    this.coldReports.tick((id) => this.#membership.attached.has(id));
     this.quarantine.tick();
     this.#limits.tick();
     this.#stepRollout({ type: 'tick' });
@@ -428,10 +442,13 @@
 
   #stepRollout(input: RolloutInput): void {
     const { state, outputs } = stepRollout(this.#rollout, input, this.#options.now());
-    const changed = state.config !== this.#rollout.config;
+    const before = this.#rollout.config;
     this.#rollout = state;
-    if (changed) {
+    if (state.config !== before) {
       this.#updateRegions();
+      finishedEvacuations(before.entries, state.config.entries).forEach((zone) =>
+        this.coldReports.onEvacuationFinished(zone),
+      );
     }
     outputs.forEach((output) => this.#handleRolloutOutput(output));
   }
--- a/src/daemon/direct/DirectConfig.ts
+++ b/src/daemon/direct/DirectConfig.ts
@@ -12,21 +12,17 @@
 } from '../../coordination/index.js';
 import type { DocumentDialect } from '../../protocol/index.js';
 import { viewRoutes, type ConfigState, type RouteView } from '../../state/index.js';
-import type { Runtime } from '../DaemonRuntime.js';
 import { documentKey, textOfDocument } from './DirectDocument.js';
-import { DirectEvacuations } from './DirectEvacuations.js';
+import { DirectEvacuations, type DirectEvacuationsOptions } from './DirectEvacuations.js';
 import { DirectModels } from './DirectModels.js';
 
 /** Options of a {@link DirectConfig}. */
-export interface DirectConfigOptions {
-  readonly runtime: Pick<Runtime, 'now' | 'clocks' | 'log' | 'registry'>;
+export interface DirectConfigOptions extends DirectEvacuationsOptions {
   readonly documents: DocumentDialect;
   /** Time within which a revoked key must stop working, ms. */
   readonly revokeMs: number;
   /** Time within which an accepted configuration must be in force, ms. */
   readonly applyMs: number;
-  /** Time within which an accepted evacuation must be in force, ms; null where zones aren't evacuated. */
-  readonly evacuateMs: number | null;
 }
 
 /**
@@ -66,6 +62,11 @@
     return isFresh(this.#freshness, this.#options.runtime.clocks(), leaseMs);
   }
 
+  /** When the question was sent whose answer last proved a configuration to be the newest, ms; -Infinity for never. */
+  get provenAt(): number {
+    return this.#freshness.provenAt?.monotonic ?? -Infinity;
+  }
+
   /** Whether the configuration held here was proven to be the newest since this process started. */
   get isProven(): boolean {
     return isProven(this.#freshness);
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -4,7 +4,12 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
-import { RequestError, type DocumentDialect, type HttpDialect } from '../../protocol/index.js';
+import {
+  RequestError,
+  type ColdBounds,
+  type DocumentDialect,
+  type HttpDialect,
+} from '../../protocol/index.js';
 import { serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
@@ -38,6 +43,8 @@
   /** Time from the stop signal until the process is killed, ms. */
   readonly graceMs: number;
   readonly retries: RetryAllowance;
+  /** Bounds on the requests to cold endpoints; the defaults if absent. */
+  readonly coldBounds?: ColdBounds;
 }
 
 /** The platform's formats of HTTP messages and documents. */
@@ -91,7 +98,7 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, applyMs, evacuateMs, retries } = cfg;
+    const { id, zone, revokeMs, applyMs, evacuateMs, retries, coldBounds } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
@@ -100,6 +107,7 @@
       applyMs,
       evacuateMs,
       retries,
+      ...(coldBounds === undefined ? {} : { coldBounds }),
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
       sendLimitUpdate: (update) => this.#hubLink.notify('limits', update),
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -22,6 +22,7 @@
 } from '../../coordination/index.js';
 import {
   RequestError,
+  type ColdBounds,
   type DirectoryDelta,
   type HttpDialect,
   type LimitUpdate,
@@ -43,17 +44,19 @@
 import { DirectPools } from './DirectPools.js';
 import { DirectRetries } from './DirectRetries.js';
 import { DirectStartup } from './DirectStartup.js';
+import { DEFAULT_COLD_BOUNDS } from './DirectColdEndpoints.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
 import { DIRECT_FLEET } from './DirectDocument.js';
 import type { DirectEvacuations } from './DirectEvacuations.js';
 
 /** Options of a {@link DirectEntryState}. */
-export interface DirectEntryOptions extends DirectConfigOptions {
+export interface DirectEntryOptions extends Omit<DirectConfigOptions, 'onEvacuationFinished'> {
   readonly id: string;
   readonly zone: string;
   readonly runtime: Runtime;
   readonly http: HttpDialect;
   readonly retries: RetryAllowance;
+  readonly coldBounds?: ColdBounds;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
   /** Sends updates on limits to the control process. */
@@ -109,7 +112,10 @@
   constructor(options: DirectEntryOptions) {
     this.#options = options;
     this.#routing = initRouting(options.zone);
-    this.config = new DirectConfig(options);
+    this.config = new DirectConfig({
+      ...options,
+      onEvacuationFinished: (zone) => this.sendSlots.cold.onEvacuationFinished(zone),
+    });
     this.#retries = new DirectRetries(options.retries, options.runtime);
     this.startup = new DirectStartup(options.runtime);
     this.admission = new DirectAdmission({
@@ -125,6 +131,12 @@
       send: options.sendLimitUpdate,
       serving: (id) => this.#servingEndpoint(id),
       mayReceive: (endpoint) => this.evacuations.mayReceive(endpoint),
+      cold: {
+        bounds: options.coldBounds ?? DEFAULT_COLD_BOUNDS,
+        specOf: (service) => this.config.routes?.services.get(service)?.cold,
+        // A proof of the newest configuration is a round trip to the control processes.
+        contactAt: () => this.config.provenAt,
+      },
     });
     this.screening = new DaemonScreening({
       runtime: options.runtime,
@@ -182,6 +194,8 @@
   onDirectory(delta: DirectoryDelta): void {
     this.screening.onMembers(delta.records, (id) => !this.#view.has(id));
     this.#view = mergeDelta(this.#view, delta, this.now());
+    const newest = delta.records.map((record) => this.#view.get(record.id)?.record ?? record);
+    this.sendSlots.cold.onRecords(newest, delta.full);
     this.#throttle = requestUpdate(this.#throttle);
     this.applyChanges();
   }
@@ -414,6 +428,7 @@
     const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
     this.#entryHosts = entries.length;
     this.sendSlots.limits.setHosts(entries);
+    this.sendSlots.cold.setHosts(entries);
     this.admission.setMembers(serving, this.#entryHosts);
     this.#applyEvacuations();
     this.#routing = updateRouting(this.#routing, { type: 'members', records: serving }, this.now());
--- a/src/daemon/direct/DirectEvacuations.ts
+++ b/src/daemon/direct/DirectEvacuations.ts
@@ -19,6 +19,8 @@
   readonly runtime: Pick<Runtime, 'now' | 'clocks' | 'log' | 'registry'>;
   /** Time within which an accepted evacuation must be in force, ms; null where zones aren't evacuated. */
   readonly evacuateMs: number | null;
+  /** Called when the end of a zone's evacuation has come in force here. */
+  readonly onEvacuationFinished: (zone: string) => void;
 }
 
 /** The endpoints of a service in evacuated zones. */
@@ -36,9 +38,6 @@
   /** Evacuated zones, with the index of the log entry since which they have been evacuated. */
   #zones: ReadonlyMap<string, number> = new Map();
 
-  /** When the end of a zone's last evacuation came in force here, ms on the local monotonic clock. */
-  readonly #finishedAt = new Map<string, number>();
-
   /** Known endpoints in evacuated zones, by service. */
   #services: ReadonlyMap<string, EvacuatedEndpoints> = new Map();
 
@@ -83,8 +82,8 @@
     [...before.keys()]
       .filter((zone) => !this.#zones.has(zone))
       .forEach((zone) => {
-        this.#finishedAt.set(zone, this.#options.runtime.now());
         this.#log(zone, 'finish', index);
+        this.#options.onEvacuationFinished(zone);
       });
   }
 
@@ -149,11 +148,6 @@
     return new RequestError('no_endpoint', `all zones of the service are evacuated: ${zones}`);
   }
 
-  /** When the end of a zone's last evacuation came in force here, ms; undefined if there was none. */
-  finishedAt(zone: string): number | undefined {
-    return this.#finishedAt.get(zone);
-  }
-
   #log(zone: string, order: 'begin' | 'finish', index: number): void {
     this.#options.runtime.log.info(
       { event: 'evacuation', at: 'entry', zone, order, index, result: 'in force' },
--- a/src/daemon/direct/__tests__/unit/DirectConfig.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectConfig.test.ts
@@ -35,6 +35,7 @@
 function open() {
   const clock = { now: 0 };
   const decoded: string[] = [];
+  const finished: [string, number][] = [];
   const config = new DirectConfig({
     runtime: {
       now: () => clock.now,
@@ -54,8 +55,9 @@
     revokeMs: 5_000,
     applyMs: 2_000,
     evacuateMs: 5_000,
+    onEvacuationFinished: (zone) => finished.push([zone, clock.now]),
   });
-  return { config, clock, decoded };
+  return { config, clock, decoded, finished };
 }
 
 const endpoint = (id: string, zone: string, service = 'desk'): MemberRecord => ({
@@ -113,7 +115,7 @@
 
   // Guards against a service that is refused while it has endpoints elsewhere, or that isn't while it has none.
   it('refuses services whose endpoints are all in evacuated zones', () => {
-    const { config, clock } = open();
+    const { config, clock, finished } = open();
     const { evacuations } = config;
     const log = new Log().replace(1).evacuate('z1');
     config.receive(log.state.config);
@@ -133,6 +135,6 @@
     config.receive(log.evacuate('z1', false).state.config);
     evacuations.setMembers([endpoint('a1', 'z1')]);
     assert.equal(evacuations.refusal('desk'), null);
-    assert.equal(evacuations.finishedAt('z1'), 50);
+    assert.deepEqual(finished, [['z1', 50]]);
   });
 });
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -61,6 +61,8 @@
 export type {
   CallerLimits,
   CappedGrantRow,
+  ColdBounds,
+  ColdSpec,
   EngineCosts,
   EngineOrder,
   GrantRow,
--- a/src/state/StateEvacuation.ts
+++ b/src/state/StateEvacuation.ts
@@ -61,3 +61,13 @@
     del: evacuated ? [] : [key],
   };
 }
+
+/** Zones whose evacuation has ended between two configurations. */
+export function finishedEvacuations(
+  before: ConfigEntries,
+  after: ConfigEntries,
+): readonly string[] {
+  return evacuationsOf(before)
+    .map(({ zone }) => zone)
+    .filter((zone) => !isEvacuated(after, zone));
+}
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -32,7 +32,12 @@
   type ReplaceCommand,
   type SubmitCommand,
 } from './StateControl.js';
-export { evacuationsOf, isEvacuated, type Evacuation } from './StateEvacuation.js';
+export {
+  evacuationsOf,
+  finishedEvacuations,
+  isEvacuated,
+  type Evacuation,
+} from './StateEvacuation.js';
 export { findRoute, pickTarget, viewRoutes, type RouteView } from './StateRoutes.js';
 export { StateCorruptError } from './StateCorruptError.js';
 export { StateDataFolder, type Identity } from './StateDataFolder.js';
