--- a/src/daemon/direct/__tests__/unit/DirectCoordinator.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCoordinator.test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { setTimeout as delay } from 'node:timers/promises';
 import { pino } from 'pino';
 import { Registry } from 'prom-client';
 import { COSTS } from '../../../../coordination/__tests__/utils/LoadModel.js';
 import type { GroupUsage } from '../../../../coordination/index.js';
+import { TestClock } from '../../../../__tests__/utils/TestClock.js';
 import { IDLE_REPORT } from '../../../../__tests__/utils/RankFixtures.js';
 import type { EngineOrder, GroupLoad, RankReport } from '../../../../protocol/index.js';
 import type { DaemonCoordinator } from '../../../DaemonCoordinator.js';
@@ -29,6 +29,12 @@
 
   readonly #prepared = new Map<number, number>();
 
+  readonly #clock: TestClock;
+
+  constructor(clock: TestClock) {
+    this.#clock = clock;
+  }
+
   #report(rank: number): RankReport {
     const heldStep = rank === 0 ? this.held : null;
     const prepared = this.#prepared.get(rank) ?? null;
@@ -43,18 +49,18 @@
   async ask(rank: number, { withExperts }: RankRequest): Promise<RankReply> {
     const isLate = rank === RANKS - 1 && !this.#asked.has(rank);
     this.#asked.add(rank);
-    await delay(isLate ? LATE_ANSWER_MS : ANSWER_MS);
+    await this.#clock.wait(isLate ? LATE_ANSWER_MS : ANSWER_MS);
     const experts = withExperts ? [[rank]] : null;
     return { fenced: false, report: this.#report(rank), counts: null, experts };
   }
 
   async order(rank: number, { order }: { readonly order: EngineOrder }): Promise<RankOrderReply> {
-    await delay(ANSWER_MS);
+    await this.#clock.wait(ANSWER_MS);
     if (order.kind === 'prepare') {
       this.#prepared.set(rank, order.version);
     } else if (order.kind === 'release') {
       this.held = null;
-      this.releasedAt = performance.now();
+      this.releasedAt = this.#clock.now;
     }
     return { fenced: false, result: 'accepted', report: this.#report(rank) };
   }
@@ -64,11 +70,10 @@
   // A coordinator dies while a map change holds the group, and its successor has no reports. The hold must end first,
   // and no load that looks empty, fast or even may be published meanwhile.
   it('releases a group that its predecessor left held, and publishes what it knows', async () => {
-    const ranks = new HeldRanks();
+    const clock = new TestClock();
+    const ranks = new HeldRanks(clock);
     const loads: GroupLoad[] = [];
     const usages: GroupUsage[] = [];
-    const now = (): number => performance.now();
-    const startedAt = now();
     const coordinator = new DirectCoordinator({
       group: 'g',
       ranks: RANKS,
@@ -77,7 +82,7 @@
       peers: ranks as unknown as DirectRankPeers,
       runtime: {
         log: pino({ level: 'silent' }),
-        now,
+        now: () => clock.now,
         registry: new Registry(),
       } as unknown as Runtime,
       mapLimits: () => ({
@@ -95,15 +100,14 @@
         return { intervalMs: usage.intervalMs, rows: [], capped: [] };
       },
     });
-    while (now() - startedAt < 2 * LATE_ANSWER_MS) {
+    while (clock.now < 2 * LATE_ANSWER_MS) {
       coordinator.tick();
       // eslint-disable-next-line no-await-in-loop
-      await delay(COORDINATOR_TICK_MS);
+      await clock.advance(COORDINATOR_TICK_MS);
     }
     assert.equal(ranks.held, null);
     // All ranks must have reported, and have prepared a newer version, before the group can be released.
-    const took = ranks.releasedAt - startedAt;
-    assert.ok(took < LATE_ANSWER_MS + 150, `released after ${took} ms`);
+    assert.ok(ranks.releasedAt < LATE_ANSWER_MS + 150, `released after ${ranks.releasedAt} ms`);
     const [first, ...others] = loads;
     assert.ok(first !== undefined && (first.reported ?? RANKS) < 0.9 * RANKS);
     assert.ok(others.some(({ reported }) => reported === RANKS));
