Admission: a request sent elsewhere than granted no longer counts as unsent

A request with a grant at one group is sent to another where the first has no endpoint left for it. It stayed in the first group's count of unsent requests for good. The next request sent there took it over, and its own entry remained in the service's count, so that one free slot of this process was never used again.

Such a request is now taken off the count that still has one. The new test fails without the change: the process starts one request less than one to which this has not happened.

--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -224,7 +224,8 @@
   onSent(service: string, endpoint: string): void {
     this.#groups.onSent(endpoint);
     if (!this.#grants.onSent(this.#groups.groupOf(service, endpoint)?.group)) {
-      this.#countSent(service);
+      // Without an endpoint at the group of its grant, a request is sent elsewhere. It counts as sent all the same.
+      this.onUnused(service);
     }
   }
 
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -92,6 +92,13 @@
 
 const NEVER_ABORTED = new AbortController().signal;
 
+/** Number of requests that are admitted before one has to wait. */
+function countStarts(admission: DirectAdmission): number {
+  const before = admission.waiting;
+  admission.acquire(REQUEST, NEVER_ABORTED).catch(() => undefined);
+  return admission.waiting > before ? 0 : 1 + countStarts(admission);
+}
+
 describe('DirectAdmission', () => {
   it('finds the rank of an endpoint by the sidecar on its host', () => {
     const admission = openAdmission();
@@ -211,6 +218,26 @@
     assert.deepEqual(await waiting, { granted: true });
   });
 
+  // The group of the grant has no endpoint left for the request. Guards against a request that counts as unsent for
+  // good, so that a free slot stays unused.
+  it('counts a request as sent that is sent to another place than that of its grant', async () => {
+    let now = 0;
+    const admission = openAdmission(undefined, () => now, []);
+    admission.onLoad(load(2));
+    const waiting = admission.acquire({ ...REQUEST, priority: 0 }, NEVER_ABORTED);
+    now = 250;
+    admission.onLoad({ ...load(0), grants: GRANTS });
+    assert.deepEqual(await waiting, { granted: true });
+    admission.onSent('s', 'elsewhere');
+    admission.onLoad(load(0));
+    assert.deepEqual(await admission.acquire(REQUEST, NEVER_ABORTED), { granted: true });
+    admission.onSent('s', 'e1');
+    admission.onDone('s', 'e1');
+    const unaffected = openAdmission(undefined, () => now, []);
+    unaffected.onLoad(load(0));
+    assert.equal(countStarts(admission), countStarts(unaffected));
+  });
+
   // A stream that broke off near its end must not be refused for lack of time to write the whole of it again.
   it('counts only the remaining tokens of a resumed stream', () => {
     const admission = openAdmission();
