Load state: clock drift no longer makes all loads count as delayed

The delay of a load is what exceeds the fastest load of the same coordinator, which was remembered for as long as the coordinator held the lease. With clocks that drift apart by 100 ppm, all loads counted as delayed after 42 minutes, and the process kept fewer slots. The fastest load is now forgotten at 500 ppm of the elapsed time, the largest rate at which a clock is adjusted.

The new test drifts by 100 ppm for two hours and fails without the change. A sudden delay of 1 s is still noticed, and would count as normal only after half an hour.

--- a/src/coordination/__tests__/unit/SlotLimit.test.ts
+++ b/src/coordination/__tests__/unit/SlotLimit.test.ts
@@ -98,6 +98,20 @@
     });
   });
 
+  // One coordinator publishes for hours. Guards against loads that all count as delayed once the clocks of the two hosts
+  // have drifted apart, and against a delay that is no longer noticed.
+  it('notices the delay of a load, but not the drift of the clocks', () => {
+    const driftPerMs = 0.0001;
+    let state = START;
+    for (let at = 0; at < 2 * 3_600_000; at += 1_000) {
+      state = apply(state, { sentAt: at }, at * (1 + driftPerMs));
+    }
+    assert.equal(state.knowledge.delayMs, 0);
+    const sentAt = 2 * 3_600_000;
+    const late = apply(state, { sentAt }, sentAt * (1 + driftPerMs) + 1_000);
+    assert.ok(late.knowledge.delayMs >= 900);
+  });
+
   // An observed pass time was thrown away with its coordinator, and replaced by a skew of 1 or the initial state.
   it('keeps the observed limit where the pass time is unknown, and discounts it with age', () => {
     const even = apply(START, { passMs: 72 }, 0);
--- a/src/coordination/load/SlotLimit.ts
+++ b/src/coordination/load/SlotLimit.ts
@@ -42,7 +42,10 @@
   readonly completeness: LoadCompleteness;
   /** When the newest load under the token was sent, ms on the coordinator's clock; null where it isn't stated. */
   readonly sentAt: number | null;
-  /** Smallest difference between arrival and sending under the token, ms, which includes that of the two clocks. */
+  /**
+   * Smallest difference between arrival and sending under the token, ms, which includes that of the two clocks; raised
+   * by {@link MAX_CLOCK_DRIFT}.
+   */
   readonly fastestMs: number;
   /** When the first load under the token arrived, ms. */
   readonly tokenSince: number;
@@ -82,6 +85,13 @@
 /** A load that arrives later by no more than this counts as timely, ms: the interval between loads. */
 const TIMELY_MS = 250;
 
+/**
+ * Rate at which the fastest load of a coordinator is forgotten, as a part of the elapsed time. The clocks of two hosts
+ * drift apart, by up to 500 ppm while one is adjusted. Over hours under one token, all loads would come to count as
+ * delayed.
+ */
+const MAX_CLOCK_DRIFT = 0.0005;
+
 /**
  * Time for which a new coordinator's loads count as delayed as much as its predecessor's, ms. How long they take can't
  * be told from the first ones, and a slow path may well be slow for the successor too.
@@ -185,7 +195,8 @@
     return { sentAt: null, fastestMs: Infinity, tokenSince, inheritedMs: 0, delayMs: 0 };
   }
   const transitMs = now - sentAt;
-  const knownMs = isSameToken ? limit.fastestMs : transitMs;
+  const driftMs = (sentAt - (limit.sentAt ?? sentAt)) * MAX_CLOCK_DRIFT;
+  const knownMs = isSameToken ? limit.fastestMs + driftMs : transitMs;
   const isFaster = transitMs < knownMs - TIMELY_MS;
   const inheritedMs = isSameToken ? limit.inheritedMs : limit.delayMs;
   const assumedMs = isFaster || now - tokenSince > INHERITED_MS ? 0 : inheritedMs;
