Demand messages may have priorities below 0

A document may give any number as priority, but a message with a negative one was rejected as invalid as a whole. The coordinator never learned of the demand of such a service, so it never granted starts. The new test fails without the change.

--- a/src/daemon/__tests__/unit/DaemonDemand.test.ts
+++ b/src/daemon/__tests__/unit/DaemonDemand.test.ts
@@ -50,6 +50,15 @@
     assert.deepEqual(sent, [['peer c2', 2]]);
   });
 
+  // Priorities are any numbers of the document. Guards against a decider that never learns of such a demand.
+  it('passes on demand of a priority below 0', async () => {
+    const demand = open();
+    demand.onLoad(LOAD, { isPeer: false, name: 'side1' });
+    demand.onDemand({ group: 'g', host: 'h1', rows: [{ ...ROW, priority: -1.5 }] });
+    await delay(COLLECTED_MS);
+    assert.deepEqual([sent, lines], [[['side1', 1]], []]);
+  });
+
   // Two coordinators publish after a partition. Guards against messages that circulate between control processes.
   it('passes messages of other control processes on to processes attached here only', () => {
     const demand = open();
--- a/src/protocol/ProtocolDemand.ts
+++ b/src/protocol/ProtocolDemand.ts
@@ -32,7 +32,11 @@
 function isDemandRow(value: unknown): value is DemandRow {
   const { priority, customer, waiting, perSecond } = (value ?? {}) as Partial<DemandRow>;
   return (
-    isAmount(priority) && typeof customer === 'string' && isAmount(waiting) && isAmount(perSecond)
+    // A document may have priorities below 0, which are more urgent still.
+    Number.isFinite(priority) &&
+    typeof customer === 'string' &&
+    isAmount(waiting) &&
+    isAmount(perSecond)
   );
 }
 
