Admission by urgency: no grants of a group without a usable rank

While all ranks of a group are in evacuated zones, requests were still admitted with its grants and then sent to other groups of the service, beyond the slots there, and part of the demand was reported for it. Its grants and its part of the demand now count as little as its free slots.

--- a/src/daemon/direct/DirectGrants.ts
+++ b/src/daemon/direct/DirectGrants.ts
@@ -99,14 +99,12 @@
     }
   }
 
-  /** Grants at the open groups of a service that start requests only with one; null without urgency. */
+  /** Grants at the open, usable groups of a service that start requests only with one; null without urgency. */
   grantsAt(service: string): GroupGrants | null {
     if (!this.#options.isByUrgency(service)) {
       return null;
     }
-    const granted = this.#options.groups
-      .at(service)
-      .filter((group) => isOpenGroup(group) && this.#phaseOf(group) === 'granted');
+    const granted = this.#openGroups(service).filter((group) => this.#phaseOf(group) === 'granted');
     return new Map(granted.map((group) => [group.group, this.#stateOf(group)]));
   }
 
@@ -161,13 +159,13 @@
 
   /** Sends the demand for the groups of a service where a message is due. */
   report(service: string): void {
-    const { groups, isByUrgency, runtime, sendDemand, waitingAt } = this.#options;
+    const { isByUrgency, runtime, sendDemand, waitingAt } = this.#options;
     if (!isByUrgency(service)) {
       return;
     }
     const now = runtime.now();
     const waiting = waitingAt(service);
-    const openGroups = groups.at(service).filter(isOpenGroup);
+    const openGroups = this.#openGroups(service);
     const due = openGroups.filter((group) =>
       isReportDue(this.#stateOf(group), waiting.length, now),
     );
@@ -182,6 +180,12 @@
     });
   }
 
+  /** Open groups with a rank that may be sent requests. */
+  #openGroups(service: string): readonly GroupSlots[] {
+    const { groups } = this.#options;
+    return groups.at(service).filter((group) => isOpenGroup(group) && groups.hasUsable(group));
+  }
+
   #stateOf({ group }: GroupSlots): GrantedSlots {
     return this.#states.get(group) ?? NO_GRANTS;
   }
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -218,6 +218,21 @@
     assert.deepEqual(await waiting, { granted: true });
   });
 
+  // All ranks of the group are in an evacuated zone. Guards against requests that are admitted for it and then sent to
+  // another group beyond its slots.
+  it('takes no grants of a group without a rank that may be sent requests, and reports no demand for it', () => {
+    let now = 0;
+    const sent: Demand[] = [];
+    const admission = openAdmission(undefined, () => now, sent);
+    admission.onLoad(load(2));
+    admission.acquire(REQUEST, NEVER_ABORTED).catch(() => undefined);
+    now = 250;
+    admission.setUsable(() => false);
+    admission.onLoad({ ...load(0), grants: GRANTS });
+    admission.acquire({ ...REQUEST, priority: 0 }, NEVER_ABORTED).catch(() => undefined);
+    assert.deepEqual([admission.waiting, sent.length], [2, 1]);
+  });
+
   // The group of the grant has no endpoint left for the request. Guards against a request that counts as unsent for
   // good, so that a free slot stays unused.
   it('counts a request as sent that is sent to another place than that of its grant', async () => {
