Gauges of demanded and granted requests end with the decisions

A process that had ceased to coordinate its group showed its last decision under overload for good, beside that of its successor. The gauges now show decisions of the last 1.5 s only. The new test fails without the change.

--- a/src/daemon/direct/DirectDemand.ts
+++ b/src/daemon/direct/DirectDemand.ts
@@ -34,6 +34,9 @@
 /** Part of the interval after a decision in which a further load carries no new grants. */
 const REPEAT_SHARE = 0.5;
 
+/** Age of a decision from which the gauges no longer show it, ms: several intervals between loads. */
+const DECISION_TTL_MS = 1_500;
+
 interface Decision {
   readonly grants: SlotGrants;
   readonly at: number;
@@ -69,7 +72,7 @@
 
   constructor(options: DemandOptions) {
     this.#options = options;
-    const rows = (): SlotGrants['rows'] => this.#decision?.grants.rows ?? [];
+    const rows = (): SlotGrants['rows'] => this.#recentRows();
     const registers = [options.runtime.registry];
     // eslint-disable-next-line no-new
     new Gauge({
@@ -111,6 +114,13 @@
     this.#demands = recordDemands(this.#demands, used, runtime.now());
   }
 
+  /** Rows of the last decision; none once another process coordinates the group. */
+  #recentRows(): SlotGrants['rows'] {
+    const { now } = this.#options.runtime;
+    const decision = this.#decision;
+    return decision !== null && now() - decision.at <= DECISION_TTL_MS ? decision.grants.rows : [];
+  }
+
   /** Decides how many requests may start until the next load; null while there are slots for all. */
   grants(usage: GroupUsage): SlotGrants | null {
     const now = this.#options.runtime.now();
--- a/src/daemon/direct/__tests__/unit/DirectDemand.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectDemand.test.ts
@@ -40,6 +40,15 @@
     assert.match(await registry.metrics(), /laburnumgauge_granted_requests\{priority="0"\} 6/);
   });
 
+  // Another process has become coordinator. Guards against a gauge that shows the last overload for good.
+  it('shows no grants once it no longer decides', async () => {
+    const { demand, registry, at } = open();
+    demand.onDemands([MESSAGE]);
+    demand.grants(USAGE);
+    at[0] = 1_501;
+    assert.doesNotMatch(await registry.metrics(), /laburnumgauge_granted_requests\{/);
+  });
+
   // A successor starts with empty state: it must not grant by demand that it doesn't know.
   it('grants nothing before it has received any demand, nor a second after the last', () => {
     const { demand, at } = open();
