Admission by urgency: the queue is ordered once for all refusals of a step

After a group was down, many waiting requests may be refused at once, and the queue was sorted anew for the retry delay of each. It is now ordered once per step, and requests of other priorities are not compared by class. The new test counts evaluations and fails without the change.

--- a/src/coordination/StreamQueue.ts
+++ b/src/coordination/StreamQueue.ts
@@ -193,14 +193,16 @@
   return Math.max(0, same + 1 - starts - free) / Math.max(rate, 1e-6);
 }
 
-/** Expected wait, ms, of a request behind those of its own or a more urgent priority that go before it. */
+function orderByUrgency(queue: StreamQueue, forecast: QueueForecast, now: number): StreamQueue {
+  return sortByUrgency(queue, (request) => isOnTime(request, forecast, now));
+}
+
+/** Expected wait, ms, of one of the ordered requests, behind those of its own or a more urgent priority. */
 function urgentWaitMs(
-  queue: StreamQueue,
+  ordered: StreamQueue,
   request: WaitingRequest,
   forecast: QueueForecast,
-  now: number,
 ): number {
-  const ordered = sortByUrgency([...queue, request], (item) => isOnTime(item, forecast, now));
   const ahead = ordered
     .slice(0, ordered.indexOf(request))
     .filter(({ priority }) => priority <= request.priority);
@@ -218,30 +220,38 @@
   now: number,
 ): number {
   if (forecast.grants !== null) {
-    return urgentWaitMs(queue, request, forecast, now);
+    return urgentWaitMs(orderByUrgency([...queue, request], forecast, now), request, forecast);
   }
   const ahead = queue.filter((other) => compareUrgency(other, request, forecast, now) <= 0).length;
   return expectedWaitMs(ahead, forecast);
 }
 
 /**
- * Retry delay of a refused request, ms. By urgency it is the wait until the requests ahead have started, at the rate
- * that its priority gets, but at most a third of the remaining time.
+ * Refusals, with a retry delay for each. By urgency it is the wait until the requests ahead have started, at the rate
+ * that its priority gets, but at most a third of the remaining time. The queue is ordered once for all of them, as
+ * hundreds may be refused at once after a group was down.
  */
-function refusalDelayMs(
+function refuse(
   queue: StreamQueue,
-  request: WaitingRequest,
+  refused: StreamQueue,
   forecast: QueueForecast,
   now: number,
   random: number,
-): number {
-  const remainingMs = request.deadline - now;
-  if (forecast.grants === null || forecast.ratePerMs === 0) {
-    return retryDelayMs(remainingMs, queue.length, forecast, random);
-  }
-  const others = queue.filter(({ id }) => id !== request.id);
-  const waitMs = urgentWaitMs(others, request, forecast, now);
-  return Math.max(MIN_RETRY_DELAY_MS, Math.min(remainingMs * MAX_RETRY_DELAY_SHARE, waitMs));
+): readonly QueueRefusal[] {
+  const isByUrgency = refused.length > 0 && forecast.grants !== null && forecast.ratePerMs > 0;
+  const ordered = isByUrgency
+    ? orderByUrgency([...new Set([...queue, ...refused])], forecast, now)
+    : [];
+  return refused.map((request) => {
+    const { id, deadline } = request;
+    const remainingMs = deadline - now;
+    if (!isByUrgency) {
+      return { id, retryAfterMs: retryDelayMs(remainingMs, queue.length, forecast, random) };
+    }
+    const waitMs = urgentWaitMs(ordered, request, forecast);
+    const latestMs = remainingMs * MAX_RETRY_DELAY_SHARE;
+    return { id, retryAfterMs: Math.max(MIN_RETRY_DELAY_MS, Math.min(latestMs, waitMs)) };
+  });
 }
 
 /** Requests that start now: with a grant, or in a free slot. */
@@ -278,15 +288,12 @@
   const ordered =
     forecast.grants === null
       ? [...servable].sort((a, b) => compareUrgency(a, b, forecast, now))
-      : sortByUrgency(servable, (request) => isOnTime(request, forecast, now));
+      : orderByUrgency(servable, forecast, now);
   const started = startable(ordered, forecast.free, forecast.grants ?? NO_GROUPS);
   return {
     ...started,
     queue: servable.filter(({ id }) => !started.admitted.includes(id)),
-    refused: unservable.map((request) => ({
-      id: request.id,
-      retryAfterMs: refusalDelayMs(queue, request, forecast, now, random),
-    })),
+    refused: refuse(queue, unservable, forecast, now, random),
   };
 }
 
@@ -309,11 +316,10 @@
   // A caller that retries doesn't do so again, so its request waits as long as it can.
   const waitMs = request.isCallerRetry || forecast.ratePerMs === 0 ? 0 : queueWaitMs;
   if (!canFinish(request, forecast, now, waitMs)) {
-    const retryAfterMs = refusalDelayMs(queue, request, forecast, now, random);
     return {
       queue,
       admitted: [],
-      refused: [{ id: request.id, retryAfterMs }],
+      refused: refuse(queue, [request], forecast, now, random),
       grants: forecast.grants ?? NO_GROUPS,
       grantedAt: new Map(),
     };
--- a/src/coordination/__tests__/unit/StreamQueue.test.ts
+++ b/src/coordination/__tests__/unit/StreamQueue.test.ts
@@ -146,6 +146,23 @@
     assert.equal(enqueue([], short, down, 0, 0.5).refused.length, 1);
   });
 
+  // A group was down, and hundreds of waiting requests are refused at once. Guards against ordering the queue anew for
+  // each of them, which kept the process busy for half a second while its streams stopped.
+  it('orders the queue once for all refusals of a step', () => {
+    let reads = 0;
+    const counting: QueueForecast = {
+      ...BUSY,
+      grants: new Map(),
+      get firstMs() {
+        reads += 1;
+        return BUSY.firstMs;
+      },
+    };
+    const queue = Array.from({ length: 100 }, (_item, i) => request(i, { deadline: 500 }));
+    assert.equal(admitWaiting(queue, counting, 0, 0.5).refused.length, 100);
+    assert.ok(reads <= 3 * queue.length, `${reads} reads`);
+  });
+
   it('adds jitter to retry delays', () => {
     const down = { ...BUSY, ratePerMs: 0 };
     const late = request(1, { firstEventDeadline: 100 });
--- a/src/coordination/urgency/GrantedSlots.ts
+++ b/src/coordination/urgency/GrantedSlots.ts
@@ -262,5 +262,9 @@
 
 /** Whether two requests are granted starts from the same shares. */
 export function haveSameShares(groups: GroupGrants, a: RequestClass, b: RequestClass): boolean {
-  return [...groups.values()].every((state) => classOf(state, a) === classOf(state, b));
+  return (
+    a.priority === b.priority &&
+    (a.customer === b.customer ||
+      [...groups.values()].every((state) => classOf(state, a) === classOf(state, b)))
+  );
 }
