Evacuation orders are no longer stale because of documents and other zones

Cause: an order was stale if the configuration had changed in any way since its base was read. With a change every 0.1 s, an order that takes longer than that from the read to the commit is stale at each of its four attempts and refused for ever. Change: an order is stale only if the evacuation of its own zone may have changed since the base, by the deltas that the log's state keeps; a base older than these counts as changed.

--- a/src/daemon/DaemonEvacuations.ts
+++ b/src/daemon/DaemonEvacuations.ts
@@ -3,12 +3,12 @@
  * which commits them to the log.
  */
 import type { Logger } from 'pino';
-import { isEvacuated } from '../state/index.js';
+import { isEvacuated, mayHaveChangedSince } from '../state/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
 import { TOO_FEW_DISKS, waitForHolders } from './DaemonHolders.js';
 import type { SuspensionWatch } from './DaemonSuspension.js';
 
-/** How many times an order is based on the newest configuration and proposed when other changes race with it. */
+/** How many times an order is based on the newest configuration and proposed when others for the zone race with it. */
 const ORDER_ATTEMPTS = 4;
 
 /** An order of an operator. */
@@ -33,7 +33,7 @@
     }
   | { readonly result: 'unavailable'; readonly reason: string };
 
-/** Reply of the leader; with `stale`, the configuration has changed since the order was based on it. */
+/** Reply of the leader; with `stale`, the zone may have changed since the order was based on it. */
 export type EvacuationLeaderReply = EvacuationReply | { readonly result: 'stale' };
 
 /** Dependencies of {@link DaemonEvacuations}. */
@@ -86,7 +86,7 @@
     }
     return attemptsLeft > 1
       ? this.#attempt(order, attemptsLeft - 1)
-      : { result: 'unavailable', reason: 'other changes were faster; send it again' };
+      : { result: 'unavailable', reason: 'other orders for the zone were faster; send it again' };
   }
 
   /**
@@ -116,11 +116,11 @@
     if ((await consensus.readIndex()) === null) {
       return null;
     }
-    const { config } = consensus.control;
-    if (config.index !== base) {
+    const { control } = consensus;
+    if (mayHaveChangedSince(control, zone, base)) {
       return 'stale';
     }
-    if (isEvacuated(config.entries, zone) === evacuated) {
+    if (isEvacuated(control.config.entries, zone) === evacuated) {
       return base;
     }
     const result = await consensus.propose({ kind: 'evacuate', zone, evacuated, base });
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -4,7 +4,7 @@
  */
 import type { ConfigDelta, ConfigEntries, LeaseGrant, SubmitReply } from '../protocol/index.js';
 import { diffEntries, EMPTY_CONFIG, patchEntries, type ConfigState } from './StateConfig.js';
-import { evacuationDelta, evacuationEntries } from './StateEvacuation.js';
+import { evacuationDelta, evacuationEntries, mayHaveChangedSince } from './StateEvacuation.js';
 
 /** Number of deltas kept for processes that missed some; a longer gap is closed by a snapshot. */
 export const DELTA_HISTORY = 512;
@@ -113,7 +113,8 @@
 
 /**
  * Begins or finishes the evacuation of a zone. `base` is the index of the configuration that the order was based on:
- * an order that was delayed on its way must not undo a later one.
+ * an order that was delayed on its way must not undo a later one for the same zone. Documents and other zones don't
+ * count: they may change more often than an order takes to be committed.
  */
 export interface EvacuateCommand {
   readonly kind: 'evacuate';
@@ -267,7 +268,7 @@
 
 function applyEvacuate(state: ControlState, command: EvacuateCommand, index: number): Applied {
   const { zone, evacuated, base } = command;
-  if (state.config.index !== base) {
+  if (mayHaveChangedSince(state, zone, base)) {
     return { state, result: { result: 'stale' } };
   }
   const delta = evacuationDelta(state.config, zone, evacuated, index);
--- a/src/state/StateEvacuation.ts
+++ b/src/state/StateEvacuation.ts
@@ -62,6 +62,26 @@
   };
 }
 
+/**
+ * Whether the evacuation of a zone may have begun or finished since the configuration with index `base`. The answer is
+ * yes where the deltas since then aren't kept any more.
+ */
+export function mayHaveChangedSince(
+  { config, deltas }: { readonly config: ConfigState; readonly deltas: readonly ConfigDelta[] },
+  zone: string,
+  base: number,
+): boolean {
+  if (config.index === base) {
+    return false;
+  }
+  const key = evacuationKey(zone);
+  const start = deltas.findIndex(({ from }) => from === base);
+  return (
+    start === -1 ||
+    deltas.slice(start).some(({ set, del }) => Object.hasOwn(set, key) || del.includes(key))
+  );
+}
+
 /** Zones whose evacuation has ended between two configurations. */
 export function finishedEvacuations(
   before: ConfigEntries,
--- a/src/state/__tests__/unit/StateEvacuation.test.ts
+++ b/src/state/__tests__/unit/StateEvacuation.test.ts
@@ -50,6 +50,26 @@
     assert.deepEqual(evacuationsOf(late.state.config.entries), []);
   });
 
+  // Guards against an order that is stale for ever while documents change faster than it is committed.
+  it('is begun by an order that was based on a configuration before other documents and zones', () => {
+    const other = applyCommand(replace(1, 1, EMPTY_CONTROL), evacuate('z2', true, 1), 2).state;
+    const changed = replace(2, 3, other);
+    const begun = applyCommand(changed, evacuate('z1', true, 1), 4);
+    assert.deepEqual(begun.result, { result: 'evacuated', index: 4 });
+    const since = evacuationsOf(begun.state.config.entries);
+    assert.deepEqual(since, [
+      { zone: 'z1', since: 4 },
+      { zone: 'z2', since: 2 },
+    ]);
+  });
+
+  // Guards against an order that is taken as undisturbed because the deltas since its base were dropped.
+  it('is not begun by an order whose base is older than the deltas', () => {
+    const late = { ...replace(2, 2, replace(1, 1, EMPTY_CONTROL)), deltas: [] };
+    const order = applyCommand(late, evacuate('z1', true, 1), 3);
+    assert.deepEqual(order.result, { result: 'stale' });
+  });
+
   // Guards against a repeated order that changes the configuration, or that names an index before the first one.
   it('is changed by neither a repeated begin nor a finish that finds none', () => {
     const begun = applyCommand(EMPTY_CONTROL, evacuate('z1', true, 0), 1).state;
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -36,6 +36,7 @@
   evacuationsOf,
   finishedEvacuations,
   isEvacuated,
+  mayHaveChangedSince,
   type Evacuation,
 } from './StateEvacuation.js';
 export { findRoute, pickTarget, viewRoutes, type RouteView } from './StateRoutes.js';
