Hubs withdraw a stated cold time that has ended without a further statement

Cause: an endpoint whose heartbeats state no cold time once it is warm keeps the record with the earlier statement at the hubs, since a heartbeat without a statement was never published. Each entry host that joined or restarted later took this record for a cold time that begins now, and held back requests to all such endpoints. Change: the first heartbeat without a statement after the stated end is published once. Hosts that know the statement keep it, as before. Result: the new test fails without the change and passes with it.

--- a/src/coordination/ColdEndpoints.ts
+++ b/src/coordination/ColdEndpoints.ts
@@ -84,7 +84,12 @@
  */
 const END_TOLERANCE_MS = 200;
 
-/** A statement in a heartbeat, and whether it has to be published; null if the heartbeat has none or is old. */
+/**
+ * A statement in a heartbeat, and whether it has to be published; null if the heartbeat is old or states nothing new.
+ *
+ * The first heartbeat without a statement after the end of a stated cold time is published: processes that join later
+ * would otherwise get the earlier record, and count the endpoint as cold for the whole time stated there.
+ */
 export function stepColdStatement(
   known: ColdStatement | undefined,
   { incarnation, version, statedColdMs }: MemberRecord,
@@ -93,9 +98,15 @@
   const isSame = known?.incarnation === incarnation;
   const isOld =
     known !== undefined && (isSame ? version <= known.version : incarnation < known.incarnation);
-  if (statedColdMs === undefined || isOld) {
+  if (isOld) {
     return null;
   }
+  if (statedColdMs === undefined) {
+    const hasExpired = isSame && known.end !== -Infinity && known.end <= now;
+    return hasExpired
+      ? { statement: { incarnation, version, end: -Infinity }, isNews: true }
+      : null;
+  }
   const end = statedEndOf(statedColdMs, now);
   const isEnded = isSame && end === -Infinity && known.end !== -Infinity;
   const isLater = !isSame || end > known.end + END_TOLERANCE_MS;
--- a/src/daemon/__tests__/unit/DaemonColdReports.test.ts
+++ b/src/daemon/__tests__/unit/DaemonColdReports.test.ts
@@ -55,6 +55,20 @@
     assert.deepEqual(test.heartbeat(0), []);
   });
 
+  // Guards against a record with an expired cold time, by which each entry host that joins later counts the endpoint as
+  // cold again.
+  it('are withdrawn once by a heartbeat without one after their end', () => {
+    const test = new TestHub();
+    test.heartbeat(3_000);
+    test.now = 2_999;
+    assert.deepEqual(test.heartbeat(), []);
+    test.now = 3_000;
+    assert.deepEqual(test.heartbeat(), [undefined]);
+    assert.equal(test.hub.membership.directory.get('i-1')?.statedColdMs, undefined);
+    assert.deepEqual(test.heartbeat(), []);
+    assert.deepEqual(test.heartbeat(2_000), [2_000]);
+  });
+
   // Guards against entry hosts that count endpoints as cold for the whole declared time after an evacuation. Entry hosts
   // may apply its end up to 5 s later than the hub.
   it('are published again after an evacuation of the zone, soon and once more', () => {
