An evacuation order that isn't decided within 1.5 s is answered

Cause: an order that waits for a leader which has just been cut off took up to 3 s over the link, and up to 2.5 s for each of two steps at a leader that doesn't know yet that it is deposed. The client has 5 s in all, and no time was left to ask another control process. Nothing more is done for it after that: a base that is read later could follow a later order, which the order would then undo.

--- a/src/daemon/DaemonEvacuations.ts
+++ b/src/daemon/DaemonEvacuations.ts
@@ -2,6 +2,7 @@
  * Orders to begin or finish the evacuation of a zone. Any control process takes them and passes them to the leader,
  * which commits them to the log.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Logger } from 'pino';
 import { isEvacuated, mayHaveChangedSince } from '../state/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
@@ -11,6 +12,17 @@
 /** How many times an order is based on the newest configuration and proposed when others for the zone race with it. */
 const ORDER_ATTEMPTS = 4;
 
+/**
+ * Time after which an order that isn't decided is answered as unavailable, ms. A leader that is cut off meanwhile answers
+ * nothing for 3 s, and a client has 5 s to have its order accepted by another process.
+ */
+const ORDER_TIMEOUT_MS = 1_500;
+
+const UNDECIDED: EvacuationReply = {
+  result: 'unavailable',
+  reason: 'not decided in time; send it again',
+};
+
 /** An order of an operator. */
 export interface EvacuationOrder {
   readonly zone: string;
@@ -64,28 +76,39 @@
    * in the socket of a suspended process meanwhile would undo that, so none is carried out right after a suspension.
    */
   async order(order: EvacuationOrder): Promise<EvacuationReply> {
-    const reply = await this.#attempt(order, ORDER_ATTEMPTS).catch(
-      (err: unknown): EvacuationReply => ({
-        result: 'unavailable',
-        reason: (err as Error).message,
-      }),
-    );
+    const answered = new AbortController();
+    const reply = await Promise.race([
+      this.#attempt(order, ORDER_ATTEMPTS, answered.signal),
+      delay(ORDER_TIMEOUT_MS, UNDECIDED, { signal: answered.signal }),
+    ]).catch((err: unknown): EvacuationReply => ({
+      result: 'unavailable',
+      reason: (err as Error).message,
+    }));
+    answered.abort();
     this.#log(order, reply, 'order');
     return reply;
   }
 
-  async #attempt(order: EvacuationOrder, attemptsLeft: number): Promise<EvacuationReply> {
+  /** Nothing is based on a configuration that was read after the order was answered: it may follow a later order. */
+  async #attempt(
+    order: EvacuationOrder,
+    attemptsLeft: number,
+    answered: AbortSignal,
+  ): Promise<EvacuationReply> {
     const { suspension, readNewest, callLeader } = this.#options;
     if (suspension.isRecent) {
       return { result: 'unavailable', reason: 'this process was suspended; send it again' };
     }
     const base = await readNewest();
+    if (answered.aborted) {
+      return UNDECIDED;
+    }
     const reply = await callLeader({ ...order, base });
     if (reply.result !== 'stale') {
       return reply;
     }
     return attemptsLeft > 1
-      ? this.#attempt(order, attemptsLeft - 1)
+      ? this.#attempt(order, attemptsLeft - 1, answered)
       : { result: 'unavailable', reason: 'other orders for the zone were faster; send it again' };
   }
 
@@ -100,11 +123,12 @@
       return { result: 'stale' };
     }
     const isHeld = reply !== null && (await waitForHolders(this.#options, reply));
-    const unavailableReason = reply === null ? 'not decided in time; send it again' : TOO_FEW_DISKS;
+    const unavailable: EvacuationReply =
+      reply === null ? UNDECIDED : { result: 'unavailable', reason: TOO_FEW_DISKS };
     const result: EvacuationReply =
       reply !== null && isHeld
         ? { result: 'accepted', zone, evacuated, index: reply }
-        : { result: 'unavailable', reason: unavailableReason };
+        : unavailable;
     this.#log(request, result, 'decision', reply === base);
     return result;
   }
--- a/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
+++ b/src/daemon/__tests__/unit/DaemonEvacuations.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { pino } from 'pino';
 import {
   applyCommand,
@@ -177,6 +178,34 @@
     assert.deepEqual(leader.zones, []);
   });
 
+  // Guards against an order that takes all of its client's time while the leader is cut off, and against one that is
+  // based on a configuration of after its answer, so that it undoes a later order.
+  it('answers an order that is not decided in time, and does nothing more for it', async () => {
+    const leader = new FakeLeader();
+    const cutOff = evacuationsAt(leader, {
+      callLeader: async () => delay(60_000, { result: 'stale' }, { ref: false }),
+    });
+    let calls = 0;
+    let endRead = (_base: number): void => undefined;
+    const slow = evacuationsAt(leader, {
+      readNewest: async () =>
+        new Promise((resolve) => {
+          endRead = resolve;
+        }),
+      callLeader: async (request) => {
+        calls += 1;
+        return leader.propose({ kind: 'evacuate', ...request } as never) as never;
+      },
+    });
+    const startedAt = performance.now();
+    const replies = await Promise.all([cutOff.order(BEGIN), slow.order(BEGIN)]);
+    assert.ok(performance.now() - startedAt < 2_500);
+    replies.forEach(({ result }) => assert.equal(result, 'unavailable'));
+    endRead(leader.control.config.index);
+    await new Promise(setImmediate);
+    assert.equal(calls, 0);
+  });
+
   // Guards against an order that lay in the socket of a suspended process and is carried out after its revocation.
   it('refuses orders right after a suspension', async () => {
     const leader = new FakeLeader();
