Blocked endpoints are listed without their wait times

Cause: each choice of an endpoint computed the wait time of every blocked endpoint of all services, and used only the ids. Change: wait times are computed for the endpoints of the service where a request waits for a send slot; the cold endpoints read the clock and the time of contact once for each list. Decisions are the same.

--- a/src/daemon/direct/DirectColdEndpoints.ts
+++ b/src/daemon/direct/DirectColdEndpoints.ts
@@ -167,7 +167,11 @@
 
   /** Endpoints that accept nothing now. */
   get blocked(): readonly IncarnationKey[] {
-    return [...this.#rates.keys()].filter((incarnationKey) => this.#waitMs(incarnationKey) > 0);
+    const now = this.#options.runtime.now();
+    const isForgotten = this.#isForgotten;
+    return [...this.#rates].flatMap(([incarnationKey, rate]) =>
+      (isForgotten ? rate.until - now : coldWaitMs(rate, now)) > 0 ? [incarnationKey] : [],
+    );
   }
 
   /** Time until an endpoint accepts a request, ms: the end of its cold time at the latest. */
--- a/src/daemon/direct/DirectSendSlots.ts
+++ b/src/daemon/direct/DirectSendSlots.ts
@@ -1,6 +1,6 @@
 /**
- * Decides when endpoints that are cold, or have a limit or a backoff, accept a request from this entry process: consulted before an
- * endpoint is chosen, and right before each send.
+ * Decides when endpoints that are cold, or have a limit or a backoff, accept a request from this entry process: consulted
+ * before an endpoint is chosen, and right before each send.
  */
 import {
   endpointIdOf,
@@ -109,9 +109,7 @@
   /** Ids of endpoints that must not be chosen: those given, and the blocked ones. */
   withBlocked(exclude: readonly string[]): readonly string[] {
     const blocked = this.#blocked();
-    return blocked.length === 0
-      ? exclude
-      : [...exclude, ...blocked.map(({ endpoint }) => endpoint.id)];
+    return blocked.length === 0 ? exclude : [...exclude, ...blocked.map(({ id }) => id)];
   }
 
   /** Reserves the next send slot at a blocked endpoint of the service; null if there is none in time. */
@@ -128,8 +126,9 @@
   /** The next send slot at a blocked endpoint of the service; null if there is none. */
   next(service: string, exclude: readonly string[]): SendSlot | null {
     return this.#blocked()
-      .filter(({ endpoint }) => endpoint.offer?.service === service)
-      .filter(({ endpoint, waitMs }) => !exclude.includes(endpoint.id) && waitMs < Infinity)
+      .filter(({ id, offer }) => offer?.service === service && !exclude.includes(id))
+      .map((endpoint): SendSlot => ({ endpoint, waitMs: this.#waitMs(endpoint) }))
+      .filter(({ waitMs }) => waitMs < Infinity)
       .reduce<SendSlot | null>((a, b) => (a === null || b.waitMs < a.waitMs ? b : a), null);
   }
 
@@ -178,7 +177,7 @@
   }
 
   /** Endpoints that accept nothing now. */
-  #blocked(): readonly SendSlot[] {
+  #blocked(): readonly MemberRecord[] {
     const limited = [...this.limits.blocked, ...this.#backoffs.blocked].map(
       ([incarnationKey]) => incarnationKey,
     );
@@ -186,7 +185,7 @@
     return [...incarnationKeys].flatMap((incarnationKey) => {
       const endpoint = this.#serving(endpointIdOf(incarnationKey));
       return endpoint !== undefined && incarnationKeyOf(endpoint) === incarnationKey
-        ? [{ endpoint, waitMs: this.#waitMs(endpoint) }]
+        ? [endpoint]
         : [];
     });
   }
