An update of members refreshes the cold times of its own endpoints only

Cause: each update iterated over all known endpoints, also where no service declares cold endpoints. A zone that returns sends an update for each endpoint.

--- a/src/daemon/direct/DirectColdEndpoints.ts
+++ b/src/daemon/direct/DirectColdEndpoints.ts
@@ -110,18 +110,17 @@
   onRecords(records: readonly MemberRecord[], isFull: boolean): void {
     const now = this.#options.runtime.now();
     const isFirstList = this.#hosts === null && isFull;
-    records
-      .filter(({ offer }) => offer?.fleet === DIRECT_FLEET)
-      .forEach((record) => {
-        const incarnationKey = incarnationKeyOf(record);
-        const known = this.#known.get(incarnationKey)?.knowledge;
-        this.#known.set(incarnationKey, {
-          service: record.offer?.service ?? '',
-          zone: record.zone,
-          knowledge: applyColdRecord(known, record, isFirstList, now),
-          absentSince: record.status === 'gone' ? now : null,
-        });
+    const endpoints = records.filter(({ offer }) => offer?.fleet === DIRECT_FLEET);
+    endpoints.forEach((record) => {
+      const incarnationKey = incarnationKeyOf(record);
+      const known = this.#known.get(incarnationKey)?.knowledge;
+      this.#known.set(incarnationKey, {
+        service: record.offer?.service ?? '',
+        zone: record.zone,
+        knowledge: applyColdRecord(known, record, isFirstList, now),
+        absentSince: record.status === 'gone' ? now : null,
       });
+    });
     if (isFirstList) {
       const hosts = records.filter(({ role }) => role === 'entry');
       const members = hosts.filter(({ status }) => status === 'serving').map(({ id }) => id);
@@ -131,7 +130,8 @@
       this.#sendFrom = coldSendFrom(now);
       this.#onHosts();
     }
-    this.refresh();
+    // A zone that returns sends hundreds of updates in a row: the other endpoints wait for the next tick.
+    endpoints.forEach((record) => this.#refreshEndpoint(incarnationKeyOf(record), now));
   }
 
   /** Sets the entry hosts that share the rates. */
@@ -216,16 +216,7 @@
   /** Applies the time that has passed, and what the configuration declares. */
   refresh(): void {
     const now = this.#options.runtime.now();
-    this.#known.forEach((known, incarnationKey) => {
-      const spec = this.#options.specOf(known.service);
-      const time = spec === undefined ? null : coldTimeOf(known.knowledge, spec.startMs);
-      const isCold = time !== null && time.until > now && known.absentSince === null;
-      if (spec !== undefined && isCold) {
-        this.#setCold(incarnationKey, spec, time, now);
-      } else {
-        this.#setWarm(incarnationKey, time, now);
-      }
-    });
+    this.#known.forEach((_known, incarnationKey) => this.#refreshEndpoint(incarnationKey, now));
     this.#rates.forEach(({ until }, incarnationKey) => {
       if (until + RATE_RETENTION_MS <= now) {
         this.#rates.delete(incarnationKey);
@@ -256,6 +247,21 @@
     return this.#isForgotten ? Math.max(0, rate.until - now) : coldWaitMs(rate, now);
   }
 
+  #refreshEndpoint(incarnationKey: IncarnationKey, now: number): void {
+    const known = this.#known.get(incarnationKey);
+    if (known === undefined) {
+      return;
+    }
+    const spec = this.#options.specOf(known.service);
+    const time = spec === undefined ? null : coldTimeOf(known.knowledge, spec.startMs);
+    const isCold = time !== null && time.until > now && known.absentSince === null;
+    if (spec !== undefined && isCold) {
+      this.#setCold(incarnationKey, spec, time, now);
+    } else {
+      this.#setWarm(incarnationKey, time, now);
+    }
+  }
+
   #setCold(incarnationKey: IncarnationKey, spec: ColdSpec, time: ColdTime, now: number): void {
     const rate = this.#rates.get(incarnationKey);
     const part = this.#partOf(incarnationKey, spec);
