--- a/src/daemon/DaemonEvacuations.ts
+++ b/src/daemon/DaemonEvacuations.ts
@@ -2,15 +2,27 @@
  * Orders to begin or finish the evacuation of a zone. Any control process takes them and passes them to the leader,
  * which commits them to the log.
  */
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Logger } from 'pino';
-import { isEvacuated } from '../state/index.js';
+import { isEvacuated, mayHaveChangedSince } from '../state/index.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
 import { TOO_FEW_DISKS, waitForHolders } from './DaemonHolders.js';
 import type { SuspensionWatch } from './DaemonSuspension.js';
 
-/** How many times an order is based on the newest configuration and proposed when other changes race with it. */
+/** How many times an order is based on the newest configuration and proposed when others for the zone race with it. */
 const ORDER_ATTEMPTS = 4;
 
+/**
+ * Time after which an order that isn't decided is answered as unavailable, ms. A leader that is cut off meanwhile answers
+ * nothing for 3 s, and a client has 5 s to have its order accepted by another process.
+ */
+const ORDER_TIMEOUT_MS = 1_500;
+
+const UNDECIDED: EvacuationReply = {
+  result: 'unavailable',
+  reason: 'not decided in time; send it again',
+};
+
 /** An order of an operator. */
 export interface EvacuationOrder {
   readonly zone: string;
@@ -33,7 +45,7 @@
     }
   | { readonly result: 'unavailable'; readonly reason: string };
 
-/** Reply of the leader; with `stale`, the configuration has changed since the order was based on it. */
+/** Reply of the leader; with `stale`, the zone may have changed since the order was based on it. */
 export type EvacuationLeaderReply = EvacuationReply | { readonly result: 'stale' };
 
 /** Dependencies of {@link DaemonEvacuations}. */
@@ -64,29 +76,40 @@
    * in the socket of a suspended process meanwhile would undo that, so none is carried out right after a suspension.
    */
   async order(order: EvacuationOrder): Promise<EvacuationReply> {
-    const reply = await this.#attempt(order, ORDER_ATTEMPTS).catch(
-      (err: unknown): EvacuationReply => ({
-        result: 'unavailable',
-        reason: (err as Error).message,
-      }),
-    );
+    const answered = new AbortController();
+    const reply = await Promise.race([
+      this.#attempt(order, ORDER_ATTEMPTS, answered.signal),
+      delay(ORDER_TIMEOUT_MS, UNDECIDED, { signal: answered.signal }),
+    ]).catch((err: unknown): EvacuationReply => ({
+      result: 'unavailable',
+      reason: (err as Error).message,
+    }));
+    answered.abort();
     this.#log(order, reply, 'order');
     return reply;
   }
 
-  async #attempt(order: EvacuationOrder, attemptsLeft: number): Promise<EvacuationReply> {
+  /** Nothing is based on a configuration that was read after the order was answered: it may follow a later order. */
+  async #attempt(
+    order: EvacuationOrder,
+    attemptsLeft: number,
+    answered: AbortSignal,
+  ): Promise<EvacuationReply> {
     const { suspension, readNewest, callLeader } = this.#options;
     if (suspension.isRecent) {
       return { result: 'unavailable', reason: 'this process was suspended; send it again' };
     }
     const base = await readNewest();
+    if (answered.aborted) {
+      return UNDECIDED;
+    }
     const reply = await callLeader({ ...order, base });
     if (reply.result !== 'stale') {
       return reply;
     }
     return attemptsLeft > 1
-      ? this.#attempt(order, attemptsLeft - 1)
-      : { result: 'unavailable', reason: 'other changes were faster; send it again' };
+      ? this.#attempt(order, attemptsLeft - 1, answered)
+      : { result: 'unavailable', reason: 'other orders for the zone were faster; send it again' };
   }
 
   /**
@@ -100,11 +123,12 @@
       return { result: 'stale' };
     }
     const isHeld = reply !== null && (await waitForHolders(this.#options, reply));
-    const unavailableReason = reply === null ? 'not decided in time; send it again' : TOO_FEW_DISKS;
+    const unavailable: EvacuationReply =
+      reply === null ? UNDECIDED : { result: 'unavailable', reason: TOO_FEW_DISKS };
     const result: EvacuationReply =
       reply !== null && isHeld
         ? { result: 'accepted', zone, evacuated, index: reply }
-        : { result: 'unavailable', reason: unavailableReason };
+        : unavailable;
     this.#log(request, result, 'decision', reply === base);
     return result;
   }
@@ -116,11 +140,11 @@
     if ((await consensus.readIndex()) === null) {
       return null;
     }
-    const { config } = consensus.control;
-    if (config.index !== base) {
+    const { control } = consensus;
+    if (mayHaveChangedSince(control, zone, base)) {
       return 'stale';
     }
-    if (isEvacuated(config.entries, zone) === evacuated) {
+    if (isEvacuated(control.config.entries, zone) === evacuated) {
       return base;
     }
     const result = await consensus.propose({ kind: 'evacuate', zone, evacuated, base });
