Grants are reduced to what may start at the usable ranks of a group

The coordinator counts the slots of all ranks. With one zone of three evacuated, hosts would fill the other ranks up to the limit of the whole group.

--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -105,6 +105,18 @@
   return (rank) => !unusable.has(rank);
 }
 
+/** Running and queued requests of all processes at the usable ranks, by a load. */
+export function runningAtUsable(
+  state: Pick<GroupSlots, 'ranks'>,
+  { active, queued }: GroupLoad,
+  params: SlotParameters,
+): number {
+  const isUsable = isUsableRank(state, params);
+  const atUsable = (values: readonly number[]): number =>
+    sum(values.filter((_value, rank) => isUsable(rank)));
+  return atUsable(active) + atUsable(queued);
+}
+
 /** Number of ranks that the limit counts: usable and not slow, or just usable if all of them are slow. */
 function countUsableRanks(
   state: Pick<GroupSlots, 'ranks'>,
@@ -254,9 +266,7 @@
   random: number,
 ): GroupSlots {
   const isUsable = isUsableRank(state, params);
-  const running =
-    sum(load.active.filter((_value, rank) => isUsable(rank))) +
-    sum(load.queued.filter((_value, rank) => isUsable(rank)));
+  const running = runningAtUsable(state, load, params);
   const limit = load.open ? countUsableRanks(state, load, params) * writersEach : 0;
   const ownUsable = countOwn(state.ranks, own, isUsable);
   const ownElsewhere = countOwn(state.ranks, own, (rank) => !isUsable(rank));
--- a/src/coordination/__tests__/unit/SlotGrants.test.ts
+++ b/src/coordination/__tests__/unit/SlotGrants.test.ts
@@ -4,6 +4,7 @@
 import {
   decideGrants,
   DEMAND_TTL_MS,
+  limitGrants,
   recordDemands,
   startableRequests,
   sumDemands,
@@ -55,6 +56,17 @@
     near(grants.capped[0]?.granted, 30 - 4 - 8);
   });
 
+  // A zone is evacuated during overload. Guards against filling the other ranks up to the limit of all ranks.
+  it('reduces the grants to what may start at the usable ranks, by urgency', () => {
+    const demands = [demand(0, 'a', 20), demand(1, 'a', 90), demand(1, 'b', 10)];
+    const grants = decideGrants(demands, 60, INTERVAL_MS) ?? assert.fail();
+    const limited = limitGrants(grants, 30);
+    near(limited.rows[0]?.granted, 20);
+    near(limited.rows[1]?.granted, 10);
+    near(limited.capped[0]?.granted, ((60 - 20 - 10) * 10) / 40);
+    assert.equal(limitGrants(grants, 60), grants);
+  });
+
   // Messages are duplicated, late or lost: each counts once, in place of the last one of its host, for a second.
   it('counts only the last message of each host, while it is recent', () => {
     let demands = recordDemands(new Map(), [message('h1', 5), message('h2', 1)], 0);
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -328,6 +328,7 @@
   LOAD_TTL_MS,
   ownRequestsAt,
   refreshGroupSlots,
+  runningAtUsable,
   applyGroupLoad,
   type GroupSlots,
   type GroupRank,
@@ -381,6 +382,7 @@
 export {
   applyGrants,
   decideGrants,
+  limitGrants,
   demandRows,
   grantPhase,
   isReportDue,
--- a/src/coordination/urgency/SlotGrants.ts
+++ b/src/coordination/urgency/SlotGrants.ts
@@ -135,3 +135,25 @@
   );
   return { intervalMs, rows, capped };
 }
+
+/**
+ * Reduces grants to what may start where only some ranks of the group are usable, such as while a zone is evacuated:
+ * the coordinator counts the slots of all ranks. Every entry process does so alike, from the same load.
+ */
+export function limitGrants(grants: SlotGrants, capacity: number): SlotGrants {
+  if (sum(grants.rows.map(({ granted }) => granted)) <= capacity) {
+    return grants;
+  }
+  const byPriority = new Map(grants.rows.map(({ priority, demand }) => [priority, demand]));
+  const rows = grantPriorities(byPriority, capacity);
+  const ratioOf = (priority: number): number => {
+    const find = (list: readonly GrantRow[]): number =>
+      list.find((row) => row.priority === priority)?.granted ?? 0;
+    return Math.min(1, find(rows) / Math.max(EPSILON, find(grants.rows)));
+  };
+  const capped = grants.capped.map((row) => ({
+    ...row,
+    granted: row.granted * ratioOf(row.priority),
+  }));
+  return { ...grants, rows, capped };
+}
--- a/src/coordination/urgency/index.ts
+++ b/src/coordination/urgency/index.ts
@@ -1,6 +1,7 @@
 /** Admission by urgency across entry processes: demand, the grants decided from it, and their use. */
 export {
   decideGrants,
+  limitGrants,
   startableRequests,
   type CustomerDemand,
   type GroupUsage,
--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -92,6 +92,7 @@
       groups: this.#groups,
       sendDemand,
       isByUrgency: (service) => modelOf(service)?.byUrgency === true,
+      costsOf: (service) => modelOf(service)?.costs ?? null,
       waitingAt: (service) => this.#queueOf(service),
     });
   }
--- a/src/daemon/direct/DirectGrants.ts
+++ b/src/daemon/direct/DirectGrants.ts
@@ -10,10 +10,12 @@
   grantPhase,
   isOpenGroup,
   isReportDue,
+  limitGrants,
   NO_GRANTS,
   recordArrival,
   recordReport,
   replacementSlots,
+  startableRequests,
   type Arrival,
   type GrantedSlots,
   type GrantPhase,
@@ -22,7 +24,7 @@
   type QueueStep,
   type RequestClass,
 } from '../../coordination/index.js';
-import type { GroupDemand, GroupLoad } from '../../protocol/index.js';
+import type { EngineCosts, GroupDemand, GroupLoad, SlotGrants } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import type { DirectGroups } from './DirectGroups.js';
 
@@ -36,6 +38,8 @@
   readonly sendDemand: SendDemand;
   /** Whether requests of a service are admitted by urgency. */
   readonly isByUrgency: (service: string) => boolean;
+  /** Costs of the engines of a service; null for a service without. */
+  readonly costsOf: (service: string) => EngineCosts | null;
   /** Requests of a service that wait for a slot. */
   readonly waitingAt: (service: string) => readonly RequestClass[];
 }
@@ -90,7 +94,7 @@
       return;
     }
     const { now, random } = this.#options.runtime;
-    const grants = load.open ? (load.grants ?? null) : null;
+    const grants = load.open ? this.#usableGrants(service, group, load) : null;
     const known = this.#stateOf(group);
     if (grants !== null || known.grants !== null) {
       const next = applyGrants(known, grants, this.#takenAt(group), now(), random());
@@ -99,6 +103,19 @@
     }
   }
 
+  /** Grants of a load, for the usable ranks of the group. */
+  #usableGrants(service: string, group: GroupSlots, load: GroupLoad): SlotGrants | null {
+    const { costsOf, groups } = this.#options;
+    const { grants = null } = load;
+    const usage = grants === null ? null : groups.usableUsage(service, group, load);
+    const costs = costsOf(service);
+    if (grants === null || usage === null || costs === null) {
+      return grants;
+    }
+    const { intervalMs } = grants;
+    return limitGrants(grants, startableRequests({ ...usage, intervalMs }, costs));
+  }
+
   /** Grants at the open, usable groups of a service that start requests only with one; null without urgency. */
   grantsAt(service: string): GroupGrants | null {
     if (!this.#options.isByUrgency(service)) {
--- a/src/daemon/direct/DirectGroups.ts
+++ b/src/daemon/direct/DirectGroups.ts
@@ -8,9 +8,11 @@
   markGroupRecovered,
   ownRequestsAt,
   refreshGroupSlots,
+  runningAtUsable,
   applyGroupLoad,
   type GroupSlots,
   type GroupRank,
+  type GroupUsage,
   type SlotParameters,
 } from '../../coordination/index.js';
 import type { EngineCosts, GroupLoad, MemberRecord } from '../../protocol/index.js';
@@ -140,6 +142,22 @@
     return this.at(service).find(({ ranks }) => ranks.some((rank) => rank.endpoint === endpoint));
   }
 
+  /** Use of the slots at a group's usable ranks by a load; null while all ranks are usable. */
+  usableUsage(
+    service: string,
+    group: GroupSlots,
+    load: GroupLoad,
+  ): Omit<GroupUsage, 'intervalMs'> | null {
+    const parameters = this.#slotParameters(service);
+    return parameters?.isUsable === undefined
+      ? null
+      : {
+          limit: group.limit,
+          running: runningAtUsable(group, load, parameters),
+          passMs: group.passMs,
+        };
+  }
+
   /** Number of requests of this process at a group. */
   runningAt(group: GroupSlots): number {
     return ownRequestsAt(group, this.#own);
