--- a/src/daemon/direct/DirectForecast.ts
+++ b/src/daemon/direct/DirectForecast.ts
@@ -27,6 +27,15 @@
   readonly grants: GroupGrants | null;
 }
 
+/**
+ * Requests that this process may run at a group by its last complete load. While no load arrives the allowance is
+ * discounted so that no slots are given out twice; how fast the group serves isn't known to have changed, and requests
+ * that it could still serve must not be refused at once.
+ */
+function usualAllowance({ allowance, allowanceAtLoad }: GroupSlots): number {
+  return Number.isFinite(allowanceAtLoad) ? Math.max(allowance, allowanceAtLoad) : allowance;
+}
+
 /** Forecast for a service with groups. */
 export function forecastService(groups: DirectGroups, input: ForecastInput): QueueForecast {
   const { service, model, unsent, freeAt, grants } = input;
@@ -39,7 +48,7 @@
     0,
   );
   const slots = all.reduce(
-    (total, group) => total + Math.max(group.allowance, ownRequestsAt(group, own)),
+    (total, group) => total + Math.max(usualAllowance(group), ownRequestsAt(group, own)),
     0,
   );
   const passMs = all.reduce((total, group) => total + group.passMs, 0) / all.length;
