Observability: each decision on a retry is logged with what it was reckoned from

A retry that was refused, or allowed beyond what the settings allow over all hosts, left no line. Each wish now logs its reason, what is spent and allowed here, the number of hosts that the allowance was divided by and the age of the process, and a retry that is sent late logs how long it waited. These lines tell the three hypotheses apart: several incarnations of a host within a window, hosts that divide by different numbers, and retries that arrive long after they were counted.

--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -22,6 +22,16 @@
   readonly retries: readonly number[];
 }
 
+/** Whether a retry may be sent, with the numbers that decide it. */
+export interface RetryDecision {
+  readonly state: RetryBudgetState;
+  readonly allowed: boolean;
+  /** Retries of this process within the window, without this one. */
+  readonly spent: number;
+  /** How many retries this process may send within the window. */
+  readonly maxRetries: number;
+}
+
 /** Nothing sent yet. */
 export const EMPTY_RETRY_BUDGET: RetryBudgetState = { firstAttempts: [], retries: [] };
 
@@ -48,13 +58,17 @@
   now: number,
   allowance: RetryAllowance,
   processes: number,
-): { readonly state: RetryBudgetState; readonly allowed: boolean } {
+): RetryDecision {
   const since = now - allowance.windowMs;
   const firstAttempts = timesAfter(state.firstAttempts, since);
   const retries = timesAfter(state.retries, since);
   const fixed = processes > 0 ? allowance.extra / processes : 0;
   const maxRetries = USABLE_SHARE * (allowance.ratio * firstAttempts.length + fixed);
-  return retries.length + 1 > maxRetries
-    ? { state: { firstAttempts, retries }, allowed: false }
-    : { state: { firstAttempts, retries: [...retries, now] }, allowed: true };
+  const allowed = retries.length + 1 <= maxRetries;
+  return {
+    state: { firstAttempts, retries: allowed ? [...retries, now] : retries },
+    allowed,
+    spent: retries.length,
+    maxRetries,
+  };
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -278,6 +278,7 @@
   takeRetryWithin,
   type RetryAllowance,
   type RetryBudgetState,
+  type RetryDecision,
 } from './RetryBudget.js';
 export {
   adoptDemand,
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -53,6 +53,9 @@
   /** Id of the last event that the caller was sent; null if there is none, or it has no id to resume after. */
   #lastEvent: string | null = null;
 
+  /** When the last retry was decided on, ms; null before. */
+  #retryDecidedAt: number | null = null;
+
   #firstByteAt: number | null = null;
 
   #lastEventAt = 0;
@@ -159,7 +162,9 @@
       }
       return;
     }
-    const isAllowed = decision.granted && this.#state.takeRetry(service);
+    const isAllowed =
+      decision.granted && this.#state.takeRetry({ service, request: head.id, reason: 'waited' });
+    this.#retryDecidedAt = this.#state.now();
     this.#state.requests.waited(head.id, service, decision, isAllowed);
     if (isAllowed) {
       this.#send();
@@ -230,6 +235,7 @@
           const mayStart = sendSlots.start(endpoint, reservedEndpoint !== null);
           if (mayStart) {
             this.#sentTo.add(endpoint.id);
+            this.#state.requests.retryStarted(head.id, endpoint.id, this.#retryDecidedAt);
           }
           return mayStart;
         },
@@ -466,8 +472,11 @@
       failure,
       this.#progress(),
       this.#unsentCount,
-      () => this.#state.canRoute(service, this.#tried) && this.#state.takeRetry(service),
+      () =>
+        this.#state.canRoute(service, this.#tried) &&
+        this.#state.takeRetry({ service, request: head.id, reason: failure }),
     );
+    this.#retryDecidedAt = this.#state.now();
     this.#state.requests.attemptFailed(head.id, endpoint.id, failure, reason, verdict);
     this.#applyVerdict(verdict, answer);
   }
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -42,7 +42,7 @@
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
-import { DirectRetries } from './DirectRetries.js';
+import { DirectRetries, type RetryWish } from './DirectRetries.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DEFAULT_COLD_BOUNDS } from './DirectColdEndpoints.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
@@ -388,8 +388,9 @@
     this.#retries.countFirst(service);
   }
 
-  takeRetry(service: string): boolean {
-    return this.#retries.take(service, this.#entryHosts);
+  /** Spends one retry of a request's service; false if none is left. */
+  takeRetry(wish: RetryWish): boolean {
+    return this.#retries.take(wish, this.#entryHosts);
   }
 
   /** Time after which a refused caller should retry, ms. */
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -76,6 +76,7 @@
       attemptFailed: ignore,
       sendSlotWait: ignore,
       waited: ignore,
+      retryStarted: ignore,
       fault: (_request: string, err: unknown) => faults.push(err),
     },
     ...replaced,
