A call that the client library starts again isn't sent twice

The library starts a call again if it has closed the connection itself before an answer. The call's owner was asked twice, and a refusal the second time made the call look as if nothing had been sent. The new test failed before: the call was started twice.

--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -208,9 +208,11 @@
   };
   pool.dispatch(call, {
     onRequestStart: (controller) => {
-      sent = !isFinished && listener.onStart();
+      // The client library may start a call again whose connection it has closed, though bytes of it were sent.
+      const mayStart = !isFinished && !sent && listener.onStart();
+      sent ||= mayStart;
       stop = (err) => abortWithReset(() => controller.abort(err));
-      if (!sent) {
+      if (!mayStart) {
         controller.abort(
           new Error(isFinished ? 'the call was given up' : 'the call was kept back'),
         );
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -5,6 +5,7 @@
 import { createServer, type AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
+import type { Dispatcher, Pool } from 'undici';
 import { openPool, startCall, type CallListener } from '../../index.js';
 
 /** Prints its port, then for each connection whether it was reset or is still open, and the bytes received. */
@@ -108,6 +109,34 @@
 }
 
 describe('startCall', () => {
+  // Guards against a call that reaches an endpoint twice as the client library starts it again on another connection.
+  it('sends a call once, and reports it as sent if it would be started again', () => {
+    let starts = 0;
+    const results: boolean[] = [];
+    const dispatch = (_call: unknown, handler: Dispatcher.DispatchHandler): void => {
+      const controller = {
+        abort: (err: Error) => handler.onResponseError?.(controller, err),
+      } as unknown as Dispatcher.DispatchController;
+      handler.onRequestStart?.(controller, {});
+      handler.onRequestStart?.(controller, {});
+    };
+    const pool = { dispatch } as unknown as Pool;
+    const endpoint = { ...openPool('http://127.0.0.1:1', 1), pool };
+    startCall(
+      endpoint,
+      { method: 'GET', path: '/', headers: [], body: null },
+      {
+        ...NOOP_LISTENER,
+        onStart: () => {
+          starts += 1;
+          return true;
+        },
+        onError: (_err, sent) => results.push(sent),
+      },
+    );
+    assert.deepEqual({ starts, results }, { starts: 1, results: [true] });
+  });
+
   // Without this check, bytes in a coding that isn't decoded would be passed on as the body.
   ['gzip', 'gzip, chunked', 'chunked, gzip'].forEach((coding) => {
     it(`fails an answer with transfer coding ${coding}`, async () => {
