--- a/src/coordination/DirectAttempts.ts
+++ b/src/coordination/DirectAttempts.ts
@@ -98,31 +98,31 @@
   );
 }
 
+/** Decides what to do after a failed attempt if it isn't repeated. */
+export function judgeWithoutRetry(failure: DirectFailure, progress: DirectProgress): DirectVerdict {
+  if (progress.responseStarted) {
+    return 'cut';
+  }
+  const possiblyRan = progress.mayHaveRun || failure === 'lost' || failure === 'broken';
+  if (failure === 'failed') {
+    return 'pass';
+  }
+  return possiblyRan ? 'fail' : 'refuse';
+}
+
 /**
- * Decides what to do after a failed attempt.
+ * Decides what to do after a failed attempt. A retry still needs an allowance if the request has reached an endpoint;
+ * where there is none, {@link judgeWithoutRetry} decides.
  *
  * @param unsentCount Attempts of the request that failed before anything was sent.
- * @param takeRetry Spends one retry of the service's budget; false if none is left. Called only where a retry
- * would follow, and never for an attempt that was not sent.
  */
 export function judgeFailure(
   failure: DirectFailure,
   progress: DirectProgress,
   unsentCount: number,
-  takeRetry: () => boolean,
 ): DirectVerdict {
   if (mayRequeue(failure, progress)) {
     return 'wait';
   }
-  if (mayRetry(failure, progress, unsentCount) && (isUnsent(failure) || takeRetry())) {
-    return 'retry';
-  }
-  if (progress.responseStarted) {
-    return 'cut';
-  }
-  const possiblyRan = progress.mayHaveRun || failure === 'lost' || failure === 'broken';
-  if (failure === 'failed') {
-    return 'pass';
-  }
-  return possiblyRan ? 'fail' : 'refuse';
+  return mayRetry(failure, progress, unsentCount) ? 'retry' : judgeWithoutRetry(failure, progress);
 }
--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -1,74 +1,178 @@
 /**
- * Retries of one service that one of several entry processes may send.
+ * Retries of one service that an entry process may send by itself.
  *
- * If calls fail in a burst and every entry host retries them, the retries crowd out first attempts.
- * So over any window all processes together send at most a ratio of the first attempts plus a fixed
- * number of retries. Each process earns the ratio with its own first attempts, and the fixed number is
- * divided by the number of processes; while that is unknown, none of the fixed number is used.
+ * If calls fail in a burst and every entry host retries them, the retries crowd out first attempts. So over any window
+ * all hosts together send at most a ratio of the requests plus a fixed number of retries. Each process earns the ratio
+ * with the requests that it reads; the fixed number is granted by the control processes (`RetryGrants`).
+ *
+ * The bounds of the hosts add up to that of the service only if each host's bound holds for the same windows as all
+ * others'. So it is checked for every window that a retry may arrive in, and the requests that pay for the retries of a
+ * window are those of the window half a length before it. docs/design/retries.md gives the reasoning.
  */
+import type { ClockReading } from './ConfigFreshness.js';
 
 /** Retries allowed over a window, for all entry processes together. */
 export interface RetryAllowance {
-  /** Retries per first attempt. */
+  /** Retries per request. */
   readonly ratio: number;
   /** Fixed number of retries in addition. */
   readonly extra: number;
   readonly windowMs: number;
 }
 
-/** When the first attempts and the retries of a service were sent, ms. */
+/** A retry must be sent within this time after it was allowed, ms. */
+export const SEND_WITHIN_MS = 500;
+
+/** Maximum time from the send of a retry to its arrival at the endpoint, ms. */
+export const DELIVERY_MS = 1_000;
+
+/** Maximum time from the decision on a retry to its arrival at the endpoint, ms. */
+export const ARRIVAL_MS = SEND_WITHIN_MS + DELIVERY_MS;
+
+/** Length of the intervals in which requests and retries are counted, ms. */
+const BUCKET_MS = 250;
+
+/** Maximum time from the send of a request by its caller until it is read, ms. */
+const REQUEST_DELAY_MS = BUCKET_MS;
+
+/** If the times elapsed by the two clocks differ by more, the process was suspended or a clock was set. In ms. */
+const MAX_CLOCK_DIVERGENCE_MS = 250;
+
+/** Requests and retries counted in one interval of {@link BUCKET_MS}. */
+interface RetryBucket {
+  /** Number of the interval on the local monotonic clock. */
+  readonly index: number;
+  readonly requests: number;
+  readonly retries: number;
+}
+
+/** Requests of a service that this process has read, and the retries that it has paid for with them. */
 export interface RetryBudgetState {
-  readonly firstAttempts: readonly number[];
-  readonly retries: readonly number[];
+  /** In order of time. */
+  readonly buckets: readonly RetryBucket[];
+  readonly readAt: ClockReading | null;
 }
 
-/** Whether a retry may be sent, with the numbers that decide it. */
-export interface RetryDecision {
-  readonly state: RetryBudgetState;
-  readonly allowed: boolean;
-  /** Retries of this process within the window, without this one. */
-  readonly spent: number;
-  /** How many retries this process may send within the window. */
-  readonly maxRetries: number;
+/** Nothing read yet. */
+export const EMPTY_RETRY_BUDGET: RetryBudgetState = { buckets: [], readAt: null };
+
+/** Whether a process may have been suspended between two readings of its clocks. */
+export function mayHaveBeenSuspended(before: ClockReading, now: ClockReading): boolean {
+  const elapsedMs = now.monotonic - before.monotonic;
+  return Math.abs(now.wall - before.wall - elapsedMs) > MAX_CLOCK_DIVERGENCE_MS;
+}
+
+/** Whether a retry that was allowed at `allowedAt` may still be sent. */
+export function mayStillSend(allowedAt: ClockReading, now: ClockReading): boolean {
+  const isInTime = now.monotonic - allowedAt.monotonic <= SEND_WITHIN_MS;
+  return isInTime && !mayHaveBeenSuspended(allowedAt, now);
 }
 
-/** Nothing sent yet. */
-export const EMPTY_RETRY_BUDGET: RetryBudgetState = { firstAttempts: [], retries: [] };
+function indexOf(monotonic: number): number {
+  return Math.floor(monotonic / BUCKET_MS);
+}
 
-/** Part of the allowance that is used, since the windows of the processes don't begin together. */
-const USABLE_SHARE = 0.8;
+/** Number of intervals in which the retries may have been allowed that arrive in one window. */
+function spanOf({ windowMs }: RetryAllowance): number {
+  return Math.ceil((windowMs + ARRIVAL_MS) / BUCKET_MS);
+}
 
-function timesAfter(times: readonly number[], since: number): readonly number[] {
-  const first = times.findIndex((at) => at > since);
-  return first < 0 ? [] : times.slice(first);
+/** Offset of the first and the last interval whose requests count, from the interval in which a window begins. */
+function requestOffsets({ windowMs }: RetryAllowance): readonly [number, number] {
+  const half = windowMs / 2;
+  const first = 1 + Math.ceil((ARRIVAL_MS - half + REQUEST_DELAY_MS) / BUCKET_MS);
+  return [first, Math.floor((ARRIVAL_MS + half) / BUCKET_MS) - 1];
 }
 
-/** Counts a first attempt sent at `now`. */
-export function countFirstAttempt(
+/**
+ * Drops what no window needs any more. After a suspension the requests of before are dropped too: by true time they
+ * may have left the windows that they would be counted in.
+ */
+function prune(
   state: RetryBudgetState,
-  now: number,
-  { windowMs }: RetryAllowance,
+  now: ClockReading,
+  allowance: RetryAllowance,
 ): RetryBudgetState {
-  return { ...state, firstAttempts: [...timesAfter(state.firstAttempts, now - windowMs), now] };
+  const [firstOffset] = requestOffsets(allowance);
+  const oldest = indexOf(now.monotonic) - spanOf(allowance) + Math.min(0, firstOffset);
+  const recent = state.buckets.filter(({ index }) => index >= oldest);
+  const isSuspended = state.readAt !== null && mayHaveBeenSuspended(state.readAt, now);
+  return {
+    buckets: isSuspended ? recent.map((bucket) => ({ ...bucket, requests: 0 })) : recent,
+    readAt: now,
+  };
+}
+
+function addTo(
+  state: RetryBudgetState,
+  now: ClockReading,
+  { requests, retries }: Omit<RetryBucket, 'index'>,
+): RetryBudgetState {
+  const index = indexOf(now.monotonic);
+  const last = state.buckets.at(-1);
+  const known = last?.index === index ? last : { index, requests: 0, retries: 0 };
+  const others = last?.index === index ? state.buckets.slice(0, -1) : state.buckets;
+  const bucket = { index, requests: known.requests + requests, retries: known.retries + retries };
+  return { ...state, buckets: [...others, bucket] };
+}
+
+/** Counts a request that a caller has sent. */
+export function countRequest(
+  state: RetryBudgetState,
+  now: ClockReading,
+  allowance: RetryAllowance,
+): RetryBudgetState {
+  return addTo(prune(state, now, allowance), now, { requests: 1, retries: 0 });
+}
+
+/** Sums of one count over all intervals up to and including an interval. */
+function runningSums(
+  buckets: readonly RetryBucket[],
+  count: 'requests' | 'retries',
+  from: number,
+  to: number,
+): readonly number[] {
+  const counts = new Map(buckets.map((bucket) => [bucket.index, bucket[count]]));
+  let sum = 0;
+  return Array.from({ length: to - from + 1 }, (_item, i) => {
+    sum += counts.get(from + i) ?? 0;
+    return sum;
+  });
+}
+
+/** Number of further retries that the requests read here pay for now, in every window; may be a fraction. */
+export function earnedRetries(
+  { buckets }: RetryBudgetState,
+  now: ClockReading,
+  allowance: RetryAllowance,
+): number {
+  const current = indexOf(now.monotonic);
+  const begin = current - spanOf(allowance);
+  const [first, last] = requestOffsets(allowance);
+  const from = begin + Math.min(0, first) - 1;
+  const requests = runningSums(buckets, 'requests', from, current);
+  const retries = runningSums(buckets, 'retries', from, current);
+  const upTo = (sums: readonly number[], index: number): number =>
+    sums[Math.max(0, Math.min(index, current) - from)] ?? 0;
+  const left = Array.from({ length: current - begin + 1 }, (_item, i) => {
+    const start = begin + i;
+    const paying = upTo(requests, start + last) - upTo(requests, start + first - 1);
+    const spent = upTo(retries, current) - upTo(retries, start - 1);
+    return allowance.ratio * Math.max(0, paying) - spent;
+  });
+  return Math.min(...left);
 }
 
-/** Spends one retry, if the budget allows it. `processes` is 0 while their number is unknown. */
-export function takeRetryWithin(
+/** Pays for one retry with requests read here, if they suffice. */
+export function spendEarnedRetry(
   state: RetryBudgetState,
-  now: number,
+  now: ClockReading,
   allowance: RetryAllowance,
-  processes: number,
-): RetryDecision {
-  const since = now - allowance.windowMs;
-  const firstAttempts = timesAfter(state.firstAttempts, since);
-  const retries = timesAfter(state.retries, since);
-  const fixed = processes > 0 ? allowance.extra / processes : 0;
-  const maxRetries = USABLE_SHARE * (allowance.ratio * firstAttempts.length + fixed);
-  const allowed = retries.length + 1 <= maxRetries;
+): { readonly state: RetryBudgetState; readonly allowed: boolean } {
+  const pruned = prune(state, now, allowance);
+  const allowed = earnedRetries(pruned, now, allowance) >= 1;
   return {
-    state: { firstAttempts, retries: allowed ? [...retries, now] : retries },
+    state: allowed ? addTo(pruned, now, { requests: 0, retries: 1 }) : pruned,
     allowed,
-    spent: retries.length,
-    maxRetries,
   };
 }
--- a/src/coordination/__tests__/unit/DirectAttempts.test.ts
+++ b/src/coordination/__tests__/unit/DirectAttempts.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { judgeFailure, type DirectFailure, type DirectProgress } from '../../index.js';
+import {
+  judgeFailure,
+  judgeWithoutRetry,
+  type DirectFailure,
+  type DirectProgress,
+  type DirectVerdict,
+} from '../../index.js';
 
 const FIRST: DirectProgress = {
   repeatable: false,
@@ -15,8 +21,14 @@
 
 const ALL: readonly DirectFailure[] = ['unsent', 'notRun', 'lost', 'failed', 'broken'];
 
-function judge(failure: DirectFailure, change: Partial<DirectProgress>, budget = true) {
-  return judgeFailure(failure, { ...FIRST, ...change }, 1, () => budget);
+function judge(
+  failure: DirectFailure,
+  change: Partial<DirectProgress>,
+  isAllowed = true,
+): DirectVerdict {
+  const progress = { ...FIRST, ...change };
+  const verdict = judgeFailure(failure, progress, 1);
+  return verdict === 'retry' && !isAllowed ? judgeWithoutRetry(failure, progress) : verdict;
 }
 
 describe('judgeFailure', () => {
@@ -64,25 +76,17 @@
     );
   });
 
-  it('spends retry budget only where a retry would follow, and never for an unsent attempt', () => {
-    let retriesTaken = 0;
-    const count = (): boolean => {
-      retriesTaken += 1;
-      return true;
-    };
-    judgeFailure('lost', { ...FIRST, mayHaveRun: true }, 0, count);
-    judgeFailure('unsent', FIRST, 1, count);
-    assert.equal(retriesTaken, 0);
-    judgeFailure('notRun', FIRST, 0, count);
-    assert.equal(retriesTaken, 1);
+  it('ends what may not be retried as it was left by its attempts', () => {
+    assert.equal(judge('notRun', {}, false), 'refuse');
+    assert.equal(judge('notRun', { mayHaveRun: true, repeatable: true }, false), 'fail');
+    assert.equal(judge('failed', { repeatable: true }, false), 'pass');
+    assert.equal(judge('unsent', {}, false), 'refuse');
   });
 
   // A rank of a group is lost, and an engine refuses what it has not run. Other ranks of the group would refuse
   // it too, so it waits for the group and spends no retry until it is sent again.
   it('makes a request that was not run wait while all groups are closed', () => {
-    const noRetry = (): boolean => assert.fail('a retry was taken from the budget');
-    const closed = { ...FIRST, isServiceDown: true };
-    assert.equal(judgeFailure('notRun', closed, 0, noRetry), 'wait');
+    assert.equal(judge('notRun', { isServiceDown: true }), 'wait');
     assert.equal(judge('notRun', { isServiceDown: true, sendCount: 2 }), 'refuse');
     assert.equal(judge('lost', { isServiceDown: true, mayHaveRun: true }), 'fail');
     assert.equal(judge('notRun', { isServiceDown: true, mayHaveRun: true, sendCount: 2 }), 'fail');
--- a/src/coordination/__tests__/unit/RetryBudget.test.ts
+++ b/src/coordination/__tests__/unit/RetryBudget.test.ts
@@ -2,78 +2,238 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import {
-  countFirstAttempt,
+  countRequest,
+  earnedRetries,
   EMPTY_RETRY_BUDGET,
-  takeRetryWithin,
+  grantRetries,
+  mayGrantRetries,
+  mayStillSend,
+  NO_RETRY_GRANTS,
+  onFounded,
+  onHostsProven,
+  spendEarnedRetry,
+  type ClockReading,
   type RetryAllowance,
   type RetryBudgetState,
+  type RetryGrantsState,
 } from '../../index.js';
+import {
+  RETRY_POLICY,
+  runRetryModel,
+  type RetryModelEvent,
+  type RetryPolicy,
+  type RetryScenario,
+} from '../utils/RetryModel.js';
+import { worstRetryWindow } from '../utils/RetryWindows.js';
+
+const ALLOWANCE: RetryAllowance = { ratio: 0.2, extra: 94, windowMs: 10_000 };
+
+/** Schedules of the property in one run; more by hand. */
+const SCHEDULES = Number(process.env.RETRY_SCHEDULES ?? 60);
+
+/** Schedules within which each mutant must be found. */
+const MUTANT_SCHEDULES = 60;
+
+function at(ms: number): ClockReading {
+  return { monotonic: ms, wall: ms };
+}
 
-const ALLOWANCE: RetryAllowance = { ratio: 0.2, extra: 88, windowMs: 10_000 };
+/** Counts requests at an even rate from 0 to `ms`. */
+function requestsUntil(ms: number, perSecond: number): RetryBudgetState {
+  let state = EMPTY_RETRY_BUDGET;
+  for (let now = 0; now <= ms; now += 1_000 / perSecond) {
+    state = countRequest(state, at(now), ALLOWANCE);
+  }
+  return state;
+}
 
-function takeMany(state: RetryBudgetState, now: number, processes: number): number {
+function spendAll(state: RetryBudgetState, now: number): number {
   let remaining = state;
-  let taken = 0;
-  for (let i = 0; i < 1_000; i += 1) {
-    const next = takeRetryWithin(remaining, now, ALLOWANCE, processes);
-    remaining = next.state;
-    taken += Number(next.allowed);
+  for (let taken = 0; taken < 1_000; taken += 1) {
+    const { state: next, allowed } = spendEarnedRetry(remaining, at(now), ALLOWANCE);
+    remaining = next;
+    if (!allowed) {
+      return taken;
+    }
   }
-  return taken;
+  return Infinity;
 }
 
-describe('RetryBudget', () => {
-  // If each process that does not know the number of processes used the whole fixed part, together they
-  // would send several times the retries that the endpoints can handle.
-  it('spends nothing of the fixed part while the number of processes is unknown', () => {
-    assert.equal(takeMany(EMPTY_RETRY_BUDGET, 0, 0), 0);
+describe('earned retries', () => {
+  it('are paid for with requests that are neither too old nor all from now', () => {
+    const state = requestsUntil(20_000, 50);
+    assert.equal(spendAll(state, 20_000), 30);
+    assert.equal(spendAll(requestsUntil(0, 50), 0), 0);
+    assert.equal(spendAll(state, 40_000), 0);
   });
 
-  it('divides the fixed part among the processes', () => {
-    assert.equal(takeMany(EMPTY_RETRY_BUDGET, 0, 6), Math.floor((0.8 * 88) / 6));
+  it('are not paid for with requests from before a suspension', () => {
+    const state = requestsUntil(20_000, 50);
+    const resumed = { monotonic: 20_010, wall: 25_000 };
+    const { allowed } = spendEarnedRetry(state, resumed, ALLOWANCE);
+    assert.equal(allowed, false);
+    assert.ok(earnedRetries(state, at(20_000), ALLOWANCE) >= 1);
   });
 
-  it('drops first attempts that have left the window', () => {
-    let state = EMPTY_RETRY_BUDGET;
-    for (let i = 0; i < 100; i += 1) {
-      state = countFirstAttempt(state, i, ALLOWANCE);
-    }
-    assert.equal(takeMany(state, 100, 0), Math.floor(0.8 * 0.2 * 100));
-    assert.equal(takeMany(state, 20_000, 0), 0);
+  it('may not be sent late, or after a suspension', () => {
+    assert.ok(mayStillSend(at(0), at(500)));
+    assert.ok(!mayStillSend(at(0), at(501)));
+    assert.ok(!mayStillSend(at(0), { monotonic: 10, wall: 3_000 }));
+  });
+});
+
+describe('granted retries', () => {
+  const names = ['c1', 'c2', 'c3'];
+
+  function member(now: number, state: RetryGrantsState = NO_RETRY_GRANTS): RetryGrantsState {
+    return onHostsProven(state, 'c1', names, at(now), ALLOWANCE);
+  }
+
+  it('come from an even share of the control hosts, over a window', () => {
+    const { state, count } = grantRetries(
+      member(0, onFounded(NO_RETRY_GRANTS)),
+      's',
+      99,
+      at(0),
+      ALLOWANCE,
+    );
+    assert.equal(count, 31);
+    const later = member(11_000, state);
+    assert.equal(grantRetries(later, 's', 1, at(11_000), ALLOWANCE).count, 0);
+    assert.equal(grantRetries(later, 'other', 1, at(11_000), ALLOWANCE).count, 1);
+    assert.equal(grantRetries(later, 's', 99, at(11_501), ALLOWANCE).count, 31);
+  });
+
+  // Guards against a control process that grants again what its predecessor has just granted.
+  it('are withheld by a process that has restarted until older grants have expired', () => {
+    const restarted = member(16_499, member(0));
+    assert.ok(!mayGrantRetries(restarted, at(16_499), ALLOWANCE));
+    assert.ok(mayGrantRetries(member(16_500, restarted), at(16_500), ALLOWANCE));
+  });
+
+  it('are withheld without a recent proof of the control hosts', () => {
+    const state = member(0, onFounded(NO_RETRY_GRANTS));
+    assert.ok(mayGrantRetries(state, at(4_999), ALLOWANCE));
+    assert.ok(!mayGrantRetries(state, at(5_000), ALLOWANCE));
+    assert.ok(!mayGrantRetries(state, { monotonic: 100, wall: 4_000 }, ALLOWANCE));
+    assert.ok(!mayGrantRetries(onFounded(NO_RETRY_GRANTS), at(0), ALLOWANCE));
+  });
+
+  it('are shared with a control host that has left until its grants have expired', () => {
+    const before = member(0, onFounded(NO_RETRY_GRANTS));
+    const left = onHostsProven(before, 'c1', ['c1', 'c2'], at(16_000), ALLOWANCE);
+    assert.equal(grantRetries(left, 's', 99, at(16_000), ALLOWANCE).count, 31);
+    const expired = onHostsProven(left, 'c1', ['c1', 'c2'], at(17_000), ALLOWANCE);
+    assert.equal(grantRetries(expired, 's', 99, at(17_000), ALLOWANCE).count, 47);
+  });
+});
+
+const KINDS: readonly RetryModelEvent['kind'][] = [
+  'restartEntry',
+  'restartAllEntries',
+  'joinEntry',
+  'restartControl',
+  'restartAllControls',
+  'replaceControl',
+  'freezeEntry',
+  'freezeControl',
+  'setClock',
+  'cut',
+  'heal',
+  'concentrate',
+  'spread',
+];
+
+const FOR_MS = 45_000;
+
+const EVENTS = fc.array(
+  fc.record({
+    at: fc.nat({ max: FOR_MS - 5_000 }),
+    kind: fc.constantFrom(...KINDS),
+    node: fc.nat({ max: 20 }),
+    ms: fc.integer({ min: 300, max: 8_000 }),
+  }),
+  { minLength: 2, maxLength: 16 },
+);
+
+const SCENARIOS: fc.Arbitrary<RetryScenario> = fc.record({
+  entries: fc.integer({ min: 2, max: 10 }),
+  controls: fc.integer({ min: 3, max: 6 }),
+  perSecond: fc.integer({ min: 10, max: 60 }),
+  failing: fc.constantFrom(0.3, 1),
+  forMs: fc.constant(FOR_MS),
+  events: EVENTS,
+});
+
+/** Asserts that no window of a simulation has more retries than allowed. */
+function assertWithinAllowance(scenario: RetryScenario, policy: RetryPolicy, seed: number): void {
+  const { requests, retries } = runRetryModel(scenario, ALLOWANCE, policy, seed);
+  const worst = worstRetryWindow(requests, retries, ALLOWANCE);
+  assert.ok(worst.retries <= worst.allowed, JSON.stringify(worst));
+}
+
+function checkPolicy(policy: RetryPolicy, schedules: number): void {
+  fc.assert(
+    fc.property(SCENARIOS, fc.nat(), (scenario, seed) =>
+      assertWithinAllowance(scenario, policy, seed),
+    ),
+    { seed: Number(process.env.RETRY_SEED ?? 61), numRuns: schedules, endOnFailure: true },
+  );
+}
+
+const MUTANTS: Readonly<Record<string, Partial<RetryPolicy>>> = {
+  'forgets its grants at a restart': { restarted: onFounded(NO_RETRY_GRANTS) },
+  'divides by those reached now': {
+    countedHosts: (_named, reached) => reached,
+    provesInMinority: true,
+  },
+  'earns retries with each request of its own last window': {
+    spendEarned: (state, now, allowance) => {
+      const { buckets } = state;
+      const index = Math.floor(now.monotonic / 250);
+      const recent = buckets.filter((bucket) => bucket.index > index - 40);
+      const sum = (count: 'requests' | 'retries'): number =>
+        recent.reduce((total, bucket) => total + bucket[count], 0);
+      const allowed = sum('retries') + 1 <= allowance.ratio * sum('requests') + 10;
+      const last = buckets.at(-1);
+      const added = { index, requests: last?.requests ?? 0, retries: (last?.retries ?? 0) + 1 };
+      return {
+        state: allowed ? { ...state, buckets: [...buckets.slice(0, -1), added] } : state,
+        allowed,
+      };
+    },
+  },
+};
+
+describe('retries of all hosts together', () => {
+  // Guards against hosts that keep their bounds each by itself and break that of the service together.
+  it('stay within the allowance through restarts, partitions, joins, suspensions and set clocks', () => {
+    checkPolicy(RETRY_POLICY, SCHEDULES);
+  });
+
+  Object.entries(MUTANTS).forEach(([name, mutant]) => {
+    it(`exceed the allowance where a process ${name}`, () => {
+      assert.throws(() => checkPolicy({ ...RETRY_POLICY, ...mutant }, MUTANT_SCHEDULES));
+    });
   });
 
-  // Whatever the order of requests and failures, no window may have more retries of all processes together
-  // than the ratio of its first attempts plus the fixed part.
-  it('keeps every window of six processes within the allowance', () => {
-    const event = fc.record({
-      process: fc.nat({ max: 5 }),
-      gap: fc.nat({ max: 120 }),
-      fails: fc.boolean(),
+  it('use most of the allowance where the demand is there, also at one host', () => {
+    const scenario = { entries: 9, controls: 3, perSecond: 40, failing: 1, forMs: FOR_MS };
+    const shares = [[], [{ at: 0, kind: 'concentrate', node: 4, ms: 0 }] as const].map((events) => {
+      const { requests, retries } = runRetryModel(
+        { ...scenario, events },
+        ALLOWANCE,
+        RETRY_POLICY,
+        1,
+      );
+      const from = 20_000;
+      const allowed = ALLOWANCE.ratio * requests.filter((time) => time >= from).length;
+      const periods = (FOR_MS - from) / ALLOWANCE.windowMs;
+      return retries.filter((time) => time >= from).length / (allowed + ALLOWANCE.extra * periods);
     });
-    fc.assert(
-      fc.property(fc.array(event, { maxLength: 600 }), (events) => {
-        const states = Array.from({ length: 6 }, () => EMPTY_RETRY_BUDGET);
-        const firsts: number[] = [];
-        const retries: number[] = [];
-        let now = 0;
-        events.forEach(({ process, gap, fails }) => {
-          now += gap;
-          const counted = countFirstAttempt(states[process] ?? EMPTY_RETRY_BUDGET, now, ALLOWANCE);
-          firsts.push(now);
-          const { state, allowed } = takeRetryWithin(counted, now, ALLOWANCE, 6);
-          states[process] = fails ? state : counted;
-          if (fails && allowed) {
-            retries.push(now);
-          }
-        });
-        const inWindow = (times: readonly number[], end: number): number =>
-          times.filter((t) => t <= end && t > end - ALLOWANCE.windowMs).length;
-        retries.forEach((end) => {
-          const most = ALLOWANCE.ratio * inWindow(firsts, end) + ALLOWANCE.extra;
-          assert.ok(inWindow(retries, end) <= most);
-        });
-      }),
-      { seed: 77, numRuns: 200 },
+    assert.ok(
+      shares.every((share) => share > 0.6),
+      JSON.stringify(shares),
     );
   });
 });
--- /dev/null
+++ b/src/coordination/__tests__/utils/RetryModel.ts
@@ -0,0 +1,425 @@
+/**
+ * Simulation of entry hosts and control hosts that share the retry allowance of one service: restarts, partitions,
+ * joins, replaced control hosts, suspensions, message delays, and clocks that run at different rates and are set.
+ */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import {
+  countRequest,
+  EMPTY_RETRY_BUDGET,
+  grantRetries,
+  mayStillSend,
+  NO_RETRY_GRANTS,
+  onFounded,
+  onHostsProven,
+  spendEarnedRetry,
+  type ClockReading,
+  type RetryAllowance,
+  type RetryBudgetState,
+  type RetryGrantsState,
+} from '../../index.js';
+import { ModelClock } from './ModelClock.js';
+
+/** A change in the modelled system. `node` numbers entry hosts, or control hosts where the kind says so. */
+export interface RetryModelEvent {
+  readonly at: number;
+  readonly kind:
+    | 'restartEntry'
+    | 'restartAllEntries'
+    | 'joinEntry'
+    | 'restartControl'
+    | 'restartAllControls'
+    | 'replaceControl'
+    | 'freezeEntry'
+    | 'freezeControl'
+    | 'setClock'
+    | 'cut'
+    | 'heal'
+    | 'concentrate'
+    | 'spread';
+  readonly node: number;
+  /** Duration of a freeze, or amount by which a clock is set, ms. */
+  readonly ms: number;
+}
+
+/** Scenario of a simulation. */
+export interface RetryScenario {
+  readonly entries: number;
+  readonly controls: number;
+  /** Requests per second over all entry hosts. */
+  readonly perSecond: number;
+  /** Share of the requests that ask for a retry. */
+  readonly failing: number;
+  readonly forMs: number;
+  readonly events: readonly RetryModelEvent[];
+}
+
+/** The decisions under test; a mutant replaces some of them. */
+export interface RetryPolicy {
+  readonly spendEarned: typeof spendEarnedRetry;
+  readonly grant: typeof grantRetries;
+  readonly mayStillSend: typeof mayStillSend;
+  /** State of a control process that has restarted. */
+  readonly restarted: RetryGrantsState;
+  /** Control hosts that a control process counts: those that the log names, of which it reaches some. */
+  readonly countedHosts: (
+    named: readonly string[],
+    reached: readonly string[],
+  ) => readonly string[];
+  /** Whether a control process can prove its list of hosts in the minority of a partition. */
+  readonly provesInMinority: boolean;
+}
+
+/** The decisions as they are. */
+export const RETRY_POLICY: RetryPolicy = {
+  spendEarned: spendEarnedRetry,
+  grant: grantRetries,
+  mayStillSend,
+  restarted: NO_RETRY_GRANTS,
+  countedHosts: (named) => named,
+  provesInMinority: false,
+};
+
+/** When callers sent requests, and when retries arrived, ms of true time, sorted. */
+export interface RetryRecord {
+  readonly requests: readonly number[];
+  readonly retries: readonly number[];
+}
+
+const STEP_MS = 10;
+const RESTART_MS = 400;
+const PROOF_INTERVAL_MS = 1_000;
+const SERVICE = 'llm';
+
+interface Node {
+  readonly name: string;
+  readonly zone: number;
+  readonly clock: ModelClock;
+  /** Number of the process on this host; messages to an earlier one are lost. */
+  life: number;
+  startsAt: number;
+  frozenUntil: number;
+}
+
+interface EntryNode extends Node {
+  budget: RetryBudgetState;
+}
+
+interface ControlNode extends Node {
+  grants: RetryGrantsState;
+  provesAt: number;
+  isMember: boolean;
+  isRemoved: boolean;
+}
+
+interface Message {
+  readonly at: number;
+  readonly to: Node;
+  readonly life: number;
+  readonly from: Node;
+  readonly run: () => void;
+}
+
+class RetryModel {
+  readonly #scenario: RetryScenario;
+
+  readonly #policy: RetryPolicy;
+
+  readonly #allowance: RetryAllowance;
+
+  readonly #rng: ReturnType<typeof xoroshiro128plus>;
+
+  readonly #entries: EntryNode[] = [];
+
+  readonly #controls: ControlNode[] = [];
+
+  readonly #requests: number[] = [];
+
+  readonly #retries: number[] = [];
+
+  #messages: Message[] = [];
+
+  /** Zones at or above this number are cut off from the others; null without a partition. */
+  #cutFrom: number | null = null;
+
+  /** Entry host that gets nearly all requests; null while they are spread evenly. */
+  #hot: number | null = null;
+
+  #now = 0;
+
+  constructor(
+    scenario: RetryScenario,
+    allowance: RetryAllowance,
+    policy: RetryPolicy,
+    seed: number,
+  ) {
+    this.#scenario = scenario;
+    this.#allowance = allowance;
+    this.#policy = policy;
+    this.#rng = xoroshiro128plus(seed);
+    for (let i = 0; i < scenario.entries; i += 1) {
+      this.#addEntry();
+    }
+    for (let i = 0; i < scenario.controls; i += 1) {
+      this.#addControl(onFounded(NO_RETRY_GRANTS), true);
+    }
+  }
+
+  run(): RetryRecord {
+    const events = [...this.#scenario.events].sort((a, b) => a.at - b.at);
+    for (; this.#now < this.#scenario.forMs; this.#now += STEP_MS) {
+      while ((events[0]?.at ?? Infinity) <= this.#now) {
+        this.#apply(events.shift() as RetryModelEvent);
+      }
+      this.#deliver();
+      this.#controls.forEach((control) => this.#prove(control));
+      this.#sendRequests();
+      [...this.#entries, ...this.#controls].forEach(({ clock, frozenUntil }) => {
+        clock.advance(frozenUntil > this.#now ? 0 : STEP_MS);
+      });
+    }
+    return { requests: this.#requests, retries: this.#retries.sort((a, b) => a - b) };
+  }
+
+  #random(): number {
+    return uniformFloat64(this.#rng);
+  }
+
+  #node(name: string, count: number): Node {
+    return {
+      name,
+      zone: count % 3,
+      clock: new ModelClock(() => this.#random()),
+      life: 0,
+      startsAt: this.#now,
+      frozenUntil: 0,
+    };
+  }
+
+  #addEntry(): void {
+    const count = this.#entries.length;
+    this.#entries.push({ ...this.#node(`entry-${count}`, count), budget: EMPTY_RETRY_BUDGET });
+  }
+
+  #addControl(grants: RetryGrantsState, isMember: boolean): void {
+    const count = this.#controls.length;
+    const node = this.#node(`control-${count}`, count);
+    const provesAt = this.#now + this.#random() * PROOF_INTERVAL_MS;
+    this.#controls.push({ ...node, grants, provesAt, isMember, isRemoved: false });
+  }
+
+  #isUp(node: Node): boolean {
+    return this.#now >= node.startsAt && this.#now >= node.frozenUntil;
+  }
+
+  #reaches(a: Node, b: Node): boolean {
+    const cut = this.#cutFrom;
+    return cut === null || a.zone >= cut === b.zone >= cut;
+  }
+
+  #restart(node: Node): void {
+    // eslint-disable-next-line no-param-reassign
+    node.life += 1;
+    // eslint-disable-next-line no-param-reassign
+    node.startsAt = this.#now + RESTART_MS * (0.5 + this.#random());
+    // eslint-disable-next-line no-param-reassign
+    node.frozenUntil = 0;
+  }
+
+  #restartEntry(entry: EntryNode): void {
+    this.#restart(entry);
+    Object.assign(entry, { budget: EMPTY_RETRY_BUDGET });
+  }
+
+  #restartControl(control: ControlNode): void {
+    this.#restart(control);
+    Object.assign(control, { grants: this.#policy.restarted });
+  }
+
+  #apply({ kind, node, ms }: RetryModelEvent): void {
+    const entry = this.#entries[node % this.#entries.length] as EntryNode;
+    const control = this.#controls[node % this.#controls.length] as ControlNode;
+    const handlers: Readonly<Record<RetryModelEvent['kind'], () => void>> = {
+      restartEntry: () => this.#restartEntry(entry),
+      restartAllEntries: () => this.#entries.forEach((each) => this.#restartEntry(each)),
+      joinEntry: () => this.#addEntry(),
+      restartControl: () => this.#restartControl(control),
+      restartAllControls: () => this.#controls.forEach((each) => this.#restartControl(each)),
+      replaceControl: () => {
+        control.isRemoved = true;
+        this.#addControl(NO_RETRY_GRANTS, false);
+      },
+      freezeEntry: () => Object.assign(entry, { frozenUntil: this.#now + ms }),
+      freezeControl: () => Object.assign(control, { frozenUntil: this.#now + ms }),
+      setClock: () => [entry, control].forEach(({ clock }) => clock.set(ms)),
+      cut: () => {
+        this.#cutFrom = 1 + (node % 2);
+      },
+      heal: () => {
+        this.#cutFrom = null;
+      },
+      concentrate: () => {
+        this.#hot = node % this.#entries.length;
+      },
+      spread: () => {
+        this.#hot = null;
+      },
+    };
+    handlers[kind]();
+  }
+
+  #send(from: Node, to: Node, run: () => void): void {
+    const delayMs = this.#random() < 0.05 ? this.#random() * 300 : 1 + this.#random() * 5;
+    this.#messages.push({ at: this.#now + delayMs, to, life: to.life, from, run });
+  }
+
+  /** Messages to a suspended or unreachable process are kept until it can be reached again. */
+  #deliver(): void {
+    const due = this.#messages.filter(({ at }) => at <= this.#now);
+    if (due.length === 0) {
+      return;
+    }
+    this.#messages = this.#messages.filter(({ at }) => at > this.#now);
+    due.forEach((message) => {
+      const { to, from, life, run } = message;
+      if (life !== to.life) {
+        return;
+      }
+      if (this.#isUp(to) && this.#reaches(from, to)) {
+        run();
+      } else {
+        this.#messages.push({ ...message, at: this.#now + STEP_MS });
+      }
+    });
+  }
+
+  /** A control process reads the log if it reaches a majority of its members; the majority also admits and removes. */
+  #prove(control: ControlNode): void {
+    if (!this.#isUp(control) || control.provesAt > this.#now || control.isRemoved) {
+      return;
+    }
+    Object.assign(control, { provesAt: this.#now + PROOF_INTERVAL_MS });
+    const members = this.#controls.filter(({ isMember }) => isMember);
+    const reached = this.#controls.filter(
+      (peer) => this.#isUp(peer) && this.#reaches(control, peer),
+    );
+    const voters = reached.filter(({ isMember, isRemoved }) => isMember && !isRemoved);
+    const hasQuorum = voters.length * 2 > members.length;
+    if (!hasQuorum && !this.#policy.provesInMinority) {
+      return;
+    }
+    if (hasQuorum) {
+      reached.forEach((peer) => Object.assign(peer, { isMember: !peer.isRemoved }));
+      const gone = members.find(({ isRemoved }) => isRemoved);
+      if (gone !== undefined) {
+        gone.isMember = false;
+      }
+    }
+    const named = this.#controls.filter(({ isMember }) => isMember).map(({ name }) => name);
+    const hosts = this.#policy.countedHosts(
+      named,
+      reached.map(({ name }) => name),
+    );
+    Object.assign(control, {
+      grants: onHostsProven(
+        control.grants,
+        control.name,
+        hosts,
+        control.clock.read(this.#now),
+        this.#allowance,
+      ),
+    });
+  }
+
+  #sendRequests(): void {
+    const { perSecond, failing } = this.#scenario;
+    const expected = (perSecond * STEP_MS) / 1_000;
+    const count = Math.floor(expected) + Number(this.#random() < expected % 1);
+    for (let i = 0; i < count; i += 1) {
+      const isHot = this.#hot !== null && this.#random() < 0.9;
+      const index = isHot ? this.#hot : Math.floor(this.#random() * this.#entries.length);
+      const entry = this.#entries[index ?? 0] as EntryNode;
+      this.#requests.push(this.#now);
+      if (this.#isUp(entry)) {
+        const clocks = entry.clock.read(this.#now);
+        entry.budget = countRequest(entry.budget, clocks, this.#allowance);
+        if (this.#random() < failing) {
+          this.#wishRetry(entry);
+        }
+      }
+    }
+  }
+
+  #wishRetry(entry: EntryNode): void {
+    const clocks = entry.clock.read(this.#now);
+    const step = this.#policy.spendEarned(entry.budget, clocks, this.#allowance);
+    Object.assign(entry, { budget: step.state });
+    if (step.allowed) {
+      this.#startRetry(entry, clocks);
+      return;
+    }
+    const control = this.#hubOf(entry);
+    if (control === undefined) {
+      return;
+    }
+    this.#send(entry, control, () => {
+      const count = this.#grant(control) || this.#grantOfPeer(control);
+      this.#send(control, entry, () => {
+        if (count > 0) {
+          this.#startRetry(entry, clocks);
+        }
+      });
+    });
+  }
+
+  /** The control process that an entry process is attached to: one of its zone, if it reaches one. */
+  #hubOf(entry: EntryNode): ControlNode | undefined {
+    const usable = this.#controls.filter(
+      (control) => this.#now >= control.startsAt && this.#reaches(entry, control),
+    );
+    return usable.find(({ zone }) => zone === entry.zone) ?? usable[0];
+  }
+
+  #grant(control: ControlNode): number {
+    const clocks = control.clock.read(this.#now);
+    const { state, count } = this.#policy.grant(
+      control.grants,
+      SERVICE,
+      1,
+      clocks,
+      this.#allowance,
+    );
+    Object.assign(control, { grants: state });
+    return count;
+  }
+
+  #grantOfPeer(control: ControlNode): number {
+    const peers = this.#controls.filter(
+      (peer) => peer !== control && this.#isUp(peer) && this.#reaches(control, peer),
+    );
+    return peers.some((peer) => this.#grant(peer) > 0) ? 1 : 0;
+  }
+
+  /** Sends a retry after a wait for a connection, if it may still be sent then; it arrives after the way there. */
+  #startRetry(entry: EntryNode, allowedAt: ClockReading): void {
+    const waitMs = this.#random() < 0.1 ? this.#random() * 600 : 0;
+    const start = (): void => {
+      if (this.#policy.mayStillSend(allowedAt, entry.clock.read(this.#now))) {
+        const deliveryMs = this.#random() < 0.1 ? this.#random() * 980 : this.#random() * 20;
+        this.#retries.push(this.#now + deliveryMs);
+      }
+    };
+    const { life } = entry;
+    this.#messages.push({ at: this.#now + waitMs, to: entry, from: entry, life, run: start });
+  }
+}
+
+/** Runs one simulation. */
+export function runRetryModel(
+  scenario: RetryScenario,
+  allowance: RetryAllowance,
+  policy: RetryPolicy,
+  seed: number,
+): RetryRecord {
+  return new RetryModel(scenario, allowance, policy, seed).run();
+}
--- a/src/coordination/__tests__/utils/RetryWindows.ts
+++ b/src/coordination/__tests__/utils/RetryWindows.ts
@@ -9,9 +9,25 @@
   readonly allowed: number;
 }
 
+/** Number of leading items of sorted times that fulfil a condition. */
+function countLeading(times: readonly number[], holds: (at: number) => boolean): number {
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (holds(times[middle] ?? 0)) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
+
 /** Number of times in [from, from + windowMs]; `times` are sorted. */
 function countWithin(times: readonly number[], from: number, windowMs: number): number {
-  return times.filter((at) => at >= from && at <= from + windowMs).length;
+  const upTo = countLeading(times, (at) => at <= from + windowMs);
+  return upTo - countLeading(times, (at) => at < from);
 }
 
 /**
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -255,6 +255,7 @@
 export {
   isUnsent,
   judgeFailure,
+  judgeWithoutRetry,
   MIN_RETRY_TIME_MS,
   isNotRunStatus,
   type DirectFailure,
@@ -273,13 +274,23 @@
   type FreshnessState,
 } from './ConfigFreshness.js';
 export {
-  countFirstAttempt,
+  countRequest,
+  earnedRetries,
   EMPTY_RETRY_BUDGET,
-  takeRetryWithin,
+  mayStillSend,
+  spendEarnedRetry,
   type RetryAllowance,
   type RetryBudgetState,
-  type RetryDecision,
 } from './RetryBudget.js';
+export {
+  grantRetries,
+  mayGrantRetries,
+  NO_RETRY_GRANTS,
+  onFounded,
+  onHostsProven,
+  retryShareOf,
+  type RetryGrantsState,
+} from './RetryGrants.js';
 export {
   adoptDemand,
   expectedLoad,
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -36,6 +36,7 @@
       targets: () => cfg.control,
       locate: (name) => cfg.control.find((target) => target.name === name)?.address,
       testSwitch,
+      retries: null,
     },
     runtime,
     signal,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,5 +1,6 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
+import { replicaName, type RetryAllowance } from '../coordination/index.js';
 import type { Manifest, SubmitReply } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
@@ -25,12 +26,16 @@
 import type { ControlTarget } from './DaemonSettings.js';
 import { CoalescedRead } from './DaemonCoalescedRead.js';
 import { SuspensionWatch } from './DaemonSuspension.js';
+import { DaemonRetryGrants } from './DaemonRetryGrants.js';
 import type { DaemonTestSwitch } from './DaemonTestSwitch.js';
 
 const TICK_MS = 50;
 const HUB_TICK_MS = 500;
 const CLUSTER_CHECK_INTERVAL_MS = 500;
 
+/** How often the list of control hosts is proven to be the newest, ms; reads for entry processes prove it too. */
+const HOSTS_PROOF_INTERVAL_MS = 1_000;
+
 /**
  * How often the leader checks whether a learner has caught up or a voter is gone, ms. Until a lost disk is replaced,
  * one loss fewer is tolerated; a check costs only some microseconds.
@@ -58,6 +63,8 @@
   /** Address of a control process that is named only in the log; undefined if its name doesn't determine one. */
   readonly locate: (name: string) => Address | undefined;
   readonly testSwitch: DaemonTestSwitch;
+  /** Retries that all entry processes together may send; null where they aren't granted by control processes. */
+  readonly retries: RetryAllowance | null;
 }
 
 interface Cradle {
@@ -71,6 +78,17 @@
   readonly service: DaemonControlService;
   readonly evacuations: DaemonEvacuations;
   readonly newest: CoalescedRead<number>;
+  /** Null where control processes grant no retries. */
+  readonly retryGrants: DaemonRetryGrants | null;
+}
+
+/** Reads the newest index of the log; a success also proves that the list of control hosts held here is the newest. */
+async function readNewestIndex(cradle: Cradle): Promise<number> {
+  const requestedAt = cradle.runtime.clocks();
+  const index = await loggedNewestIndex(cradle);
+  const { voters, learners } = cradle.consensus.state.members;
+  cradle.retryGrants?.onHostsProven([...voters, ...learners].map(replicaName), requestedAt);
+  return index;
 }
 
 async function evacuateAtLeader(
@@ -110,6 +128,7 @@
           signal,
           random: runtime.random,
           isCut: cfg.testSwitch.isCut,
+          onFounded: () => container.cradle.retryGrants?.onFounded(),
         }),
     ).singleton(),
     hub: asFunction(
@@ -162,7 +181,18 @@
         }),
     ).singleton(),
     newest: asFunction(
-      () => new CoalescedRead(async () => loggedNewestIndex(container.cradle)),
+      () => new CoalescedRead(async () => readNewestIndex(container.cradle)),
+    ).singleton(),
+    retryGrants: asFunction(({ peers }: Cradle) =>
+      cfg.retries === null
+        ? null
+        : new DaemonRetryGrants({
+            self: cfg.id,
+            runtime,
+            allowance: cfg.retries,
+            peers: () => peers.controls.map(({ name }) => name).filter((name) => name !== cfg.id),
+            requestPeer: async (...args) => peers.request(...args),
+          }),
     ).singleton(),
   });
   return container.cradle;
@@ -261,6 +291,14 @@
   runEvery(VOTER_CHECK_INTERVAL_MS, signal, () => {
     logFailure(service.updateVoters());
   });
+  const { retryGrants } = cradle;
+  if (retryGrants !== null) {
+    runEvery(HOSTS_PROOF_INTERVAL_MS, signal, () => {
+      if (consensus.isFormed && retryGrants.isProofOlderThan(HOSTS_PROOF_INTERVAL_MS)) {
+        logFailure(cradle.newest.read().then(() => undefined));
+      }
+    });
+  }
 }
 
 /** Interface of a control process for its HTTP API. */
@@ -307,6 +345,7 @@
       ...hub.handlers,
       ...leaderHandlers(cradle),
       ...forwardHandlers(cradle),
+      ...cradle.retryGrants?.handlers,
     },
     signal,
     isCut: cfg.testSwitch.isCut,
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -57,6 +57,8 @@
   readonly signal: AbortSignal;
   readonly random: () => number;
   readonly isCut: LinkSwitch;
+  /** Called before this process becomes a founder of the cluster. */
+  readonly onFounded: () => void;
 }
 
 interface RaftParams {
@@ -206,12 +208,17 @@
   }
 
   /** Calls a method at the control process of that name. Rejects if it is unknown or unreachable. */
-  async request(name: string, method: string, params: unknown): Promise<unknown> {
+  async request(
+    name: string,
+    method: string,
+    params: unknown,
+    timeoutMs?: number,
+  ): Promise<unknown> {
     const client = this.#clients.get(name);
     if (client === undefined) {
       throw new Error(`no control process "${name}"`);
     }
-    return client.request(method, params);
+    return client.request(method, params, timeoutMs);
   }
 
   /** Calls a method at all peers; returns the results of those that answer within a second. */
@@ -347,6 +354,7 @@
     if (consensus.isFormed || !voters.includes(consensus.state.id)) {
       return false;
     }
+    this.#options.onFounded();
     await consensus.foundCluster({ voters, learners: [] });
     return true;
   }
--- a/src/daemon/__tests__/unit/DaemonControlCore.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlCore.test.ts
@@ -66,6 +66,7 @@
         founders: null,
         targets: () => [],
         locate: (name) => (name === 'peer' ? { host: '127.0.0.1', port } : undefined),
+        retries: null,
         testSwitch: new DaemonTestSwitch(false, []),
       },
       RUNTIME,
--- a/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
@@ -91,6 +91,7 @@
     signal,
     random: () => 0,
     isCut: () => false,
+    onFounded: () => undefined,
   });
   return { peers, target: { name, address }, received };
 }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -3,7 +3,9 @@
 import {
   isUnsent,
   judgeFailure,
+  judgeWithoutRetry,
   MIN_RETRY_TIME_MS,
+  type ClockReading,
   type DirectProgress,
   type DirectVerdict,
 } from '../../coordination/index.js';
@@ -15,6 +17,7 @@
   type WholeAnswer,
 } from './DirectAttempt.js';
 import type { DirectEntryState } from './DirectEntryState.js';
+import type { SendSlot } from './DirectSendSlots.js';
 import { deadlineError, outcomeUnknownError, quarantineError } from './DirectReply.js';
 import {
   forwardHeadOf,
@@ -53,8 +56,8 @@
   /** Id of the last event that the caller was sent; null if there is none, or it has no id to resume after. */
   #lastEvent: string | null = null;
 
-  /** When the last retry was decided on, ms; null before. */
-  #retryDecidedAt: number | null = null;
+  /** When the next retry was allowed; null if none is. */
+  #allowedAt: ClockReading | null = null;
 
   #firstByteAt: number | null = null;
 
@@ -162,9 +165,11 @@
       }
       return;
     }
-    const isAllowed =
-      decision.granted && this.#state.takeRetry({ service, request: head.id, reason: 'waited' });
-    this.#retryDecidedAt = this.#state.now();
+    const isAllowed = decision.granted && (await this.#acquireAllowance('waited'));
+    if (this.#isFinished) {
+      admission.onUnused(service);
+      return;
+    }
     this.#state.requests.waited(head.id, service, decision, isAllowed);
     if (isAllowed) {
       this.#send();
@@ -232,12 +237,7 @@
       listener: {
         onStart: () => {
           limitTimestamp = sendSlots.limits.timestamp(endpoint);
-          const mayStart = sendSlots.start(endpoint, reservedEndpoint !== null);
-          if (mayStart) {
-            this.#sentTo.add(endpoint.id);
-            this.#state.requests.retryStarted(head.id, endpoint.id, this.#retryDecidedAt);
-          }
-          return mayStart;
+          return this.#mayStart(endpoint, reservedEndpoint !== null);
         },
         onHead: (answer) =>
           this.#guard(() => sendSlots.onAnswer(endpoint, answer, head.id, limitTimestamp)),
@@ -250,6 +250,16 @@
     this.#running = { endpoint, attempt, hasEvents: false };
   }
 
+  /** Called right before the first byte is sent: whether the attempt may reach the endpoint. */
+  #mayStart(endpoint: MemberRecord, hasReserved: boolean): boolean {
+    if (this.#needsAllowance || !this.#state.sendSlots.start(endpoint, hasReserved)) {
+      return false;
+    }
+    this.#allowedAt = null;
+    this.#sentTo.add(endpoint.id);
+    return true;
+  }
+
   /**
    * Called when no endpoint accepts the request now. If an endpoint with a limit or backoff has a send slot in time
    * for the caller's patience and deadline, waits for that slot. Otherwise the request ends at once; if it is refused,
@@ -272,15 +282,26 @@
       return;
     }
     delay(sendSlot.waitMs, undefined, { signal: this.#waitAbort.signal })
-      .then(() =>
-        this.#guard(() =>
-          this.#send(this.#state.sendSlots.isServing(sendSlot) ? sendSlot.endpoint : null),
-        ),
-      )
+      .then(async () => this.#sendReserved(sendSlot))
       // The request has finished, and its send slot stays unused.
       .catch(() => undefined);
   }
 
+  /** Sends the request at its send slot; ends it if it needs an allowance and there is none. */
+  async #sendReserved(sendSlot: SendSlot): Promise<void> {
+    const isAllowed = await this.#acquireAllowance('send slot');
+    if (this.#isFinished) {
+      return;
+    }
+    this.#guard(() => {
+      if (isAllowed) {
+        this.#send(this.#state.sendSlots.isServing(sendSlot) ? sendSlot.endpoint : null);
+      } else {
+        this.#applyVerdict(this.#request.reply.streamStarted ? 'cut' : this.#finalVerdict, null);
+      }
+    });
+  }
+
   /** Ends a quarantined request, which must not be sent to any endpoint. */
   #refuseQuarantined(): void {
     this.#state.screening.logQuarantined(this.#request.identity, this.#request.head.id);
@@ -466,21 +487,49 @@
   }
 
   /** Decides what follows a failed attempt. */
-  #decideNext(endpoint: MemberRecord, { failure, reason, answer }: AttemptFailure): void {
-    const { service, head } = this.#request;
-    const verdict = judgeFailure(
-      failure,
-      this.#progress(),
-      this.#unsentCount,
-      () =>
-        this.#state.canRoute(service, this.#tried) &&
-        this.#state.takeRetry({ service, request: head.id, reason: failure }),
-    );
-    this.#retryDecidedAt = this.#state.now();
+  #decideNext(endpoint: MemberRecord, failed: AttemptFailure): void {
+    const verdict = judgeFailure(failed.failure, this.#progress(), this.#unsentCount);
+    if (verdict !== 'retry' || !this.#needsAllowance) {
+      this.#applyDecision(endpoint, failed, verdict);
+      return;
+    }
+    this.#decideByAllowance(endpoint, failed).catch((err: unknown) => this.#onFault(err));
+  }
+
+  /** Decides on a retry that needs an allowance. */
+  async #decideByAllowance(endpoint: MemberRecord, failed: AttemptFailure): Promise<void> {
+    const { failure } = failed;
+    const canRoute = this.#state.canRoute(this.#request.service, this.#tried);
+    const isAllowed = canRoute && (await this.#acquireAllowance(failure));
+    if (!this.#isFinished) {
+      const verdict = isAllowed ? 'retry' : judgeWithoutRetry(failure, this.#progress());
+      this.#applyDecision(endpoint, failed, verdict);
+    }
+  }
+
+  #applyDecision(endpoint: MemberRecord, failed: AttemptFailure, verdict: DirectVerdict): void {
+    const { failure, reason, answer } = failed;
+    const { head } = this.#request;
     this.#state.requests.attemptFailed(head.id, endpoint.id, failure, reason, verdict);
     this.#applyVerdict(verdict, answer);
   }
 
+  /** Whether the next send needs an allowance: the request has been sent before, and none that is still valid is left. */
+  get #needsAllowance(): boolean {
+    const isValid = this.#allowedAt !== null && this.#state.retries.mayStillSend(this.#allowedAt);
+    return this.#sentTo.size > 0 && !isValid;
+  }
+
+  /** Acquires an allowance for the next send if it needs one; resolves with false if there is none. */
+  async #acquireAllowance(reason: string): Promise<boolean> {
+    if (!this.#needsAllowance) {
+      return true;
+    }
+    const { service, head } = this.#request;
+    this.#allowedAt = await this.#state.retries.acquire({ service, request: head.id, reason });
+    return this.#allowedAt !== null;
+  }
+
   #applyVerdict(verdict: DirectVerdict, answer: WholeAnswer | null): void {
     const handlers: Readonly<Record<DirectVerdict, () => void>> = {
       retry: () => this.#send(),
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -13,6 +13,7 @@
 import { serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
+import { RETRY_GRANT_METHOD, type RetryGrantRequest } from '../DaemonRetryGrants.js';
 import { waitForAbort, runEvery, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
 import type { SlotDecision } from './DirectAdmission.js';
@@ -55,6 +56,9 @@
 
 const TICK_MS = 250;
 
+/** A control process that doesn't answer a question for retries within this time grants none, ms. */
+const RETRY_GRANT_TIMEOUT_MS = 300;
+
 /** Poll interval of a process whose configuration isn't proven to be the newest yet, ms. */
 const UNPROVEN_TICK_MS = 50;
 
@@ -112,6 +116,14 @@
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
       sendLimitUpdate: (update) => this.#hubLink.notify('limits', update),
       sendDemand: (demand) => this.#hubLink.notify('group.demand', { ...demand, host: id }),
+      requestRetries: async (service, wanted) => {
+        const request: RetryGrantRequest = { service, wanted };
+        return (await this.#hubLink.request(
+          RETRY_GRANT_METHOD,
+          request,
+          RETRY_GRANT_TIMEOUT_MS,
+        )) as number;
+      },
     });
     this.#leaving = new DirectLeaving(cfg.graceMs, runtime.now);
     this.#reader = new DirectRequestReader(this.#state, this.#leaving, runtime.random);
@@ -245,6 +257,7 @@
       return;
     }
     this.#state.requests.begin();
+    this.#state.retries.countRequest(request.service);
     const decision = await this.#acquire(request);
     if (this.#state.isQuarantined(request)) {
       this.#refuseQuarantined(request, decision);
@@ -254,7 +267,6 @@
       this.#refuseUnsent(request, decision.retryAfterMs);
       return;
     }
-    this.#state.countFirst(request.service);
     const call = new DirectCall(this.#state, request);
     const outcome = await call.run();
     this.#state.requests.end(request, outcome, call);
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -42,7 +42,8 @@
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
-import { DirectRetries, type RetryWish } from './DirectRetries.js';
+import { DirectRetries } from './DirectRetries.js';
+import type { RequestRetries } from './DirectRetryGrants.js';
 import { DirectStartup } from './DirectStartup.js';
 import { DEFAULT_COLD_BOUNDS } from './DirectColdEndpoints.js';
 import { DirectSendSlots, type SendSlot } from './DirectSendSlots.js';
@@ -63,6 +64,8 @@
   readonly sendLimitUpdate: SendUpdate<LimitUpdate>;
   /** Sends the demand for the slots of a group to the control process. */
   readonly sendDemand: SendDemand;
+  /** Asks the control process for retries. */
+  readonly requestRetries: RequestRetries;
 }
 
 /** Replaced instances are remembered this long, as late updates may still list them. In ms. */
@@ -83,7 +86,7 @@
   /** When an incarnation of an endpoint was found to be replaced by another instance at its address, ms. */
   readonly #replaced = new Map<string, number>();
 
-  readonly #retries: DirectRetries;
+  readonly retries: DirectRetries;
 
   readonly config: DirectConfig;
 
@@ -116,7 +119,7 @@
       ...options,
       onEvacuationFinished: (zone) => this.sendSlots.cold.onEvacuationFinished(zone),
     });
-    this.#retries = new DirectRetries(options.retries, options.runtime);
+    this.retries = new DirectRetries({ ...options, allowance: options.retries });
     this.startup = new DirectStartup(options.runtime);
     this.admission = new DirectAdmission({
       zone: options.zone,
@@ -384,15 +387,6 @@
     }
   }
 
-  countFirst(service: string): void {
-    this.#retries.countFirst(service);
-  }
-
-  /** Spends one retry of a request's service; false if none is left. */
-  takeRetry(wish: RetryWish): boolean {
-    return this.#retries.take(wish, this.#entryHosts);
-  }
-
   /** Time after which a refused caller should retry, ms. */
   retryAfter(service: string, leftMs: number): number {
     const defaultMs = RETRY_AFTER_MS * (0.5 + this.#options.runtime.random());
--- a/src/daemon/direct/DirectRequestLog.ts
+++ b/src/daemon/direct/DirectRequestLog.ts
@@ -24,9 +24,6 @@
   readonly attempt: number;
 }
 
-/** A retry that is sent later than this after the decision is logged, ms. */
-const LATE_RETRY_MS = 100;
-
 /** Logs and counts the requests of one entry process. */
 export class DirectRequestLog {
   readonly #runtime: Runtime;
@@ -129,17 +126,6 @@
     );
   }
 
-  /** Logs a retry whose first byte leaves long after it was decided on; `decidedAt` is null for a first attempt. */
-  retryStarted(request: string, endpoint: string, decidedAt: number | null): void {
-    const waitMs = decidedAt === null ? 0 : this.#runtime.now() - decidedAt;
-    if (waitMs > LATE_RETRY_MS) {
-      this.#runtime.log.info(
-        { event: 'retry_late', request, endpoint, waitMs: Math.round(waitMs) },
-        'a retry was sent late',
-      );
-    }
-  }
-
   /** Logs an unexpected error of this process while it handled a request. */
   fault(request: string, err: unknown): void {
     this.#runtime.log.error(
--- a/src/daemon/direct/DirectRetries.ts
+++ b/src/daemon/direct/DirectRetries.ts
@@ -1,13 +1,20 @@
-/** Retry budgets of an entry process, one for each service. */
+/**
+ * Retries of an entry process: each is paid for with requests that this process has read or, where these don't suffice,
+ * granted by a control process.
+ */
 import { Counter } from 'prom-client';
 import {
-  countFirstAttempt,
+  countRequest,
+  earnedRetries,
   EMPTY_RETRY_BUDGET,
-  takeRetryWithin,
+  spendEarnedRetry,
+  mayStillSend,
+  type ClockReading,
   type RetryAllowance,
   type RetryBudgetState,
 } from '../../coordination/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
+import { DirectRetryGrants, type RequestRetries } from './DirectRetryGrants.js';
 
 /** A retry that a request asks for. */
 export interface RetryWish {
@@ -18,11 +25,16 @@
   readonly reason: string;
 }
 
-/** Retry budgets. */
-export class DirectRetries {
-  readonly #allowance: RetryAllowance;
+/** Dependencies of {@link DirectRetries}. */
+export interface DirectRetriesOptions {
+  readonly allowance: RetryAllowance;
+  readonly runtime: Pick<Runtime, 'now' | 'clocks' | 'log' | 'registry'>;
+  readonly requestRetries: RequestRetries;
+}
 
-  readonly #runtime: Pick<Runtime, 'now' | 'log' | 'registry'>;
+/** Retries of one entry process. */
+export class DirectRetries {
+  readonly #options: DirectRetriesOptions;
 
   readonly #startedAt: number;
 
@@ -30,51 +42,86 @@
 
   readonly #budgets = new Map<string, RetryBudgetState>();
 
-  constructor(allowance: RetryAllowance, runtime: Pick<Runtime, 'now' | 'log' | 'registry'>) {
-    this.#allowance = allowance;
-    this.#runtime = runtime;
-    this.#startedAt = runtime.now();
+  readonly #grants = new Map<string, DirectRetryGrants>();
+
+  constructor(options: DirectRetriesOptions) {
+    this.#options = options;
+    this.#startedAt = options.runtime.now();
     this.#decisions = new Counter({
       name: 'laburnumgauge_retries_total',
-      help: 'Retries that requests asked for, by decision: allowed or refused',
+      help: 'Retries that requests asked for, by decision: earned, granted or refused',
       labelNames: ['decision'],
-      registers: [runtime.registry],
+      registers: [options.runtime.registry],
     });
   }
 
-  /** Counts a first attempt at a service. */
-  countFirst(service: string): void {
-    const now = this.#runtime.now();
-    this.#budgets.set(service, countFirstAttempt(this.#budgetOf(service), now, this.#allowance));
+  /** Counts a request for a service that a caller has sent. */
+  countRequest(service: string): void {
+    const { allowance, runtime } = this.#options;
+    this.#budgets.set(service, countRequest(this.#budgetOf(service), runtime.clocks(), allowance));
+  }
+
+  /**
+   * Allows one retry; resolves with the time from which {@link mayStillSend} counts, or with null if it is refused.
+   */
+  async acquire(wish: RetryWish): Promise<ClockReading | null> {
+    const { clocks, now } = this.#options.runtime;
+    const askedAt = now();
+    const isEarned = this.#spendEarned(wish.service);
+    const allowedAt = isEarned ? clocks() : await this.#grantsOf(wish.service).acquire();
+    const granted = allowedAt === null ? 'refused' : 'granted';
+    this.#logDecision(wish, isEarned ? 'earned' : granted, now() - askedAt);
+    return allowedAt;
+  }
+
+  /** Whether a retry that was allowed at that time may still be sent. */
+  mayStillSend(allowedAt: ClockReading): boolean {
+    return mayStillSend(allowedAt, this.#options.runtime.clocks());
+  }
+
+  #budgetOf(service: string): RetryBudgetState {
+    return this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
   }
 
-  /** Spends one retry of a service's budget, which `entryHosts` share; false if none is left. */
-  take({ service, request, reason }: RetryWish, entryHosts: number): boolean {
-    const now = this.#runtime.now();
-    const budget = this.#budgetOf(service);
-    const decision = takeRetryWithin(budget, now, this.#allowance, entryHosts);
-    const { state, allowed, spent, maxRetries } = decision;
+  #grantsOf(service: string): DirectRetryGrants {
+    const { runtime, requestRetries } = this.#options;
+    const known = this.#grants.get(service);
+    const grants = known ?? new DirectRetryGrants(service, runtime, requestRetries);
+    this.#grants.set(service, grants);
+    return grants;
+  }
+
+  #spendEarned(service: string): boolean {
+    const { allowance, runtime } = this.#options;
+    const { state, allowed } = spendEarnedRetry(
+      this.#budgetOf(service),
+      runtime.clocks(),
+      allowance,
+    );
     this.#budgets.set(service, state);
-    this.#decisions.inc({ decision: allowed ? 'allowed' : 'refused' });
-    this.#runtime.log.info(
+    return allowed;
+  }
+
+  #logDecision(
+    { service, request, reason }: RetryWish,
+    decision: 'earned' | 'granted' | 'refused',
+    waitMs: number,
+  ): void {
+    const { allowance, runtime } = this.#options;
+    const earnedLeft = earnedRetries(this.#budgetOf(service), runtime.clocks(), allowance);
+    this.#decisions.inc({ decision });
+    runtime.log.info(
       {
         event: 'retry',
         request,
         service,
         reason,
-        allowed,
-        spent,
-        maxRetries: Math.floor(maxRetries),
-        firstAttempts: state.firstAttempts.length,
-        hosts: entryHosts,
-        processAgeMs: Math.round(now - this.#startedAt),
+        decision,
+        earnedLeft: Math.floor(earnedLeft),
+        waitMs: Math.round(waitMs),
+        processAgeMs: Math.round(runtime.now() - this.#startedAt),
       },
       'retry decided',
     );
-    return allowed;
-  }
-
-  #budgetOf(service: string): RetryBudgetState {
-    return this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
   }
 }
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -41,6 +41,13 @@
   onStreamFinished: ignore,
 };
 
+const NO_RETRIES = { acquire: async () => Promise.resolve(null), mayStillSend: () => true };
+
+const ALL_RETRIES = {
+  acquire: async () => Promise.resolve({ monotonic: 0, wall: 0 }),
+  mayStillSend: () => true,
+};
+
 /** Stub of the process's state, with one endpoint; `replaced` overrides parts of it. */
 function stateOf(origin: string, faults: unknown[], replaced: object): DirectEntryState {
   const pool = openPool(origin, 2);
@@ -57,7 +64,7 @@
     canRoute: () => false,
     isServiceDown: () => false,
     noEndpointError: () => new RequestError('no_endpoint', 'no endpoint'),
-    takeRetry: () => false,
+    retries: NO_RETRIES,
     pool: () => pool,
     sendSlots: {
       limits: { timestamp: () => ({ clock: 0, at: 0 }) },
@@ -76,7 +83,6 @@
       attemptFailed: ignore,
       sendSlotWait: ignore,
       waited: ignore,
-      retryStarted: ignore,
       fault: (_request: string, err: unknown) => faults.push(err),
     },
     ...replaced,
@@ -245,7 +251,7 @@
           isStream: false,
         }),
       },
-      takeRetry: () => true,
+      retries: ALL_RETRIES,
       retryAfter: () => 1_000,
     };
     const { outcome, status, body, faults } = await serve(await listen(engine), replaced);
@@ -270,7 +276,7 @@
     const results: string[] = [];
     const replaced = {
       canRoute: () => sends < 2,
-      takeRetry: () => true,
+      retries: ALL_RETRIES,
       onDone: (_service: string, _endpoint: string, result: string) => results.push(result),
       screening: { onAnswered: () => results.push('sound') },
       dialect: {
@@ -321,11 +327,67 @@
         }),
       },
       canRoute: () => true,
-      takeRetry: () => true,
+      retries: ALL_RETRIES,
     });
     assert.deepEqual(
       { outcome, body, faults, calls },
       { outcome: 'cut', body: 'broken off', faults: [], calls: 2 },
     );
   });
+
+  /** Serves one call; the endpoint refuses `refusals` sends as not run. Counts the sends and the retries asked for. */
+  const serveRefused = async (
+    refusals: number,
+    replaced: object,
+  ): Promise<{ outcome: string; sends: number; asked: number }> => {
+    let sends = 0;
+    let asked = 0;
+    const engine = createServer((_req, res) => {
+      sends += 1;
+      res.writeHead(sends <= refusals ? 503 : 200).end('ok');
+    });
+    const { outcome } = await serve(await listen(engine), {
+      canRoute: () => true,
+      retryAfter: () => 1_000,
+      dialect: {
+        writeForward: () => [],
+        readAnswer: (status: number) => ({
+          ...HEAD,
+          status,
+          notRun: status === 503,
+          isStream: false,
+        }),
+      },
+      retries: {
+        acquire: async () => {
+          asked += 1;
+          return Promise.resolve({ monotonic: 0, wall: 0 });
+        },
+        mayStillSend: () => true,
+      },
+      ...replaced,
+    });
+    return { outcome, sends, asked };
+  };
+
+  it('asks for one retry for each send beyond the first', async () => {
+    assert.deepEqual(await serveRefused(0, {}), { outcome: 'whole', sends: 1, asked: 0 });
+    assert.deepEqual(await serveRefused(1, {}), { outcome: 'whole', sends: 2, asked: 1 });
+  });
+
+  // Guards against retries that are spent for attempts that never reached an endpoint.
+  it('asks for no retry where nothing was sent', async () => {
+    const closed = openPool('http://127.0.0.1:1', 2);
+    const open = createServer((_req, res) => res.end('ok'));
+    const pools = [closed, openPool(await listen(open), 2)];
+    const { outcome, asked } = await serveRefused(0, { pool: () => pools.shift() });
+    assert.deepEqual({ outcome, asked }, { outcome: 'whole', asked: 0 });
+  });
+
+  // Guards against retries that arrive, bunched with others, after the window in which they were counted.
+  it('sends no retry whose allowance has expired', async () => {
+    const retries = { ...ALL_RETRIES, mayStillSend: () => false };
+    const { outcome, sends } = await serveRefused(1, { retries });
+    assert.deepEqual({ outcome, sends }, { outcome: 'refused', sends: 1 });
+  });
 });
--- a/src/daemon/direct/__tests__/unit/DirectEntryState.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectEntryState.test.ts
@@ -115,6 +115,7 @@
     sendQuarantineUpdate: () => undefined,
     sendLimitUpdate: () => undefined,
     sendDemand: () => undefined,
+    requestRetries: async () => Promise.resolve(0),
   });
   state.onDirectory({ full: true, records: MEMBERS });
   state.onConfig(config(1));
