--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -4,6 +4,7 @@
 import { checkEvacuations } from './SoakEvacuations.js';
 import { overlapsUnplannedFault } from './SoakFaultOverlap.js';
 import { checkRelief, hadFault } from './SoakRelief.js';
+import { checkRetries } from './SoakRetries.js';
 import type { SoakFinding, SoakRecord, SoakExecution } from './SoakTypes.js';
 
 /** No request with a revoked key may run that is sent more than this long after the acknowledgement, ms. */
@@ -198,5 +199,6 @@
     ...checkRelief(record),
     ...checkEvacuations(record),
     ...checkCold(record),
+    ...checkRetries(record),
   ];
 }
--- a/soak/SoakFigures.ts
+++ b/soak/SoakFigures.ts
@@ -1,18 +1,13 @@
 /** Figures that a soak run reports beside its findings. */
+import { retryTimesOf, worstRetriesOf } from './SoakRetries.js';
 import { STREAM_EVENTS } from './SoakStream.js';
 import type { SoakRecord } from './SoakTypes.js';
 
 /** Counts requests, faults and what followed from them. */
-export function figuresOf({
-  attempts,
-  executions,
-  ackedVersion,
-  injectedFaults,
-  engineCrashes,
-  refusals,
-  evacuations,
-  coldStarts,
-}: SoakRecord): Readonly<Record<string, number>> {
+export function figuresOf(record: SoakRecord): Readonly<Record<string, number>> {
+  const { attempts, executions, ackedVersion, injectedFaults } = record;
+  const { engineCrashes, refusals, evacuations, coldStarts } = record;
+  const worst = worstRetriesOf(record);
   const count = (test: (attempt: (typeof attempts)[number]) => boolean): number =>
     attempts.filter(test).length;
   return {
@@ -32,5 +27,8 @@
     refusals: refusals.length,
     evacuations: evacuations.length,
     cold: coldStarts.flatMap(({ arrivals }) => arrivals).length,
+    retries: retryTimesOf(record).length,
+    retriesWorst: worst.retries,
+    retriesAllowed: Math.floor(worst.allowed),
   };
 }
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -17,6 +17,7 @@
 import { figuresOf } from './SoakFigures.js';
 import { planRelief, BACKOFF_S, type SoakReliefPlan } from './SoakRelief.js';
 import { planUnusualAnswers } from './SoakUnusualAnswers.js';
+import { SOAK_RETRY_SETTINGS } from './SoakRetries.js';
 import { SoakOperator } from './SoakOperator.js';
 import { FAULT_INJECTORS } from './SoakFaults.js';
 import { SoakProxy } from './SoakProxy.js';
@@ -322,7 +323,7 @@
     endpoints,
     proxied: true,
     logs,
-    settings: SOAK_COLD_SETTINGS,
+    settings: [...SOAK_COLD_SETTINGS, ...SOAK_RETRY_SETTINGS],
   });
   const proxy = new SoakProxy();
   const harness = new SoakHarness(options, platform, proxy);
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -314,4 +314,22 @@
     assert.deepEqual(rules(SOAK_MAX_COLD + 1, injected('endpoint-1')), []);
     assert.equal(rules(SOAK_MAX_COLD + 1, injected('endpoint-2')).length, 1);
   });
+
+  it('finds retries beyond the allowance, refused ones included', () => {
+    const retried = (count: number): SoakExecution[] =>
+      Array.from({ length: 2 * count }, (_item, i) => ({
+        ...EXECUTION,
+        id: `s${Math.floor(i / 2)}`,
+        at: 1_000 + i,
+      }));
+    const attempts = retried(12).map(({ id }) => ({ ...HOLD_ATTEMPT, kind: 'ask' as const, id }));
+    const rule = 'retries within the allowance';
+    assert.ok(!rulesOf({ attempts, executions: retried(12) }).includes(rule));
+    const executions = retried(14);
+    assert.ok(rulesOf({ attempts, executions }).includes(rule));
+    const [first, ...others] = executions as [SoakExecution, ...SoakExecution[]];
+    const refusals = others.filter((_item, i) => i % 2 === 0);
+    const runs = [first, ...others.filter((_item, i) => i % 2 === 1)];
+    assert.ok(rulesOf({ attempts, executions: runs, refusals }).includes(rule));
+  });
 });
