Fix: a part of prompts that crashes endpoints is held back

What callers saw: requests of one kind crashed endpoint after endpoint. On a group of ranks each crash closes the group for four seconds, so that hardly any model request was served while such requests came.

Cause: the quarantine knew a request only by the digest of its whole content, and no two of these were alike. Each crash was recorded, against a new digest. Class: evidence kept by a key that is finer than the cause.

Change: the shared parts of a prompt are suspects of the same set as whole requests. A part that endpoints can answer on is cleared at once, at any entry host, and one that another part explains is not held.

--- a/bench/BenchMain.ts
+++ b/bench/BenchMain.ts
@@ -10,6 +10,7 @@
   placement: async () => (await import('./BenchPlacement.js')).benchPlacement,
   routing: async () => (await import('./BenchRouting.js')).benchRouting,
   quarantine: async () => (await import('./BenchQuarantine.js')).benchQuarantine,
+  'prompt-parts': async () => (await import('./BenchPromptParts.js')).benchPromptParts,
   recovery: async () => (await import('./BenchRecovery.js')).benchRecovery,
 };
 
--- a/bench/BenchQuarantine.ts
+++ b/bench/BenchQuarantine.ts
@@ -62,7 +62,7 @@
   });
   const lost = Array.from({ length: MAX_SUSPECTS }, (_item, i) => {
     const digest = i.toString(16).padStart(32, '0');
-    return { digest, customer: `c${i % 8}`, request: digest };
+    return { digest, customer: `c${i % 8}`, parts: [], request: digest };
   });
   const { state } = recordSuspects(EMPTY_QUARANTINE, 'i-0123456789@1790000000000', lost, 0);
   const messages = toQuarantineUpdates(state, [...state.values()], 0);
--- a/bench/BenchQuarantineModel.ts
+++ b/bench/BenchQuarantineModel.ts
@@ -171,7 +171,12 @@
   #crash(at: number, now: number): void {
     const items = this.#running[at] ?? [];
     const incarnationKey = `${at}@${this.#incarnations[at] ?? 0}`;
-    const suspects = items.map(({ digest }) => ({ digest, customer: '', request: digest }));
+    const suspects = items.map(({ digest }) => ({
+      digest,
+      customer: '',
+      parts: [],
+      request: digest,
+    }));
     this.#state = recordSuspects(this.#state, incarnationKey, suspects, now).state;
     this.#incarnations[at] = (this.#incarnations[at] ?? 0) + 1;
     this.#downUntil[at] = now + RESTART_MS;
--- a/src/cli/CliFormat.ts
+++ b/src/cli/CliFormat.ts
@@ -140,7 +140,7 @@
   readonly requests: readonly (Row & { readonly lives: readonly string[] })[];
 }): string {
   const rows = body.requests.map((row) => ({ ...row, lives: row.lives.join(',') }));
-  return table(['digest', 'customer', 'ends', 'forgottenInS', 'lives'], rows);
+  return table(['kind', 'digest', 'customer', 'ends', 'forgottenInS', 'lives'], rows);
 }
 
 /** Formats the release of a request. */
--- a/src/coordination/EndpointCrashes.ts
+++ b/src/coordination/EndpointCrashes.ts
@@ -42,6 +42,8 @@
 export interface LostRequest {
   readonly digest: string;
   readonly customer: string;
+  /** Digests of the shared parts of its prompt that are suspected with it. */
+  readonly parts: readonly string[];
   /** The caller's id of the request, for the log. */
   readonly request: string;
 }
--- a/src/coordination/Quarantine.ts
+++ b/src/coordination/Quarantine.ts
@@ -1,20 +1,23 @@
 /**
- * Requests that were in progress at endpoints that crashed, as every entry and control process records them.
+ * Requests that were in progress at endpoints that crashed, and the shared parts of their prompts, as every entry and
+ * control process records them.
  *
- * A request may crash each endpoint that runs it (a query of death), and whoever sends, retries or resumes it
- * does not know of the earlier crashes: endpoint after endpoint would crash, with all requests in progress
- * there. Each crash is therefore recorded against the requests in progress at the endpoint and reported to
- * all entry processes, and a request with too many crashes is sent to no endpoint.
+ * A request may crash each endpoint that runs it (a query of death), or each request with a certain part in its prompt
+ * may, and whoever sends, retries or resumes it does not know of the earlier crashes: endpoint after endpoint would
+ * crash, with all requests in progress there. Each crash is therefore recorded against the requests in progress at the
+ * endpoint and their parts, and reported to all entry processes. A request with too many crashes, or with a part that
+ * explains too many, is sent to no endpoint.
  *
  * Crashes and cleared crashes are sets that merge by union, so that neither order nor repetition of updates
  * matters.
  */
-import type { QuarantineUpdate, SuspectRecord } from '../protocol/index.js';
+import type { QuarantineUpdate, SuspectKind, SuspectRecord } from '../protocol/index.js';
 import type { IncarnationKey, LostRequest } from './EndpointCrashes.js';
 import { hashText } from './RoutingHash.js';
 
-/** Crashes recorded against one request. */
+/** Crashes recorded against one request or part. */
 export interface Suspect extends Omit<SuspectRecord, 'ageMs'> {
+  readonly kind: SuspectKind;
   /** Time of the last crash, ms on the local monotonic clock. */
   readonly lastCrashAt: number;
 }
@@ -32,6 +35,12 @@
  */
 export const QUARANTINE_CRASHES = { group: 2, single: 3 } as const;
 
+/**
+ * Number of crashes after which parts are quarantined that were in progress at the same ones, so that nothing tells them
+ * apart. Until then another crash may.
+ */
+const TIED_PARTS_CRASHES = 4;
+
 /**
  * How long a suspect is kept after its last crash, ms. A new version of the endpoints may be able to run it.
  */
@@ -50,9 +59,13 @@
 /** Maximum suspects in one message. */
 const MAX_RECORDS_PER_MESSAGE = 64;
 
-/** Number of crashes recorded against a request and not cleared. */
-export function crashCount({ ends, cleared }: Pick<Suspect, 'ends' | 'cleared'>): number {
-  return ends.filter((incarnationKey) => !cleared.includes(incarnationKey)).length;
+function countedEnds({ ends, cleared }: Pick<Suspect, 'ends' | 'cleared'>): readonly string[] {
+  return ends.filter((incarnationKey) => !cleared.includes(incarnationKey));
+}
+
+/** Number of crashes recorded against a suspect and not cleared. */
+export function crashCount(suspect: Pick<Suspect, 'ends' | 'cleared'>): number {
+  return countedEnds(suspect).length;
 }
 
 /** Sorted union of two lists. Every process drops the same entries beyond the maximum. */
@@ -82,8 +95,10 @@
 
 function mergeSuspect(a: Suspect, b: Suspect): Suspect {
   return {
+    kind: a.kind,
     digest: a.digest,
-    customer: a.customer,
+    // Several customers may have sent a part; all processes must keep the same one.
+    customer: a.customer < b.customer ? a.customer : b.customer,
     ends: unionOf(a.ends, b.ends),
     cleared: unionOf(a.cleared, b.cleared),
     lastCrashAt: mergeLastCrashAt(a, b),
@@ -105,9 +120,10 @@
 /** Drops suspects beyond the limits. A customer with a thousand suspects uses up only its own share. */
 function trim(state: QuarantineState): QuarantineState {
   const counts = new Map<string, number>();
-  const kept = [...state.values()].sort(compareSuspects).filter(({ customer }) => {
-    const count = (counts.get(customer) ?? 0) + 1;
-    counts.set(customer, count);
+  const kept = [...state.values()].sort(compareSuspects).filter(({ kind, customer }) => {
+    const owner = `${kind} ${customer}`;
+    const count = (counts.get(owner) ?? 0) + 1;
+    counts.set(owner, count);
     return count <= MAX_SUSPECTS_PER_CUSTOMER;
   });
   return kept.length === state.size && kept.length <= MAX_SUSPECTS
@@ -134,25 +150,30 @@
   return { state: kept, changed };
 }
 
-/** Records the crash of an incarnation of an endpoint against all requests in progress there. */
+/** Records the crash of an incarnation of an endpoint against all requests in progress there, and their parts. */
 export function recordSuspects(
   state: QuarantineState,
   incarnationKey: IncarnationKey,
   lost: readonly LostRequest[],
   now: number,
 ): QuarantineStep {
-  const suspects = lost.map(({ digest, customer }) => ({
-    digest,
-    customer,
-    ends: [incarnationKey],
-    cleared: [],
-    lastCrashAt: now,
-  }));
+  const suspects = lost.flatMap(({ digest, customer, parts }) =>
+    [
+      { kind: 'request' as const, digest },
+      ...parts.map((part) => ({ kind: 'part' as const, digest: part })),
+    ].map((suspect) => ({
+      ...suspect,
+      customer,
+      ends: [incarnationKey],
+      cleared: [],
+      lastCrashAt: now,
+    })),
+  );
   return merge(state, suspects);
 }
 
 /**
- * Clears the crashes known so far for a request that was answered completely or is released by an operator.
+ * Clears the crashes known so far for a suspect that an endpoint could answer or that is released by an operator.
  * Reports of these crashes that are late or repeated have no effect.
  */
 export function clearSuspect(state: QuarantineState, digest: string): QuarantineStep {
@@ -162,6 +183,25 @@
     : merge(state, [{ ...known, cleared: known.ends }]);
 }
 
+/**
+ * Parts that explain at least `minCrashes` crashes by themselves, by digest.
+ *
+ * A part isn't quarantined if another one was in progress at all of its crashes and at more: the other one explains
+ * them. Of parts with the same crashes one may be sound; they are quarantined only after more crashes.
+ */
+export function quarantinedParts(state: QuarantineState, minCrashes: number): ReadonlySet<string> {
+  const parts = [...state.values()]
+    .filter(({ kind }) => kind === 'part')
+    .map((suspect) => ({ digest: suspect.digest, ends: countedEnds(suspect) }))
+    .filter(({ ends }) => ends.length >= minCrashes);
+  const quarantined = parts.filter((part) => {
+    const rivals = parts.filter((other) => other !== part && isSubset(part.ends, other.ends));
+    const isExplained = rivals.some(({ ends }) => ends.length > part.ends.length);
+    return !isExplained && (rivals.length === 0 || part.ends.length >= TIED_PARTS_CRASHES);
+  });
+  return new Set(quarantined.map(({ digest }) => digest));
+}
+
 /** Merges an update, or the full set, of another process. */
 export function mergeSuspectRecords(
   state: QuarantineState,
@@ -170,7 +210,11 @@
 ): QuarantineStep {
   const suspects = records
     .filter(({ ageMs }) => ageMs < SUSPECT_RETENTION_MS)
-    .map(({ ageMs, ...record }) => ({ ...record, lastCrashAt: now - ageMs }));
+    .map(({ ageMs, kind = 'request', ...record }) => ({
+      ...record,
+      kind,
+      lastCrashAt: now - ageMs,
+    }));
   return merge(state, suspects);
 }
 
--- a/src/coordination/__tests__/unit/EndpointCrashes.test.ts
+++ b/src/coordination/__tests__/unit/EndpointCrashes.test.ts
@@ -16,7 +16,7 @@
   return {
     type: 'lost',
     incarnationKey: INCARNATION_KEY,
-    lost: { digest: `d-${request}`, customer: 'kano', request },
+    lost: { digest: `d-${request}`, customer: 'kano', parts: [], request },
   };
 }
 
--- a/src/coordination/__tests__/unit/Quarantine.test.ts
+++ b/src/coordination/__tests__/unit/Quarantine.test.ts
@@ -9,18 +9,21 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
+  quarantinedParts,
   MAX_SUSPECTS_PER_CUSTOMER,
   MAX_SUSPECTS,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type QuarantineState,
 } from '../../Quarantine.js';
+import type { SuspectRecord } from '../../../protocol/index.js';
+import { SoundParts } from '../../SoundParts.js';
 import { rememberAnswer, wasRecentlyAnswered, type RecentAnswers } from '../../RecentAnswers.js';
 
 const SEED = 37;
 
-function lost(digest: string, customer = 'kano') {
-  return { digest, customer, request: `r-${digest}` };
+function lost(digest: string, customer = 'kano', parts: readonly string[] = []) {
+  return { digest, customer, parts, request: `r-${digest}` };
 }
 
 /** Records crashes, each of an incarnation with one request in progress. */
@@ -71,7 +74,9 @@
   events.forEach((event) => {
     const state = states[event.at] ?? EMPTY_QUARANTINE;
     if (event.kind === 'end') {
-      states[event.at] = recordSuspects(state, event.incarnationKey, [lost(event.digest)], 0).state;
+      const customer = `customer of ${event.digest}`;
+      const items = [lost(event.digest, customer, ['shared part', `part ${event.digest}`])];
+      states[event.at] = recordSuspects(state, event.incarnationKey, items, 0).state;
     } else if (event.kind === 'clear') {
       states[event.at] = clearSuspect(state, event.digest).state;
     } else {
@@ -145,6 +150,61 @@
     assert.equal(recordSuspects(state, 'i-4', customers, 0).state.size, MAX_SUSPECTS);
   });
 
+  /** Records crashes, each of an incarnation with requests in progress that have the given parts. */
+  function withParts(...ends: readonly (readonly (readonly string[])[])[]): QuarantineState {
+    return ends.reduce(
+      (state, requests, i) =>
+        recordSuspects(
+          state,
+          `i-${i}`,
+          requests.map((parts, n) => lost(`r${i}-${n}`, `c${n}`, parts)),
+          0,
+        ).state,
+      EMPTY_QUARANTINE,
+    );
+  }
+
+  // Guards against evidence that is kept by whole requests: no two of them are alike.
+  it('quarantines a part that different requests share', () => {
+    const state = withParts([['a', 'bad'], ['b']], [['c', 'bad'], ['d']]);
+    assert.deepEqual([...quarantinedParts(state, 2)], ['bad']);
+    assert.equal(quarantinedParts(state, 3).size, 0);
+  });
+
+  it('holds no part that another one explains, and clears parts that were answered on', () => {
+    const state = withParts([['a', 'bad']], [['a', 'bad']], [['b', 'bad']]);
+    assert.deepEqual([...quarantinedParts(state, 2)], ['bad']);
+    const cleared = clearSuspect(state, 'bad').state;
+    assert.equal(quarantinedParts(cleared, 3).size, 0);
+  });
+
+  it('waits for more crashes while nothing tells two parts apart', () => {
+    const both = [['a', 'bad']];
+    assert.equal(quarantinedParts(withParts(both, both, both), 2).size, 0);
+    assert.equal(quarantinedParts(withParts(both, both, both, both), 2).size, 2);
+  });
+
+  it('quarantines two parts that crash endpoints at the same time', () => {
+    const state = withParts([['bad']], [['worse']], [['bad']], [['worse']]);
+    assert.deepEqual([...quarantinedParts(state, 2)].sort(), ['bad', 'worse']);
+  });
+
+  // Guards against a customer that sends requests with many parts and displaces the evidence on those of others.
+  it('drops no part of another customer for those of one customer', () => {
+    const parts = Array.from({ length: 1_000 }, (_item, i) => `m${i}`);
+    const first = withParts([['quiet']], [['quiet']]);
+    const { state } = recordSuspects(first, 'i-9', [lost('r', 'loud', parts)], 0);
+    assert.deepEqual([...quarantinedParts(state, 2)], ['quiet']);
+    assert.ok(state.size <= MAX_SUSPECTS_PER_CUSTOMER + 4);
+  });
+
+  it('reads updates of processes that know only requests', () => {
+    const [record] = allRecordsOf(withCrashes(['i-1', 'a']));
+    const { kind, ...old } = record as SuspectRecord;
+    const { state } = mergeSuspectRecords(EMPTY_QUARANTINE, [old], 0);
+    assert.equal(state.get('a')?.kind, kind);
+  });
+
   it('sends suspects in messages of a bounded size', () => {
     const many = Array.from({ length: 200 }, (_item, i) => lost(`m${i}`, `c${i}`));
     const { state } = recordSuspects(EMPTY_QUARANTINE, 'i-1', many, 0);
@@ -213,3 +273,24 @@
     assert.equal(remember(65_536).length, 0);
   });
 });
+
+describe('SoundParts', () => {
+  it('forgets a part half a minute after it was last answered on', () => {
+    const sound = new SoundParts();
+    sound.add('kano', ['a'], 0);
+    assert.ok(sound.has('a', 29_999));
+    assert.ok(!sound.has('a', 30_000));
+    sound.add('kano', ['a'], 20_000);
+    assert.ok(sound.has('a', 49_999));
+    assert.ok(!sound.has('b', 0));
+  });
+
+  it('keeps the parts of a customer beside one that sends thousands of new ones', () => {
+    const sound = new SoundParts();
+    sound.add('quiet', ['a'], 0);
+    Array.from({ length: 5_000 }, (_item, i) => sound.add('loud', [`m${i}`], i / 1_000));
+    assert.ok(sound.has('a', 10));
+    assert.ok(!sound.has('m0', 10));
+    assert.ok(sound.has('m4999', 10));
+  });
+});
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -52,6 +52,7 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
+  quarantinedParts,
   QUARANTINE_CRASHES,
   MAX_SUSPECTS,
   SUSPECT_RETENTION_MS,
@@ -60,6 +61,7 @@
   type QuarantineStep,
   type Suspect,
 } from './Quarantine.js';
+export { SoundParts } from './SoundParts.js';
 export { rememberAnswer, wasRecentlyAnswered, type RecentAnswers } from './RecentAnswers.js';
 export {
   endpointIdOf,
--- a/src/daemon/DaemonEndpointCrashes.ts
+++ b/src/daemon/DaemonEndpointCrashes.ts
@@ -90,6 +90,7 @@
           life: incarnationKey,
           evidence,
           suspects: suspects.map(({ request, digest }) => `${request}=${digest}`),
+          parts: [...new Set(suspects.flatMap(({ parts }) => parts))],
         },
         'an endpoint crashed with requests in progress',
       );
--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -1,4 +1,4 @@
-/** Holds the set of suspect requests in an entry or control process, and exchanges it with others. */
+/** Holds the set of suspect requests and parts of prompts in an entry or control process, and exchanges it with others. */
 import {
   clearSuspect,
   EMPTY_QUARANTINE,
@@ -7,6 +7,7 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
+  quarantinedParts,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type IncarnationKey,
@@ -45,6 +46,11 @@
 
   #customers: ReadonlySet<string> = new Set();
 
+  #hasParts = false;
+
+  /** Quarantined parts by the number of crashes that suffices; computed when they are asked for. */
+  readonly #quarantinedParts = new Map<number, ReadonlySet<string>>();
+
   readonly #listeners = new Set<() => void>();
 
   constructor(options: QuarantineOptions) {
@@ -54,7 +60,12 @@
       publish: options.publish,
       onChanged: (changed, from) => this.#onChanged(changed, from),
       onStateChange: () => {
-        this.#customers = new Set(this.suspects.map(({ customer }) => customer));
+        const { suspects } = this;
+        this.#customers = new Set(
+          suspects.filter(({ kind }) => kind === 'request').map(({ customer }) => customer),
+        );
+        this.#hasParts = suspects.some(({ kind }) => kind === 'part');
+        this.#quarantinedParts.clear();
       },
     });
   }
@@ -69,7 +80,20 @@
     return this.#customers.has(customer);
   }
 
-  /** Number of crashes counted against a request. */
+  /** Whether parts of prompts are suspect. If not, those of a request need not be compared with any. */
+  get hasParts(): boolean {
+    return this.#hasParts;
+  }
+
+  /** Digests of the parts that explain at least `minCrashes` crashes; see {@link quarantinedParts}. */
+  quarantinedParts(minCrashes: number): ReadonlySet<string> {
+    const known = this.#quarantinedParts.get(minCrashes);
+    const parts = known ?? quarantinedParts(this.#set.state, minCrashes);
+    this.#quarantinedParts.set(minCrashes, parts);
+    return parts;
+  }
+
+  /** Number of crashes counted against a request or part. */
   crashCount(digest: string): number {
     const suspect = this.#set.state.get(digest);
     return suspect === undefined ? 0 : crashCount(suspect);
@@ -117,13 +141,22 @@
 
   /**
    * Logs one line for all changed suspects, as all requests in progress at a crashed endpoint become suspects
-   * together.
+   * together, with their parts.
    */
   #onChanged(changed: readonly Suspect[], from: string | null): void {
-    const requests = changed.map((suspect) => `${suspect.digest}=${crashCount(suspect)}`);
+    const listOf = (listed: Suspect['kind']): readonly string[] =>
+      changed
+        .filter(({ kind }) => kind === listed)
+        .map((suspect) => `${suspect.digest}=${crashCount(suspect)}`);
     this.#options.runtime.log.info(
-      { event: 'suspects', from, requests, held: this.#set.state.size },
-      'suspect requests changed',
+      {
+        event: 'suspects',
+        from,
+        requests: listOf('request'),
+        parts: listOf('part'),
+        held: this.#set.state.size,
+      },
+      'suspects changed',
     );
     this.#listeners.forEach((listener) => listener());
   }
--- a/src/daemon/DaemonQuarantineApi.ts
+++ b/src/daemon/DaemonQuarantineApi.ts
@@ -13,6 +13,7 @@
 function list(quarantine: DaemonQuarantine): unknown {
   const requests = quarantine.suspects
     .map((suspect) => ({
+      kind: suspect.kind,
       digest: suspect.digest,
       customer: suspect.customer,
       ends: crashCount(suspect),
@@ -28,7 +29,7 @@
   ctx.status = released ? 200 : 404;
   ctx.body = released
     ? { digest, released }
-    : { error: `nothing is held against a request with digest ${digest}` };
+    : { error: `nothing is held against a request or part with digest ${digest}` };
 }
 
 /** Adds the quarantine API to an application; all other calls go on to the next handler. */
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -4,16 +4,20 @@
  */
 import {
   incarnationKeyOf,
+  QUARANTINE_CRASHES,
   rememberAnswer,
+  SoundParts,
   wasRecentlyAnswered,
   type LostRequest,
   type RecentAnswers,
 } from '../coordination/index.js';
 import {
+  digestPromptPart,
   digestRequest,
   type MemberRecord,
   type QuarantineUpdate,
   type RequestIdentity,
+  type SuspectKind,
 } from '../protocol/index.js';
 import { probeAddress } from '../transport/index.js';
 import { DaemonEndpointCrashes } from './DaemonEndpointCrashes.js';
@@ -29,6 +33,9 @@
   readonly send: SendQuarantineUpdate;
 }
 
+/** Maximum number of parts of one prompt that are looked at. */
+const MAX_PARTS_PER_REQUEST = 32;
+
 /** Sender name for all updates from control processes: this process is attached to only one at a time. */
 const HUB = 'hub';
 
@@ -42,6 +49,10 @@
 
   readonly #digests = new WeakMap<RequestIdentity, string>();
 
+  readonly #partDigests = new WeakMap<RequestIdentity, readonly string[]>();
+
+  readonly #soundParts = new SoundParts();
+
   #recentAnswers: RecentAnswers = [];
 
   constructor(options: ScreeningOptions) {
@@ -55,6 +66,7 @@
         }
       },
     });
+    this.#quarantine.registerListener(() => this.#clearSoundParts());
     metrics.addSuspects(() => this.#quarantine.suspects.length);
     this.#crashes = new DaemonEndpointCrashes({
       runtime,
@@ -65,27 +77,49 @@
     });
   }
 
-  /** Whether a request must not be sent: at least `quarantineCrashes` endpoints have crashed during it. */
+  /**
+   * Whether a request must not be sent: at least `quarantineCrashes` endpoints have crashed during it, or a part of its
+   * prompt explains as many crashes.
+   */
   isQuarantined(identity: RequestIdentity, quarantineCrashes: number): boolean {
-    return (
-      this.#quarantine.hasSuspects(identity.customer) &&
-      this.#quarantine.crashCount(this.#digest(identity)) >= quarantineCrashes
-    );
+    return this.#quarantinedAs(identity, quarantineCrashes) !== null;
   }
 
   /** Time after which a quarantined request may be sent again, ms. */
   quarantinedForMs(identity: RequestIdentity): number {
-    return this.#quarantine.quarantinedForMs(this.#digest(identity));
+    const digests = [this.#digest(identity), ...this.#partsOf(identity)];
+    return Math.max(...digests.map((digest) => this.#quarantine.quarantinedForMs(digest)));
   }
 
   /** Logs that a request was not sent because it is quarantined. */
   logQuarantined(identity: RequestIdentity, request: string): void {
-    const digest = this.#digest(identity);
-    const ends = this.#quarantine.crashCount(digest);
-    this.#options.runtime.log.info(
-      { event: 'held', request, digest, ends },
-      'not sent: endpoints have crashed during this request',
-    );
+    const suspect = this.#quarantinedAs(identity, QUARANTINE_CRASHES.group);
+    if (suspect !== null) {
+      const ends = this.#quarantine.crashCount(suspect.digest);
+      this.#options.runtime.log.info(
+        { event: 'held', request, ...suspect, ends },
+        'not sent: endpoints have crashed during this request, or ones with the same part',
+      );
+    }
+  }
+
+  /** What a request is quarantined for: itself, or a part of its prompt; null if it isn't. */
+  #quarantinedAs(
+    identity: RequestIdentity,
+    quarantineCrashes: number,
+  ): { readonly kind: SuspectKind; readonly digest: string } | null {
+    const isHeld =
+      this.#quarantine.hasSuspects(identity.customer) &&
+      this.#quarantine.crashCount(this.#digest(identity)) >= quarantineCrashes;
+    if (isHeld) {
+      return { kind: 'request', digest: this.#digest(identity) };
+    }
+    if (!this.#quarantine.hasParts) {
+      return null;
+    }
+    const quarantined = this.#quarantine.quarantinedParts(quarantineCrashes);
+    const digest = this.#partsOf(identity).find((part) => quarantined.has(part));
+    return digest === undefined ? null : { kind: 'part', digest };
   }
 
   /**
@@ -146,6 +180,16 @@
     if (this.#quarantine.hasSuspects(identity.customer)) {
       this.#quarantine.clear(this.#digest(identity));
     }
+    this.onPartsAnswered(identity);
+  }
+
+  /** Records that an endpoint could begin to answer a request, which clears the parts of its prompt. */
+  onPartsAnswered(identity: RequestIdentity): void {
+    const parts = this.#partsOf(identity);
+    if (parts.length > 0) {
+      this.#soundParts.add(identity.customer, parts, this.#options.runtime.now());
+      this.#clearSoundParts();
+    }
   }
 
   /** Handles changed member records; `isNew` tells whether an id was unknown before them. */
@@ -169,7 +213,28 @@
   }
 
   #toLostRequest(identity: RequestIdentity, request: string): LostRequest {
-    return { digest: this.#digest(identity), customer: identity.customer, request };
+    const now = this.#options.runtime.now();
+    const parts = this.#partsOf(identity).filter((part) => !this.#soundParts.has(part, now));
+    return { digest: this.#digest(identity), customer: identity.customer, parts, request };
+  }
+
+  /** Clears suspect parts that endpoints have answered on here, whichever process suspects them. */
+  #clearSoundParts(): void {
+    if (!this.#quarantine.hasParts) {
+      return;
+    }
+    const now = this.#options.runtime.now();
+    this.#quarantine.suspects
+      .filter(({ kind, digest }) => kind === 'part' && this.#soundParts.has(digest, now))
+      .forEach(({ digest }) => this.#quarantine.clear(digest));
+  }
+
+  #partsOf(identity: RequestIdentity): readonly string[] {
+    const { sharedParts = [] } = identity;
+    const known = this.#partDigests.get(identity);
+    const digests = known ?? sharedParts.slice(0, MAX_PARTS_PER_REQUEST).map(digestPromptPart);
+    this.#partDigests.set(identity, digests);
+    return digests;
   }
 
   #digest(identity: RequestIdentity): string {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -26,12 +26,20 @@
   type DirectRequest,
 } from './DirectRequest.js';
 
+/**
+ * An endpoint that still streams this long after its first event has survived the begin of its answer, ms. Events that
+ * were sent together may arrive this far apart.
+ */
+const STEADY_STREAM_MS = 250;
+
 /** An attempt with its endpoint. */
 interface RunningAttempt {
   readonly endpoint: MemberRecord;
   readonly attempt: DirectAttempt;
-  /** Whether the endpoint has answered with a stream. */
-  readonly hasEvents: boolean;
+  /** When the endpoint began to answer with a stream, ms; null before. */
+  readonly streamedAt: number | null;
+  /** Whether the endpoint went on to answer after it had begun, so that the parts of the prompt are sound. */
+  readonly isSteady: boolean;
 }
 
 /** Runs one request to completion. */
@@ -247,12 +255,13 @@
         onFailure: (failure) => this.#guard(() => this.#onFailure(failure)),
       },
     });
-    this.#running = { endpoint, attempt, hasEvents: false };
+    this.#running = { endpoint, attempt, streamedAt: null, isSteady: false };
   }
 
   /** Called right before the first byte is sent: whether the attempt may reach the endpoint. */
   #mayStart(endpoint: MemberRecord, hasReserved: boolean): boolean {
-    if (this.#needsAllowance || !this.#state.sendSlots.start(endpoint, hasReserved)) {
+    const mayBeSent = !this.#state.isQuarantined(this.#request) && !this.#needsAllowance;
+    if (!mayBeSent || !this.#state.sendSlots.start(endpoint, hasReserved)) {
       return false;
     }
     this.#allowedAt = null;
@@ -346,7 +355,7 @@
     this.#running = null;
     if (running !== null) {
       const { admission } = this.#state;
-      if (running.hasEvents) {
+      if (running.streamedAt !== null) {
         admission.onStreamFinished(running.endpoint.id);
       } else {
         admission.onUnanswered(this.#request.service, running.endpoint.id, result === 'cancelled');
@@ -376,12 +385,23 @@
     this.#request.reply.passEvents(bytes);
   }
 
-  /** Records that the endpoint of the running attempt answers with a stream, so that it counts as responsive. */
+  /**
+   * Records that the endpoint of the running attempt answers with a stream, so that it counts as responsive, and the
+   * parts of the prompt as sound once it goes on.
+   */
   #onStreaming(): void {
-    if (this.#running !== null) {
-      this.#state.admission.onEvent(this.#running.endpoint.id, !this.#running.hasEvents);
-      this.#running = { ...this.#running, hasEvents: true };
+    const running = this.#running;
+    if (running === null) {
+      return;
+    }
+    const now = this.#state.now();
+    this.#state.admission.onEvent(running.endpoint.id, running.streamedAt === null);
+    const streamedAt = running.streamedAt ?? now;
+    const isSteady = now - streamedAt >= STEADY_STREAM_MS;
+    if (isSteady && !running.isSteady) {
+      this.#state.screening.onPartsAnswered(this.#request.identity);
     }
+    this.#running = { ...running, streamedAt, isSteady };
   }
 
   /** Sends the head of a stream to the caller, unless the head of an earlier attempt was sent. */
--- a/src/daemon/direct/DirectRequestReader.ts
+++ b/src/daemon/direct/DirectRequestReader.ts
@@ -76,6 +76,7 @@
         host: req.headers.host ?? '',
         path: req.url ?? '/',
         body,
+        sharedParts: head.sharedParts,
       },
       startedAt,
       deadline: startedAt + timeoutMs,
--- a/src/protocol/ProtocolDialect.ts
+++ b/src/protocol/ProtocolDialect.ts
@@ -19,6 +19,8 @@
   readonly expectedTokens: number | null;
   /** Id of the last event received of the stream that the caller resumes; null for a new stream. */
   readonly lastEvent: string | null;
+  /** Ids of the parts of its prompt that other requests may share, in order. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Metadata that is added to a forwarded request. */
--- a/src/protocol/ProtocolQuarantine.ts
+++ b/src/protocol/ProtocolQuarantine.ts
@@ -1,14 +1,19 @@
 /** Messages between processes about requests that endpoints crashed on. */
 
-/** A request and the endpoint incarnations that crashed while they ran it. */
+/** What is suspected: a whole request, or a part of prompts that requests share. */
+export type SuspectKind = 'request' | 'part';
+
+/** A request, or a part of prompts, and the endpoint incarnations that crashed while they ran it. */
 export interface SuspectRecord {
-  /** Digest of the request, by which a repetition is recognized. */
+  /** Absent in messages of processes that know only requests. */
+  readonly kind?: SuspectKind;
+  /** Digest of the request or part, by which a repetition is recognized. */
   readonly digest: string;
-  /** Customer who sent the request; empty for a route that needs no key. */
+  /** Customer who sent it; empty for a route that needs no key. */
   readonly customer: string;
   /** Keys of the incarnations that crashed while they ran it, `id@incarnation`, sorted. */
   readonly ends: readonly string[];
-  /** Those of `ends` that no longer count against the request, sorted. */
+  /** Those of `ends` that no longer count against it, sorted. */
   readonly cleared: readonly string[];
   /** Time since the last crash, ms; an age, since the clocks of two hosts differ. */
   readonly ageMs: number;
--- a/src/protocol/ProtocolRequestDigest.ts
+++ b/src/protocol/ProtocolRequestDigest.ts
@@ -10,6 +10,8 @@
   /** Path with query string. */
   readonly path: string;
   readonly body: Buffer;
+  /** Ids of the parts of its prompt that other requests may share; absent where there are none. */
+  readonly sharedParts?: readonly string[];
 }
 
 /** Hexadecimal digits of a digest: 128 bits, too many to find another request with the same digest. */
@@ -28,6 +30,11 @@
   return hash.update(body).digest('hex').slice(0, DIGEST_DIGITS);
 }
 
+/** Digest of a part of prompts, whoever sends it. */
+export function digestPromptPart(id: string): string {
+  return createHash('sha256').update(`prompt part ${id}`).digest('hex').slice(0, DIGEST_DIGITS);
+}
+
 /** Compares two requests without computing digests. */
 export function isSameRequest(a: RequestIdentity, b: RequestIdentity): boolean {
   return (
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -48,8 +48,13 @@
   type GroupDemand,
 } from './ProtocolDemand.js';
 export type { LimitUpdate, LimitRecord } from './ProtocolLimits.js';
-export type { QuarantineUpdate, SuspectRecord } from './ProtocolQuarantine.js';
-export { digestRequest, isSameRequest, type RequestIdentity } from './ProtocolRequestDigest.js';
+export type { QuarantineUpdate, SuspectKind, SuspectRecord } from './ProtocolQuarantine.js';
+export {
+  digestPromptPart,
+  digestRequest,
+  isSameRequest,
+  type RequestIdentity,
+} from './ProtocolRequestDigest.js';
 export {
   ERROR_CODES,
   isErrorCode,
