The soak has a part of prompts that crashes engines, and checks that it is held back

Streams name the parts of their prompts; requests with the fatal part, no two alike, go to random entry hosts.

--- a/soak/SoakCallers.ts
+++ b/soak/SoakCallers.ts
@@ -1,7 +1,8 @@
 /** Callers of a soak run: they reuse connections while these are open, and resume streams at other entry hosts. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { readHead } from '../platform/__tests__/utils/StandInUnusualAnswers.js';
-import { callerHeaders } from '../platform/__tests__/utils/StandInPlatform.js';
+import { callerHeaders, promptHeaders } from '../platform/__tests__/utils/StandInPlatform.js';
+import { FATAL_PART_BODY, promptOf } from './SoakParts.js';
 import { SoakConnection } from './SoakConnection.js';
 import { eventIdsOf, STREAM_EVENTS } from './SoakStream.js';
 import type { SoakAttempt, SoakRequestKind } from './SoakTypes.js';
@@ -168,6 +169,21 @@
     );
   }
 
+  /** Sends a request with the part of prompts that crashes engines to one entry host; no two are alike. */
+  async callFatalPart(): Promise<void> {
+    const { entries, keys, random } = this.#options;
+    const [key] = keys();
+    const entry = pick(entries, random());
+    if (key === undefined || entry === undefined) {
+      return;
+    }
+    const content = `${FATAL_PART_BODY} ${this.#counter + 1}`;
+    const spec = { kind: 'stream' as const, key, content, lastEventId: 0, resumedFrom: null };
+    const connection = new SoakConnection(entry);
+    await this.#call(entry, connection, spec, null);
+    connection.close();
+  }
+
   async #call(
     entry: SoakEntry,
     connection: SoakConnection,
@@ -178,10 +194,13 @@
     this.#counter += 1;
     const id = `s${this.#counter}`;
     const sentAt = now();
+    const isFatalPart = content?.startsWith(FATAL_PART_BODY) === true;
+    const partHeaders =
+      kind === 'stream' ? promptHeaders(promptOf(this.#counter, isFatalPart)) : {};
     const resumeHeaders = lastEventId === 0 ? {} : { 'last-event-id': String(lastEventId) };
     const { outcome, status, header, body, stray } = await connection.call({
       path: `/${kind}/x`,
-      headers: { ...callerHeaders(id, key, DEADLINE_MS), ...resumeHeaders },
+      headers: { ...callerHeaders(id, key, DEADLINE_MS), ...partHeaders, ...resumeHeaders },
       body: content ?? `body of ${id}`,
       timeoutMs: CALL_TIMEOUT_MS,
       abortAfter,
--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -3,6 +3,7 @@
 import { checkCold } from './SoakCold.js';
 import { checkEvacuations } from './SoakEvacuations.js';
 import { overlapsUnplannedFault } from './SoakFaultOverlap.js';
+import { checkParts } from './SoakParts.js';
 import { checkRelief, hadFault } from './SoakRelief.js';
 import { checkRetries } from './SoakRetries.js';
 import type { SoakFinding, SoakRecord, SoakExecution } from './SoakTypes.js';
@@ -200,5 +201,6 @@
     ...checkEvacuations(record),
     ...checkCold(record),
     ...checkRetries(record),
+    ...checkParts(record),
   ];
 }
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -11,6 +11,7 @@
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
 import { RESTART_DELAY_MS, FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
+import { FATAL_PART } from './SoakParts.js';
 import { zoneOfHost } from './SoakEvacuations.js';
 import type { SoakUnusualAnswer } from './SoakUnusualAnswers.js';
 import { STREAM_EVENTS } from './SoakStream.js';
@@ -188,6 +189,7 @@
       events: STREAM_EVENTS,
       pauseMs: EVENT_INTERVAL_MS,
       fatalPrefix: FATAL_PREFIX,
+      fatalPart: FATAL_PART,
     });
     engine.onRefusal = (refusal) => this.refusals.push(refusal);
     engine.onAnswer = (answer) => this.answers.push(answer);
--- a/soak/SoakFigures.ts
+++ b/soak/SoakFigures.ts
@@ -27,6 +27,7 @@
     refusals: refusals.length,
     evacuations: evacuations.length,
     cold: coldStarts.flatMap(({ arrivals }) => arrivals).length,
+    fatalParts: record.fatalPartExecutions.length,
     retries: retryTimesOf(record).length,
     retriesWorst: worst.retries,
     retriesAllowed: Math.floor(worst.allowed),
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -17,8 +17,9 @@
 import { figuresOf } from './SoakFigures.js';
 import { planRelief, BACKOFF_S, type SoakReliefPlan } from './SoakRelief.js';
 import { planUnusualAnswers } from './SoakUnusualAnswers.js';
-import { SOAK_RETRY_SETTINGS } from './SoakRetries.js';
 import { SoakOperator } from './SoakOperator.js';
+import { FATAL_PART, planFatalPart, sendFatalParts } from './SoakParts.js';
+import { SOAK_RETRY_SETTINGS } from './SoakRetries.js';
 import { FAULT_INJECTORS } from './SoakFaults.js';
 import { SoakProxy } from './SoakProxy.js';
 import {
@@ -50,6 +51,11 @@
   readonly evacuations?: readonly SoakEvacuationPlan[];
   /** Requests that crash engines, in place of the seed's own. */
   readonly fatalRequests?: readonly SoakFatalRequest[];
+  /**
+   * When requests with a part that crashes engines begin, ms, in place of the seed's own; null for never, which is the
+   * default if there are `faults`.
+   */
+  readonly fatalPartFrom?: number | null;
   /** Engines that restart cold, in place of the seed's own; none by default if there are `faults`. */
   readonly coldStarts?: readonly SoakFault[];
   readonly logs?: 'ignore' | 'inherit';
@@ -149,6 +155,9 @@
     const faults = [...(this.#options.faults ?? planAllFaults(seed, this.#options)), ...coldStarts];
     const exitWatch = setInterval(() => this.#watchExits(), 100);
     const fatalRequests = this.#options.fatalRequests ?? planFatalRequests(seed, this.#options);
+    const plannedPart =
+      this.#options.faults === undefined ? planFatalPart(seed, this.#options.durationMs) : null;
+    const { fatalPartFrom = plannedPart } = this.#options;
     const reliefPlans = this.#options.relief ?? planRelief(seed, this.#options);
     const evacuationPlans = this.#options.evacuations ?? planEvacuations(seed, this.#options);
     const evacuating = Promise.all(
@@ -158,6 +167,7 @@
       evacuating,
       this.#injectFaults(faults),
       this.#sendFatalRequests(fatalRequests, load),
+      sendFatalParts(fatalPartFrom, this.#options.durationMs, async () => load.callFatalPart()),
       ...reliefPlans.map(async (plan) => this.#requestRelief(plan)),
     ]);
     clearInterval(exitWatch);
@@ -192,6 +202,9 @@
       fatalExecutions: this.#engines.receivedRequests.filter(({ body }) =>
         body.startsWith(FATAL_PREFIX),
       ),
+      fatalPartExecutions: this.#engines.receivedRequests.filter(({ parts }) =>
+        parts.includes(FATAL_PART),
+      ),
       mixedPasses: lockstep.mixedPasses,
       ackedVersion: this.#operator.ackedVersion,
       readBackVersions,
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -135,6 +135,8 @@
   readonly fatalExecutions: readonly (Pick<SoakEngineCrash, 'body' | 'at'> &
     Pick<SoakExecution, 'id'>)[];
   /** Passes that began while ranks used different expert maps. */
+  /** Executions of requests with the part of prompts that crashes engines. */
+  readonly fatalPartExecutions: readonly { readonly at: number }[];
   readonly mixedPasses: number;
   /** Newest acknowledged version, and the version that each control process returns at the end; null for none. */
   readonly ackedVersion: number;
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -4,6 +4,7 @@
 import { failureBody, sealOf } from '../../../platform/__tests__/utils/StandInUnusualAnswers.js';
 import { SOAK_MAX_COLD } from '../../SoakCold.js';
 import { checkRecord, MAX_DRAIN_MS, MAX_REVOKE_MS } from '../../SoakChecks.js';
+import { FATAL_PART_BODY } from '../../SoakParts.js';
 import { plainAnswer, streamEvent, STREAM_EVENTS } from '../../SoakStream.js';
 import type { SoakAttempt, SoakRecord, SoakExecution } from '../../SoakTypes.js';
 
@@ -47,6 +48,7 @@
   injectedFaults: [],
   engineCrashes: [],
   fatalExecutions: [],
+  fatalPartExecutions: [],
   mixedPasses: 0,
   ackedVersion: 3,
   readBackVersions: [3, 3, 4],
@@ -332,4 +334,18 @@
     const runs = [first, ...others.filter((_item, i) => i % 2 === 1)];
     assert.ok(rulesOf({ attempts, executions: runs, refusals }).includes(rule));
   });
+
+  it('finds requests with a part of prompts that go on to crash engines', () => {
+    const rule = 'a part that ends engines is held';
+    const engineCrashes = Array.from({ length: 5 }, (_item, i) => ({
+      body: `${FATAL_PART_BODY} ${i}`,
+      engine: `i-${i}`,
+      at: 1_000 + i,
+    }));
+    const runsAt = (at: number): { at: number }[] => Array.from({ length: 4 }, () => ({ at }));
+    assert.ok(rulesOf({ engineCrashes, fatalPartExecutions: runsAt(4_005) }).includes(rule));
+    assert.ok(!rulesOf({ engineCrashes, fatalPartExecutions: runsAt(4_004) }).includes(rule));
+    const one = runsAt(4_005).slice(1);
+    assert.ok(!rulesOf({ engineCrashes, fatalPartExecutions: one }).includes(rule));
+  });
 });
