--- a/src/coordination/__tests__/unit/GroupSlots.test.ts
+++ b/src/coordination/__tests__/unit/GroupSlots.test.ts
@@ -181,4 +181,65 @@
     );
     assert.equal(isOpenGroup(applyGroupLoad(broken, load(0, null), NONE, PARAMS, 1_500, 0)), true);
   });
+
+  /** Requests that six processes start in each second, of 44 a second; from 5 s on nearly all go to the first. */
+  function startsWhileOneGetsMost(seconds: number): readonly number[] {
+    const rng = xoroshiro128plus(3);
+    const hosts = [0, 1, 2, 3, 4, 5];
+    const states = hosts.map(() => initGroupSlots('g', RANKS, PARAMS, 0));
+    const waiting = hosts.map(() => 0);
+    let running: { readonly host: number; readonly rank: number; readonly endsAt: number }[] = [];
+    const ownOf = (host: number): ReadonlyMap<string, number> =>
+      new Map(
+        RANKS.map(({ endpoint, rank }) => [
+          endpoint,
+          running.filter((request) => request.host === host && request.rank === rank).length,
+        ]),
+      );
+    const countAt = (rank: number): number => running.filter((each) => each.rank === rank).length;
+    const startAtHost = (host: number, now: number): number => {
+      const free = Math.max(0, Math.floor(freeSlotsAt(states[host] ?? START, ownOf(host))));
+      const started = Math.min(waiting[host] ?? 0, free);
+      waiting[host] = (waiting[host] ?? 0) - started;
+      for (let n = 0; n < started; n += 1) {
+        const rank = Math.floor(uniformFloat64(rng) * RANKS.length);
+        running.push({ host, rank, endsAt: now + 1_400 });
+      }
+      return started;
+    };
+    const starts = Array.from({ length: seconds }, () => 0);
+    for (let now = 0; now < seconds * 1_000; now += 25) {
+      running = running.filter(({ endsAt }) => endsAt > now);
+      hosts.forEach((host) => {
+        const share = host === 0 ? 0.9 : 0.02;
+        const expected = 44 * 0.025 * (now < 5_000 ? 1 / 6 : share);
+        const arrived = Math.floor(expected) + Number(uniformFloat64(rng) < expected % 1);
+        waiting[host] = (waiting[host] ?? 0) + arrived;
+      });
+      if (now % 200 === 0) {
+        const active = RANKS.map(({ rank }) => countAt(rank));
+        const passMs = passTime(COSTS, running.length / RANKS.length);
+        hosts.forEach((host) => {
+          const report = { ...load(0, passMs), active };
+          const known = states[host] ?? START;
+          const random = uniformFloat64(rng);
+          states[host] = applyGroupLoad(known, report, ownOf(host), PARAMS, now, random);
+        });
+      }
+      const second = Math.floor(now / 1_000);
+      starts[second] = hosts.reduce(
+        (sum, host) => sum + startAtHost(host, now),
+        starts[second] ?? 0,
+      );
+    }
+    return starts;
+  }
+
+  // Most new connections go to one entry host. Guards against an even share that starves just that host.
+  it('lets one process start nearly all requests within three seconds', () => {
+    const starts = startsWhileOneGetsMost(20);
+    const mean = (from: number, to: number): number =>
+      starts.slice(from, to).reduce((sum, each) => sum + each, 0) / (to - from);
+    assert.ok(mean(8, 20) >= 0.75 * mean(2, 5), starts.join(' '));
+  });
 });
