Retries: proofs run with the cluster check; no questions where nothing is granted

A control process had one abort listener more than Node.js takes without a warning. Where the settings allow no fixed number of retries, entry processes asked for some all the same. The time until a quarantined request may return is that of what it is held for.

--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -287,18 +287,15 @@
   const checkCluster = (): void => logFailure(peers.formOrJoinCluster());
   // At once too: after a power loss, the votes of members that only the log names are needed for a leader.
   checkCluster();
-  runEvery(CLUSTER_CHECK_INTERVAL_MS, signal, checkCluster);
+  runEvery(CLUSTER_CHECK_INTERVAL_MS, signal, () => {
+    checkCluster();
+    if (consensus.isFormed && cradle.retryGrants?.isProofOlderThan(HOSTS_PROOF_INTERVAL_MS)) {
+      logFailure(cradle.newest.read().then(() => undefined));
+    }
+  });
   runEvery(VOTER_CHECK_INTERVAL_MS, signal, () => {
     logFailure(service.updateVoters());
   });
-  const { retryGrants } = cradle;
-  if (retryGrants !== null) {
-    runEvery(HOSTS_PROOF_INTERVAL_MS, signal, () => {
-      if (consensus.isFormed && retryGrants.isProofOlderThan(HOSTS_PROOF_INTERVAL_MS)) {
-        logFailure(cradle.newest.read().then(() => undefined));
-      }
-    });
-  }
 }
 
 /** Interface of a control process for its HTTP API. */
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -87,8 +87,8 @@
 
   /** Time after which a quarantined request may be sent again, ms. */
   quarantinedForMs(identity: RequestIdentity): number {
-    const digests = [this.#digest(identity), ...this.#partsOf(identity)];
-    return Math.max(...digests.map((digest) => this.#quarantine.quarantinedForMs(digest)));
+    const suspect = this.#quarantinedAs(identity, QUARANTINE_CRASHES.group);
+    return suspect === null ? 0 : this.#quarantine.quarantinedForMs(suspect.digest);
   }
 
   /** Logs that a request was not sent because it is quarantined. */
--- a/src/daemon/direct/DirectRetries.ts
+++ b/src/daemon/direct/DirectRetries.ts
@@ -67,10 +67,13 @@
   async acquire(wish: RetryWish): Promise<ClockReading | null> {
     const { clocks, now } = this.#options.runtime;
     const askedAt = now();
-    const isEarned = this.#spendEarned(wish.service);
-    const allowedAt = isEarned ? clocks() : await this.#grantsOf(wish.service).acquire();
-    const granted = allowedAt === null ? 'refused' : 'granted';
-    this.#logDecision(wish, isEarned ? 'earned' : granted, now() - askedAt);
+    if (this.#spendEarned(wish.service)) {
+      this.#logDecision(wish, 'earned', 0);
+      return clocks();
+    }
+    const hasGrants = this.#options.allowance.extra > 0;
+    const allowedAt = hasGrants ? await this.#grantsOf(wish.service).acquire() : null;
+    this.#logDecision(wish, allowedAt === null ? 'refused' : 'granted', now() - askedAt);
     return allowedAt;
   }
 
