Retries of one request in a module of their own; one check for suspended processes

Behaviour stays as it is: DirectCall asks DirectCallRetries for allowances, and RetryBudget uses the comparison of clocks that the freshness of the configuration has.

--- a/src/coordination/ConfigFreshness.ts
+++ b/src/coordination/ConfigFreshness.ts
@@ -17,6 +17,18 @@
   readonly wall: number;
 }
 
+/**
+ * If the times elapsed by the two clocks differ by more, one of the clocks was set or has stopped; clock
+ * adjustment is far slower. In ms.
+ */
+const MAX_CLOCK_DIVERGENCE_MS = 250;
+
+/** Whether a process may have been suspended between two readings of its clocks; also if one of them was set. */
+export function mayHaveBeenSuspended(before: ClockReading, now: ClockReading): boolean {
+  const elapsedMs = now.monotonic - before.monotonic;
+  return Math.abs(now.wall - before.wall - elapsedMs) >= MAX_CLOCK_DIVERGENCE_MS;
+}
+
 /** Log index of the newest configuration in a leader's reply, and the send time of the request for it. */
 export interface NewestReply {
   readonly index: number;
@@ -45,12 +57,6 @@
  */
 export const FRESHNESS_LEASE_FRACTION = 0.92;
 
-/**
- * If the times elapsed by the two clocks differ by more, one of the clocks was set or has stopped; clock
- * adjustment is far slower. In ms.
- */
-const MAX_CLOCK_DIVERGENCE_MS = 250;
-
 /** Maximum number of pending replies; the oldest ones prove least. */
 const MAX_PENDING = 32;
 
@@ -109,12 +115,7 @@
   if (provenAt === null) {
     return false;
   }
-  const monotonicElapsedMs = now.monotonic - provenAt.monotonic;
-  const wallElapsedMs = now.wall - provenAt.wall;
-  return (
-    monotonicElapsedMs < leaseMs &&
-    Math.abs(wallElapsedMs - monotonicElapsedMs) < MAX_CLOCK_DIVERGENCE_MS
-  );
+  return now.monotonic - provenAt.monotonic < leaseMs && !mayHaveBeenSuspended(provenAt, now);
 }
 
 /**
--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -9,7 +9,7 @@
  * others'. So it is checked for every window that a retry may arrive in, and the requests that pay for the retries of a
  * window are those of the window half a length before it. docs/design/retries.md gives the reasoning.
  */
-import type { ClockReading } from './ConfigFreshness.js';
+import { mayHaveBeenSuspended, type ClockReading } from './ConfigFreshness.js';
 
 /** Retries allowed over a window, for all entry processes together. */
 export interface RetryAllowance {
@@ -35,9 +35,6 @@
 /** Maximum time from the send of a request by its caller until it is read, ms. */
 const REQUEST_DELAY_MS = BUCKET_MS;
 
-/** If the times elapsed by the two clocks differ by more, the process was suspended or a clock was set. In ms. */
-const MAX_CLOCK_DIVERGENCE_MS = 250;
-
 /** Requests and retries counted in one interval of {@link BUCKET_MS}. */
 interface RetryBucket {
   /** Number of the interval on the local monotonic clock. */
@@ -56,12 +53,6 @@
 /** Nothing read yet. */
 export const EMPTY_RETRY_BUDGET: RetryBudgetState = { buckets: [], readAt: null };
 
-/** Whether a process may have been suspended between two readings of its clocks. */
-export function mayHaveBeenSuspended(before: ClockReading, now: ClockReading): boolean {
-  const elapsedMs = now.monotonic - before.monotonic;
-  return Math.abs(now.wall - before.wall - elapsedMs) > MAX_CLOCK_DIVERGENCE_MS;
-}
-
 /** Whether a retry that was allowed at `allowedAt` may still be sent. */
 export function mayStillSend(allowedAt: ClockReading, now: ClockReading): boolean {
   const isInTime = now.monotonic - allowedAt.monotonic <= SEND_WITHIN_MS;
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -5,7 +5,6 @@
   judgeFailure,
   judgeWithoutRetry,
   MIN_RETRY_TIME_MS,
-  type ClockReading,
   type DirectProgress,
   type DirectVerdict,
 } from '../../coordination/index.js';
@@ -16,6 +15,7 @@
   type AttemptHead,
   type WholeAnswer,
 } from './DirectAttempt.js';
+import { DirectCallRetries } from './DirectCallRetries.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import type { SendSlot } from './DirectSendSlots.js';
 import { deadlineError, outcomeUnknownError, quarantineError } from './DirectReply.js';
@@ -64,8 +64,7 @@
   /** Id of the last event that the caller was sent; null if there is none, or it has no id to resume after. */
   #lastEvent: string | null = null;
 
-  /** When the next retry was allowed; null if none is. */
-  #allowedAt: ClockReading | null = null;
+  readonly #retries: DirectCallRetries;
 
   #firstByteAt: number | null = null;
 
@@ -83,6 +82,8 @@
   constructor(state: DirectEntryState, request: DirectRequest) {
     this.#state = state;
     this.#request = request;
+    const { service, head } = request;
+    this.#retries = new DirectCallRetries(state.retries, { service, request: head.id });
   }
 
   /** Resolves once the caller has its answer or has disconnected. */
@@ -173,7 +174,7 @@
       }
       return;
     }
-    const isAllowed = decision.granted && (await this.#acquireAllowance('waited'));
+    const isAllowed = decision.granted && (await this.#retries.acquire('waited'));
     if (this.#isFinished) {
       admission.onUnused(service);
       return;
@@ -260,11 +261,11 @@
 
   /** Called right before the first byte is sent: whether the attempt may reach the endpoint. */
   #mayStart(endpoint: MemberRecord, hasReserved: boolean): boolean {
-    const mayBeSent = !this.#state.isQuarantined(this.#request) && !this.#needsAllowance;
+    const mayBeSent = !this.#state.isQuarantined(this.#request) && !this.#retries.needsAllowance;
     if (!mayBeSent || !this.#state.sendSlots.start(endpoint, hasReserved)) {
       return false;
     }
-    this.#allowedAt = null;
+    this.#retries.onSent();
     this.#sentTo.add(endpoint.id);
     return true;
   }
@@ -298,7 +299,7 @@
 
   /** Sends the request at its send slot; ends it if it needs an allowance and there is none. */
   async #sendReserved(sendSlot: SendSlot): Promise<void> {
-    const isAllowed = await this.#acquireAllowance('send slot');
+    const isAllowed = await this.#retries.acquire('send slot');
     if (this.#isFinished) {
       return;
     }
@@ -509,7 +510,7 @@
   /** Decides what follows a failed attempt. */
   #decideNext(endpoint: MemberRecord, failed: AttemptFailure): void {
     const verdict = judgeFailure(failed.failure, this.#progress(), this.#unsentCount);
-    if (verdict !== 'retry' || !this.#needsAllowance) {
+    if (verdict !== 'retry' || !this.#retries.needsAllowance) {
       this.#applyDecision(endpoint, failed, verdict);
       return;
     }
@@ -520,7 +521,7 @@
   async #decideByAllowance(endpoint: MemberRecord, failed: AttemptFailure): Promise<void> {
     const { failure } = failed;
     const canRoute = this.#state.canRoute(this.#request.service, this.#tried);
-    const isAllowed = canRoute && (await this.#acquireAllowance(failure));
+    const isAllowed = canRoute && (await this.#retries.acquire(failure));
     if (!this.#isFinished) {
       const verdict = isAllowed ? 'retry' : judgeWithoutRetry(failure, this.#progress());
       this.#applyDecision(endpoint, failed, verdict);
@@ -534,22 +535,6 @@
     this.#applyVerdict(verdict, answer);
   }
 
-  /** Whether the next send needs an allowance: the request has been sent before, and none that is still valid is left. */
-  get #needsAllowance(): boolean {
-    const isValid = this.#allowedAt !== null && this.#state.retries.mayStillSend(this.#allowedAt);
-    return this.#sentTo.size > 0 && !isValid;
-  }
-
-  /** Acquires an allowance for the next send if it needs one; resolves with false if there is none. */
-  async #acquireAllowance(reason: string): Promise<boolean> {
-    if (!this.#needsAllowance) {
-      return true;
-    }
-    const { service, head } = this.#request;
-    this.#allowedAt = await this.#state.retries.acquire({ service, request: head.id, reason });
-    return this.#allowedAt !== null;
-  }
-
   #applyVerdict(verdict: DirectVerdict, answer: WholeAnswer | null): void {
     const handlers: Readonly<Record<DirectVerdict, () => void>> = {
       retry: () => this.#send(),
