--- a/bench/BenchPromptPartsModel.ts
+++ b/bench/BenchPromptPartsModel.ts
@@ -93,6 +93,9 @@
 
   readonly #crashTimes = new Map<string, number[]>();
 
+  /** States of the entry hosts after the last exchange. */
+  #propagated: readonly QuarantineState[] = [];
+
   #counter = 0;
 
   #now = 0;
@@ -250,7 +253,11 @@
       });
   }
 
+  /** Sends each entry host the suspects of the others, unless nothing has changed since the last time. */
   #propagate(): void {
+    if (this.#entries.every(({ state }, i) => state === this.#propagated[i])) {
+      return;
+    }
     const records = this.#suspected.flatMap(({ state }) =>
       [...state.values()].map(({ lastCrashAt, ...suspect }) => ({
         ...suspect,
@@ -259,8 +266,9 @@
     );
     this.#suspected.forEach((entry) => {
       Object.assign(entry, { state: mergeSuspectRecords(entry.state, records, this.#now).state });
-      this.#clearSound(entry);
     });
+    this.#propagated = this.#entries.map(({ state }) => state);
+    this.#suspected.forEach((entry) => this.#clearSound(entry));
   }
 }
 
