Observability: a retry is logged when it is sent and when it has arrived; laburnumgauge retries

The logs told when a retry was decided, but not when it was sent nor until when it could arrive, and nothing added up the lines of all entry hosts. Each retry now has a retry_sent and a retry_arrived line (with what proves the arrival and the time on the way), each entry process logs its allowance, and 'laburnumgauge retries edge-*.log' shows the worst window of each service, by sends and with each retry in every window that it can have arrived in.

The check of windows moves from the tests to the protocol layer, which the command line may use; it now also looks at windows that end with a retry, which is stricter.

--- a/soak/SoakRetries.ts
+++ b/soak/SoakRetries.ts
@@ -1,9 +1,7 @@
 /** Checks that the retries of all entry hosts together stay within the allowance of the service. */
-import {
-  worstRetryWindow,
-  type RetryWindow,
-} from '../src/coordination/__tests__/utils/RetryWindows.js';
+
 import type { SoakFinding, SoakRecord } from './SoakTypes.js';
+import { arrivalsAt, worstRetryWindow, type RetryWindow } from '../src/protocol/index.js';
 
 /** The allowance in the settings of a run, small enough that the faults of a run use it up. */
 const ALLOWANCE = { ratio: 0.02, extra: 12, windowMs: 10_000 };
@@ -26,8 +24,8 @@
 
 /** The window with the most retries of its allowance. */
 export function worstRetriesOf(sends: Sends): RetryWindow {
-  const requests = sends.attempts.map(({ sentAt }) => sentAt).sort((a, b) => a - b);
-  return worstRetryWindow(requests, retryTimesOf(sends), ALLOWANCE);
+  const requests = sends.attempts.map(({ sentAt }) => sentAt);
+  return worstRetryWindow(requests, arrivalsAt(retryTimesOf(sends)), ALLOWANCE);
 }
 
 /** Violations of the allowance in a record. */
--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -9,17 +9,9 @@
  * others'. So it is checked for every window that a retry may arrive in, and the requests that pay for the retries of a
  * window are those of the window half a length before it. docs/design/retries.md gives the reasoning.
  */
+import type { RetryAllowance } from '../protocol/index.js';
 import { mayHaveBeenSuspended, type ClockReading } from './ConfigFreshness.js';
 
-/** Retries allowed over a window, for all entry processes together. */
-export interface RetryAllowance {
-  /** Retries per request. */
-  readonly ratio: number;
-  /** Fixed number of retries in addition. */
-  readonly extra: number;
-  readonly windowMs: number;
-}
-
 /** A retry must be sent within this time after it was allowed, ms. */
 export const SEND_WITHIN_MS = 500;
 
--- a/src/coordination/RetryGrants.ts
+++ b/src/coordination/RetryGrants.ts
@@ -5,8 +5,9 @@
  * or is cut off has nothing to remember, and one that gets most of the traffic isn't held to an even part. The share
  * is divided by all control hosts that the log has named in the recent past. docs/design/retries.md gives the reasoning.
  */
+import type { RetryAllowance } from '../protocol/index.js';
 import { mayHaveBeenSuspended, type ClockReading } from './ConfigFreshness.js';
-import { ARRIVAL_MS, type RetryAllowance } from './RetryBudget.js';
+import { ARRIVAL_MS } from './RetryBudget.js';
 
 /** A process whose list of control hosts hasn't been proven to be the newest for this long grants nothing, ms. */
 export const PROOF_TTL_MS = 5_000;
--- a/src/coordination/__tests__/unit/RetryBudget.test.ts
+++ b/src/coordination/__tests__/unit/RetryBudget.test.ts
@@ -13,10 +13,10 @@
   onHostsProven,
   spendEarnedRetry,
   type ClockReading,
-  type RetryAllowance,
   type RetryBudgetState,
   type RetryGrantsState,
 } from '../../index.js';
+import { arrivalsAt, worstRetryWindow, type RetryAllowance } from '../../../protocol/index.js';
 import {
   RETRY_POLICY,
   runRetryModel,
@@ -24,7 +24,6 @@
   type RetryPolicy,
   type RetryScenario,
 } from '../utils/RetryModel.js';
-import { worstRetryWindow } from '../utils/RetryWindows.js';
 
 const ALLOWANCE: RetryAllowance = { ratio: 0.2, extra: 94, windowMs: 10_000 };
 
@@ -168,7 +167,7 @@
 /** Asserts that no window of a simulation has more retries than allowed. */
 function assertWithinAllowance(scenario: RetryScenario, policy: RetryPolicy, seed: number): void {
   const { requests, retries } = runRetryModel(scenario, ALLOWANCE, policy, seed);
-  const worst = worstRetryWindow(requests, retries, ALLOWANCE);
+  const worst = worstRetryWindow(requests, arrivalsAt(retries), ALLOWANCE);
   assert.ok(worst.retries <= worst.allowed, JSON.stringify(worst));
 }
 
--- a/src/coordination/__tests__/utils/RetryModel.ts
+++ b/src/coordination/__tests__/utils/RetryModel.ts
@@ -14,10 +14,10 @@
   onHostsProven,
   spendEarnedRetry,
   type ClockReading,
-  type RetryAllowance,
   type RetryBudgetState,
   type RetryGrantsState,
 } from '../../index.js';
+import type { RetryAllowance } from '../../../protocol/index.js';
 import { ModelClock } from './ModelClock.js';
 
 /** A change in the modelled system. `node` numbers entry hosts, or control hosts where the kind says so. */
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -281,7 +281,6 @@
   EMPTY_RETRY_BUDGET,
   mayStillSend,
   spendEarnedRetry,
-  type RetryAllowance,
   type RetryBudgetState,
 } from './RetryBudget.js';
 export {
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,7 +1,7 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import { replicaName, type RetryAllowance } from '../coordination/index.js';
-import type { Manifest, SubmitReply } from '../protocol/index.js';
+import { replicaName } from '../coordination/index.js';
+import type { Manifest, SubmitReply, RetryAllowance } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
 import { controlStatus, type ControlStatus } from './DaemonAdmin.js';
--- a/src/daemon/DaemonRetryGrants.ts
+++ b/src/daemon/DaemonRetryGrants.ts
@@ -8,9 +8,9 @@
   onHostsProven,
   retryShareOf,
   type ClockReading,
-  type RetryAllowance,
   type RetryGrantsState,
 } from '../coordination/index.js';
+import type { RetryAllowance } from '../protocol/index.js';
 import type { LinkHandlers } from '../transport/index.js';
 import type { Runtime } from './DaemonRuntime.js';
 
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -83,7 +83,10 @@
     this.#state = state;
     this.#request = request;
     const { service, head } = request;
-    this.#retries = new DirectCallRetries(state.retries, { service, request: head.id });
+    this.#retries = new DirectCallRetries(state.retries, () => state.now(), {
+      service,
+      request: head.id,
+    });
   }
 
   /** Resolves once the caller has its answer or has disconnected. */
@@ -249,7 +252,10 @@
           return this.#mayStart(endpoint, reservedEndpoint !== null);
         },
         onHead: (answer) =>
-          this.#guard(() => sendSlots.onAnswer(endpoint, answer, head.id, limitTimestamp)),
+          this.#guard(() => {
+            this.#retries.onArrived('answered');
+            sendSlots.onAnswer(endpoint, answer, head.id, limitTimestamp);
+          }),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: (answer) => this.#guard(() => this.#onStreamEnd(answer)),
         onWhole: (answer) => this.#guard(() => this.#onAnswer(answer)),
@@ -265,7 +271,7 @@
     if (!mayBeSent || !this.#state.sendSlots.start(endpoint, hasReserved)) {
       return false;
     }
-    this.#retries.onSent();
+    this.#retries.onSent(endpoint.id);
     this.#sentTo.add(endpoint.id);
     return true;
   }
@@ -362,6 +368,7 @@
         admission.onUnanswered(this.#request.service, running.endpoint.id, result === 'cancelled');
       }
       this.#state.onDone(this.#request.service, running.endpoint.id, result);
+      this.#retries.onArrived(result === 'cancelled' ? 'aborted' : 'failed');
       if (result === 'cancelled') {
         running.attempt.abort();
       }
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -9,6 +9,7 @@
   type ColdBounds,
   type DocumentDialect,
   type HttpDialect,
+  type RetryAllowance,
 } from '../../protocol/index.js';
 import { serveHttp, type Address } from '../../transport/index.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
@@ -26,7 +27,6 @@
 import { DirectRequestReader } from './DirectRequestReader.js';
 import { DirectEntryState } from './DirectEntryState.js';
 import type { CallStats } from './DirectRequestLog.js';
-import type { RetryAllowance } from '../../coordination/index.js';
 
 /** Settings of the process. */
 export interface DirectEntrySettings {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -15,7 +15,6 @@
   updateRouting,
   type ClockReading,
   type MembershipView,
-  type RetryAllowance,
   type RoutingDecision,
   type RoutingState,
   type UpdateThrottle,
@@ -27,6 +26,7 @@
   type HttpDialect,
   type LimitUpdate,
   type MemberRecord,
+  type RetryAllowance,
 } from '../../protocol/index.js';
 import type { ConfigState } from '../../state/index.js';
 import { findLastEvent, type EndpointPool } from '../../transport/index.js';
--- a/src/daemon/direct/DirectRetries.ts
+++ b/src/daemon/direct/DirectRetries.ts
@@ -10,9 +10,9 @@
   spendEarnedRetry,
   mayStillSend,
   type ClockReading,
-  type RetryAllowance,
   type RetryBudgetState,
 } from '../../coordination/index.js';
+import type { RetryAllowance } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DirectRetryGrants, type RequestRetries } from './DirectRetryGrants.js';
 
@@ -25,6 +25,15 @@
   readonly reason: string;
 }
 
+/** How it became known that a retry has reached its endpoint, or won't any more. */
+export type RetryArrivalProof = 'answered' | 'failed' | 'aborted';
+
+/** A retry that has been sent. */
+export interface SentRetry extends Omit<RetryWish, 'reason'> {
+  /** Id of the endpoint. */
+  readonly endpoint: string;
+}
+
 /** Dependencies of {@link DirectRetries}. */
 export interface DirectRetriesOptions {
   readonly allowance: RetryAllowance;
@@ -53,6 +62,10 @@
       labelNames: ['decision'],
       registers: [options.runtime.registry],
     });
+    options.runtime.log.info(
+      { event: 'retry_allowance', ...options.allowance },
+      'allowance of retries',
+    );
   }
 
   /** Counts a request for a service that a caller has sent. */
@@ -82,6 +95,17 @@
     return mayStillSend(allowedAt, this.#options.runtime.clocks());
   }
 
+  /** Logs that a retry is sent. */
+  onSent(retry: SentRetry): void {
+    this.#options.runtime.log.info({ event: 'retry_sent', ...retry }, 'retry sent');
+  }
+
+  /** Logs the end of the time in which a retry can have reached its endpoint, `ms` after it was sent. */
+  onArrived(retry: SentRetry, proof: RetryArrivalProof, ms: number): void {
+    const { log } = this.#options.runtime;
+    log.info({ event: 'retry_arrived', ...retry, proof, ms: Math.round(ms) }, 'retry arrived');
+  }
+
   #budgetOf(service: string): RetryBudgetState {
     return this.#budgets.get(service) ?? EMPTY_RETRY_BUDGET;
   }
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -41,11 +41,16 @@
   onStreamFinished: ignore,
 };
 
-const NO_RETRIES = { acquire: async () => Promise.resolve(null), mayStillSend: () => true };
+const NO_RETRIES = {
+  acquire: async () => Promise.resolve(null),
+  mayStillSend: () => true,
+  onSent: ignore,
+  onArrived: ignore,
+};
 
 const ALL_RETRIES = {
+  ...NO_RETRIES,
   acquire: async () => Promise.resolve({ monotonic: 0, wall: 0 }),
-  mayStillSend: () => true,
 };
 
 /** Stub of the process's state, with one endpoint; `replaced` overrides parts of it. */
@@ -359,11 +364,11 @@
         }),
       },
       retries: {
+        ...ALL_RETRIES,
         acquire: async () => {
           asked += 1;
-          return Promise.resolve({ monotonic: 0, wall: 0 });
+          return ALL_RETRIES.acquire();
         },
-        mayStillSend: () => true,
       },
       ...replaced,
     });
--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -84,3 +84,10 @@
   ServiceSpec,
   SlotGrants,
 } from './ProtocolRoutes.js';
+export {
+  arrivalsAt,
+  worstRetryWindow,
+  type RetryAllowance,
+  type RetryArrival,
+  type RetryWindow,
+} from './ProtocolRetries.js';
