Failing test: retries held up by a partition arrive together when it heals

The model kept the assumption that a retry arrives within a second of its send. Endpoints are now in availability zones too: what is sent across a partition is held up until it heals, unless its sender resets the connection before; callers leave after 8 s; a killed process's bytes are still delivered; requests to a suspended host are read when it resumes.

--- a/src/coordination/__tests__/unit/RetryBudget.test.ts
+++ b/src/coordination/__tests__/unit/RetryBudget.test.ts
@@ -138,6 +138,7 @@
   'freezeControl',
   'setClock',
   'cut',
+  'cutFor',
   'heal',
   'concentrate',
   'spread',
@@ -164,6 +165,24 @@
   events: EVENTS,
 });
 
+/** Partitions that last some seconds each, beside demand that uses the allowance up. */
+const SHORT_PARTITIONS: fc.Arbitrary<RetryScenario> = fc.record({
+  entries: fc.integer({ min: 2, max: 10 }),
+  controls: fc.constant(3),
+  perSecond: fc.integer({ min: 40, max: 60 }),
+  failing: fc.constant(1),
+  forMs: fc.constant(FOR_MS),
+  events: fc.array(
+    fc.record({
+      at: fc.integer({ min: 10_000, max: FOR_MS - 10_000 }),
+      kind: fc.constantFrom('cutFor', 'cutFor', 'restartEntry', 'concentrate', 'spread'),
+      node: fc.nat({ max: 20 }),
+      ms: fc.integer({ min: 1_000, max: 6_000 }),
+    }),
+    { minLength: 2, maxLength: 8 },
+  ),
+});
+
 /** Asserts that no window of a simulation has more retries than allowed. */
 function assertWithinAllowance(scenario: RetryScenario, policy: RetryPolicy, seed: number): void {
   const { requests, retries } = runRetryModel(scenario, ALLOWANCE, policy, seed);
@@ -171,9 +190,13 @@
   assert.ok(worst.retries <= worst.allowed, JSON.stringify(worst));
 }
 
-function checkPolicy(policy: RetryPolicy, schedules: number): void {
+function checkPolicy(
+  policy: RetryPolicy,
+  schedules: number,
+  scenarios: fc.Arbitrary<RetryScenario> = SCENARIOS,
+): void {
   fc.assert(
-    fc.property(SCENARIOS, fc.nat(), (scenario, seed) =>
+    fc.property(scenarios, fc.nat(), (scenario, seed) =>
       assertWithinAllowance(scenario, policy, seed),
     ),
     { seed: Number(process.env.RETRY_SEED ?? 61), numRuns: schedules, endOnFailure: true },
@@ -210,6 +233,11 @@
     checkPolicy(RETRY_POLICY, SCHEDULES);
   });
 
+  // Guards against retries that a partition holds up and that arrive together when it heals.
+  it('stay within the allowance where partitions hold up what was sent', () => {
+    checkPolicy(RETRY_POLICY, SCHEDULES, SHORT_PARTITIONS);
+  });
+
   Object.entries(MUTANTS).forEach(([name, mutant]) => {
     it(`exceed the allowance where a process ${name}`, () => {
       assert.throws(() => checkPolicy({ ...RETRY_POLICY, ...mutant }, MUTANT_SCHEDULES));
--- a/src/coordination/__tests__/utils/RetryModel.ts
+++ b/src/coordination/__tests__/utils/RetryModel.ts
@@ -1,6 +1,10 @@
 /**
  * Simulation of entry hosts and control hosts that share the retry allowance of one service: restarts, partitions,
  * joins, replaced control hosts, suspensions, message delays, and clocks that run at different rates and are set.
+ *
+ * Endpoints are in three availability zones too. What is sent across a partition is held up until it heals, unless its
+ * sender resets the connection before; the bytes of a process that is killed are still delivered. Requests to a
+ * suspended entry host are read when it resumes.
  */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
@@ -34,11 +38,12 @@
     | 'freezeControl'
     | 'setClock'
     | 'cut'
+    | 'cutFor'
     | 'heal'
     | 'concentrate'
     | 'spread';
   readonly node: number;
-  /** Duration of a freeze, or amount by which a clock is set, ms. */
+  /** Duration of a freeze or of a limited partition, or amount by which a clock is set, ms. */
   readonly ms: number;
 }
 
@@ -90,6 +95,10 @@
 const RESTART_MS = 400;
 const PROOF_INTERVAL_MS = 1_000;
 const SERVICE = 'llm';
+const ZONES = 3;
+
+/** Callers leave after this time without an answer. */
+const PATIENCE_MS = 8_000;
 
 interface Node {
   readonly name: string;
@@ -103,6 +112,15 @@
 
 interface EntryNode extends Node {
   budget: RetryBudgetState;
+  /** Requests that were sent while the host was suspended. */
+  unread: number;
+}
+
+/** A retry that was sent and isn't known to have arrived. */
+interface RetryOnTheWay {
+  readonly entry: EntryNode;
+  readonly life: number;
+  readonly sentAt: number;
 }
 
 interface ControlNode extends Node {
@@ -139,9 +157,17 @@
 
   #messages: Message[] = [];
 
+  /** One endpoint of each zone, always up. */
+  readonly #endpoints: readonly Node[];
+
+  #onTheWay: readonly RetryOnTheWay[] = [];
+
   /** Zones at or above this number are cut off from the others; null without a partition. */
   #cutFrom: number | null = null;
 
+  /** When the partition heals by itself, ms. */
+  #healsAt = Infinity;
+
   /** Entry host that gets nearly all requests; null while they are spread evenly. */
   #hot: number | null = null;
 
@@ -157,6 +183,7 @@
     this.#allowance = allowance;
     this.#policy = policy;
     this.#rng = xoroshiro128plus(seed);
+    this.#endpoints = Array.from({ length: ZONES }, (_item, i) => this.#node(`endpoint-${i}`, i));
     for (let i = 0; i < scenario.entries; i += 1) {
       this.#addEntry();
     }
@@ -171,8 +198,14 @@
       while ((events[0]?.at ?? Infinity) <= this.#now) {
         this.#apply(events.shift() as RetryModelEvent);
       }
+      if (this.#now >= this.#healsAt) {
+        this.#cutFrom = null;
+        this.#healsAt = Infinity;
+      }
       this.#deliver();
       this.#controls.forEach((control) => this.#prove(control));
+      this.#abortOverdue();
+      this.#entries.forEach((entry) => this.#readUnread(entry));
       this.#sendRequests();
       [...this.#entries, ...this.#controls].forEach(({ clock, frozenUntil }) => {
         clock.advance(frozenUntil > this.#now ? 0 : STEP_MS);
@@ -188,7 +221,7 @@
   #node(name: string, count: number): Node {
     return {
       name,
-      zone: count % 3,
+      zone: count % ZONES,
       clock: new ModelClock(() => this.#random()),
       life: 0,
       startsAt: this.#now,
@@ -198,7 +231,11 @@
 
   #addEntry(): void {
     const count = this.#entries.length;
-    this.#entries.push({ ...this.#node(`entry-${count}`, count), budget: EMPTY_RETRY_BUDGET });
+    this.#entries.push({
+      ...this.#node(`entry-${count}`, count),
+      budget: EMPTY_RETRY_BUDGET,
+      unread: 0,
+    });
   }
 
   #addControl(grants: RetryGrantsState, isMember: boolean): void {
@@ -228,7 +265,7 @@
 
   #restartEntry(entry: EntryNode): void {
     this.#restart(entry);
-    Object.assign(entry, { budget: EMPTY_RETRY_BUDGET });
+    Object.assign(entry, { budget: EMPTY_RETRY_BUDGET, unread: 0 });
   }
 
   #restartControl(control: ControlNode): void {
@@ -255,6 +292,10 @@
       cut: () => {
         this.#cutFrom = 1 + (node % 2);
       },
+      cutFor: () => {
+        this.#cutFrom = 1 + (node % 2);
+        this.#healsAt = this.#now + ms;
+      },
       heal: () => {
         this.#cutFrom = null;
       },
@@ -270,6 +311,10 @@
 
   #send(from: Node, to: Node, run: () => void): void {
     const delayMs = this.#random() < 0.05 ? this.#random() * 300 : 1 + this.#random() * 5;
+    this.#sendAfter(delayMs, from, to, run);
+  }
+
+  #sendAfter(delayMs: number, from: Node, to: Node, run: () => void): void {
     this.#messages.push({ at: this.#now + delayMs, to, life: to.life, from, run });
   }
 
@@ -341,11 +386,28 @@
       const entry = this.#entries[index ?? 0] as EntryNode;
       this.#requests.push(this.#now);
       if (this.#isUp(entry)) {
-        const clocks = entry.clock.read(this.#now);
-        entry.budget = countRequest(entry.budget, clocks, this.#allowance);
-        if (this.#random() < failing) {
-          this.#wishRetry(entry);
-        }
+        this.#readRequest(entry, failing);
+      } else if (entry.frozenUntil > this.#now) {
+        entry.unread += 1;
+      }
+    }
+  }
+
+  #readRequest(entry: EntryNode, failing: number): void {
+    const clocks = entry.clock.read(this.#now);
+    Object.assign(entry, { budget: countRequest(entry.budget, clocks, this.#allowance) });
+    if (this.#random() < failing) {
+      this.#wishRetry(entry);
+    }
+  }
+
+  /** Reads what has come in while the host was suspended. */
+  #readUnread(entry: EntryNode): void {
+    if (this.#isUp(entry)) {
+      const { unread } = entry;
+      Object.assign(entry, { unread: 0 });
+      for (let i = 0; i < unread; i += 1) {
+        this.#readRequest(entry, this.#scenario.failing);
       }
     }
   }
@@ -400,18 +462,45 @@
     return peers.some((peer) => this.#grant(peer) > 0) ? 1 : 0;
   }
 
-  /** Sends a retry after a wait for a connection, if it may still be sent then; it arrives after the way there. */
+  /** Sends a retry after a wait for a connection, if it may still be sent then. */
   #startRetry(entry: EntryNode, allowedAt: ClockReading): void {
     const waitMs = this.#random() < 0.1 ? this.#random() * 600 : 0;
     const start = (): void => {
       if (this.#policy.mayStillSend(allowedAt, entry.clock.read(this.#now))) {
-        const deliveryMs = this.#random() < 0.1 ? this.#random() * 980 : this.#random() * 20;
-        this.#retries.push(this.#now + deliveryMs);
+        this.#sendRetry(entry);
       }
     };
     const { life } = entry;
     this.#messages.push({ at: this.#now + waitMs, to: entry, from: entry, life, run: start });
   }
+
+  /** Sends a retry to an endpoint, which answers after some time. */
+  #sendRetry(entry: EntryNode): void {
+    const endpoint = this.#endpoints[Math.floor(this.#random() * ZONES)] as Node;
+    const retry: RetryOnTheWay = { entry, life: entry.life, sentAt: this.#now };
+    this.#onTheWay = [...this.#onTheWay, retry];
+    const settle = (): void => {
+      this.#onTheWay = this.#onTheWay.filter((other) => other !== retry);
+    };
+    const arrive = (): void => {
+      const isKilled = entry.life !== retry.life;
+      if (isKilled || this.#onTheWay.includes(retry)) {
+        this.#retries.push(this.#now);
+        const answerMs = this.#random() < 0.2 ? this.#random() * 3_000 : this.#random() * 300;
+        this.#sendAfter(answerMs, endpoint, entry, settle);
+      }
+    };
+    const deliveryMs = this.#random() < 0.1 ? this.#random() * 980 : this.#random() * 20;
+    this.#sendAfter(deliveryMs, entry, endpoint, arrive);
+  }
+
+  /** Aborts what has no answer in time. */
+  #abortOverdue(): void {
+    this.#onTheWay = this.#onTheWay.filter(({ entry, life, sentAt }) => {
+      const isKilled = entry.life !== life;
+      return !isKilled && (!this.#isUp(entry) || this.#now - sentAt < PATIENCE_MS);
+    });
+  }
 }
 
 /** Runs one simulation. */
