Fix: a retry may not arrive without an allowance

What was sent into a cut arrives when it heals, together with what was allowed since.

Change: an allowance holds until the arrival, 1.5 s at most. A retry whose endpoint hasn't begun to answer a second after the decision needs a further allowance; without one the attempt is aborted by a reset, which discards what wasn't delivered. An earned retry is moved to the interval of its newest allowance, since it arrives once.

The model now sends to an endpoint that can be reached once idle connections across a cut have been closed, as the pools do.

--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -15,12 +15,15 @@
 /** A retry must be sent within this time after it was allowed, ms. */
 export const SEND_WITHIN_MS = 500;
 
-/** Maximum time from the send of a retry to its arrival at the endpoint, ms. */
+/** Time from the send of a retry within which it must have arrived at the endpoint, or have a further allowance, ms. */
 export const DELIVERY_MS = 1_000;
 
-/** Maximum time from the decision on a retry to its arrival at the endpoint, ms. */
+/** Time for which an allowance holds, from the decision to the arrival at the endpoint, ms. */
 export const ARRIVAL_MS = SEND_WITHIN_MS + DELIVERY_MS;
 
+/** A retry that hasn't arrived this long after it was allowed needs a further allowance, ms. */
+export const EXTEND_AFTER_MS = ARRIVAL_MS - SEND_WITHIN_MS;
+
 /** Length of the intervals in which requests and retries are counted, ms. */
 const BUCKET_MS = 250;
 
@@ -42,6 +45,13 @@
   readonly readAt: ClockReading | null;
 }
 
+/** An allowance of one retry: it must have arrived, or be aborted, by {@link ARRIVAL_MS} after `allowedAt`. */
+export interface RetryPermit {
+  readonly allowedAt: ClockReading;
+  /** Whether requests that this process has read pay for it; otherwise a control process has granted it. */
+  readonly isEarned: boolean;
+}
+
 /** Nothing read yet. */
 export const EMPTY_RETRY_BUDGET: RetryBudgetState = { buckets: [], readAt: null };
 
@@ -159,3 +169,31 @@
     allowed,
   };
 }
+
+/** Takes back what an earned retry has spent. */
+function refund(state: RetryBudgetState, allowedAt: ClockReading): RetryBudgetState {
+  const index = indexOf(allowedAt.monotonic);
+  return {
+    ...state,
+    buckets: state.buckets.map((bucket) =>
+      bucket.index === index && bucket.retries > 0
+        ? { ...bucket, retries: bucket.retries - 1 }
+        : bucket,
+    ),
+  };
+}
+
+/**
+ * Moves an earned retry that may still be on its way to now, if the requests read here pay for it now too.
+ *
+ * It arrives once, so it need not be paid for twice: windows that it has left can't gain a retry any more.
+ */
+export function moveEarnedRetry(
+  state: RetryBudgetState,
+  allowedAt: ClockReading,
+  now: ClockReading,
+  allowance: RetryAllowance,
+): { readonly state: RetryBudgetState; readonly allowed: boolean } {
+  const step = spendEarnedRetry(refund(state, allowedAt), now, allowance);
+  return step.allowed ? step : { state, allowed: false };
+}
--- a/src/coordination/__tests__/utils/RetryModel.ts
+++ b/src/coordination/__tests__/utils/RetryModel.ts
@@ -3,23 +3,26 @@
  * joins, replaced control hosts, suspensions, message delays, and clocks that run at different rates and are set.
  *
  * Endpoints are in three availability zones too. What is sent across a partition is held up until it heals, unless its
- * sender resets the connection before; the bytes of a process that is killed are still delivered. Requests to a
- * suspended entry host are read when it resumes.
+ * sender resets the connection before; the bytes of a process that is killed are still delivered. Across a partition
+ * nothing can be sent but on connections from before it. Requests to a suspended entry host are read when it resumes.
  */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
+  ARRIVAL_MS,
   countRequest,
   EMPTY_RETRY_BUDGET,
+  EXTEND_AFTER_MS,
   grantRetries,
   mayStillSend,
+  moveEarnedRetry,
   NO_RETRY_GRANTS,
   onFounded,
   onHostsProven,
   spendEarnedRetry,
-  type ClockReading,
   type RetryBudgetState,
   type RetryGrantsState,
+  type RetryPermit,
 } from '../../index.js';
 import type { RetryAllowance } from '../../../protocol/index.js';
 import { ModelClock } from './ModelClock.js';
@@ -64,6 +67,9 @@
   readonly spendEarned: typeof spendEarnedRetry;
   readonly grant: typeof grantRetries;
   readonly mayStillSend: typeof mayStillSend;
+  readonly moveEarned: typeof moveEarnedRetry;
+  /** Whether a retry that hasn't arrived when its allowance expires is aborted. */
+  readonly abortsExpired: boolean;
   /** State of a control process that has restarted. */
   readonly restarted: RetryGrantsState;
   /** Control hosts that a control process counts: those that the log names, of which it reaches some. */
@@ -80,6 +86,8 @@
   spendEarned: spendEarnedRetry,
   grant: grantRetries,
   mayStillSend,
+  moveEarned: moveEarnedRetry,
+  abortsExpired: true,
   restarted: NO_RETRY_GRANTS,
   countedHosts: (named) => named,
   provesInMinority: false,
@@ -97,6 +105,9 @@
 const SERVICE = 'llm';
 const ZONES = 3;
 
+/** Idle connections are closed after this time. */
+const KEEP_ALIVE_MS = 4_000;
+
 /** Callers leave after this time without an answer. */
 const PATIENCE_MS = 8_000;
 
@@ -121,6 +132,9 @@
   readonly entry: EntryNode;
   readonly life: number;
   readonly sentAt: number;
+  permit: RetryPermit;
+  /** Whether the extension of the permit has been asked for. */
+  isExtending: boolean;
 }
 
 interface ControlNode extends Node {
@@ -165,6 +179,9 @@
   /** Zones at or above this number are cut off from the others; null without a partition. */
   #cutFrom: number | null = null;
 
+  /** When the last partition began, ms. */
+  #cutAt = -Infinity;
+
   /** When the partition heals by itself, ms. */
   #healsAt = Infinity;
 
@@ -204,6 +221,7 @@
       }
       this.#deliver();
       this.#controls.forEach((control) => this.#prove(control));
+      this.#extendOnTheWay();
       this.#abortOverdue();
       this.#entries.forEach((entry) => this.#readUnread(entry));
       this.#sendRequests();
@@ -289,13 +307,8 @@
       freezeEntry: () => Object.assign(entry, { frozenUntil: this.#now + ms }),
       freezeControl: () => Object.assign(control, { frozenUntil: this.#now + ms }),
       setClock: () => [entry, control].forEach(({ clock }) => clock.set(ms)),
-      cut: () => {
-        this.#cutFrom = 1 + (node % 2);
-      },
-      cutFor: () => {
-        this.#cutFrom = 1 + (node % 2);
-        this.#healsAt = this.#now + ms;
-      },
+      cut: () => this.#cut(node, Infinity),
+      cutFor: () => this.#cut(node, ms),
       heal: () => {
         this.#cutFrom = null;
       },
@@ -309,6 +322,12 @@
     handlers[kind]();
   }
 
+  #cut(node: number, forMs: number): void {
+    this.#cutFrom = 1 + (node % 2);
+    this.#cutAt = this.#now;
+    this.#healsAt = this.#now + forMs;
+  }
+
   #send(from: Node, to: Node, run: () => void): void {
     const delayMs = this.#random() < 0.05 ? this.#random() * 300 : 1 + this.#random() * 5;
     this.#sendAfter(delayMs, from, to, run);
@@ -417,9 +436,15 @@
     const step = this.#policy.spendEarned(entry.budget, clocks, this.#allowance);
     Object.assign(entry, { budget: step.state });
     if (step.allowed) {
-      this.#startRetry(entry, clocks);
+      this.#startRetry(entry, { allowedAt: clocks, isEarned: true });
       return;
     }
+    this.#askForGrant(entry, (permit) => this.#startRetry(entry, permit));
+  }
+
+  /** Asks a control process for a retry; `onGranted` is called if it grants one. */
+  #askForGrant(entry: EntryNode, onGranted: (permit: RetryPermit) => void): void {
+    const allowedAt = entry.clock.read(this.#now);
     const control = this.#hubOf(entry);
     if (control === undefined) {
       return;
@@ -428,7 +453,7 @@
       const count = this.#grant(control) || this.#grantOfPeer(control);
       this.#send(control, entry, () => {
         if (count > 0) {
-          this.#startRetry(entry, clocks);
+          onGranted({ allowedAt, isEarned: false });
         }
       });
     });
@@ -463,11 +488,11 @@
   }
 
   /** Sends a retry after a wait for a connection, if it may still be sent then. */
-  #startRetry(entry: EntryNode, allowedAt: ClockReading): void {
+  #startRetry(entry: EntryNode, permit: RetryPermit): void {
     const waitMs = this.#random() < 0.1 ? this.#random() * 600 : 0;
     const start = (): void => {
-      if (this.#policy.mayStillSend(allowedAt, entry.clock.read(this.#now))) {
-        this.#sendRetry(entry);
+      if (this.#policy.mayStillSend(permit.allowedAt, entry.clock.read(this.#now))) {
+        this.#sendRetry(entry, permit);
       }
     };
     const { life } = entry;
@@ -475,9 +500,14 @@
   }
 
   /** Sends a retry to an endpoint, which answers after some time. */
-  #sendRetry(entry: EntryNode): void {
-    const endpoint = this.#endpoints[Math.floor(this.#random() * ZONES)] as Node;
-    const retry: RetryOnTheWay = { entry, life: entry.life, sentAt: this.#now };
+  #sendRetry(entry: EntryNode, permit: RetryPermit): void {
+    const hasConnections = this.#now - this.#cutAt < KEEP_ALIVE_MS;
+    const usable = this.#endpoints.filter(
+      (candidate) => hasConnections || this.#reaches(entry, candidate),
+    );
+    const endpoint = usable[Math.floor(this.#random() * usable.length)] as Node;
+    const { life } = entry;
+    const retry = { entry, life, sentAt: this.#now, permit, isExtending: false };
     this.#onTheWay = [...this.#onTheWay, retry];
     const settle = (): void => {
       this.#onTheWay = this.#onTheWay.filter((other) => other !== retry);
@@ -494,11 +524,47 @@
     this.#sendAfter(deliveryMs, entry, endpoint, arrive);
   }
 
-  /** Aborts what has no answer in time. */
+  /** Extends the permits of retries that haven't arrived. */
+  #extendOnTheWay(): void {
+    this.#onTheWay
+      .filter(({ entry, life }) => entry.life === life && this.#isUp(entry))
+      .filter(({ isExtending }) => !isExtending)
+      .filter(({ entry, permit }) => this.#elapsedOf(entry, permit) >= EXTEND_AFTER_MS)
+      .forEach((retry) => this.#extend(retry));
+  }
+
+  #elapsedOf(entry: EntryNode, { allowedAt }: RetryPermit): number {
+    return entry.clock.read(this.#now).monotonic - allowedAt.monotonic;
+  }
+
+  #extend(retry: RetryOnTheWay): void {
+    const { entry, permit } = retry;
+    const allowedAt = entry.clock.read(this.#now);
+    const moved = permit.isEarned
+      ? this.#policy.moveEarned(entry.budget, permit.allowedAt, allowedAt, this.#allowance)
+      : { state: entry.budget, allowed: false };
+    const step = moved.allowed
+      ? moved
+      : this.#policy.spendEarned(moved.state, allowedAt, this.#allowance);
+    Object.assign(entry, { budget: step.state });
+    if (step.allowed) {
+      Object.assign(retry, { permit: { allowedAt, isEarned: true } });
+      return;
+    }
+    Object.assign(retry, { isExtending: true });
+    this.#askForGrant(entry, (granted) => {
+      Object.assign(retry, { permit: granted, isExtending: false });
+    });
+  }
+
+  /** Aborts what has no answer in time, or no permit any more. */
   #abortOverdue(): void {
-    this.#onTheWay = this.#onTheWay.filter(({ entry, life, sentAt }) => {
-      const isKilled = entry.life !== life;
-      return !isKilled && (!this.#isUp(entry) || this.#now - sentAt < PATIENCE_MS);
+    this.#onTheWay = this.#onTheWay.filter(({ entry, life, sentAt, permit }) => {
+      if (entry.life !== life) {
+        return false;
+      }
+      const isExpired = this.#policy.abortsExpired && this.#elapsedOf(entry, permit) >= ARRIVAL_MS;
+      return !this.#isUp(entry) || (!isExpired && this.#now - sentAt < PATIENCE_MS);
     });
   }
 }
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -278,10 +278,14 @@
 export {
   countRequest,
   earnedRetries,
+  ARRIVAL_MS,
   EMPTY_RETRY_BUDGET,
+  EXTEND_AFTER_MS,
   mayStillSend,
+  moveEarnedRetry,
   spendEarnedRetry,
   type RetryBudgetState,
+  type RetryPermit,
 } from './RetryBudget.js';
 export {
   grantRetries,
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -83,9 +83,12 @@
     this.#state = state;
     this.#request = request;
     const { service, head } = request;
-    this.#retries = new DirectCallRetries(state.retries, () => state.now(), {
-      service,
-      request: head.id,
+    this.#retries = new DirectCallRetries({
+      retries: state.retries,
+      now: () => state.now(),
+      wish: { service, request: head.id },
+      onExpired: () => this.#guard(() => this.#onRetryExpired()),
+      onFault: (err) => this.#onFault(err),
     });
   }
 
@@ -535,6 +538,26 @@
     }
   }
 
+  /** Aborts the retry on its way, which isn't allowed to arrive any more. */
+  #onRetryExpired(): void {
+    const running = this.#running;
+    if (running === null || this.#isFinished) {
+      return;
+    }
+    this.#endAttempt('cancelled');
+    this.#mayHaveRun = true;
+    const verdict = judgeWithoutRetry('lost', this.#progress());
+    const reason = 'not allowed to arrive any later';
+    this.#state.requests.attemptFailed(
+      this.#request.head.id,
+      running.endpoint.id,
+      'lost',
+      reason,
+      verdict,
+    );
+    this.#applyVerdict(verdict, null);
+  }
+
   #applyDecision(endpoint: MemberRecord, failed: AttemptFailure, verdict: DirectVerdict): void {
     const { failure, reason, answer } = failed;
     const { head } = this.#request;
--- a/src/daemon/direct/DirectCallRetries.ts
+++ b/src/daemon/direct/DirectCallRetries.ts
@@ -1,38 +1,52 @@
 /** Retries of one request: whether its next send needs an allowance, and the one that it has. */
-import type { ClockReading } from '../../coordination/index.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { ARRIVAL_MS, EXTEND_AFTER_MS, type RetryPermit } from '../../coordination/index.js';
 import type { DirectRetries, RetryArrivalProof, RetryWish, SentRetry } from './DirectRetries.js';
 
-/** What a request needs of the retries of its process. */
-export type RetriesOfCall = Pick<
-  DirectRetries,
-  'acquire' | 'mayStillSend' | 'onSent' | 'onArrived'
->;
-
-/** Keeps a request that has reached an endpoint from being sent again without an allowance. */
-export class DirectCallRetries {
-  readonly #retries: RetriesOfCall;
+/** Dependencies of {@link DirectCallRetries}. */
+export interface CallRetriesOptions {
+  readonly retries: Pick<
+    DirectRetries,
+    'acquire' | 'extend' | 'mayStillSend' | 'onSent' | 'onArrived'
+  >;
+  /** ms on the local monotonic clock. */
+  readonly now: () => number;
+  readonly wish: Omit<RetryWish, 'reason'>;
+  /** The retry on its way has no allowance any more; it must be aborted, so that it doesn't arrive later. */
+  readonly onExpired: () => void;
+  /** Called with an unexpected error. */
+  readonly onFault: (err: unknown) => void;
+}
 
-  readonly #now: () => number;
+/** A retry that was sent and isn't known to have arrived. */
+interface RetryOnTheWay {
+  readonly retry: SentRetry;
+  /** ms on the local monotonic clock. */
+  readonly sentAt: number;
+  readonly arrival: AbortController;
+}
 
-  readonly #wish: Omit<RetryWish, 'reason'>;
+/**
+ * Keeps a request that has reached an endpoint from being sent again without an allowance, and a retry from arriving
+ * without one.
+ */
+export class DirectCallRetries {
+  readonly #options: CallRetriesOptions;
 
   #wasSent = false;
 
-  /** When the next retry was allowed; null if none is. */
-  #allowedAt: ClockReading | null = null;
+  /** The allowance of the next retry; null if there is none. */
+  #permit: RetryPermit | null = null;
 
-  /** The retry that may still be on its way, with when it was sent, ms; null if there is none. */
-  #onTheWay: { readonly retry: SentRetry; readonly sentAt: number } | null = null;
+  #onTheWay: RetryOnTheWay | null = null;
 
-  constructor(retries: RetriesOfCall, now: () => number, wish: Omit<RetryWish, 'reason'>) {
-    this.#retries = retries;
-    this.#now = now;
-    this.#wish = wish;
+  constructor(options: CallRetriesOptions) {
+    this.#options = options;
   }
 
   /** Whether the next send needs an allowance: the request was sent before, and none that is still valid is left. */
   get needsAllowance(): boolean {
-    const isValid = this.#allowedAt !== null && this.#retries.mayStillSend(this.#allowedAt);
+    const isValid = this.#permit !== null && this.#options.retries.mayStillSend(this.#permit);
     return this.#wasSent && !isValid;
   }
 
@@ -41,27 +55,55 @@
     if (!this.needsAllowance) {
       return true;
     }
-    this.#allowedAt = await this.#retries.acquire({ ...this.#wish, reason });
-    return this.#allowedAt !== null;
+    const { retries, wish } = this.#options;
+    this.#permit = await retries.acquire({ ...wish, reason });
+    return this.#permit !== null;
   }
 
   /** Records that the request is sent to an endpoint now, which uses the allowance up. */
   onSent(endpoint: string): void {
-    if (this.#wasSent) {
-      const retry = { ...this.#wish, endpoint };
-      this.#onTheWay = { retry, sentAt: this.#now() };
-      this.#retries.onSent(retry);
-    }
+    const permit = this.#permit;
+    this.#permit = null;
     this.#wasSent = true;
-    this.#allowedAt = null;
+    if (permit !== null) {
+      const { retries, wish, now, onFault } = this.#options;
+      const arrival = new AbortController();
+      this.#onTheWay = { retry: { ...wish, endpoint }, sentAt: now(), arrival };
+      retries.onSent(this.#onTheWay.retry);
+      this.#extendUntil(arrival.signal, permit).catch((err: unknown) => {
+        if (!arrival.signal.aborted) {
+          onFault(err);
+        }
+      });
+    }
   }
 
   /** Records that the last send has reached its endpoint, or won't reach it any more. */
   onArrived(proof: RetryArrivalProof): void {
     if (this.#onTheWay !== null) {
-      const { retry, sentAt } = this.#onTheWay;
+      const { retry, sentAt, arrival } = this.#onTheWay;
       this.#onTheWay = null;
-      this.#retries.onArrived(retry, proof, this.#now() - sentAt);
+      arrival.abort();
+      const { retries, now } = this.#options;
+      retries.onArrived(retry, proof, now() - sentAt);
+    }
+  }
+
+  /** Extends the allowance of the retry on its way until the signal aborts, as long as that is allowed. */
+  async #extendUntil(signal: AbortSignal, permit: RetryPermit): Promise<void> {
+    const { retries, wish, onExpired } = this.#options;
+    await this.#delayUntil(permit.allowedAt.monotonic + EXTEND_AFTER_MS, signal);
+    const extended = await retries.extend({ ...wish, reason: 'on the way' }, permit);
+    if (extended !== null && !signal.aborted) {
+      await this.#extendUntil(signal, extended);
+      return;
     }
+    await this.#delayUntil(permit.allowedAt.monotonic + ARRIVAL_MS, signal);
+    onExpired();
+  }
+
+  /** Rejects if the signal aborts. */
+  async #delayUntil(at: number, signal: AbortSignal): Promise<void> {
+    await delay(Math.max(0, at - this.#options.now()), undefined, { signal });
   }
 }
--- a/src/daemon/direct/DirectRetries.ts
+++ b/src/daemon/direct/DirectRetries.ts
@@ -9,8 +9,9 @@
   EMPTY_RETRY_BUDGET,
   spendEarnedRetry,
   mayStillSend,
-  type ClockReading,
+  moveEarnedRetry,
   type RetryBudgetState,
+  type RetryPermit,
 } from '../../coordination/index.js';
 import type { RetryAllowance } from '../../protocol/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
@@ -21,7 +22,7 @@
   readonly service: string;
   /** The caller's id of the request. */
   readonly request: string;
-  /** How the attempt before it failed, or `waited` after a wait for a slot. */
+  /** How the attempt before it failed, `waited` after a wait for a slot, or `on the way` for a further allowance. */
   readonly reason: string;
 }
 
@@ -74,24 +75,31 @@
     this.#budgets.set(service, countRequest(this.#budgetOf(service), runtime.clocks(), allowance));
   }
 
-  /**
-   * Allows one retry; resolves with the time from which {@link mayStillSend} counts, or with null if it is refused.
-   */
-  async acquire(wish: RetryWish): Promise<ClockReading | null> {
+  /** Allows one retry; resolves with null if it is refused. */
+  async acquire(wish: RetryWish): Promise<RetryPermit | null> {
     const { clocks, now } = this.#options.runtime;
     const askedAt = now();
     if (this.#spendEarned(wish.service)) {
       this.#logDecision(wish, 'earned', 0);
-      return clocks();
+      return { allowedAt: clocks(), isEarned: true };
     }
     const hasGrants = this.#options.allowance.extra > 0;
     const allowedAt = hasGrants ? await this.#grantsOf(wish.service).acquire() : null;
     this.#logDecision(wish, allowedAt === null ? 'refused' : 'granted', now() - askedAt);
-    return allowedAt;
+    return allowedAt === null ? null : { allowedAt, isEarned: false };
   }
 
-  /** Whether a retry that was allowed at that time may still be sent. */
-  mayStillSend(allowedAt: ClockReading): boolean {
+  /** Allows a retry that was sent under a permit to arrive later; resolves with null if that is refused. */
+  async extend(wish: RetryWish, permit: RetryPermit): Promise<RetryPermit | null> {
+    if (permit.isEarned && this.#moveEarned(wish.service, permit)) {
+      this.#logDecision(wish, 'earned', 0);
+      return { allowedAt: this.#options.runtime.clocks(), isEarned: true };
+    }
+    return this.acquire(wish);
+  }
+
+  /** Whether a retry may still be sent under a permit. */
+  mayStillSend({ allowedAt }: RetryPermit): boolean {
     return mayStillSend(allowedAt, this.#options.runtime.clocks());
   }
 
@@ -129,6 +137,18 @@
     return allowed;
   }
 
+  #moveEarned(service: string, { allowedAt }: RetryPermit): boolean {
+    const { allowance, runtime } = this.#options;
+    const { state, allowed } = moveEarnedRetry(
+      this.#budgetOf(service),
+      allowedAt,
+      runtime.clocks(),
+      allowance,
+    );
+    this.#budgets.set(service, state);
+    return allowed;
+  }
+
   #logDecision(
     { service, request, reason }: RetryWish,
     decision: 'earned' | 'granted' | 'refused',
