Own requests of a group are counted only when they are recorded

refreshGroupSlots counted the own requests over all ranks on each call, and used the count at most every 50 ms. The model behind SlotGrants.test.ts calls it for 300 hosts every 10 ms. Same results to the byte (three runs of the model compared before and after); the test takes 22 s instead of 30, both beside three plays, with the same cases and bounds.

--- a/src/coordination/GroupSlots.ts
+++ b/src/coordination/GroupSlots.ts
@@ -136,8 +136,9 @@
   own: ReadonlyMap<string, number>,
   filter: (rank: number) => boolean,
 ): number {
-  return sum(
-    ranks.filter(({ rank }) => filter(rank)).map(({ endpoint }) => own.get(endpoint) ?? 0),
+  return ranks.reduce(
+    (total, { endpoint, rank }) => total + (filter(rank) ? (own.get(endpoint) ?? 0) : 0),
+    0,
   );
 }
 
@@ -179,13 +180,19 @@
 }
 
 /** Records the number of own requests, so that a delayed load can be compared with those that it knew of. */
-function recordOwn(state: GroupSlots, own: number, now: number): GroupSlots {
+function recordOwn(
+  state: GroupSlots,
+  own: ReadonlyMap<string, number>,
+  params: SlotParameters,
+  now: number,
+): GroupSlots {
   const newest = state.ownHistory.at(-1);
   if (newest !== undefined && now - newest.at < HISTORY_INTERVAL_MS) {
     return state;
   }
   const recent = state.ownHistory.filter(({ at }) => now - at <= LOAD_TTL_MS);
-  return { ...state, ownHistory: [...recent, { at: now, own }] };
+  const count = countOwn(state.ranks, own, isUsableRank(state, params));
+  return { ...state, ownHistory: [...recent, { at: now, own: count }] };
 }
 
 /**
@@ -240,7 +247,7 @@
   params: SlotParameters,
   now: number,
 ): GroupSlots {
-  const counted = recordOwn(state, countOwn(state.ranks, own, isUsableRank(state, params)), now);
+  const counted = recordOwn(state, own, params, now);
   return discountLimit(forgetLoad(forgetOpen(counted, now), now), params, now);
 }
 
@@ -311,7 +318,7 @@
   if (verdict === 'outdated') {
     return { ...state, verdict };
   }
-  const counted = recordOwn(state, countOwn(state.ranks, own, isUsableRank(state, params)), now);
+  const counted = recordOwn(state, own, params, now);
   const heard: GroupSlots = {
     ...counted,
     verdict,
@@ -349,7 +356,7 @@
 
 /** Number of requests that this process runs at a group. */
 export function ownRequestsAt(state: GroupSlots, own: ReadonlyMap<string, number>): number {
-  return sum(state.ranks.map(({ endpoint }) => own.get(endpoint) ?? 0));
+  return countOwn(state.ranks, own, () => true);
 }
 
 /** Number of slots that this process may still use at a group. */
