--- a/soak/SoakCold.ts
+++ b/soak/SoakCold.ts
@@ -64,14 +64,15 @@
     const undelayed = arrivals.filter(
       (at) => !delays.some(({ from, until }) => from <= at && at <= until + WINDOW_MS),
     );
-    const { count } = busiestWindow(undelayed);
-    return count > SOAK_MAX_COLD
-      ? [
-          {
-            rule: 'a cold engine gets few requests',
-            detail: `${count} of ${SOAK_MAX_COLD} in a second at ${engine}`,
-          },
-        ]
-      : [];
+    const { from, count } = busiestWindow(undelayed);
+    if (count <= SOAK_MAX_COLD) {
+      return [];
+    }
+    // Arrivals within a few milliseconds were held up and released together; spread ones were sent too often.
+    const offsets = undelayed
+      .filter((at) => at >= from && at < from + WINDOW_MS)
+      .map((at) => Math.round(at - from));
+    const detail = `${count} of ${SOAK_MAX_COLD} in a second at ${engine}, after ms: ${offsets.join(' ')}`;
+    return [{ rule: 'a cold engine gets few requests', detail }];
   });
 }
--- a/soak/SoakFigures.ts
+++ b/soak/SoakFigures.ts
@@ -23,6 +23,7 @@
     resumed: executions.filter(({ resumed }) => resumed).length,
     versions: ackedVersion,
     faults: injectedFaults.length,
+    longestStallMs: record.longestStallMs,
     engineEnds: engineCrashes.length,
     refusals: refusals.length,
     evacuations: evacuations.length,
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -1,4 +1,5 @@
 /** One soak run: starts the real processes, injects the faults of a seed, and checks the record. */
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setTimeout as delay } from 'node:timers/promises';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
@@ -39,6 +40,9 @@
   SoakRecord,
 } from './SoakTypes.js';
 
+const STALL_RESOLUTION_MS = 20;
+const NS_PER_MS = 1_000_000;
+
 /** Options of a run. */
 export interface SoakOptions extends SoakPlanOptions {
   readonly seed: number;
@@ -132,6 +136,8 @@
 
   async run(): Promise<SoakResult> {
     const { seed, callers, entries } = this.#options;
+    const stalls = monitorEventLoopDelay({ resolution: STALL_RESOLUTION_MS });
+    stalls.enable();
     await this.#engines.start();
     await this.#operator.addKey();
     await waitUntil('entry hosts are ready', async () => this.#platform.areReady(), 30_000);
@@ -181,6 +187,7 @@
     await calls;
     const readBackVersions = await this.#readBack();
     const { attempts } = load;
+    stalls.disable();
     const record: SoakRecord = {
       attempts,
       executions: this.#engines.receivedRequests.map(({ id, engine, at, customer, lastEvent }) => ({
@@ -198,6 +205,7 @@
       refusals: this.#engines.refusals,
       coldStarts: this.#engines.coldStarts,
       injectedFaults: this.#injectedFaults,
+      longestStallMs: Math.round(stalls.max / NS_PER_MS),
       engineCrashes: this.#engines.crashes,
       fatalExecutions: this.#engines.receivedRequests.filter(({ body }) =>
         body.startsWith(FATAL_PREFIX),
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -130,6 +130,8 @@
   readonly refusals: readonly SoakRefusal[];
   readonly coldStarts: readonly SoakColdStart[];
   readonly injectedFaults: readonly SoakInjectedFault[];
+  /** Longest time for which the event loop of callers, engines and proxy stood still, ms. */
+  readonly longestStallMs: number;
   /** Engines that requests crashed, and all executions of such requests. */
   readonly engineCrashes: readonly SoakEngineCrash[];
   readonly fatalExecutions: readonly (Pick<SoakEngineCrash, 'body' | 'at'> &
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -45,6 +45,7 @@
   evacuations: [],
   refusals: [],
   coldStarts: [],
+  longestStallMs: 0,
   injectedFaults: [],
   engineCrashes: [],
   fatalExecutions: [],
