Fix: a founder that the log names again grants no retries at once

By reading, not seen: a process that founded the cluster grants without the wait that others need after they are named. It kept that right when the log had dropped it and named it again, while the others still divided the fixed number without it, so that for up to 5 s the shares added up to more than the whole. The test failed before (it granted at 40 s).

Read for the same cause: that a founding is recorded before it is durable gives no grant twice, since nothing is granted without a proof that names the host, and the log names it only once the founding is durable.

--- a/src/coordination/RetryGrants.ts
+++ b/src/coordination/RetryGrants.ts
@@ -29,7 +29,7 @@
   readonly memberSince: number | null;
   /** When the newest proof that the list of hosts is the newest was requested; null for none. */
   readonly provenAt: ClockReading | null;
-  /** Whether this process took part in founding the cluster, so that no earlier process has granted anything. */
+  /** Whether this process founded the cluster and has been a member since, so that no earlier one has granted anything. */
   readonly isFounder: boolean;
 }
 
@@ -68,10 +68,13 @@
   const at = requestedAt.monotonic;
   const kept = [...state.hosts].filter(([, seenAt]) => at - seenAt <= formerHostMs(allowance));
   const isMember = names.includes(self);
+  // Others count a host that is named again only once they know of it.
+  const isFounder = state.isFounder && (isMember || state.memberSince === null);
   return {
     ...state,
     hosts: new Map([...kept, ...names.map((name): [string, number] => [name, at])]),
     memberSince: isMember ? (state.memberSince ?? at) : null,
+    isFounder,
     provenAt: requestedAt,
   };
 }
--- a/src/coordination/__tests__/unit/RetryBudget.test.ts
+++ b/src/coordination/__tests__/unit/RetryBudget.test.ts
@@ -133,6 +133,15 @@
     assert.ok(mayGrantRetries(member(16_500, restarted), at(16_500), ALLOWANCE));
   });
 
+  // Guards against a founder that was removed and grants at once when it is back, before the others count it.
+  it('are withheld by a founder that the log names again until the others count it', () => {
+    const founder = member(0, onFounded(NO_RETRY_GRANTS));
+    const removed = onHostsProven(founder, 'c1', ['c2', 'c3'], at(20_000), ALLOWANCE);
+    const back = member(40_000, removed);
+    assert.ok(!mayGrantRetries(back, at(40_000), ALLOWANCE));
+    assert.ok(mayGrantRetries(member(56_500, back), at(56_500), ALLOWANCE));
+  });
+
   it('are withheld without a recent proof of the control hosts', () => {
     const state = member(0, onFounded(NO_RETRY_GRANTS));
     assert.ok(mayGrantRetries(state, at(4_999), ALLOWANCE));
