--- a/bench/BenchPromptPartsModel.ts
+++ b/bench/BenchPromptPartsModel.ts
@@ -7,6 +7,7 @@
 import {
   clearSuspect,
   EMPTY_QUARANTINE,
+  hashText,
   mergeSuspectRecords,
   QUARANTINE_CRASHES,
   quarantinedParts,
@@ -26,6 +27,8 @@
   /** Different first parts, and different second parts, of the prompts. */
   readonly firstParts: number;
   readonly secondParts: number;
+  /** Parts that each request names beside the others, with ids that never come again. */
+  readonly forgedParts: number;
   /** Number of parts that crash endpoints. */
   readonly fatalParts: number;
   /** Requests with such a part, per second. */
@@ -98,6 +101,8 @@
 
   #counter = 0;
 
+  #forgedCounter = 0;
+
   #now = 0;
 
   readonly #count = { crashes: 0, lateArrivals: 0, sound: 0, wronglyHeld: 0 };
@@ -138,10 +143,14 @@
   }
 
   #prompt(fatalPart: string | null): readonly string[] {
-    const { firstParts, secondParts, isTied } = this.#shape;
+    const { firstParts, secondParts, forgedParts, isTied } = this.#shape;
     const isCompanion = isTied && fatalPart !== null;
     const first = `first-${isCompanion ? 1 : this.#skewed(firstParts)}`;
-    return [first, fatalPart ?? `second-${this.#skewed(secondParts)}`];
+    const forged = Array.from({ length: forgedParts }, () => {
+      this.#forgedCounter += 1;
+      return `forged-${hashText(String(this.#forgedCounter))}`;
+    });
+    return [first, fatalPart ?? `second-${this.#skewed(secondParts)}`, ...forged];
   }
 
   #quarantinedAt({ state }: ModelEntry): ReadonlySet<string> {
