--- a/src/cli/CliLossCommand.ts
+++ b/src/cli/CliLossCommand.ts
@@ -1,12 +1,10 @@
 /** `laburnumgauge loss [FILE…]`: attributes late and missing answers to causes, from logs. */
 import { Command, Option } from 'clipanion';
-import type { LogLine } from './CliExplain.js';
-import { readLogFiles } from './CliLogFiles.js';
+import { EXIT_INPUT, reportLogFiles } from './CliLogFiles.js';
 import { formatLoss, splitLoss } from './CliLoss.js';
 
 /** Exit code if no request ends in the logs. */
 const EXIT_EMPTY = 1;
-const EXIT_INPUT = 2;
 
 const DEFAULT_WINDOW_S = 2;
 
@@ -32,17 +30,12 @@
       this.context.stderr.write(`--window: "${this.window}" is not a positive number of seconds\n`);
       return EXIT_INPUT;
     }
-    let log: readonly LogLine[];
-    try {
-      log = await readLogFiles(this.files, this.context.stdin);
-    } catch (err) {
-      this.context.stderr.write(`${(err as Error).message}\n`);
-      return EXIT_INPUT;
-    }
-    const report = splitLoss(log, windowS);
-    this.context.stdout.write(
-      `${this.json ? JSON.stringify(report, null, 2) : formatLoss(report)}\n`,
-    );
-    return report.requests === 0 ? EXIT_EMPTY : 0;
+    return reportLogFiles(this.files, this.context, (log) => {
+      const report = splitLoss(log, windowS);
+      return {
+        text: this.json ? JSON.stringify(report, null, 2) : formatLoss(report),
+        exitCode: report.requests === 0 ? EXIT_EMPTY : 0,
+      };
+    });
   }
 }
--- a/src/cli/CliRetriesCommand.ts
+++ b/src/cli/CliRetriesCommand.ts
@@ -1,12 +1,10 @@
 /** `laburnumgauge retries [FILE…]`: how near the retries of each service came to the allowance, from logs. */
 import { Command, Option } from 'clipanion';
-import type { LogLine } from './CliExplain.js';
-import { readLogFiles } from './CliLogFiles.js';
+import { reportLogFiles } from './CliLogFiles.js';
 import { formatRetries, reportRetries } from './CliRetries.js';
 
 /** Exit code if the logs name no allowance. */
 const EXIT_EMPTY = 1;
-const EXIT_INPUT = 2;
 
 export class RetriesCommand extends Command {
   static override paths = [['retries']];
@@ -22,17 +20,12 @@
   readonly files = Option.Rest({ name: 'file' });
 
   async execute(): Promise<number> {
-    let log: readonly LogLine[];
-    try {
-      log = await readLogFiles(this.files, this.context.stdin);
-    } catch (err) {
-      this.context.stderr.write(`${(err as Error).message}\n`);
-      return EXIT_INPUT;
-    }
-    const report = reportRetries(log);
-    this.context.stdout.write(
-      `${this.json ? JSON.stringify(report, null, 2) : formatRetries(report)}\n`,
-    );
-    return report.allowance === null ? EXIT_EMPTY : 0;
+    return reportLogFiles(this.files, this.context, (log) => {
+      const report = reportRetries(log);
+      return {
+        text: this.json ? JSON.stringify(report, null, 2) : formatRetries(report),
+        exitCode: report.allowance === null ? EXIT_EMPTY : 0,
+      };
+    });
   }
 }
