A permit of a retry has the time at which it was paid for

The budget and the permit took two readings of the clocks: a retry that was moved at the edge of an interval could be taken out of the interval after the one that it was counted in. laburnumgauge retries matches the two lines of a retry by host, request and endpoint only.

--- a/src/cli/CliRetries.ts
+++ b/src/cli/CliRetries.ts
@@ -1,6 +1,4 @@
 /** Retries of each service over all entry hosts against the allowance, from their logs. Pure functions. */
-
-import type { LogLine } from './CliExplain.js';
 import {
   arrivalsAt,
   worstRetryWindow,
@@ -8,6 +6,7 @@
   type RetryArrival,
   type RetryWindow,
 } from '../protocol/index.js';
+import type { LogLine } from './CliExplain.js';
 
 /** The worst windows of one service. */
 export interface ServiceRetries {
@@ -54,24 +53,21 @@
     return known;
   };
   // A process that has ended may leave a retry without its second line; it then counts when it was sent.
-  const sentAt = new Map<string, number>();
+  const onTheWay = new Map<string, number>();
   const keyOf = ({ id, request, endpoint }: LogLine): string =>
     JSON.stringify([id, request, endpoint]);
   const collectors: Readonly<Record<string, (line: LogLine) => void>> = {
     answer: (line) => linesOf(line).requests.push(timeOf(line) - Number(line.ms)),
     retry_sent: (line) => {
-      sentAt.set(keyOf(line), timeOf(line));
-      linesOf(line).arrivals.push({ earliest: timeOf(line), latest: timeOf(line) });
+      const { arrivals } = linesOf(line);
+      onTheWay.set(keyOf(line), arrivals.length);
+      arrivals.push({ earliest: timeOf(line), latest: timeOf(line) });
     },
     retry_arrived: (line) => {
       const { arrivals } = linesOf(line);
-      const earliest = sentAt.get(keyOf(line));
-      const sent = arrivals.findIndex((arrival) => arrival.earliest === earliest);
-      const arrival = {
-        earliest: earliest ?? timeOf(line) - Number(line.ms),
-        latest: timeOf(line),
-      };
-      arrivals.splice(sent < 0 ? arrivals.length : sent, 1, arrival);
+      const at = onTheWay.get(keyOf(line)) ?? arrivals.length;
+      const earliest = arrivals[at]?.earliest ?? timeOf(line) - Number(line.ms);
+      arrivals[at] = { earliest, latest: timeOf(line) };
     },
   };
   [...log].sort((a, b) => timeOf(a) - timeOf(b)).forEach((line) => collectors[line.event]?.(line));
--- a/src/coordination/RetryBudget.ts
+++ b/src/coordination/RetryBudget.ts
@@ -13,10 +13,10 @@
 import { mayHaveBeenSuspended, type ClockReading } from './ConfigFreshness.js';
 
 /** A retry must be sent within this time after it was allowed, ms. */
-export const SEND_WITHIN_MS = 500;
+const SEND_WITHIN_MS = 500;
 
 /** Time from the send of a retry within which it must have arrived at the endpoint, or have a further allowance, ms. */
-export const DELIVERY_MS = 1_000;
+const DELIVERY_MS = 1_000;
 
 /** Time for which an allowance holds, from the decision to the arrival at the endpoint, ms. */
 export const ARRIVAL_MS = SEND_WITHIN_MS + DELIVERY_MS;
--- a/src/daemon/direct/DirectRetries.ts
+++ b/src/daemon/direct/DirectRetries.ts
@@ -10,6 +10,7 @@
   spendEarnedRetry,
   mayStillSend,
   moveEarnedRetry,
+  type ClockReading,
   type RetryBudgetState,
   type RetryPermit,
 } from '../../coordination/index.js';
@@ -78,22 +79,23 @@
   /** Allows one retry; resolves with null if it is refused. */
   async acquire(wish: RetryWish): Promise<RetryPermit | null> {
     const { clocks, now } = this.#options.runtime;
-    const askedAt = now();
-    if (this.#spendEarned(wish.service)) {
+    const askedAt = clocks();
+    if (this.#spendEarned(wish.service, askedAt)) {
       this.#logDecision(wish, 'earned', 0);
-      return { allowedAt: clocks(), isEarned: true };
+      return { allowedAt: askedAt, isEarned: true };
     }
     const hasGrants = this.#options.allowance.extra > 0;
     const allowedAt = hasGrants ? await this.#grantsOf(wish.service).acquire() : null;
-    this.#logDecision(wish, allowedAt === null ? 'refused' : 'granted', now() - askedAt);
+    this.#logDecision(wish, allowedAt === null ? 'refused' : 'granted', now() - askedAt.monotonic);
     return allowedAt === null ? null : { allowedAt, isEarned: false };
   }
 
   /** Allows a retry that was sent under a permit to arrive later; resolves with null if that is refused. */
   async extend(wish: RetryWish, permit: RetryPermit): Promise<RetryPermit | null> {
-    if (permit.isEarned && this.#moveEarned(wish.service, permit)) {
+    const askedAt = this.#options.runtime.clocks();
+    if (permit.isEarned && this.#moveEarned(wish.service, permit, askedAt)) {
       this.#logDecision(wish, 'earned', 0);
-      return { allowedAt: this.#options.runtime.clocks(), isEarned: true };
+      return { allowedAt: askedAt, isEarned: true };
     }
     return this.acquire(wish);
   }
@@ -126,25 +128,25 @@
     return grants;
   }
 
-  #spendEarned(service: string): boolean {
-    const { allowance, runtime } = this.#options;
-    const { state, allowed } = spendEarnedRetry(
-      this.#budgetOf(service),
-      runtime.clocks(),
-      allowance,
-    );
-    this.#budgets.set(service, state);
-    return allowed;
+  #spendEarned(service: string, now: ClockReading): boolean {
+    return this.#apply(service, (budget, allowance) => spendEarnedRetry(budget, now, allowance));
   }
 
-  #moveEarned(service: string, { allowedAt }: RetryPermit): boolean {
-    const { allowance, runtime } = this.#options;
-    const { state, allowed } = moveEarnedRetry(
-      this.#budgetOf(service),
-      allowedAt,
-      runtime.clocks(),
-      allowance,
+  #moveEarned(service: string, { allowedAt }: RetryPermit, now: ClockReading): boolean {
+    return this.#apply(service, (budget, allowance) =>
+      moveEarnedRetry(budget, allowedAt, now, allowance),
     );
+  }
+
+  /** Applies a step to the budget of a service; whether it allowed the retry. */
+  #apply(
+    service: string,
+    step: (
+      budget: RetryBudgetState,
+      allowance: RetryAllowance,
+    ) => { readonly state: RetryBudgetState; readonly allowed: boolean },
+  ): boolean {
+    const { state, allowed } = step(this.#budgetOf(service), this.#options.allowance);
     this.#budgets.set(service, state);
     return allowed;
   }
