Fix: a complete answer is passed on though another connection to the endpoint ends

What callers saw: 502 for a request that the endpoint had answered whole; a stream that was cut or resumed for nothing.

Cause: an answer without a length ends with its connection, and the client library takes a reset for that end. So the pool noted for one turn of the event loop that one of its sockets had failed, and every answer that ended in that turn was reported as cut off: also those with a length, which end by themselves, and also where the pool itself had closed a socket that was idle for four seconds or whose call was given up.

The new test fails each time without the change.

Change: only an answer with neither a length nor chunks is checked, and only errors of the system count as failures.

--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -90,7 +90,8 @@
  *
  * An answer without a length ends with its connection. If that is reset, the client library takes the reset for the
  * end, and a caller would get a truncated answer as complete. The socket's error is seen here before the library's own
- * handler ends the answer in the same turn of the event loop, so an end reported while a socket fails is an error.
+ * handler ends the answer in the same turn of the event loop, so such an end reported while a socket fails is an error.
+ * A connection that is closed here, as when it has been idle for long, hasn't failed.
  */
 function watchConnections(timeout: number, onSocket: (socket: Socket) => void): WatchedConnector {
   let failing = false;
@@ -103,7 +104,11 @@
   };
   const watch = (socket: Socket): void => {
     onSocket(socket);
-    socket.on('error', fail);
+    socket.on('error', ({ syscall }: NodeJS.ErrnoException) => {
+      if (syscall !== undefined) {
+        fail();
+      }
+    });
     // The reset may have been reported to another call on the socket. Reading then yields an ordinary
     // end, but a connection that was reset has no remote address any more.
     socket.on('end', () => {
@@ -124,25 +129,37 @@
   return { connect, isFailing: () => failing };
 }
 
+/** Statuses of answers that have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, NOT_MODIFIED]);
+
+/** Whether an answer has neither a length nor chunks, so that only the end of its connection shows its end. */
+function endsWithConnection(status: number, headers: IncomingHttpHeaders): boolean {
+  const { 'content-length': length, 'transfer-encoding': coding } = headers;
+  return length === undefined && coding === undefined && !BODILESS_STATUSES.has(status);
+}
+
 const RESET_MESSAGE = 'the connection was reset before the end of the answer';
 
 /** Opens an agent for any origin, without header and body timeouts; an answer cut off by a reset fails. */
 export function openAgent(connectMs: number): Dispatcher {
   const { connect, isFailing } = watchConnections(connectMs, () => undefined);
   const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0, connect });
-  return agent.compose(
-    (dispatch) => (options, handler) =>
-      dispatch(options, {
-        onRequestStart: (...args) => handler.onRequestStart?.(...args),
-        onResponseStart: (...args) => handler.onResponseStart?.(...args),
-        onResponseData: (...args) => handler.onResponseData?.(...args),
-        onResponseEnd: (controller, trailers) =>
-          isFailing()
-            ? handler.onResponseError?.(controller, new Error(RESET_MESSAGE))
-            : handler.onResponseEnd?.(controller, trailers),
-        onResponseError: (...args) => handler.onResponseError?.(...args),
-      }),
-  );
+  return agent.compose((dispatch) => (options, handler) => {
+    let isUnframed = false;
+    return dispatch(options, {
+      onRequestStart: (...args) => handler.onRequestStart?.(...args),
+      onResponseStart: (controller, status, headers, ...rest) => {
+        isUnframed = endsWithConnection(status, headers);
+        handler.onResponseStart?.(controller, status, headers, ...rest);
+      },
+      onResponseData: (...args) => handler.onResponseData?.(...args),
+      onResponseEnd: (controller, trailers) =>
+        isUnframed && isFailing()
+          ? handler.onResponseError?.(controller, new Error(RESET_MESSAGE))
+          : handler.onResponseEnd?.(controller, trailers),
+      onResponseError: (...args) => handler.onResponseError?.(...args),
+    });
+  });
 }
 
 /** Opens the connection pool of one endpoint; connections are opened when calls need them. */
@@ -200,6 +217,7 @@
   let sent = false;
   let isFinished = false;
   let answerStatus = 0;
+  let isUnframed = false;
   let stop: ((err: Error) => void) | null = null;
   const finish = (): boolean => {
     const first = !isFinished;
@@ -226,6 +244,7 @@
       }
       if (!isFinished && !informational) {
         answerStatus = status;
+        isUnframed = endsWithConnection(status, headers);
         const { rawHeaders } = controller as unknown as { readonly rawHeaders: unknown };
         listener.onHead(status, headers, toText(rawHeaders));
       }
@@ -239,7 +258,7 @@
       if (!finish()) {
         return;
       }
-      if (isFailing()) {
+      if (isUnframed && isFailing()) {
         listener.onError(new Error(RESET_MESSAGE), true);
       } else {
         listener.onEnd();
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -2,7 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { createInterface } from 'node:readline';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Dispatcher, Pool } from 'undici';
@@ -108,7 +108,50 @@
   return callbacks;
 }
 
+/** A complete answer that leaves the connection open. */
+const SHORT_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+
+/**
+ * Sends two calls on a connection each. Once the first is answered, its connection is reset while the second answer is
+ * sent; returns how the second call ends.
+ */
+async function endBesideReset(answer: string): Promise<string> {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => sockets.push(socket));
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const endpoint = openPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, 2);
+  const call = { method: 'GET', path: '/', headers: [], body: null };
+  const send = async (): Promise<string> =>
+    new Promise((resolve) => {
+      const onError = (): void => resolve('error');
+      startCall(endpoint, call, { ...NOOP_LISTENER, onEnd: () => resolve('end'), onError });
+    });
+  const ends = [send(), send()];
+  while (sockets.length < 2) {
+    // eslint-disable-next-line no-await-in-loop
+    await delay(5);
+  }
+  const [first, second] = sockets as [Socket, Socket];
+  first.write(SHORT_ANSWER);
+  await Promise.race(ends);
+  first.resetAndDestroy();
+  second.end(answer);
+  const results = await Promise.all(ends);
+  await endpoint.pool.destroy();
+  server.close();
+  return results.includes('error') ? 'error' : 'end';
+}
+
 describe('startCall', () => {
+  // Guards against complete answers that are taken for broken as another connection to the endpoint ends meanwhile.
+  it('passes on an answer with a length though another connection is reset at the same time', async () => {
+    assert.equal(await endBesideReset(SHORT_ANSWER), 'end');
+  });
+
   // Guards against a call that reaches an endpoint twice as the client library starts it again on another connection.
   it('sends a call once, and reports it as sent if it would be started again', () => {
     let starts = 0;
