Fix: a cold endpoint is limited as soon as the configuration arrives

Cause: an entry process learns the members first, and which services are limited while cold with the configuration. The send rates were set up with records of members and at ticks only, so that a process that had just started sent to cold endpoints at will from its configuration until its next tick, with the requests that had waited for it.

Change: the rates are set up when the configuration arrives, and each send to an endpoint checks it anew. The test failed before.

--- a/src/daemon/direct/DirectColdEndpoints.ts
+++ b/src/daemon/direct/DirectColdEndpoints.ts
@@ -199,11 +199,13 @@
   /** Whether a request that has a send slot may be sent now; records the send. */
   start(endpoint: MemberRecord): boolean {
     const incarnationKey = incarnationKeyOf(endpoint);
+    const now = this.#options.runtime.now();
+    // The configuration may have come, or the cold time ended, since the last tick.
+    this.#refreshEndpoint(incarnationKey, now);
     const rate = this.#rates.get(incarnationKey);
     if (rate === undefined) {
       return true;
     }
-    const now = this.#options.runtime.now();
     const mayStart = mayStartCold(rate, now) && (now >= rate.until || !this.#isForgotten);
     if (mayStart) {
       this.#rates.set(incarnationKey, startCold(rate, now));
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -180,6 +180,7 @@
     try {
       this.config.receive(config);
     } finally {
+      this.sendSlots.cold.refresh();
       this.#setView(this.#view);
     }
   }
--- a/src/daemon/direct/__tests__/unit/DirectColdEndpoints.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectColdEndpoints.test.ts
@@ -185,6 +185,19 @@
     assert.ok(restarted.slots.start(cold, false));
   });
 
+  // Guards against a process that has just started and sends at will until its first tick after the configuration.
+  it('limits a cold endpoint as soon as the configuration arrives after the first list', () => {
+    const hosts = new TestHosts(2);
+    hosts.spec = undefined;
+    const rank = endpoint(1, { statedColdMs: 10_000 });
+    const { slots } = hosts.start('entry-0', [rank]);
+    hosts.spec = SPEC;
+    assert.ok(!slots.start(rank, false), 'before the others know the host');
+    hosts.now = 5_000;
+    assert.ok(slots.start(rank, false));
+    assert.ok(!slots.start(rank, false), 'right after another');
+  });
+
   it('counts the endpoints of a zone as cold when its evacuation has ended, until they report', () => {
     const { hosts, entry } = loneHost([endpoint(1), endpoint(2, { zone: 'z2' })]);
     entry.slots.cold.onEvacuationFinished('z1');
