Model of retries: what was aborted doesn't arrive after a restart

A retry that its entry host had aborted arrived in the model all the same if that host was restarted before the partition healed, though a reset discards what wasn't delivered. The model uses 16 s now, which is stricter than 4.

--- a/src/coordination/__tests__/utils/RetryModel.ts
+++ b/src/coordination/__tests__/utils/RetryModel.ts
@@ -105,8 +105,8 @@
 const SERVICE = 'llm';
 const ZONES = 3;
 
-/** Idle connections are closed after this time. */
-const KEEP_ALIVE_MS = 4_000;
+/** Idle connections are closed after this time, the longest that an endpoint may ask for. */
+const KEEP_ALIVE_MS = 16_000;
 
 /** Callers leave after this time without an answer. */
 const PATIENCE_MS = 8_000;
@@ -135,6 +135,8 @@
   permit: RetryPermit;
   /** Whether the extension of the permit has been asked for. */
   isExtending: boolean;
+  /** Whether its sender has reset the connection, which discards what wasn't delivered. */
+  isAborted: boolean;
 }
 
 interface ControlNode extends Node {
@@ -507,14 +509,20 @@
     );
     const endpoint = usable[Math.floor(this.#random() * usable.length)] as Node;
     const { life } = entry;
-    const retry = { entry, life, sentAt: this.#now, permit, isExtending: false };
+    const retry: RetryOnTheWay = {
+      entry,
+      life,
+      sentAt: this.#now,
+      permit,
+      isExtending: false,
+      isAborted: false,
+    };
     this.#onTheWay = [...this.#onTheWay, retry];
     const settle = (): void => {
       this.#onTheWay = this.#onTheWay.filter((other) => other !== retry);
     };
     const arrive = (): void => {
-      const isKilled = entry.life !== retry.life;
-      if (isKilled || this.#onTheWay.includes(retry)) {
+      if (!retry.isAborted) {
         this.#retries.push(this.#now);
         const answerMs = this.#random() < 0.2 ? this.#random() * 3_000 : this.#random() * 300;
         this.#sendAfter(answerMs, endpoint, entry, settle);
@@ -559,13 +567,13 @@
 
   /** Aborts what has no answer in time, or no permit any more. */
   #abortOverdue(): void {
-    this.#onTheWay = this.#onTheWay.filter(({ entry, life, sentAt, permit }) => {
-      if (entry.life !== life) {
-        return false;
-      }
+    this.#onTheWay = this.#onTheWay.filter(({ entry, life }) => entry.life === life);
+    const overdue = this.#onTheWay.filter(({ entry, sentAt, permit }) => {
       const isExpired = this.#policy.abortsExpired && this.#elapsedOf(entry, permit) >= ARRIVAL_MS;
-      return !this.#isUp(entry) || (!isExpired && this.#now - sentAt < PATIENCE_MS);
+      return this.#isUp(entry) && (isExpired || this.#now - sentAt >= PATIENCE_MS);
     });
+    overdue.forEach((retry) => Object.assign(retry, { isAborted: true }));
+    this.#onTheWay = this.#onTheWay.filter(({ isAborted }) => !isAborted);
   }
 }
 
