--- a/soak/SoakCold.ts
+++ b/soak/SoakCold.ts
@@ -40,18 +40,12 @@
   }));
 }
 
-/** Largest group of arrivals in one second, as the index of its first and its number. */
-function busiestWindow(times: readonly number[]): {
-  readonly from: number;
-  readonly count: number;
-} {
-  return times.reduce(
-    (most, from, i) => {
-      const count = times.slice(i).filter((at) => at < from + WINDOW_MS).length;
-      return count > most.count ? { from, count } : most;
-    },
-    { from: 0, count: 0 },
-  );
+/** Largest group of arrivals in one second. */
+function busiestSecond(times: readonly number[]): readonly number[] {
+  return times.reduce<readonly number[]>((most, from, i) => {
+    const within = times.slice(i).filter((at) => at < from + WINDOW_MS);
+    return within.length > most.length ? within : most;
+  }, []);
 }
 
 /** Cold engines that more requests reached in a second than they tolerate, unless a link held requests back. */
@@ -64,15 +58,13 @@
     const undelayed = arrivals.filter(
       (at) => !delays.some(({ from, until }) => from <= at && at <= until + WINDOW_MS),
     );
-    const { from, count } = busiestWindow(undelayed);
-    if (count <= SOAK_MAX_COLD) {
+    const busiest = busiestSecond(undelayed);
+    if (busiest.length <= SOAK_MAX_COLD) {
       return [];
     }
     // Arrivals within a few milliseconds were held up and released together; spread ones were sent too often.
-    const offsets = undelayed
-      .filter((at) => at >= from && at < from + WINDOW_MS)
-      .map((at) => Math.round(at - from));
-    const detail = `${count} of ${SOAK_MAX_COLD} in a second at ${engine}, after ms: ${offsets.join(' ')}`;
+    const offsets = busiest.map((at) => Math.round(at - (busiest[0] ?? at)));
+    const detail = `${busiest.length} of ${SOAK_MAX_COLD} in a second at ${engine}, after ms: ${offsets.join(' ')}`;
     return [{ rule: 'a cold engine gets few requests', detail }];
   });
 }
--- a/soak/SoakRetries.ts
+++ b/soak/SoakRetries.ts
@@ -1,7 +1,6 @@
 /** Checks that the retries of all entry hosts together stay within the allowance of the service. */
-
-import type { SoakFinding, SoakRecord } from './SoakTypes.js';
 import { arrivalsAt, worstRetryWindow, type RetryWindow } from '../src/protocol/index.js';
+import type { SoakFinding, SoakRecord } from './SoakTypes.js';
 
 /** The allowance in the settings of a run, small enough that the faults of a run use it up. */
 const ALLOWANCE = { ratio: 0.02, extra: 12, windowMs: 10_000 };
--- a/src/daemon/direct/DirectColdEndpoints.ts
+++ b/src/daemon/direct/DirectColdEndpoints.ts
@@ -200,7 +200,7 @@
   start(endpoint: MemberRecord): boolean {
     const incarnationKey = incarnationKeyOf(endpoint);
     const now = this.#options.runtime.now();
-    // The configuration may have come, or the cold time ended, since the last tick.
+    // Requests that have waited for the configuration may be sent while it is being applied.
     this.#refreshEndpoint(incarnationKey, now);
     const rate = this.#rates.get(incarnationKey);
     if (rate === undefined) {
