Fix: an acknowledged departure of an endpoint outlives restarts

An endpoint deregisters and gets 200; half a second later all control processes and an entry process are killed and restarted; a heartbeat from before the deregistration arrives; 3 of 12 requests reach the endpoint 7 to 9 s after its deregistration (drainMs 2 s).

Cause: that an endpoint has departed was kept only in the memory of the control processes (the tombstone of MembershipHub). One that starts again learns from its peers the members attached to them, never those that are gone.

Fix: a departure (leaving or gone) is a command of the log, and the endpoint gets 200 once as many disks hold it as a configuration needs. A late record of a member that is gone no longer attaches it either.

--- a/src/coordination/MembershipHub.ts
+++ b/src/coordination/MembershipHub.ts
@@ -4,7 +4,7 @@
  * Only changes are sent, so the cost depends on joins and leaves and not on the number of members.
  */
 import type { HelloReply, MemberRecord } from '../protocol/index.js';
-import { mergeRecords, type Directory } from '../state/index.js';
+import { mergeRecords, type Departures, type Directory } from '../state/index.js';
 
 /** A member without contact for this long is declared gone, unless its record has its own `leaseMs`. In ms. */
 export const MEMBER_LEASE_MS = 3_000;
@@ -21,6 +21,8 @@
   readonly reportedBy: ReadonlyMap<string, string>;
   /** Time at which members were found to be gone, ms. */
   readonly goneAt: ReadonlyMap<string, number>;
+  /** Acknowledged departures, as the log has them. Their records outlast {@link TOMBSTONE_MS}. */
+  readonly departures: Departures;
 }
 
 /** Inputs of the membership. */
@@ -35,6 +37,8 @@
       readonly from: string;
       readonly records: readonly MemberRecord[];
     }
+  /** The log's departures have changed. */
+  | { readonly type: 'departures'; readonly departures: Departures }
   | { readonly type: 'tick' };
 
 /** Outputs of the membership. */
@@ -59,6 +63,7 @@
   attached: new Map(),
   reportedBy: new Map(),
   goneAt: new Map(),
+  departures: {},
 };
 
 function merge(
@@ -87,7 +92,7 @@
     }
   });
   return {
-    state: { directory, reportedBy, attached, goneAt },
+    state: { ...state, directory, reportedBy, attached, goneAt },
     outputs: [{ type: 'publish', records: changed, origin: from === null }],
   };
 }
@@ -120,7 +125,11 @@
   const merged = merge(state, [record], null, now);
   const reportedBy = new Map(merged.state.reportedBy);
   reportedBy.delete(record.id);
-  const attached = new Map(merged.state.attached).set(record.id, now);
+  const attached = new Map(merged.state.attached);
+  // A late record of a member that is gone renews no lease.
+  if (merged.state.directory.get(record.id)?.status !== 'gone') {
+    attached.set(record.id, now);
+  }
   return { state: { ...merged.state, attached, reportedBy }, outputs: [hello, ...merged.outputs] };
 }
 
@@ -168,7 +177,9 @@
     .filter((record): record is MemberRecord => record !== undefined)
     .map((record): MemberRecord => ({ ...record, status: 'gone' }));
   const step = merge(state, expired, null, now);
-  const expiredTombstones = [...step.state.goneAt].filter(([, at]) => now - at > TOMBSTONE_MS);
+  const expiredTombstones = [...step.state.goneAt].filter(
+    ([id, at]) => now - at > TOMBSTONE_MS && !Object.hasOwn(state.departures, id),
+  );
   if (expiredTombstones.length === 0) {
     return step;
   }
@@ -183,6 +194,33 @@
   return { ...step, state: { ...step.state, directory, goneAt, reportedBy } };
 }
 
+/**
+ * Merges the departures of the log, which every control process reads itself. Members that were leaving when their
+ * departure was dropped from the log, and that nobody has heard from since a restart, are gone.
+ */
+function onDepartures(
+  state: MembershipState,
+  { departures }: Extract<MembershipInput, { type: 'departures' }>,
+  now: number,
+): MembershipStep {
+  const abandoned = Object.keys(state.departures)
+    .filter((id) => !Object.hasOwn(departures, id))
+    .filter((id) => !state.attached.has(id) && !state.reportedBy.has(id))
+    .map((id) => state.directory.get(id))
+    .filter((record): record is MemberRecord => record?.status === 'leaving')
+    .map((record): MemberRecord => ({ ...record, status: 'gone' }));
+  const changed = Object.values(departures).filter(
+    (record) => state.departures[record.id] !== record,
+  );
+  const { state: merged, outputs } = merge(state, [...changed, ...abandoned], null, now);
+  return {
+    state: { ...merged, departures },
+    outputs: outputs.map((output) =>
+      output.type === 'publish' ? { ...output, origin: false } : output,
+    ),
+  };
+}
+
 function onHeard(state: MembershipState, ids: readonly string[], now: number): MembershipStep {
   const attached = new Map(state.attached);
   ids.filter((id) => attached.has(id)).forEach((id) => attached.set(id, now));
@@ -203,6 +241,7 @@
   heard: (state, { ids }, now) => onHeard(state, ids, now),
   peer: (state, { from, records }, now) => merge(state, records, from, now),
   peerFull: onPeerFull,
+  departures: onDepartures,
   tick: (state, _input, now) => onTick(state, now),
 };
 
--- a/src/coordination/__tests__/unit/Membership.test.ts
+++ b/src/coordination/__tests__/unit/Membership.test.ts
@@ -122,6 +122,63 @@
     );
   });
 
+  // Guards against a late heartbeat that brings an endpoint back after this process has restarted.
+  it('ignores late records of a member whose departure is in the log', () => {
+    const late = member('a', 7);
+    const departures = { a: member('a', Number.MAX_SAFE_INTEGER, 'gone') };
+    const inputs = [
+      [0, { type: 'departures', departures }],
+      [10, hello(late)],
+    ] as const;
+    const state = run(inputs);
+    assert.equal(statusOf(state, 'a'), 'gone');
+    assert.deepEqual([...state.attached.keys()], []);
+    const reborn = run([...inputs, [20, hello(member('a', 1, 'serving', 6))]]);
+    assert.equal(statusOf(reborn, 'a'), 'serving');
+  });
+
+  // Guards against an older heartbeat that makes a draining endpoint ready again after this process has restarted.
+  it('ignores older records of a member that the log has as leaving', () => {
+    const departures = { a: member('a', 7, 'leaving') };
+    const inputs = [[0, { type: 'departures', departures }]] as const;
+    assert.equal(statusOf(run([...inputs, [1, hello(member('a', 6))]]), 'a'), 'leaving');
+    assert.equal(statusOf(run([...inputs, [1, hello(member('a', 8))]]), 'a'), 'serving');
+  });
+
+  // Guards against a departure that a process publishes to all others, though each reads it from the log.
+  it('sends departures of the log only to the processes attached here', () => {
+    const departures = { a: member('a', 7, 'gone') };
+    const { outputs } = stepMembership(EMPTY_MEMBERSHIP, { type: 'departures', departures }, 0);
+    assert.deepEqual(outputs, [{ type: 'publish', records: [departures.a], origin: false }]);
+  });
+
+  // Guards against a late heartbeat after the tombstone in memory, but not the departure in the log, has been dropped.
+  it('keeps the record of a departed member as long as the log does', () => {
+    const departures = { a: member('a', 7, 'gone') };
+    const kept = [
+      [0, { type: 'departures', departures }],
+      [TOMBSTONE_MS + 1, { type: 'tick' }],
+    ] as const;
+    assert.equal(statusOf(run(kept), 'a'), 'gone');
+    const dropped = run([
+      ...kept,
+      [TOMBSTONE_MS + 2, { type: 'departures', departures: {} }],
+      [TOMBSTONE_MS + 3, { type: 'tick' }],
+    ]);
+    assert.equal(dropped.directory.size, 0);
+  });
+
+  // Guards against a record that stays for ever: a leaving member that nobody heard of again after a restart.
+  it('declares a leaving member gone if the log drops its departure and nobody has heard from it', () => {
+    const departures = { a: member('a', 7, 'leaving'), b: member('b', 7, 'leaving') };
+    const state = run([
+      [0, { type: 'departures', departures }],
+      [1, hello(member('b', 9, 'leaving'))],
+      [2, { type: 'departures', departures: {} }],
+    ]);
+    assert.deepEqual([statusOf(state, 'a'), statusOf(state, 'b')], ['gone', 'leaving']);
+  });
+
   it('keeps the record of a gone member until no late message can arrive, then drops it', () => {
     const gone: MembershipInput = { type: 'announce', record: member('a', 2, 'gone') };
     const inputs = [
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -131,6 +131,7 @@
   type MembershipOutput,
   type MembershipState,
 } from './MembershipHub.js';
+export { updateDepartureAges, expiredDepartures, type DepartureAges } from './DepartureAges.js';
 export {
   mergeDelta,
   pruneView,
--- a/src/daemon/DaemonConsensus.ts
+++ b/src/daemon/DaemonConsensus.ts
@@ -20,6 +20,7 @@
 import {
   applyCommand,
   EMPTY_CONTROL,
+  restoreControl,
   type CommandResult,
   type ControlCommand,
   type ControlState,
@@ -94,7 +95,7 @@
       this.#options.onStateChange(this.#control);
     },
     restore: ({ snapshot }) => {
-      this.#control = snapshot.image as ControlState;
+      this.#control = restoreControl(snapshot.image);
       this.#options.onStateChange(this.#control);
     },
     proposed: ({ id, index, term }) => {
@@ -127,7 +128,7 @@
     this.#options = options;
     this.#replicationLog = new DaemonReplicationLog(options.log, options.now);
     const { recovery, commit } = recoverJournal(options.folder.recovered);
-    this.#control = (recovery.snapshot.image as ControlState | null) ?? EMPTY_CONTROL;
+    this.#control = restoreControl(recovery.snapshot.image);
     this.#state = initConsensus(options.folder.identity.replica, recovery, this.#context());
     // Everything up to the recorded commit index was committed before the restart, so it is applied again at once.
     const committed = recovery.log.filter(({ index }) => index <= commit);
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,7 +1,7 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import { replicaName } from '../coordination/index.js';
-import type { Manifest, SubmitReply, RetryAllowance } from '../protocol/index.js';
+import type { Manifest, MemberRecord, SubmitReply, RetryAllowance } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
 import { controlStatus, type ControlStatus } from './DaemonAdmin.js';
@@ -13,6 +13,11 @@
   type LeaseReply,
   type ReplaceRequest,
 } from './DaemonControlService.js';
+import {
+  DaemonDepartures,
+  type DepartureReply,
+  type DepartureRequest,
+} from './DaemonDepartures.js';
 import {
   DaemonEvacuations,
   type EvacuationLeaderReply,
@@ -77,6 +82,7 @@
   readonly consensus: DaemonConsensus;
   readonly service: DaemonControlService;
   readonly evacuations: DaemonEvacuations;
+  readonly departures: DaemonDepartures;
   readonly newest: CoalescedRead<number>;
   /** Null where control processes grant no retries. */
   readonly retryGrants: DaemonRetryGrants | null;
@@ -100,6 +106,12 @@
   );
 }
 
+async function departAtLeader(cradle: Cradle, request: DepartureRequest): Promise<DepartureReply> {
+  return callLeader(cradle, 'leader.depart', request, async () =>
+    cradle.departures.decide(request),
+  );
+}
+
 function compose(
   cfg: ControlCoreOptions,
   runtime: Runtime,
@@ -180,6 +192,17 @@
           callLeader: async (request) => evacuateAtLeader(container.cradle, request),
         }),
     ).singleton(),
+    departures: asFunction(
+      ({ consensus, hub }: Cradle) =>
+        new DaemonDepartures({
+          consensus,
+          hub,
+          log: runtime.log,
+          now: runtime.now,
+          lossesBorne: cfg.lossesBorne,
+          callLeader: async (request) => departAtLeader(container.cradle, request),
+        }),
+    ).singleton(),
     newest: asFunction(
       () => new CoalescedRead(async () => readNewestIndex(container.cradle)),
     ).singleton(),
@@ -198,10 +221,11 @@
   return container.cradle;
 }
 
-function leaderHandlers({ service, evacuations, consensus }: Cradle): LinkHandlers {
+function leaderHandlers({ service, evacuations, departures, consensus }: Cradle): LinkHandlers {
   return {
     'leader.replace': async (params) => service.replace(params as ReplaceRequest),
     'leader.evacuate': async (params) => evacuations.decide(params as EvacuationRequest),
+    'leader.depart': async (params) => departures.decide(params as DepartureRequest),
     'leader.submit': async (params) => service.submit(params as Manifest),
     'leader.lease': async (params) => service.requestLease(params as LeaseRequest),
     'leader.join': async (params) => service.join((params as { replica: string }).replica),
@@ -256,7 +280,7 @@
 }
 
 function runTasks(cradle: Cradle): void {
-  const { consensus, hub, peers, service, runtime, signal } = cradle;
+  const { consensus, departures, hub, peers, service, runtime, signal } = cradle;
   const logFailure = (task: Promise<void>): void => {
     task.catch((err: unknown) =>
       runtime.log.debug(
@@ -289,6 +313,7 @@
   checkCluster();
   runEvery(CLUSTER_CHECK_INTERVAL_MS, signal, () => {
     checkCluster();
+    logFailure(departures.dropExpired());
     if (consensus.isFormed && cradle.retryGrants?.isProofOlderThan(HOSTS_PROOF_INTERVAL_MS)) {
       logFailure(cradle.newest.read().then(() => undefined));
     }
@@ -308,6 +333,8 @@
   replace: (request: ReplaceRequest) => Promise<SubmitReply>;
   /** Begins or finishes the evacuation of a zone. */
   evacuate: (order: EvacuationOrder) => Promise<EvacuationReply>;
+  /** Records that an endpoint is leaving or gone. */
+  depart: (record: MemberRecord) => Promise<DepartureReply>;
   /** The newest configuration. Rejects if this process can't confirm which one that is. */
   readNewest: () => Promise<ConfigState>;
   /** Status of each reachable control process, this one first. */
@@ -356,6 +383,7 @@
     submit: async (manifest) => submitViaLeader(cradle, manifest),
     replace: replaceViaLeader(cradle),
     evacuate: async (order) => cradle.evacuations.order(order),
+    depart: async (record) => cradle.departures.depart(record),
     readNewest: async () => {
       await cradle.newest.read();
       return consensus.control.config;
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -191,9 +191,13 @@
     };
   }
 
-  /** Called when the log's configuration has changed. */
+  /** Called when the log's configuration or its departures have changed. */
   onControlState(state: ControlState): void {
-    this.#stepRollout({ type: 'config', config: state.config, deltas: state.deltas });
+    const { config, deltas, departures } = state;
+    if (departures !== this.#membership.departures) {
+      this.#stepMembership({ type: 'departures', departures });
+    }
+    this.#stepRollout({ type: 'config', config, deltas });
   }
 
   /** Called when a quorum has confirmed the log's configuration. */
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -2,8 +2,20 @@
  * The replicated state of the control processes. It changes only in `applyCommand`; every replica
  * applies the same commands in the same order.
  */
-import type { ConfigDelta, ConfigEntries, LeaseGrant, SubmitReply } from '../protocol/index.js';
+import type {
+  ConfigDelta,
+  ConfigEntries,
+  LeaseGrant,
+  MemberRecord,
+  SubmitReply,
+} from '../protocol/index.js';
 import { diffEntries, EMPTY_CONFIG, patchEntries, type ConfigState } from './StateConfig.js';
+import {
+  addDeparture,
+  dropDepartures,
+  type DepartureKey,
+  type Departures,
+} from './StateDepartures.js';
 import { evacuationDelta, evacuationEntries, mayHaveChangedSince } from './StateEvacuation.js';
 
 /** Number of deltas kept for processes that missed some; a longer gap is closed by a snapshot. */
@@ -76,6 +88,7 @@
   readonly leases: Readonly<Record<string, LeaseState>>;
   /** Last fencing token that was issued, over all groups. */
   readonly lastToken: number;
+  readonly departures: Departures;
 }
 
 /** Change of a manifest, computed by the leader against version `base`. */
@@ -123,9 +136,27 @@
   readonly base: number;
 }
 
+/** Records that an endpoint is leaving or gone. */
+export interface DepartCommand {
+  readonly kind: 'depart';
+  readonly record: MemberRecord;
+}
+
+/** Drops departures after which no late message can arrive any more. */
+export interface ForgetDeparturesCommand {
+  readonly kind: 'forgetDepartures';
+  readonly departures: readonly DepartureKey[];
+}
+
 /** A command of the log. A new leader commits a `noop` first. */
 export type ControlCommand =
-  SubmitCommand | ReplaceCommand | LeaseCommand | EvacuateCommand | { readonly kind: 'noop' };
+  | SubmitCommand
+  | ReplaceCommand
+  | LeaseCommand
+  | EvacuateCommand
+  | DepartCommand
+  | ForgetDeparturesCommand
+  | { readonly kind: 'noop' };
 
 /** Result of a command. With `stale`, its base has changed and the command has to be computed again. */
 export type CommandResult =
@@ -133,6 +164,8 @@
   | { readonly result: 'granted'; readonly lease: LeaseGrant }
   | { readonly result: 'held'; readonly lease: LeaseState }
   | { readonly result: 'evacuated'; readonly index: number }
+  | { readonly result: 'departed'; readonly index: number }
+  | { readonly result: 'full' }
   | { readonly result: 'stale' }
   | { readonly result: 'done' };
 
@@ -144,8 +177,14 @@
   fleets: {},
   leases: {},
   lastToken: 0,
+  departures: {},
 };
 
+/** Restores the state from a snapshot, which may be of a version without some of the fields. */
+export function restoreControl(image: unknown): ControlState {
+  return { ...EMPTY_CONTROL, ...(image as Partial<ControlState> | null) };
+}
+
 interface Applied {
   readonly state: ControlState;
   readonly result: CommandResult;
@@ -285,6 +324,18 @@
   };
 }
 
+function applyDepart(state: ControlState, { record }: DepartCommand, index: number): Applied {
+  const departures = addDeparture(state.departures, record);
+  return departures === null
+    ? { state, result: { result: 'full' } }
+    : { state: { ...state, departures }, result: { result: 'departed', index } };
+}
+
+function applyForgetDepartures(state: ControlState, command: ForgetDeparturesCommand): Applied {
+  const departures = dropDepartures(state.departures, command.departures);
+  return { state: { ...state, departures }, result: { result: 'done' } };
+}
+
 type Handlers = {
   readonly [K in ControlCommand['kind']]: (
     state: ControlState,
@@ -298,6 +349,8 @@
   replace: applyReplace,
   lease: applyLease,
   evacuate: applyEvacuate,
+  depart: applyDepart,
+  forgetDepartures: applyForgetDepartures,
   noop: (state) => ({ state, result: { result: 'done' } }),
 };
 
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -21,6 +21,7 @@
   deltasSince,
   mergeDeltas,
   EMPTY_CONTROL,
+  restoreControl,
   checkSubmission,
   type CommandResult,
   type ControlCommand,
@@ -32,6 +33,13 @@
   type ReplaceCommand,
   type SubmitCommand,
 } from './StateControl.js';
+export {
+  addDeparture,
+  departureKey,
+  MAX_DEPARTURES,
+  type DepartureKey,
+  type Departures,
+} from './StateDepartures.js';
 export {
   evacuationsOf,
   finishedEvacuations,
