Fix: no pass is used for two changes of an idle group's map

A coordinator stands still for 0.85 s while it holds a group without work, gets its lease again, voids the change and releases the hold; that order gets no answer and is sent again. It changes the map again and holds the group before the same pass. The first release is then carried out, ends the new hold while two of three ranks are armed, and 7 passes begin with two maps.

Cause: a hold and its release name nothing but their pass, so that a pass must be used once. The coordinator kept the last pass that it had used in its state, which starts over when a lease is gained, also the same one, on a new epoch and with the process; of what it finds it took the pass of an armed rank and not that of a hold. In a group with work the passes move on by themselves; without, latest + 3 is the same pass each time.

Fix: no memory is relied on. No attempt names a pass that is more than 8 ahead of the last one begun, and none is made before the group has begun the pass of the one before (it was "one more than the last" before, which grows without a bound in an idle group). So whatever earlier coordinators sent, on this rank or others, names a pass of at most 8 ahead of the first reports under a lease, or one that these show held or armed. A coordinator holds the group only once it has begun that pass; versions are prepared meanwhile, so that a busy group waits little. A group none of whose ranks ever prepared a map was never held, and is changed at once. Related: - reports are taken by when they were asked for, not received: one that lay in the socket of a frozen host shows neither hold nor armed ranks, and the group would be released as it is; - the phase that arms the ranks looks at its hold, and starts over if it is gone, where it went on to arm before.

Evidence: a new specification drives the real coordinator, 2 ranks, two changes, two late orders, leases regained and taken over by processes without memory, passes at any time.

--- a/fakes/__tests__/unit/MapSwitch.test.ts
+++ b/fakes/__tests__/unit/MapSwitch.test.ts
@@ -38,6 +38,8 @@
   | { readonly kind: 'replace' }
   /** The newest coordinator's lease expires and is granted to it again with the same token. */
   | { readonly kind: 'regain' }
+  /** The newest coordinator's process restarts, and gets the lease under a new token. */
+  | { readonly kind: 'restart' }
   | { readonly kind: 'reform' }
   | { readonly kind: 'tick'; readonly coordinatorIndex: number }
   /** A coordinator gets reports and sends orders; bits select the ranks that report and the orders that are answered. */
@@ -89,6 +91,7 @@
         propose: ({ coordinatorIndex }) => this.#propose(this.#coordinatorAt(coordinatorIndex)),
         replace: () => this.#grantLease(this.#token % 2),
         regain: () => this.#regrantLease(),
+        restart: () => this.#restartCoordinator(),
         reform: () => this.group.restart(),
         tick: ({ coordinatorIndex }) =>
           this.#input(this.#coordinatorAt(coordinatorIndex), { type: 'tick' }),
@@ -149,6 +152,13 @@
     this.#startLease(newest);
   }
 
+  #restartCoordinator(): void {
+    const newest = this.#coordinatorAt(this.#token - 1);
+    newest.state = initMapSwitch(RANKS, newest.index);
+    this.#token += 2;
+    this.#startLease(newest);
+  }
+
   #grantLease(coordinatorIndex: number): void {
     this.#token += 1;
     this.#startLease(this.#coordinatorAt(coordinatorIndex));
@@ -174,7 +184,8 @@
 
   #deliverReport(coordinator: Coordinator, rank: number): void {
     if (!this.#isFenced(coordinator, rank)) {
-      this.#input(coordinator, { type: 'report', rank, report: this.group.report(rank) });
+      const report = this.group.report(rank);
+      this.#input(coordinator, { type: 'report', rank, report, askedAt: this.#now });
     }
   }
 
@@ -233,7 +244,7 @@
   answeredMask: fc.nat({ max: 63 }),
 });
 
-const EVENT: fc.Arbitrary<Event> = fc.oneof(
+const EVENTS: readonly fc.WeightedArbitrary<Event>[] = [
   { weight: 25, arbitrary: ROUND },
   { weight: 6, arbitrary: fc.constant<Event>({ kind: 'pass' }) },
   {
@@ -264,7 +275,45 @@
   { weight: 3, arbitrary: fc.constant<Event>({ kind: 'replace' }) },
   { weight: 3, arbitrary: fc.constant<Event>({ kind: 'regain' }) },
   { weight: 1, arbitrary: fc.constant<Event>({ kind: 'reform' }) },
-);
+];
+
+const EVENT: fc.Arbitrary<Event> = fc.oneof(...EVENTS);
+
+/** A round of the newest coordinator in which few orders get no answer, so that changes proceed. */
+const CALM_ROUND: fc.Arbitrary<Event> = fc.record({
+  kind: fc.constant('round' as const),
+  coordinatorIndex: fc.constant(0),
+  reportedMask: fc.constant(7),
+  answeredMask: fc.constantFrom(63, 63, 63, 62, 61, 59),
+});
+
+/** Passes of a group that has work again for a while. */
+const BUSY_SPELL: fc.Arbitrary<readonly Event[]> = fc
+  .integer({ min: 1, max: 14 })
+  .map((passes) => Array.from({ length: passes }, (): Event => ({ kind: 'pass' })));
+
+/** Events of a group that makes no passes most of the time, with coordinators that are interrupted often. */
+const IDLE_GROUP_EVENTS: fc.Arbitrary<readonly Event[]> = fc
+  .array(
+    fc.oneof(
+      { weight: 5, arbitrary: BUSY_SPELL },
+      { weight: 50, arbitrary: CALM_ROUND.map((event) => [event]) },
+      {
+        weight: 12,
+        arbitrary: smallNumber.map((at): readonly Event[] => [{ kind: 'late', at }]),
+      },
+      {
+        weight: 10,
+        arbitrary: fc.constant<readonly Event[]>([{ kind: 'propose', coordinatorIndex: 0 }]),
+      },
+      {
+        weight: 4,
+        arbitrary: fc.constantFrom<readonly Event[]>([{ kind: 'regain' }], [{ kind: 'restart' }]),
+      },
+    ),
+    { minLength: 20, maxLength: 200 },
+  )
+  .map((spells) => spells.flat());
 
 describe('MapSwitch', () => {
   // After the election of a new leader of the control plane, a lease expires and is granted to its holder again
@@ -292,7 +341,9 @@
       outputs.push(...step.outputs);
     };
     const report = (now: number): void =>
-      [0, 1, 2].forEach((rank) => input({ type: 'report', rank, report: group.report(rank) }, now));
+      [0, 1, 2].forEach((rank) =>
+        input({ type: 'report', rank, report: group.report(rank), askedAt: now }, now),
+      );
     input({ type: 'gained', token: 1 }, 0);
     report(10);
     input({ type: 'propose', map: [[[1], [2], [3]]] }, 20);
@@ -326,6 +377,7 @@
             type: 'report',
             rank,
             report: { ...group.report(rank), heldStep: rank === 1 ? heldStep : null },
+            askedAt: now,
           },
           now,
         ),
@@ -353,6 +405,22 @@
     );
   });
 
+  // Guards against a group that is held for ever, or whose map is never changed again, after it was idle.
+  it('completes a change of a group that was mostly idle', () => {
+    fc.assert(
+      fc.property(IDLE_GROUP_EVENTS, (events) => {
+        const simulation = new Simulation();
+        events.forEach((event) => simulation.applyEvent(event));
+        const { step } = simulation.group;
+        const { changeCount } = simulation;
+        simulation.runWithoutFaults();
+        assert.ok(simulation.group.step > step, 'the group runs no passes');
+        assert.ok(simulation.changeCount > changeCount, 'no change was completed');
+      }),
+      { seed: 20_264, numRuns: 500 },
+    );
+  });
+
   // After the same faults the group must run passes, and the next change must complete: a hold that is never
   // released would stop every stream of the group forever.
   it('completes a change once the faults are over', () => {
--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -2,6 +2,7 @@
 import { makeConsensusSpec } from './SpecConsensus.js';
 import { makeLeaseSpec } from './SpecLease.js';
 import { makeMapChangeSpec } from './SpecMapChange.js';
+import { makeMapSwitchSpec, MAP_SWITCH_SAFEGUARDS } from './SpecMapSwitch.js';
 import { makeRolloutSpec } from './SpecRollout.js';
 import { makeVotersSpec } from './SpecVoters.js';
 import { VOTERS_SAFEGUARDS } from './SpecVotersState.js';
@@ -54,4 +55,7 @@
     'a new version for each attempt',
     'abort only the version named',
   ]),
+  makeMapSwitchSpec({ ranks: 2, proposals: 2, lateOrders: 2, grants: 1, lastPass: 20 }, [
+    MAP_SWITCH_SAFEGUARDS.SKIP_USED_PASSES,
+  ]),
 ] as unknown as readonly Spec<unknown, SpecEvent>[];
--- a/src/coordination/MapSwitch.ts
+++ b/src/coordination/MapSwitch.ts
@@ -8,6 +8,11 @@
  * is carried out late finds that its version is no longer prepared or its pass has begun, and changes nothing. The
  * coordinator keeps sending the orders that the latest reports show to be missing, and relies on reports only,
  * never on the results of its orders.
+ *
+ * A hold and its release name nothing but their pass. No attempt names a pass that is more than
+ * {@link LOSSY_LEAD_PASSES} ahead of the last one begun, and none is made before the group has begun the pass of the one
+ * before. So all passes that orders of earlier coordinators may name have begun once the group has begun that many
+ * passes after a lease was gained. An idle group thus waits for work before its map is changed again.
  */
 import type { EngineOrder, RankReport } from '../protocol/index.js';
 import { completeReports, ORDER_BY_PHASE } from './MapSwitchOrders.js';
@@ -40,6 +45,9 @@
 /** A version that isn't prepared on all ranks after this time is abandoned, ms: copying takes less than 1 s. */
 export const PREPARE_TIMEOUT_MS = 4_000;
 
+/** Version of the map that a group has when it forms. */
+export const FIRST_MAP_VERSION = 0;
+
 /** Number of versions per token; the versions of a new token are all higher. */
 export const VERSIONS_PER_TOKEN = 100_000;
 
@@ -56,6 +64,8 @@
     version: 0,
     map: null,
     step: 0,
+    usedUpTo: null,
+    heldAt: 0,
     attempts: 0,
     nextOrderAt: Array.from({ length: ranks }, () => null),
     unansweredOrders: 0,
@@ -78,6 +88,23 @@
   return { attempts, version: state.token * VERSIONS_PER_TOKEN + attempts };
 }
 
+/**
+ * The highest pass that an order of an earlier attempt may name, by the reports of all ranks. The group is held only
+ * once all ranks have prepared a version, so no order names a pass while none has prepared any.
+ */
+function highestUsedPass(reports: readonly RankReport[]): number {
+  const isUnchanged = reports.every(
+    ({ mapVersion, prepared, copying, armed, heldStep }) =>
+      mapVersion === FIRST_MAP_VERSION &&
+      prepared === null &&
+      !copying &&
+      armed === null &&
+      heldStep === null,
+  );
+  const named = reports.flatMap(({ armed, heldStep }) => [armed?.step ?? 0, heldStep ?? 0]);
+  return isUnchanged ? 0 : Math.max(latestStep(reports) + LOSSY_LEAD_PASSES, ...named);
+}
+
 /** Whether all ranks are armed for the same version and pass, so that only the release is missing. */
 function areArmedAlike(reports: readonly RankReport[]): boolean {
   const [first] = reports;
@@ -95,7 +122,8 @@
  * would stay blocked. If all ranks are armed alike, the change is finished; otherwise the group stays held until
  * every rank has prepared a newer version, after which no late order can arm the old one.
  */
-function recoverChange(state: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
+function recoverChange(observed: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
+  const state = { ...observed, usedUpTo: highestUsedPass(reports) };
   const isArmed = reports.some((report) => report.armed !== null);
   const isHeld = reports.some((report) => report.heldStep !== null);
   if (isArmed && areArmedAlike(reports)) {
@@ -128,7 +156,7 @@
     const isWaiting = now < (nextOrderAt[rank] ?? -Infinity);
     const isCurrent =
       received !== null &&
-      received.receivedAt >= state.validSince &&
+      received.askedAt >= state.validSince &&
       received.report.epoch === state.epoch;
     const order = isWaiting || !isCurrent ? null : selectOrder(state, received.report, rank);
     if (order === null) {
@@ -140,12 +168,16 @@
   return { state: { ...state, nextOrderAt }, outputs };
 }
 
+/** Chooses the pass of the switch, once each pass that a late order may name has begun. */
 function choosePass(state: MapSwitchState, reports: readonly RankReport[]): MapSwitchStep {
+  const latest = latestStep(reports);
+  if (state.usedUpTo === null || latest < state.usedUpTo) {
+    return { state, outputs: [] };
+  }
   const leadPasses =
     state.unansweredOrders >= LOSSY_UNANSWERED_ORDERS ? LOSSY_LEAD_PASSES : LEAD_PASSES;
-  // Each pass is used only once: a late order of an earlier attempt must find that its pass has begun.
-  const step = Math.max(latestStep(reports) + leadPasses, state.step + 1);
-  return enterPhase({ ...state, step }, 'holding');
+  const step = latest + leadPasses;
+  return enterPhase({ ...state, step, usedUpTo: step }, 'holding');
 }
 
 type Advance = (
@@ -190,6 +222,24 @@
   };
 }
 
+/**
+ * Starts over from new reports, where the group is no longer held though some ranks may be armed. Only a release that
+ * this coordinator didn't send can have caused that.
+ */
+function observeAgain(state: MapSwitchState, now: number): MapSwitchStep {
+  const step = enterPhase({ ...state, map: null, validSince: now }, 'observing');
+  return {
+    ...step,
+    outputs: [...step.outputs, { type: 'abandoned', version: state.version }],
+  };
+}
+
+/** Whether the own rank doesn't hold the group any more, by a report that was asked for after it did. */
+function hasLostHold({ reports, ownRank, heldAt, step }: MapSwitchState): boolean {
+  const own = reports[ownRank] ?? null;
+  return own !== null && own.askedAt >= heldAt && own.report.heldStep !== step;
+}
+
 /** Transitions once the reports of all ranks are complete, by phase. */
 const ADVANCE: Readonly<Partial<Record<MapSwitchPhase, Advance>>> = {
   observing: recoverChange,
@@ -205,13 +255,16 @@
       ? abandonVersion(state)
       : { state, outputs: [] };
   },
-  holding: (state, reports) => {
+  holding: (state, reports, now) => {
     if (reports[state.ownRank]?.heldStep === state.step) {
-      return enterPhase(state, 'arming');
+      return enterPhase({ ...state, heldAt: now }, 'arming');
     }
     return latestStep(reports) >= state.step ? choosePass(state, reports) : { state, outputs: [] };
   },
-  arming: (state, reports) => {
+  arming: (state, reports, now) => {
+    if (hasLostHold(state)) {
+      return observeAgain(state, now);
+    }
     const done = reports.every(
       ({ armed }) => armed?.version === state.version && armed.step === state.step,
     );
@@ -234,13 +287,13 @@
 }
 
 /** The group has re-formed, and all its maps, orders and holds are discarded. */
-function onEpoch(state: MapSwitchState, epoch: number, now: number): MapSwitchStep {
+function onEpoch(state: MapSwitchState, epoch: number): MapSwitchStep {
   const next: MapSwitchState = {
     ...state,
     epoch,
-    validSince: now,
     reports: state.reports.map(() => null),
     step: 0,
+    usedUpTo: null,
     map: null,
     nextOrderAt: state.nextOrderAt.map(() => null),
   };
@@ -250,16 +303,16 @@
 
 function onReport(
   state: MapSwitchState,
-  { rank, report }: Extract<MapSwitchInput, { type: 'report' }>,
+  { rank, report, askedAt }: Extract<MapSwitchInput, { type: 'report' }>,
   now: number,
 ): MapSwitchStep {
   if (state.phase === 'off' || report.epoch < state.epoch) {
     return { state, outputs: [] };
   }
   const step: MapSwitchStep =
-    report.epoch > state.epoch ? onEpoch(state, report.epoch, now) : { state, outputs: [] };
+    report.epoch > state.epoch ? onEpoch(state, report.epoch) : { state, outputs: [] };
   const reports = step.state.reports.map((received, i) =>
-    i === rank ? { report, receivedAt: now } : received,
+    i === rank ? { report, askedAt } : received,
   );
   return proceed({ ...step, state: { ...step.state, reports } }, now);
 }
--- a/src/coordination/MapSwitchOrders.ts
+++ b/src/coordination/MapSwitchOrders.ts
@@ -6,7 +6,7 @@
 export function completeReports(state: MapSwitchState): readonly RankReport[] | null {
   const reports = state.reports.flatMap((received) =>
     received !== null &&
-    received.receivedAt >= state.validSince &&
+    received.askedAt >= state.validSince &&
     received.report.epoch === state.epoch
       ? [received.report]
       : [],
@@ -71,10 +71,12 @@
 
 /** Whether a rank's latest report still lacks what the phase waits for, by phase. */
 const AWAITS_REPORT_BY_PHASE: Readonly<Partial<Record<MapSwitchPhase, AwaitsReport>>> = {
-  preparing: ({ version }, { prepared }) => prepared !== version,
+  // The own rank also while all have prepared the version, but a late order may name a pass that is still to begin.
+  preparing: ({ version, ownRank }, { prepared }, rank) => prepared !== version || rank === ownRank,
   voiding: ({ version }, { armed, prepared }) => armed !== null || prepared !== version,
   holding: ({ ownRank }, _report, rank) => rank === ownRank,
-  arming: ({ version, step }, { armed }) => armed?.version !== version || armed.step !== step,
+  arming: ({ version, step, ownRank }, { armed }, rank) =>
+    armed?.version !== version || armed.step !== step || rank === ownRank,
   releasing: ({ version }, { mapVersion }) => mapVersion !== version,
 };
 
@@ -86,7 +88,7 @@
   const received = state.reports[rank] ?? null;
   if (
     received === null ||
-    received.receivedAt < state.validSince ||
+    received.askedAt < state.validSince ||
     received.report.epoch !== state.epoch
   ) {
     return state.phase !== 'off';
--- a/src/coordination/MapSwitchTypes.ts
+++ b/src/coordination/MapSwitchTypes.ts
@@ -15,10 +15,10 @@
   | 'arming'
   | 'releasing';
 
-/** A report with the time at which it was received, ms. */
+/** A report with the time at which it was asked for, ms: it shows what the rank did before that, or later. */
 export interface ReceivedReport {
   readonly report: RankReport;
-  readonly receivedAt: number;
+  readonly askedAt: number;
 }
 
 /** State of a coordinator. */
@@ -28,7 +28,7 @@
   readonly ownRank: number;
   readonly phase: MapSwitchPhase;
   readonly token: number;
-  /** When the lease was gained or a new epoch was first reported, ms; older reports are ignored. */
+  /** When the lease was gained or the coordinator started over, ms; reports that were asked for earlier are ignored. */
   readonly validSince: number;
   readonly epoch: number;
   readonly reports: readonly (ReceivedReport | null)[];
@@ -36,6 +36,10 @@
   readonly version: number;
   readonly map: GroupMap | null;
   readonly step: number;
+  /** Highest pass that an order of an earlier attempt may name; null until the reports of all ranks tell. */
+  readonly usedUpTo: number | null;
+  /** When a report first showed that the own rank holds the group, ms. */
+  readonly heldAt: number;
   /** Number of attempts of this process; part of each version, so that none is used twice. */
   readonly attempts: number;
   /** Time from which the next order may be sent, by rank, ms; null if one may be sent at once. */
@@ -50,7 +54,13 @@
 export type MapSwitchInput =
   | { readonly type: 'gained'; readonly token: number }
   | { readonly type: 'lost' }
-  | { readonly type: 'report'; readonly rank: number; readonly report: RankReport }
+  | {
+      readonly type: 'report';
+      readonly rank: number;
+      readonly report: RankReport;
+      /** When the report was asked for, ms. */
+      readonly askedAt: number;
+    }
   | { readonly type: 'answer'; readonly rank: number; readonly result: OrderResult }
   | { readonly type: 'propose'; readonly map: GroupMap }
   /** The map in use, as the ranks report it; preparing it needs no copies, so it is used to void a change. */
--- a/src/coordination/__tests__/unit/MapSwitch.test.ts
+++ b/src/coordination/__tests__/unit/MapSwitch.test.ts
@@ -4,6 +4,7 @@
 import type { RankReport } from '../../../protocol/index.js';
 import {
   initMapSwitch,
+  LOSSY_LEAD_PASSES,
   stepMapSwitch,
   type MapSwitchInput,
   type MapSwitchOutput,
@@ -32,12 +33,25 @@
   /** Feeds in a report of each rank: the usual report with the given changes. */
   reportAll(...changes: readonly Partial<RankReport>[]): readonly MapSwitchOutput[] {
     const outputs = Array.from({ length: RANKS }, (_item, rank) => {
-      this.input({ type: 'report', rank, report: { ...REPORT, rank, ...changes[rank] } });
+      const report = { ...REPORT, rank, ...changes[rank] };
+      this.input({ type: 'report', rank, report, askedAt: this.#now });
       return this.outputs;
     });
     return outputs.flat();
   }
 
+  /** Proposes a map, and receives reports of all ranks that have prepared it. */
+  prepareMap(changes: Partial<RankReport> = {}): readonly MapSwitchOutput[] {
+    this.input({ type: 'propose', map: [[[0], [1], [2]]] });
+    return this.reportAllPrepared(changes);
+  }
+
+  /** Receives reports of all ranks that have prepared the version. */
+  reportAllPrepared(changes: Partial<RankReport> = {}): readonly MapSwitchOutput[] {
+    const report = { prepared: this.state.version, ...changes };
+    return this.reportAll(report, report, report);
+  }
+
   /** Gains the first lease and receives reports of all ranks. */
   gainLease(...changes: readonly Partial<RankReport>[]): readonly MapSwitchOutput[] {
     this.input({ type: 'gained', token: 1 });
@@ -89,10 +103,103 @@
     coordinator.reportAll({ ...voided, heldStep: 20 }, voided, voided);
     assert.equal(coordinator.state.phase, 'idle');
     coordinator.reportAll(voided, voided, voided);
-    coordinator.input({ type: 'propose', map: [[[0], [1], [2]]] });
-    const prepared = { prepared: coordinator.state.version };
-    coordinator.reportAll(prepared, prepared, prepared);
+    assert.deepEqual(ordersOf(coordinator.prepareMap({ step: 19 })), []);
+    assert.equal(coordinator.state.phase, 'preparing');
+    coordinator.reportAllPrepared({ step: REPORT.step + LOSSY_LEAD_PASSES });
     assert.equal(coordinator.state.phase, 'holding');
     assert.ok(coordinator.state.step > 20, `pass ${coordinator.state.step}`);
   });
+
+  // Guards against a release that is carried out late and ends the hold of the next change of an idle group.
+  it('does not use a pass again when its lease was regained and the group made no passes', () => {
+    const coordinator = new Coordinator();
+    coordinator.gainLease();
+    coordinator.prepareMap();
+    const used = coordinator.state.step;
+    assert.equal(coordinator.state.phase, 'holding');
+    coordinator.input({ type: 'lost' });
+    coordinator.gainLease({ heldStep: used });
+    coordinator.reportAllPrepared();
+    assert.equal(coordinator.state.phase, 'idle');
+    coordinator.prepareMap();
+    assert.equal(coordinator.state.phase, 'preparing');
+    coordinator.reportAllPrepared({ step: REPORT.step + LOSSY_LEAD_PASSES });
+    assert.equal(coordinator.state.phase, 'holding');
+    assert.ok(coordinator.state.step > used, `pass ${coordinator.state.step}`);
+  });
+
+  // Guards against a pass that a process used before it restarted, of which no report tells any more.
+  it('waits for passes that a predecessor may have used, also where nothing is held or armed', () => {
+    const coordinator = new Coordinator();
+    const changed = { mapVersion: 7 };
+    coordinator.gainLease(changed, changed, changed);
+    coordinator.prepareMap(changed);
+    assert.equal(coordinator.state.phase, 'preparing');
+    coordinator.reportAllPrepared({ ...changed, step: REPORT.step + LOSSY_LEAD_PASSES - 1 });
+    assert.equal(coordinator.state.phase, 'preparing');
+    coordinator.reportAllPrepared({ ...changed, step: REPORT.step + LOSSY_LEAD_PASSES });
+    assert.equal(coordinator.state.phase, 'holding');
+  });
+
+  // Guards against a first map that is late because the coordinator waits for passes that nobody can have used.
+  it('does not wait in a group whose ranks have never prepared a map', () => {
+    const coordinator = new Coordinator();
+    coordinator.gainLease();
+    coordinator.prepareMap();
+    assert.equal(coordinator.state.phase, 'holding');
+  });
+});
+
+describe('a coordinator that arms the ranks', () => {
+  function armingCoordinator(): Coordinator {
+    const coordinator = new Coordinator();
+    coordinator.gainLease();
+    coordinator.prepareMap();
+    const { version, step } = coordinator.state;
+    coordinator.reportAll({ prepared: version, heldStep: step }, { prepared: version }, {});
+    assert.equal(coordinator.state.phase, 'arming');
+    return coordinator;
+  }
+
+  // Guards against a coordinator that goes on arming ranks of a group that is no longer held.
+  it('starts over when its hold is gone', () => {
+    const coordinator = armingCoordinator();
+    const { version, step } = coordinator.state;
+    const prepared = { prepared: version };
+    const armed = { ...prepared, armed: { version, step } };
+    const outputs = coordinator.reportAll(prepared, armed, prepared);
+    assert.ok(outputs.some(({ type }) => type === 'abandoned'));
+    assert.equal(coordinator.state.phase, 'observing');
+    const orders = ordersOf(coordinator.reportAll(prepared, armed, prepared));
+    assert.deepEqual([...new Set(orders)], ['0 hold']);
+    assert.equal(coordinator.state.phase, 'voiding');
+  });
+
+  // Guards against a report that was on its way since before the hold, and is taken for the loss of the hold.
+  it('ignores the missing hold in a report that was asked for before it', () => {
+    const coordinator = armingCoordinator();
+    const report = { ...REPORT, prepared: coordinator.state.version };
+    coordinator.input({ type: 'report', rank: 0, report, askedAt: coordinator.state.heldAt - 1 });
+    assert.equal(coordinator.state.phase, 'arming');
+  });
+});
+
+describe('a coordinator that gains a lease', () => {
+  // Guards against reports that lay in the sockets of a frozen host, which show neither holds nor armed ranks.
+  it('ignores reports that were asked for before', () => {
+    const coordinator = new Coordinator();
+    coordinator.input({ type: 'gained', token: 1 });
+    [0, 1, 2].forEach((rank) => {
+      const report = { ...REPORT, rank };
+      coordinator.input({
+        type: 'report',
+        rank,
+        report,
+        askedAt: coordinator.state.validSince - 1,
+      });
+    });
+    assert.equal(coordinator.state.phase, 'observing');
+    coordinator.reportAll();
+    assert.equal(coordinator.state.phase, 'idle');
+  });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -315,7 +315,13 @@
 } from './MapPlanTrigger.js';
 export { slowRanks } from './RankSlowdown.js';
 export { planMap, type PlannedMap, type MapPolicy, type MapShape } from './MapPlan.js';
-export { initMapSwitch, PREPARE_TIMEOUT_MS, stepMapSwitch } from './MapSwitch.js';
+export {
+  FIRST_MAP_VERSION,
+  initMapSwitch,
+  LOSSY_LEAD_PASSES,
+  PREPARE_TIMEOUT_MS,
+  stepMapSwitch,
+} from './MapSwitch.js';
 export {
   isStalled,
   INITIAL_PASS_MONITOR,
--- a/src/daemon/direct/DirectCoordinator.ts
+++ b/src/daemon/direct/DirectCoordinator.ts
@@ -7,6 +7,7 @@
   awaitsReport,
   sampledRanks,
   expectedLoad,
+  FIRST_MAP_VERSION,
   initDemand,
   initMapSwitch,
   isPlanDue,
@@ -74,9 +75,6 @@
 /** Interval of {@link DirectCoordinator.tick}, ms: how often unfinished orders are checked. */
 export const COORDINATOR_TICK_MS = 20;
 
-/** Version of the map that a newly formed group has. */
-const FIRST_MAP_VERSION = 0;
-
 /**
  * Minimum reduction of the skew for which the map is changed. A change keeps the group busy for half a second, in
  * which it can't react to a shift of demand, and a smaller gain shortens passes by only some 2 ms.
@@ -149,7 +147,7 @@
       needsMap: () => this.#map === null,
       awaitsReport: (rank) => awaitsReport(this.#switch, rank),
       forecastFor: (rank) => (rank !== own && isCandidate(rank) ? this.#forecast : null),
-      onReport: (rank, report) => this.#onReport(rank, report),
+      onReport: (rank, report, askedAt) => this.#onReport(rank, report, askedAt),
       onMap: (map) => {
         this.#map = map;
         this.#stepSwitch({ type: 'mapInUse', map });
@@ -196,9 +194,9 @@
     this.#load.onGained(token, firstSkew !== null && firstSkew > 1 ? firstSkew : null);
   }
 
-  #onReport(rank: number, report: RankReport): void {
+  #onReport(rank: number, report: RankReport, askedAt: number): void {
     this.#load.onReport(rank, report);
-    this.#stepSwitch({ type: 'report', rank, report });
+    this.#stepSwitch({ type: 'report', rank, report, askedAt });
     this.#planIfDue();
     this.#load.publishChange();
   }
@@ -356,6 +354,7 @@
     if (!mayCoordinate(lease.lease, runtime.now())) {
       return;
     }
+    const askedAt = runtime.now();
     peers
       .order(rank, { token, order })
       .then((reply) => {
@@ -364,7 +363,7 @@
         }
         this.#stepSwitch({ type: 'answer', rank, result: reply.result });
         if (reply.report !== null) {
-          this.#onReport(rank, reply.report);
+          this.#onReport(rank, reply.report, askedAt);
         }
       })
       .catch(() => this.#stepSwitch({ type: 'answer', rank, result: 'unknown' }));
--- a/src/daemon/direct/DirectRankPolls.ts
+++ b/src/daemon/direct/DirectRankPolls.ts
@@ -30,7 +30,8 @@
   readonly awaitsReport: (rank: number) => boolean;
   /** Forecast to send to a rank with a round of counts; null for none. */
   readonly forecastFor: (rank: number) => GroupForecast | null;
-  readonly onReport: (rank: number, report: RankReport) => void;
+  /** Called with a report and when it was asked for, ms. */
+  readonly onReport: (rank: number, report: RankReport, askedAt: number) => void;
   /** Called with the map in use once all ranks have stated their experts. */
   readonly onMap: (map: GroupMap) => void;
   /** Called once all ranks have answered in a round or the rest are late; null for a rank without new counts. */
@@ -116,7 +117,7 @@
         if (reply.experts !== null) {
           this.#onExperts(rank, reply.report.epoch, reply.experts);
         }
-        onReport(rank, reply.report);
+        onReport(rank, reply.report, now);
         if (withCounts && this.#awaitedInRound.delete(rank) && this.#awaitedInRound.size === 0) {
           this.#endRound();
         }
