Fix: a deregistration without an incarnation ends only one that is known to be meant

The platform's deregistration has no body. It was taken for the incarnation known at that moment: one that arrives late, after the endpoint has started again under its id, ended the new incarnation for good. Where none was known, as after a restart of all control processes, it was acknowledged for incarnation 1, which ends no endpoint that states its start; so was one with an empty JSON object as its body, always.

One that names its incarnation is taken at once as before.

Unit tests of both cases.

--- a/src/coordination/MembershipHub.ts
+++ b/src/coordination/MembershipHub.ts
@@ -12,6 +12,15 @@
 /** How long the record of a gone member is kept, so that late messages are recognized as old. In ms. */
 export const TOMBSTONE_MS = 600_000;
 
+/**
+ * How late a departure may arrive that doesn't name its incarnation, ms: longer than a call waits for a partition to
+ * heal. It isn't taken for a new incarnation of the endpoint that this process has known for less.
+ */
+export const LATE_DEPARTURE_MS = 15_000;
+
+/** Time after which a control process that has started knows all living endpoints by their heartbeats, ms. */
+const DIRECTORY_SETTLED_MS = 5_000;
+
 /** Members as one control process knows them. */
 export interface MembershipState {
   readonly directory: Directory;
@@ -21,6 +30,8 @@
   readonly reportedBy: ReadonlyMap<string, string>;
   /** Time at which members were found to be gone, ms. */
   readonly goneAt: ReadonlyMap<string, number>;
+  /** Time at which a member's incarnation replaced an earlier one, ms. */
+  readonly replacedAt: ReadonlyMap<string, number>;
   /** Acknowledged departures, as the log has them. Their records outlast {@link TOMBSTONE_MS}. */
   readonly departures: Departures;
 }
@@ -63,6 +74,7 @@
   attached: new Map(),
   reportedBy: new Map(),
   goneAt: new Map(),
+  replacedAt: new Map(),
   departures: {},
 };
 
@@ -79,7 +91,11 @@
   const reportedBy = new Map(state.reportedBy);
   const attached = new Map(state.attached);
   const goneAt = new Map(state.goneAt);
-  changed.forEach(({ id, status }) => {
+  const replacedAt = new Map(state.replacedAt);
+  changed.forEach(({ id, incarnation, status }) => {
+    if (incarnation > (state.directory.get(id)?.incarnation ?? incarnation)) {
+      replacedAt.set(id, now);
+    }
     if (from !== null) {
       reportedBy.set(id, from);
       attached.delete(id);
@@ -92,7 +108,7 @@
     }
   });
   return {
-    state: { ...state, directory, reportedBy, attached, goneAt },
+    state: { ...state, directory, reportedBy, attached, goneAt, replacedAt },
     outputs: [{ type: 'publish', records: changed, origin: from === null }],
   };
 }
@@ -165,6 +181,13 @@
   return merge({ ...state, reportedBy, attached }, [...records, ...departed], from, now);
 }
 
+function dropOldReplacements(state: MembershipState, now: number): MembershipState {
+  const replacedAt = [...state.replacedAt].filter(([, at]) => now - at <= LATE_DEPARTURE_MS);
+  return replacedAt.length === state.replacedAt.size
+    ? state
+    : { ...state, replacedAt: new Map(replacedAt) };
+}
+
 /**
  * Declares members gone whose lease has expired by the local monotonic clock. After a freeze all leases look
  * expired, so the caller inputs `heard` for open links before `tick`.
@@ -176,7 +199,7 @@
     .map(({ record }) => record)
     .filter((record): record is MemberRecord => record !== undefined)
     .map((record): MemberRecord => ({ ...record, status: 'gone' }));
-  const step = merge(state, expired, null, now);
+  const step = merge(dropOldReplacements(state, now), expired, null, now);
   const expiredTombstones = [...step.state.goneAt].filter(
     ([id, at]) => now - at > TOMBSTONE_MS && !Object.hasOwn(state.departures, id),
   );
@@ -259,6 +282,25 @@
   return handler(state, input, now);
 }
 
+/**
+ * The incarnation that a departure refers to which names none; null if that can't be told. It may be a late one of an
+ * earlier incarnation, and a process that has just started may not know the current one yet.
+ *
+ * @param upMs How long this process has been running, ms.
+ */
+export function departingIncarnation(
+  { directory, replacedAt }: MembershipState,
+  id: string,
+  now: number,
+  upMs: number,
+): number | null {
+  const known = directory.get(id);
+  const at = replacedAt.get(id);
+  const mayBeLate = at !== undefined && now - at <= LATE_DEPARTURE_MS;
+  const mayBeOutdated = known?.status === 'gone' && upMs < DIRECTORY_SETTLED_MS;
+  return known === undefined || mayBeLate || mayBeOutdated ? null : known.incarnation;
+}
+
 /** Records of the members attached here, sent to a peer when the link to it is new. */
 export function attachedRecords(state: MembershipState): readonly MemberRecord[] {
   return [...state.attached.keys()]
--- a/src/coordination/__tests__/unit/Membership.test.ts
+++ b/src/coordination/__tests__/unit/Membership.test.ts
@@ -2,7 +2,9 @@
 import { describe, it } from 'node:test';
 import type { MemberRecord, MemberStatus } from '../../../protocol/index.js';
 import {
+  departingIncarnation,
   EMPTY_MEMBERSHIP,
+  LATE_DEPARTURE_MS,
   MEMBER_LEASE_MS,
   mergeDelta,
   pruneView,
@@ -191,6 +193,40 @@
   });
 });
 
+describe('departingIncarnation', () => {
+  const UP_MS = 60_000;
+
+  const first = hello(member('a', 3, 'serving', 5));
+  const second = hello(member('a', 1, 'serving', 6));
+
+  it('is the known incarnation', () => {
+    const state = run([[0, first]]);
+    assert.equal(departingIncarnation(state, 'a', 1, UP_MS), 5);
+    assert.equal(departingIncarnation(state, 'b', 1, UP_MS), null);
+  });
+
+  // Guards against a late deregistration that ends the next incarnation, which then never returns.
+  it('is unknown for as long as a departure of an earlier incarnation may arrive', () => {
+    const state = run([
+      [0, first],
+      [1_000, second],
+    ]);
+    assert.equal(departingIncarnation(state, 'a', 1_000 + LATE_DEPARTURE_MS, UP_MS), null);
+    const later = 1_001 + LATE_DEPARTURE_MS;
+    assert.equal(departingIncarnation(state, 'a', later, UP_MS), 6);
+    const { replacedAt } = stepMembership(state, { type: 'tick' }, later).state;
+    assert.equal(replacedAt.size, 0);
+  });
+
+  // Guards against an acknowledged deregistration that ends only the incarnation of before a restart.
+  it('is unknown where a process that has just started knows only one that has departed', () => {
+    const departures = { a: member('a', 9, 'gone') };
+    const state = run([[0, { type: 'departures', departures }]]);
+    assert.equal(departingIncarnation(state, 'a', 1, 1_000), null);
+    assert.equal(departingIncarnation(state, 'a', 1, UP_MS), 5);
+  });
+});
+
 describe('mergeDelta', () => {
   // A control process restarts with an empty list, and an entry process attaches to it before the
   // endpoints do. The list lacks endpoints that serve, and calls must continue until they have attached
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -123,6 +123,8 @@
 } from './MapCommit.js';
 export {
   attachedRecords,
+  departingIncarnation,
+  LATE_DEPARTURE_MS,
   EMPTY_MEMBERSHIP,
   MEMBER_LEASE_MS,
   stepMembership,
--- a/src/daemon/DaemonHub.ts
+++ b/src/daemon/DaemonHub.ts
@@ -5,6 +5,7 @@
 import type { Logger } from 'pino';
 import {
   attachedRecords,
+  departingIncarnation,
   EMPTY_MEMBERSHIP,
   initTokenBucket,
   initRollout,
@@ -119,6 +120,8 @@
 
   #membership: MembershipState = EMPTY_MEMBERSHIP;
 
+  readonly #startedAt: number;
+
   #rollout: RolloutState;
 
   /** Region of each zone, by the newest configuration. */
@@ -126,7 +129,8 @@
 
   constructor(options: HubOptions) {
     this.#options = options;
-    this.#rollout = initRollout(options.now());
+    this.#startedAt = options.now();
+    this.#rollout = initRollout(this.#startedAt);
     this.coldReports = new DaemonColdReports(options);
     this.quarantine = new DaemonQuarantine({
       runtime: options,
@@ -223,6 +227,12 @@
     );
   }
 
+  /** The incarnation that a departure refers to which names none; null if that can't be told. */
+  departingIncarnation(id: string): number | null {
+    const now = this.#options.now();
+    return departingIncarnation(this.#membership, id, now, now - this.#startedAt);
+  }
+
   /** Handles the departure of an endpoint that isn't attached by a link. */
   onDeparture(record: MemberRecord): void {
     this.#stepMembership({ type: 'announce', record });
