Departures are committed in batches

A wave of departures took an entry of the log each, and each repeat of one that wasn't decided yet another, while each entry copies the table of departures. A control process passes on one batch at a time; what comes meanwhile goes with the next one, and the leader commits a batch as one entry.

--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -106,9 +106,12 @@
   );
 }
 
-async function departAtLeader(cradle: Cradle, request: DepartureRequest): Promise<DepartureReply> {
-  return callLeader(cradle, 'leader.depart', request, async () =>
-    cradle.departures.decide(request),
+async function departAtLeader(
+  cradle: Cradle,
+  requests: readonly DepartureRequest[],
+): Promise<DepartureReply> {
+  return callLeader(cradle, 'leader.depart', requests, async () =>
+    cradle.departures.decide(requests),
   );
 }
 
@@ -200,7 +203,7 @@
           log: runtime.log,
           now: runtime.now,
           lossesBorne: cfg.lossesBorne,
-          callLeader: async (request) => departAtLeader(container.cradle, request),
+          callLeader: async (requests) => departAtLeader(container.cradle, requests),
         }),
     ).singleton(),
     newest: asFunction(
@@ -225,7 +228,7 @@
   return {
     'leader.replace': async (params) => service.replace(params as ReplaceRequest),
     'leader.evacuate': async (params) => evacuations.decide(params as EvacuationRequest),
-    'leader.depart': async (params) => departures.decide(params as DepartureRequest),
+    'leader.depart': async (params) => departures.decide(params as readonly DepartureRequest[]),
     'leader.submit': async (params) => service.submit(params as Manifest),
     'leader.lease': async (params) => service.requestLease(params as LeaseRequest),
     'leader.join': async (params) => service.join((params as { replica: string }).replica),
--- a/src/daemon/DaemonDepartures.ts
+++ b/src/daemon/DaemonDepartures.ts
@@ -1,7 +1,8 @@
 /**
  * Departures of endpoints that announce themselves by heartbeats. Any control process takes them and passes them to the
  * leader, which commits them to the log: an acknowledged departure outlives restarts of all control processes, and a
- * heartbeat that arrives late doesn't bring the endpoint back.
+ * heartbeat that arrives late doesn't bring the endpoint back. Many endpoints may leave in the same second, so departures
+ * are passed on and committed in batches.
  */
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Logger } from 'pino';
@@ -11,7 +12,8 @@
   type DepartureAges,
 } from '../coordination/index.js';
 import type { MemberRecord } from '../protocol/index.js';
-import { isNewerRecord } from '../state/index.js';
+import { findDeparture, isNewerRecord } from '../state/index.js';
+import { DaemonBatcher } from './DaemonBatcher.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
 import { TOO_FEW_DISKS, waitForHolders } from './DaemonHolders.js';
 import type { DaemonHub } from './DaemonHub.js';
@@ -22,6 +24,9 @@
  */
 const DEPARTURE_TIMEOUT_MS = 800;
 
+/** Maximum number of departures in a batch, so that an entry of the log stays below some 64 KB. */
+const MAX_BATCH = 256;
+
 /** How often the ages of the departures are checked, ms. */
 const CHECK_INTERVAL_MS = 10_000;
 
@@ -50,19 +55,37 @@
   readonly now: () => number;
   readonly lossesBorne: number;
   /** Calls {@link DaemonDepartures.decide} at the leader. Rejects if it is unreachable. */
-  readonly callLeader: (request: DepartureRequest) => Promise<DepartureReply>;
+  readonly callLeader: (requests: readonly DepartureRequest[]) => Promise<DepartureReply>;
+}
+
+/** The reply to a departure, or that it isn't decided yet after {@link DEPARTURE_TIMEOUT_MS}. */
+async function inTime(reply: Promise<DepartureReply>): Promise<DepartureReply> {
+  const answered = new AbortController();
+  try {
+    return await Promise.race([
+      reply,
+      delay(DEPARTURE_TIMEOUT_MS, UNDECIDED, { signal: answered.signal }),
+    ]);
+  } catch (err) {
+    return { result: 'unavailable', reason: (err as Error).message };
+  } finally {
+    answered.abort();
+  }
 }
 
 /** Departures at one control process. */
 export class DaemonDepartures {
   readonly #options: DeparturesOptions;
 
+  readonly #batcher: DaemonBatcher<DepartureRequest, DepartureReply>;
+
   #ages: DepartureAges = new Map();
 
   #checkedAt = -Infinity;
 
   constructor(options: DeparturesOptions) {
     this.#options = options;
+    this.#batcher = new DaemonBatcher(async (requests) => this.#pass(requests), MAX_BATCH);
   }
 
   /**
@@ -70,7 +93,7 @@
    * make it durable, as in a zone that is cut off; the endpoint then has to announce it again.
    */
   async depart(record: MemberRecord): Promise<DepartureReply> {
-    const { hub, callLeader } = this.#options;
+    const { hub } = this.#options;
     const known = hub.membership.directory.get(record.id);
     const wasLeaving = known?.incarnation === record.incarnation && known.status === 'leaving';
     if (record.status === 'leaving') {
@@ -78,32 +101,26 @@
     } else {
       hub.onDeparture(record);
     }
-    const answered = new AbortController();
-    const reply = await Promise.race([
-      callLeader({ record, wasLeaving }),
-      delay(DEPARTURE_TIMEOUT_MS, UNDECIDED, { signal: answered.signal }),
-    ]).catch((err: unknown): DepartureReply => ({
-      result: 'unavailable',
-      reason: (err as Error).message,
-    }));
-    answered.abort();
+    const reply = await inTime(this.#batcher.add({ record, wasLeaving }));
     if (!wasLeaving || record.status === 'gone' || reply.result === 'unavailable') {
       this.#log(record, reply);
     }
     return reply;
   }
 
-  /** Commits a departure, as the leader; it is accepted once as many disks hold it as a configuration needs. */
-  async decide(request: DepartureRequest): Promise<DepartureReply> {
+  /** Commits departures, as the leader; they are accepted once as many disks hold them as a configuration needs. */
+  async decide(requests: readonly DepartureRequest[]): Promise<DepartureReply> {
     const { consensus } = this.#options;
-    const { record } = request;
-    if (this.#isHeld(request)) {
+    const records = requests
+      .filter((request) => !this.#isHeld(request))
+      .map(({ record }) => record);
+    if (records.length === 0) {
       // Confirms that this replica leads and has applied everything accepted before.
       return (await consensus.readIndex()) === null
         ? UNDECIDED
         : this.#onceHeld(consensus.control.index);
     }
-    const result = await consensus.propose({ kind: 'depart', record });
+    const result = await consensus.propose({ kind: 'depart', records });
     if (result?.result === 'full') {
       return { result: 'unavailable', reason: 'too many endpoints have departed recently' };
     }
@@ -133,10 +150,14 @@
     );
   }
 
+  /** Passes a batch to the leader; the next one doesn't wait for a leader that is frozen. */
+  async #pass(requests: readonly DepartureRequest[]): Promise<DepartureReply> {
+    return inTime(this.#options.callLeader(requests));
+  }
+
   /** Whether the log holds this departure, or an earlier one of an endpoint that has been leaving since. */
   #isHeld({ record, wasLeaving }: DepartureRequest): boolean {
-    const { departures } = this.#options.consensus.control;
-    const held = Object.hasOwn(departures, record.id) ? departures[record.id] : undefined;
+    const held = findDeparture(this.#options.consensus.control.departures, record.id);
     const isStillLeaving =
       wasLeaving &&
       record.status === 'leaving' &&
--- a/src/daemon/__tests__/unit/DaemonDepartures.test.ts
+++ b/src/daemon/__tests__/unit/DaemonDepartures.test.ts
@@ -54,7 +54,7 @@
       log: pino({ level: 'silent' }),
       now: () => this.now + performance.now(),
       lossesBorne: 1,
-      callLeader: async (request) => this.departures.decide(request),
+      callLeader: async (requests) => this.departures.decide(requests),
       ...replaced,
     });
   }
@@ -150,6 +150,19 @@
     assert.deepEqual(control.proposed, ['depart', 'depart', 'depart']);
   });
 
+  // Guards against a wave of departures that takes an entry of the log each, and so minutes until the last is
+  // acknowledged.
+  it('commits departures that arrive together in few entries', async () => {
+    const control = new FakeControl();
+    const wave = Array.from({ length: 300 }, (_item, i) => ({ ...GONE, id: `i-${i}` }));
+    const replies = await Promise.all(
+      wave.map(async (departed) => control.departures.depart(departed)),
+    );
+    assert.ok(replies.every(({ result }) => result === 'accepted'));
+    assert.equal(Object.keys(control.control.departures).length, wave.length);
+    assert.deepEqual(control.proposed, ['depart', 'depart', 'depart']);
+  });
+
   // Guards against departures that pile up for ever, and against one that is dropped while late messages may arrive.
   it('drops departures from the log once no late message can arrive', async () => {
     const control = new FakeControl();
--- a/src/state/StateControl.ts
+++ b/src/state/StateControl.ts
@@ -11,7 +11,7 @@
 } from '../protocol/index.js';
 import { diffEntries, EMPTY_CONFIG, patchEntries, type ConfigState } from './StateConfig.js';
 import {
-  addDeparture,
+  addDepartures,
   dropDepartures,
   type DepartureKey,
   type Departures,
@@ -136,10 +136,10 @@
   readonly base: number;
 }
 
-/** Records that an endpoint is leaving or gone. */
+/** Records that endpoints are leaving or gone. */
 export interface DepartCommand {
   readonly kind: 'depart';
-  readonly record: MemberRecord;
+  readonly records: readonly MemberRecord[];
 }
 
 /** Drops departures after which no late message can arrive any more. */
@@ -324,8 +324,8 @@
   };
 }
 
-function applyDepart(state: ControlState, { record }: DepartCommand, index: number): Applied {
-  const departures = addDeparture(state.departures, record);
+function applyDepart(state: ControlState, { records }: DepartCommand, index: number): Applied {
+  const departures = addDepartures(state.departures, records);
   return departures === null
     ? { state, result: { result: 'full' } }
     : { state: { ...state, departures }, result: { result: 'departed', index } };
--- a/src/state/StateDepartures.ts
+++ b/src/state/StateDepartures.ts
@@ -22,15 +22,23 @@
   return { id, incarnation, version };
 }
 
-/** Adds a departure unless one as new is there; null if there are too many. */
-export function addDeparture(departures: Departures, record: MemberRecord): Departures | null {
-  const known = Object.hasOwn(departures, record.id) ? departures[record.id] : undefined;
-  if (!isNewerRecord(record, known)) {
-    return departures;
-  }
-  return known === undefined && Object.keys(departures).length >= MAX_DEPARTURES
+/** The departure of an endpoint; undefined if there is none. */
+export function findDeparture(departures: Departures, id: string): MemberRecord | undefined {
+  return Object.hasOwn(departures, id) ? departures[id] : undefined;
+}
+
+/** Adds departures unless ones as new are there; null if there are too many. */
+export function addDepartures(
+  departures: Departures,
+  records: readonly MemberRecord[],
+): Departures | null {
+  const next = new Map(Object.entries(departures));
+  records
+    .filter((record) => isNewerRecord(record, next.get(record.id)))
+    .forEach((record) => next.set(record.id, record));
+  return next.size > MAX_DEPARTURES && next.size > Object.keys(departures).length
     ? null
-    : { ...departures, [record.id]: record };
+    : Object.fromEntries(next);
 }
 
 /** Drops departures, except those that newer ones have replaced. */
--- a/src/state/__tests__/unit/StateDepartures.test.ts
+++ b/src/state/__tests__/unit/StateDepartures.test.ts
@@ -24,7 +24,7 @@
 function depart(...records: readonly MemberRecord[]): ControlState {
   return records.reduce(
     (state, departed) =>
-      applyCommand(state, { kind: 'depart', record: departed }, state.index + 1).state,
+      applyCommand(state, { kind: 'depart', records: [departed] }, state.index + 1).state,
     EMPTY_CONTROL,
   );
 }
@@ -54,11 +54,11 @@
     const entries = Array.from({ length: MAX_DEPARTURES }, (_item, i) => [`i-${i}`, known]);
     const full: ControlState = { ...EMPTY_CONTROL, departures: Object.fromEntries(entries) };
     const other = { ...record(5, 9, 'gone'), id: 'other' };
-    const refused = applyCommand(full, { kind: 'depart', record: other }, 1);
+    const refused = applyCommand(full, { kind: 'depart', records: [other] }, 1);
     assert.deepEqual(refused.result, { result: 'full' });
     assert.equal(refused.state.departures, full.departures);
     const gone = record(5, 10, 'gone');
-    const taken = applyCommand(full, { kind: 'depart', record: gone }, 1);
+    const taken = applyCommand(full, { kind: 'depart', records: [gone] }, 1);
     assert.deepEqual(taken.state.departures['i-1'], gone);
   });
 
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -34,8 +34,8 @@
   type SubmitCommand,
 } from './StateControl.js';
 export {
-  addDeparture,
   departureKey,
+  findDeparture,
   MAX_DEPARTURES,
   type DepartureKey,
   type Departures,
