The soak has engines that deregister around a restart of all control processes

Each run deregisters an engine, kills all control processes and an entry process 0.4 s later, and sends the engine's last heartbeat 4.5 to 6 s late. Nothing may reach it from 2 s after the acknowledgement, from entry hosts that were undisturbed for 3 s beside control hosts that were.

--- a/soak/SoakChecks.ts
+++ b/soak/SoakChecks.ts
@@ -1,6 +1,7 @@
 /** Checks the system's guarantees on the record of a soak run. Pure: a record in, findings out. */
 import { checkAnswers } from './SoakAnswerChecks.js';
 import { checkCold } from './SoakCold.js';
+import { checkDepartures } from './SoakDepartures.js';
 import { checkEvacuations } from './SoakEvacuations.js';
 import { overlapsUnplannedFault } from './SoakFaultOverlap.js';
 import { checkParts } from './SoakParts.js';
@@ -199,6 +200,7 @@
     ...CHECKS.flatMap((check) => check(record, executionsById)),
     ...checkRelief(record),
     ...checkEvacuations(record),
+    ...checkDepartures(record),
     ...checkCold(record),
     ...checkRetries(record),
     ...checkParts(record),
--- a/soak/SoakEngines.ts
+++ b/soak/SoakEngines.ts
@@ -7,7 +7,11 @@
   type SeenRefusal,
   type SeenRequest,
 } from '../platform/__tests__/utils/StandInEngine.js';
-import { ENGINE_PORT, type StandInPlatform } from '../platform/__tests__/utils/StandInPlatform.js';
+import {
+  ENGINE_PORT,
+  postDeparture,
+  type StandInPlatform,
+} from '../platform/__tests__/utils/StandInPlatform.js';
 import { StandInGroup } from '../platform/__tests__/utils/StandInGroup.js';
 import { StandInRank } from '../platform/__tests__/utils/StandInRank.js';
 import { RESTART_DELAY_MS, FATAL_PREFIX } from '../platform/__tests__/utils/StandInFleet.js';
@@ -104,6 +108,29 @@
     return acked ? { engine: engine.id, ackedAt: now() } : null;
   }
 
+  /** Ends an engine's heartbeats and deregisters it, at any control process; as {@link drain}. */
+  async deregister(
+    n: number,
+    now: () => number,
+  ): Promise<{ engine: string; ackedAt: number } | null> {
+    const engine = this.#engines.get(n);
+    if (engine === undefined) {
+      return null;
+    }
+    engine.isSilent = true;
+    const statuses = await Promise.all(
+      this.#platform.controls.map(async (control) =>
+        postDeparture(control, engine.id).catch(() => 0),
+      ),
+    );
+    return statuses.includes(200) ? { engine: engine.id, ackedAt: now() } : null;
+  }
+
+  /** Sends one more heartbeat of an engine that has deregistered, as one that was delayed. */
+  async sendLateHeartbeat(n: number): Promise<void> {
+    await this.#engines.get(n)?.sendHeartbeatOnce(this.#platform.controls);
+  }
+
   /** Replaces a drained engine by a new incarnation. */
   async replace(n: number): Promise<void> {
     await this.#startEngine(n);
--- a/soak/SoakFaultOverlap.ts
+++ b/soak/SoakFaultOverlap.ts
@@ -12,6 +12,7 @@
   'configure',
   'withdraw',
   'drain',
+  'deregister',
   'orderLost',
   ...UNUSUAL_ANSWERS.filter((kind) => kind !== 'cutLast'),
 ]);
--- a/soak/SoakFaults.ts
+++ b/soak/SoakFaults.ts
@@ -16,6 +16,7 @@
   readonly engines: SoakEngines;
   readonly operator: SoakOperator;
   readonly recordDrain: (drain: SoakDrain) => void;
+  readonly recordDeparture: (departure: SoakDrain) => void;
   readonly now: () => number;
   readonly runExclusively: (names: readonly string[], task: () => Promise<void>) => Promise<void>;
 }
@@ -25,6 +26,9 @@
   return Number(target.split('-')[1]);
 }
 
+/** How long an engine serves after its late heartbeat, ms. */
+const AFTER_LATE_HEARTBEAT_MS = 2_000;
+
 type FaultInjector = (context: FaultContext) => Promise<void>;
 
 async function sleep(ms: number): Promise<void> {
@@ -120,6 +124,17 @@
       await delay(forMs);
       await engines.replace(hostNumberOf(target));
     }),
+  deregister: async ({ fault: { target, forMs }, engines, recordDeparture, now, runExclusively }) =>
+    runExclusively([target], async () => {
+      const departure = await engines.deregister(hostNumberOf(target), now);
+      if (departure !== null) {
+        recordDeparture(departure);
+      }
+      await delay(forMs);
+      await engines.sendLateHeartbeat(hostNumberOf(target));
+      await delay(AFTER_LATE_HEARTBEAT_MS);
+      await engines.replace(hostNumberOf(target));
+    }),
   engineBreak: misbehave((engines, n, on) => engines.setBreakingStreams(n, on)),
   engineLate: misbehave((engines, n, on) => engines.setDelayed(n, on)),
   orderLost: misbehave((engines, n, on) => engines.setDroppingOrderReplies(n, on)),
--- a/soak/SoakFigures.ts
+++ b/soak/SoakFigures.ts
@@ -27,6 +27,7 @@
     engineEnds: engineCrashes.length,
     refusals: refusals.length,
     evacuations: evacuations.length,
+    departures: record.departures.length,
     cold: coldStarts.flatMap(({ arrivals }) => arrivals).length,
     fatalParts: record.fatalPartExecutions.length,
     retries: retryTimesOf(record).length,
--- a/soak/SoakRun.ts
+++ b/soak/SoakRun.ts
@@ -13,6 +13,7 @@
 import { SoakCallers } from './SoakCallers.js';
 import { checkRecord } from './SoakChecks.js';
 import { planColdStarts, SOAK_COLD_SETTINGS } from './SoakCold.js';
+import { planDepartures } from './SoakDepartures.js';
 import { SoakEngines } from './SoakEngines.js';
 import { evacuate, planEvacuations, type SoakEvacuationPlan } from './SoakEvacuations.js';
 import { figuresOf } from './SoakFigures.js';
@@ -89,7 +90,11 @@
 /** All faults of a seed, unusual answers of engines included. */
 export function planAllFaults(seed: number, options: SoakPlanOptions): readonly SoakFault[] {
   const faults = planFaults(seed, options);
-  return [...faults, ...planUnusualAnswers(seed, options, faults)];
+  return [
+    ...faults,
+    ...planUnusualAnswers(seed, options, faults),
+    ...planDepartures(seed, options),
+  ];
 }
 
 /** Behaviour of a stand-in engine that requests relief, by kind. */
@@ -115,6 +120,8 @@
 
   readonly #drains: SoakDrain[] = [];
 
+  readonly #departures: SoakDrain[] = [];
+
   readonly #reliefRequests: SoakReliefRequest[] = [];
 
   readonly #unexpectedExits: string[] = [];
@@ -200,6 +207,7 @@
       answers: this.#engines.answers,
       revokedKeys: this.#operator.revokedKeys,
       drains: this.#drains,
+      departures: this.#departures,
       reliefRequests: this.#reliefRequests,
       evacuations: await evacuating,
       refusals: this.#engines.refusals,
@@ -319,6 +327,7 @@
       engines: this.#engines,
       operator: this.#operator,
       recordDrain: (drain) => this.#drains.push(drain),
+      recordDeparture: (departure) => this.#departures.push(departure),
       now,
       runExclusively: async (names, task) => this.#runExclusively(names, task),
     });
--- a/soak/SoakSchedule.ts
+++ b/soak/SoakSchedule.ts
@@ -31,7 +31,7 @@
 
 /** One planned fault. */
 export interface SoakFault {
-  readonly kind: SoakFaultKind | SoakUnusualAnswer | 'coldStart';
+  readonly kind: SoakFaultKind | SoakUnusualAnswer | 'coldStart' | 'deregister';
   /** Name of the host that it is injected into, or `all`. */
   readonly target: string;
   /** Start and duration; ms, the start counted from the start of load. */
--- a/soak/SoakTypes.ts
+++ b/soak/SoakTypes.ts
@@ -68,7 +68,7 @@
   readonly until: number;
 }
 
-/** An engine announced that it is draining, and a control process acknowledged it. */
+/** An engine announced that it is draining, or deregistered, and a control process acknowledged it. */
 export interface SoakDrain {
   readonly engine: string;
   readonly ackedAt: number;
@@ -125,6 +125,7 @@
   readonly answers: readonly SoakAnswer[];
   readonly revokedKeys: readonly SoakRevokedKey[];
   readonly drains: readonly SoakDrain[];
+  readonly departures: readonly SoakDrain[];
   readonly reliefRequests: readonly SoakReliefRequest[];
   readonly evacuations: readonly SoakEvacuation[];
   readonly refusals: readonly SoakRefusal[];
--- a/soak/__tests__/unit/SoakChecks.test.ts
+++ b/soak/__tests__/unit/SoakChecks.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { MAX_DEPARTURE_MS } from '../../SoakDepartures.js';
 import { EVACUATE_MS } from '../../../platform/__tests__/utils/StandInPlatform.js';
 import { failureBody, sealOf } from '../../../platform/__tests__/utils/StandInUnusualAnswers.js';
 import { SOAK_MAX_COLD } from '../../SoakCold.js';
@@ -41,6 +42,7 @@
   answers: [ANSWER],
   revokedKeys: [],
   drains: [],
+  departures: [],
   reliefRequests: [],
   evacuations: [],
   refusals: [],
@@ -141,6 +143,9 @@
   'a leaving engine gets nothing new': {
     drains: [{ engine: 'i-1', ackedAt: EXECUTION.at - MAX_DRAIN_MS - 1 }],
   },
+  'a departed engine gets nothing new': {
+    departures: [{ engine: 'i-1', ackedAt: EXECUTION.at - MAX_DEPARTURE_MS - 1 }],
+  },
   'a graceful stop cuts nothing off': {
     attempts: [{ ...HOLD_ATTEMPT, outcome: 'broken', body: '' }],
     injectedFaults: [{ kind: 'entryTerm', target: 'entry-1', from: 1_020, until: 9_000 }],
--- a/soak/__tests__/unit/SoakRun.test.ts
+++ b/soak/__tests__/unit/SoakRun.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { planDepartures } from '../../SoakDepartures.js';
 import { REGRESSIONS } from '../../SoakRegressions.js';
 import { planFaults } from '../../SoakSchedule.js';
 import { isUnusualAnswer } from '../../SoakUnusualAnswers.js';
@@ -23,7 +24,8 @@
   it('plans unusual answers of engines in series, without changing the other faults', () => {
     const all = planAllFaults(1, SHORT_RUN);
     const unusual = all.filter(({ kind }) => isUnusualAnswer(kind));
-    assert.deepEqual(all, [...planFaults(1, SHORT_RUN), ...unusual]);
+    const departures = planDepartures(1, SHORT_RUN);
+    assert.deepEqual(all, [...planFaults(1, SHORT_RUN), ...unusual, ...departures]);
     assert.deepEqual(all, planAllFaults(1, SHORT_RUN));
     const [first, second] = unusual;
     assert.equal(first?.target, second?.target);
@@ -71,6 +73,22 @@
     assert.ok((figures.whole ?? 0) > 50);
   });
 
+  // Guards against an engine that gets requests after its deregistration, once a late heartbeat has arrived at control
+  // processes that were killed meanwhile.
+  it('sends nothing to an engine that has deregistered', async () => {
+    const options = { ...SHORT_RUN, seed: 7, durationMs: 9_000 };
+    const { findings, figures } = await runSoak({
+      ...options,
+      faults: planDepartures(options.seed, options),
+      relief: [],
+      fatalRequests: [],
+      evacuations: [],
+    });
+    assert.deepEqual(findings, []);
+    assert.equal(figures.departures, 1);
+    assert.ok((figures.whole ?? 0) > 50);
+  });
+
   // Processes are killed, paused and stopped, links are cut and reset, and engines crash, leave and give unusual
   // answers, while callers send requests and resume streams. No guarantee may be violated, and requests must be served
   // again at the end.
