--- a/src/daemon/DaemonBatcher.ts
+++ b/src/daemon/DaemonBatcher.ts
@@ -45,6 +45,7 @@
         this.#isSending = false;
         this.#sendNext();
       })
+      // Both outcomes have been passed on above.
       .catch(() => undefined);
   }
 }
