--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,74 +1,128 @@
-/** A machine is told to stop while clients still read their answers; it ends before it has sent them. */
+/** All processes are killed together, twice; a request that had been held then crashes servers anew. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { openAgent } from '../lib-2/client.mjs';
+import { openAgent, send } from '../lib-2/client.mjs';
 import { configOf, plainService, route } from '../lib-2/config.mjs';
 import { ENGINE_PORT, Machines, waitUntil } from '../lib-2/machines.mjs';
-import { hasTrouble, runCase } from '../lib-2/report.mjs';
-import { StandInServer } from '../lib-2/server.mjs';
-import { sendAndReadSlowly } from '../lib-2/slow.mjs';
+import { countStatuses, hasTrouble, runCase } from '../lib-2/report.mjs';
+import { answerPlain, StandInServer } from '../lib-2/server.mjs';
 
-const SERVERS = 3;
-const CLIENTS = 6;
+const SERVERS = 6;
 
-/** Length of an answer, and the rate at which a client reads it. */
-const ANSWER_BYTES = 12 * 1_048_576;
-const BYTES_PER_S = 2_100_000;
+/** A crashed server is back after this time, and a killed process, ms. */
+const SERVER_DOWN_MS = 3_000;
+const DOWN_MS = 700;
+
+const DEADLY = 'a body that crashes its server';
+const DEADLY_INTERVAL_MS = 5_000;
+const SOUND_INTERVAL_MS = 100;
+
+/** Times that the request comes between two kills, and how many kills there are. */
+const DEADLY_PER_LIFE = 4;
+const KILLS = 2;
+
+const CONTACT_MS = 3_000;
+
+/** Crashes after which the request must cease to reach servers, and how many retries may still do. */
+const CRASHES = 3;
+const MOST_AFTER = 3;
 
 const machines = new Machines({ core: 3, edge: 2 });
-const servers = [];
+const live = new Map();
 
 async function play(log) {
   await machines.start();
-  const body = Buffer.alloc(ANSWER_BYTES, 'a');
-  const answer = async (_req, res, head) => {
-    await delay(20);
-    res.writeHead(200, { ...head, 'content-length': body.length }).end(body);
+  const state = { isOver: false, lives: 0 };
+  const crashes = [];
+  const startServer = async (n) => {
+    state.lives += 1;
+    const id = `desk-${state.lives}`;
+    const answer = async (req, res, head, body) => {
+      if (body.toString() !== DEADLY) {
+        await answerPlain(req, res, head);
+        return;
+      }
+      crashes.push({ at: performance.now(), id: head['attempt-id'] });
+      log(`${head['attempt-id']} crashes ${id}`);
+      await delay(10);
+      live.get(n)?.stop();
+      await delay(SERVER_DOWN_MS);
+      if (!state.isOver) {
+        await startServer(n);
+      }
+    };
+    const host = machines.ip(`server-${n}`);
+    const server = new StandInServer({ id, service: 'desk', host, port: ENGINE_PORT, answer });
+    live.set(n, server);
+    await server.start(machines.controls);
   };
   for (let n = 1; n <= SERVERS; n += 1) {
-    const host = machines.ip(`server-${n}`);
-    servers.push(
-      new StandInServer({ id: `desk-${n}`, service: 'desk', host, port: ENGINE_PORT, answer }),
-    );
+    // eslint-disable-next-line no-await-in-loop
+    await startServer(n);
   }
-  await Promise.all(servers.map(async (server) => server.start(machines.controls)));
-  const routes = [route('ask', 'idempotent', 'desk', { timeoutMs: 8_000, sloMs: 400 })];
+  const routes = [route('ask', 'idempotent', 'desk', { timeoutMs: 1_500, sloMs: 122 })];
   await machines.replaceConfig(configOf(1, routes, [plainService('desk')]));
   await waitUntil('all edge machines are ready', async () => machines.areReady());
   await delay(4_000);
 
-  const at = machines.frontend('edge-1');
-  const reads = Array.from({ length: CLIENTS }, async () =>
-    sendAndReadSlowly({
-      agent: openAgent(),
-      at,
-      path: '/ask/list',
-      deadlineMs: 8_000,
-      bytesPerS: BYTES_PER_S,
-    }),
-  );
-  await delay(500);
-  const termAt = performance.now();
-  if (hasTrouble) {
-    await machines.signal('edge-1', 'SIGTERM');
-    log('SIGTERM to edge-1');
-    waitUntil('edge-1 has ended', async () => machines.hasEnded('edge-1'))
-      .then(() => log(`edge-1 ended ${Math.round(performance.now() - termAt)} ms after SIGTERM`))
+  const sound = [];
+  const deadly = [];
+  const agent = openAgent();
+  const edges = machines.names('edge').map((name) => machines.frontend(name));
+  let turn = 0;
+  const sendOne = (body, list) => {
+    turn += 1;
+    send({
+      agent,
+      at: edges[Math.floor(turn / 2) % edges.length],
+      path: '/ask/stock',
+      method: 'POST',
+      body,
+      deadlineMs: 1_510,
+    })
+      .then((result) => list.push(result))
       .catch((err) => log(err.message));
+  };
+  const timer = setInterval(() => sendOne(`question ${turn}`, sound), SOUND_INTERVAL_MS);
+  /** When the processes last started or were killed, ms; each is followed by contactMs out of touch. */
+  const disturbedAt = [];
+  const killAll = async () => {
+    const all = [...machines.names('core'), ...machines.names('edge')];
+    log('all processes are killed');
+    disturbedAt.push(performance.now());
+    await Promise.all(all.map(async (name) => machines.signal(name, 'SIGKILL')));
+    await delay(DOWN_MS);
+    await Promise.all(all.map(async (name) => machines.startMachine(name)));
+    disturbedAt.push(performance.now());
+    log('all processes are started again');
+  };
+  for (let life = 0; life <= KILLS; life += 1) {
+    for (let i = 0; i < DEADLY_PER_LIFE; i += 1) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(DEADLY_INTERVAL_MS);
+      sendOne(DEADLY, deadly);
+    }
+    if (hasTrouble && life < KILLS) {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(300);
+      // eslint-disable-next-line no-await-in-loop
+      await killAll();
+    }
   }
-  const results = await Promise.all(reads);
-  results.forEach(({ id, status, length, size, isComplete, sentAt, endedAt }) => {
-    const run = servers.flatMap(({ runs }) => runs).find((item) => item.id === id);
-    log(
-      `${id}: sent ${Math.round(termAt - sentAt)} ms before, run by ${run?.server ?? 'none'}; status ${status}, ` +
-        `${size} of ${length} bytes, complete: ${isComplete}, ended ${Math.round(endedAt - termAt)} ms after`,
-    );
-  });
-  const cut = results.filter(({ isComplete }) => !isComplete);
-  log(`answers that ended before their length: ${cut.length} of ${results.length}`);
-  return cut.length > 0;
+  await delay(2_000);
+  clearInterval(timer);
+  await delay(2_000);
+  state.isOver = true;
+
+  const thirdAt = crashes[CRASHES - 1]?.at ?? Infinity;
+  const isInTouch = (at) => disturbedAt.every((since) => at < since || at - since > CONTACT_MS);
+  const late = crashes.filter(({ at }) => at > thirdAt + CONTACT_MS && isInTouch(at));
+  log(`sound: sent ${sound.length}; ${countStatuses(sound)}`);
+  log(`the request: sent ${deadly.length}; ${countStatuses(deadly)}; crashes: ${crashes.length}`);
+  log(`of these by machines in touch, later than contactMs after the third: ${late.length}`);
+  return late.length > MOST_AFTER;
 }
 
 await runCase(import.meta.url, play, async () => {
-  servers.forEach((server) => server.stop());
+  live.forEach((server) => server.stop());
   await machines.stop();
 });
