--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,4 +1,4 @@
-/** A faulty server sends a refusal without an id where another answer is due; a request then runs at two servers. */
+/** A core machine is replaced as planned, and another one loses its disk; no configuration can be read any more. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { openAgent, send } from '../lib-2/client.mjs';
 import { configOf, plainService, route } from '../lib-2/config.mjs';
@@ -7,44 +7,39 @@
 import { answerPlain, StandInServer } from '../lib-2/server.mjs';
 
 const SERVERS = 3;
+const INTERVAL_MS = 100;
 
-/** The faulty server sends additional bytes after one of this many of its answers. */
-const SPOILED_ONE_IN = 50;
+/** Time that the new machine has before the old one is removed, ms; catchUpS is 4 s. */
+const CATCH_UP_MS = 8_000;
 
-const EXTRA = 'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+/** Time from the end of the old machine until another one loses its disk, and until that one is back, ms. */
+const PAUSE_MS = Number(process.env.PAUSE ?? 1_000);
+const DOWN_MS = 700;
 
-const INTERVAL_MS = 15;
-const TROUBLE_MS = 30_000;
+/** How long the configuration is read at the end, ms; recoveryS is 12 s. */
+const READ_MS = 40_000;
+const READ_INTERVAL_MS = 500;
+
+const ADDED = 'core-4';
+const REMOVED = 'core-2';
+const WIPED = 'core-3';
 
 const machines = new Machines({ core: 3, edge: 2 });
 const servers = [];
 
 async function play(log) {
   await machines.start();
-  const state = { isFaulty: false, spoiled: 0, faultyAnswers: 0 };
-  /** Connections on which an answer was complete; the additional bytes follow it. */
-  const answered = new WeakSet();
   for (let n = 1; n <= SERVERS; n += 1) {
-    const answer = async (req, res, head) => {
-      if (n === 1 && state.isFaulty) {
-        state.faultyAnswers += 1;
-        if (answered.has(req.socket) && state.faultyAnswers % SPOILED_ONE_IN === 0) {
-          state.spoiled += 1;
-          req.socket.write(EXTRA);
-          log(`additional bytes from desk-1 before the answer to ${head['attempt-id']}`);
-        }
-      }
-      await answerPlain(req, res, head);
-      answered.add(req.socket);
-    };
     const host = machines.ip(`server-${n}`);
+    const id = `desk-${n}`;
     servers.push(
-      new StandInServer({ id: `desk-${n}`, service: 'desk', host, port: ENGINE_PORT, answer }),
+      new StandInServer({ id, service: 'desk', host, port: ENGINE_PORT, answer: answerPlain }),
     );
   }
   await Promise.all(servers.map(async (server) => server.start(machines.controls)));
-  const routes = [route('hold', 'non_idempotent', 'desk', { timeoutMs: 1_500, sloMs: 123 })];
-  await machines.replaceConfig(configOf(1, routes, [plainService('desk')]));
+  const routes = [route('ask', 'idempotent', 'desk', { timeoutMs: 1_500, sloMs: 122 })];
+  const services = [plainService('desk')];
+  await machines.replaceConfig(configOf(1, routes, services));
   await waitUntil('all edge machines are ready', async () => machines.areReady());
   await delay(3_000);
 
@@ -54,38 +49,54 @@
   let turn = 0;
   const timer = setInterval(() => {
     turn += 1;
-    send({
-      agent,
-      at: edges[turn % edges.length],
-      path: '/hold/order',
-      method: 'POST',
-      body: `order ${turn}`,
-      deadlineMs: 1_514,
-    })
+    send({ agent, at: edges[turn % edges.length], path: '/ask/stock', deadlineMs: 1_510 })
       .then((result) => sent.push(result))
       .catch((err) => log(err.message));
   }, INTERVAL_MS);
-  await delay(2_000);
-  state.isFaulty = hasTrouble;
-  await delay(TROUBLE_MS);
+
+  await machines.startMachine(ADDED);
+  log(`${ADDED} is started, with an empty disk`);
+  await delay(CATCH_UP_MS);
+  await machines.replaceConfig(configOf(4, routes, services));
+  log('version 4 is acknowledged');
+  await machines.signal(REMOVED, 'SIGTERM');
+  await waitUntil(`${REMOVED} has ended`, async () => machines.hasEnded(REMOVED));
+  log(`${REMOVED} has ended after SIGTERM, and is removed for good`);
+  await delay(PAUSE_MS);
+  if (hasTrouble) {
+    await machines.signal(WIPED, 'SIGKILL');
+    await machines.wipe(WIPED);
+    await delay(DOWN_MS);
+    await machines.startMachine(WIPED);
+    log(`${WIPED} has lost its disk, and is started again`);
+  }
+  const disturbedAt = performance.now();
+  const left = ['core-1', WIPED, ADDED];
+  let answered = 0;
+  let newest = null;
+  const end = performance.now() + READ_MS;
+  while (performance.now() < end) {
+    // eslint-disable-next-line no-await-in-loop
+    const versions = await Promise.all(left.map(async (name) => machines.readVersion(name)));
+    const found = versions.filter((version) => version !== null);
+    if (found.length > 0 && answered === 0) {
+      log(`first read: version ${found.join(', ')}`);
+    }
+    answered += found.length;
+    newest = found.length > 0 ? Math.max(...found) : newest;
+    // eslint-disable-next-line no-await-in-loop
+    await delay(READ_INTERVAL_MS);
+  }
   clearInterval(timer);
   await delay(2_000);
-
-  const runs = new Map();
-  servers.forEach((server) =>
-    server.runs.forEach(({ id }) => runs.set(id, [...(runs.get(id) ?? []), server.options.id])),
-  );
-  const twice = [...runs].filter(([, by]) => by.length > 1);
-  twice.forEach(([id, by]) => {
-    const status = sent.find((result) => result.id === id)?.status;
-    log(`${id} was run by ${by.join(' and ')}; the client got ${status}`);
-  });
-  log(`sent ${sent.length}; ${countStatuses(sent)}`);
+  const late = sent.filter(({ sentAt }) => sentAt > disturbedAt + 12_000);
+  const early = sent.filter(({ sentAt }) => sentAt < disturbedAt - 3_000);
+  log(`requests before: ${countStatuses(early)}`);
+  log(`requests later than recoveryS after: ${countStatuses(late)}`);
   log(
-    `runs: ${servers.map(({ runs: { length } }) => length).join(', ')}; spoiled: ${state.spoiled}`,
+    `reads of the configuration answered in ${READ_MS} ms: ${answered}; newest version: ${newest}`,
   );
-  log(`requests that may run once and ran more often: ${twice.length}`);
-  return twice.length > 0;
+  return newest === null || newest < 4;
 }
 
 await runCase(import.meta.url, play, async () => {
--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -1,57 +1,73 @@
-/** All processes are killed together, twice; a request that had been held then crashes servers anew. */
+/** A part of long prompts crashes each server that answers on it; requests with that part go on crashing servers. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { openAgent, send } from '../lib-2/client.mjs';
 import { configOf, plainService, route } from '../lib-2/config.mjs';
 import { ENGINE_PORT, Machines, waitUntil } from '../lib-2/machines.mjs';
 import { countStatuses, hasTrouble, runCase } from '../lib-2/report.mjs';
-import { answerPlain, StandInServer } from '../lib-2/server.mjs';
+import { StandInServer } from '../lib-2/server.mjs';
 
 const SERVERS = 6;
 
-/** A crashed server is back after this time, and a killed process, ms. */
-const SERVER_DOWN_MS = 3_000;
-const DOWN_MS = 700;
+/** A crashed server is back after this time, ms. */
+const DOWN_MS = 3_000;
 
-const DEADLY = 'a body that crashes its server';
-const DEADLY_INTERVAL_MS = 5_000;
-const SOUND_INTERVAL_MS = 100;
-
-/** Times that the request comes between two kills, and how many kills there are. */
-const DEADLY_PER_LIFE = 4;
-const KILLS = 2;
+/** Parts of each prompt, and the place of the one that crashes servers, from 0. */
+const PARTS = 40;
+const DEADLY_PLACE = Number(process.env.PLACE ?? 35);
 
+const DEADLY_INTERVAL_MS = 2_000;
+const SOUND_INTERVAL_MS = 100;
 const CONTACT_MS = 3_000;
+const LENGTH_MS = 50_000;
 
-/** Crashes after which the request must cease to reach servers, and how many retries may still do. */
-const CRASHES = 3;
+/** Crashes after which requests with the part must cease to reach servers, and how many may still do. */
+const CRASHES = 5;
 const MOST_AFTER = 3;
 
 const machines = new Machines({ core: 3, edge: 2 });
 const live = new Map();
 
+/** The list of parts of a request's prompt; the last one is its own. */
+function partsOf(count, isDeadly) {
+  const shared = Array.from({ length: PARTS - 1 }, (_item, place) =>
+    isDeadly && place === DEADLY_PLACE ? 'dead0001' : `5c1e${place.toString(16).padStart(4, '0')}`,
+  );
+  return [...shared, `e4${count.toString(16).padStart(6, '0')}`].map((id) => `${id}:20`).join(',');
+}
+
 async function play(log) {
   await machines.start();
   const state = { isOver: false, lives: 0 };
   const crashes = [];
   const startServer = async (n) => {
     state.lives += 1;
-    const id = `desk-${state.lives}`;
-    const answer = async (req, res, head, body) => {
-      if (body.toString() !== DEADLY) {
-        await answerPlain(req, res, head);
+    const life = state.lives;
+    const answer = async (req, res, head) => {
+      res.writeHead(200, { ...head, 'content-type': 'text/event-stream' });
+      if (String(req.headers['prefix-hash']).includes('dead0001')) {
+        crashes.push({ at: performance.now(), id: head['attempt-id'], server: life });
+        log(`${head['attempt-id']} crashes writers-${life}`);
+        live.get(n)?.stop();
+        await delay(DOWN_MS);
+        if (!state.isOver) {
+          await startServer(n);
+        }
         return;
       }
-      crashes.push({ at: performance.now(), id: head['attempt-id'] });
-      log(`${head['attempt-id']} crashes ${id}`);
-      await delay(10);
-      live.get(n)?.stop();
-      await delay(SERVER_DOWN_MS);
-      if (!state.isOver) {
-        await startServer(n);
+      for (let id = 1; id <= 20; id += 1) {
+        // eslint-disable-next-line no-await-in-loop
+        await delay(20);
+        res.write(`id: ${id}\ndata: part\n\n`);
       }
+      res.end();
     };
-    const host = machines.ip(`server-${n}`);
-    const server = new StandInServer({ id, service: 'desk', host, port: ENGINE_PORT, answer });
+    const server = new StandInServer({
+      id: `writers-${life}`,
+      service: 'writers',
+      host: machines.ip(`server-${n}`),
+      port: ENGINE_PORT,
+      answer,
+    });
     live.set(n, server);
     await server.start(machines.controls);
   };
@@ -59,8 +75,16 @@
     // eslint-disable-next-line no-await-in-loop
     await startServer(n);
   }
-  const routes = [route('ask', 'idempotent', 'desk', { timeoutMs: 1_500, sloMs: 122 })];
-  await machines.replaceConfig(configOf(1, routes, [plainService('desk')]));
+  const routes = [
+    route('write', 'streaming', 'writers', {
+      timeoutMs: 8_000,
+      sloMs: 401,
+      resumable: true,
+      sticky: true,
+      itlTargetMs: 120,
+    }),
+  ];
+  await machines.replaceConfig(configOf(1, routes, [plainService('writers')]));
   await waitUntil('all edge machines are ready', async () => machines.areReady());
   await delay(4_000);
 
@@ -69,57 +93,39 @@
   const agent = openAgent();
   const edges = machines.names('edge').map((name) => machines.frontend(name));
   let turn = 0;
-  const sendOne = (body, list) => {
+  const sendOne = (isDeadly) => {
     turn += 1;
     send({
       agent,
       at: edges[Math.floor(turn / 2) % edges.length],
-      path: '/ask/stock',
+      path: '/write/note',
       method: 'POST',
-      body,
-      deadlineMs: 1_510,
+      body: `note ${turn}`,
+      deadlineMs: 8_022,
+      patienceMs: 8_022,
+      headers: { model: 'm', 'token-count': '800,100', 'prefix-hash': partsOf(turn, isDeadly) },
     })
-      .then((result) => list.push(result))
+      .then((result) => (isDeadly ? deadly : sound).push(result))
       .catch((err) => log(err.message));
   };
-  const timer = setInterval(() => sendOne(`question ${turn}`, sound), SOUND_INTERVAL_MS);
-  /** When the processes last started or were killed, ms; each is followed by contactMs out of touch. */
-  const disturbedAt = [];
-  const killAll = async () => {
-    const all = [...machines.names('core'), ...machines.names('edge')];
-    log('all processes are killed');
-    disturbedAt.push(performance.now());
-    await Promise.all(all.map(async (name) => machines.signal(name, 'SIGKILL')));
-    await delay(DOWN_MS);
-    await Promise.all(all.map(async (name) => machines.startMachine(name)));
-    disturbedAt.push(performance.now());
-    log('all processes are started again');
-  };
-  for (let life = 0; life <= KILLS; life += 1) {
-    for (let i = 0; i < DEADLY_PER_LIFE; i += 1) {
-      // eslint-disable-next-line no-await-in-loop
-      await delay(DEADLY_INTERVAL_MS);
-      sendOne(DEADLY, deadly);
-    }
-    if (hasTrouble && life < KILLS) {
-      // eslint-disable-next-line no-await-in-loop
-      await delay(300);
-      // eslint-disable-next-line no-await-in-loop
-      await killAll();
-    }
+  const timers = [setInterval(() => sendOne(false), SOUND_INTERVAL_MS)];
+  await delay(3_000);
+  if (hasTrouble) {
+    timers.push(setInterval(() => sendOne(true), DEADLY_INTERVAL_MS));
   }
-  await delay(2_000);
-  clearInterval(timer);
-  await delay(2_000);
+  await delay(LENGTH_MS);
+  timers.forEach((timer) => clearInterval(timer));
+  await delay(3_000);
   state.isOver = true;
 
-  const thirdAt = crashes[CRASHES - 1]?.at ?? Infinity;
-  const isInTouch = (at) => disturbedAt.every((since) => at < since || at - since > CONTACT_MS);
-  const late = crashes.filter(({ at }) => at > thirdAt + CONTACT_MS && isInTouch(at));
+  const fifthAt = crashes[CRASHES - 1]?.at ?? Infinity;
+  const late = new Set(crashes.filter(({ at }) => at > fifthAt + CONTACT_MS).map(({ id }) => id));
   log(`sound: sent ${sound.length}; ${countStatuses(sound)}`);
-  log(`the request: sent ${deadly.length}; ${countStatuses(deadly)}; crashes: ${crashes.length}`);
-  log(`of these by machines in touch, later than contactMs after the third: ${late.length}`);
-  return late.length > MOST_AFTER;
+  log(`with the part: sent ${deadly.length}; ${countStatuses(deadly)}; crashes: ${crashes.length}`);
+  log(
+    `requests with the part that reached servers later than contactMs after the fifth crash: ${late.size}`,
+  );
+  return late.size > MOST_AFTER;
 }
 
 await runCase(import.meta.url, play, async () => {
--- a/review/lib-2/machines.mjs
+++ b/review/lib-2/machines.mjs
@@ -175,6 +175,19 @@
     this.#children.set(name, child);
   }
 
+  /** Deletes the disk folder of a core machine. */
+  async wipe(name) {
+    await rm(path.join(this.#folder, `data-${name.split('-')[1]}`), { recursive: true });
+  }
+
+  /** Version of the configuration that a control machine reads; null if it answers otherwise or not within a second. */
+  async readVersion(name) {
+    const url = `http://${this.ip(name)}:${CONTROL_PORT}/laburnumgauge/config/read`;
+    const res = await fetch(url, { signal: AbortSignal.timeout(1_000) }).catch(() => null);
+    const text = await res?.text().catch(() => '');
+    return res?.status === 200 ? JSON.parse(text).version : null;
+  }
+
   /** Sends a signal; after SIGKILL, waits for the end of the process. */
   async signal(name, signal) {
     const child = this.#children.get(name);
