--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -15,7 +15,7 @@
 const PARTS = 40;
 const DEADLY_PLACE = Number(process.env.PLACE ?? 35);
 
-const DEADLY_INTERVAL_MS = 2_000;
+const DEADLY_INTERVAL_MS = 3_400;
 const SOUND_INTERVAL_MS = 100;
 const CONTACT_MS = 3_000;
 const LENGTH_MS = 50_000;
