Remove the vote of a control host that stops in order

Cause: a control process that was told to stop ended as a voter. The leader removes voters after 3 s of silence; until then four voters need three, and with one more disk lost two were left.

Fix: the process asks the leader to remove its vote and waits for the outcome, 2 s at most. The leader removes it by the rule for silent voters, so only where the quorum gets smaller and enough voters stay: one of four, not one of three. The removal is committed by the voters that stay, so they hold all that was accepted before. Where two of an odd number are removed, the silent one goes first, as the vote of the one that leaves is needed until then; the specification found that.

--- a/spec/SpecVoters.ts
+++ b/spec/SpecVoters.ts
@@ -1,6 +1,6 @@
 /**
- * Specification of the choice of voters: hosts are replaced or lose their disks, some are unreachable for a
- * while, leaders change. It runs the production code for the choice (`nextVoterChange`); the log is assumed correct.
+ * Specification of the choice of voters: hosts are replaced, with or without notice, lose their disks or restart in
+ * order, some are unreachable for a while, leaders change. It runs the production code for the choice (`nextVoterChange`); the log is assumed correct.
  */
 import {
   nextVoterChange,
@@ -23,6 +23,7 @@
   DROP_TWO_OF_ODD,
   PROMOTE_FIRST,
   KEEP_ENOUGH_VOTERS,
+  WAIT_FOR_REMOVAL,
 } = VOTERS_SAFEGUARDS;
 
 interface Event extends SpecEvent {
@@ -36,6 +37,13 @@
   readonly borne: number;
   readonly losses: number;
   readonly silences: number;
+  /** How many processes stop in order, for good once a host added before is a voter, or to restart. */
+  readonly departures: number;
+  /**
+   * Whether a committed change of voters brings a quorum of them up to date, as the log does. Otherwise states are
+   * explored that can't occur, so that more has to hold.
+   */
+  readonly copiesLog: boolean;
   /** Whether the leader's process restarts, and a replica is hidden from the leader alone, at some point. */
   readonly reports: boolean;
   /** Only initial replicas fail, disks from the first on and silence from the last on; they are interchangeable. */
@@ -55,6 +63,18 @@
   };
 }
 
+/** Adds a replica with an empty disk. */
+function addReplica(state: State, id: string): State {
+  const added: Replica = {
+    id,
+    status: 'sound',
+    suspected: false,
+    isUpToDate: false,
+    isLeaving: false,
+  };
+  return { ...state, replicas: [...state.replicas, added] };
+}
+
 function count(state: State, has: (replica: Replica) => boolean): number {
   return state.members.voters.filter((id) => {
     const replica = findReplica(state, id);
@@ -105,6 +125,11 @@
       const replica = findReplica(state, id);
       return replica && contactOfLeader(state, replica);
     },
+    leaving: new Set(
+      state.replicas.flatMap(({ id, isLeaving }) =>
+        isLeaving && enabled[WAIT_FOR_REMOVAL] !== false ? [id] : [],
+      ),
+    ),
     lossesBorne: enabled[KEEP_ENOUGH_VOTERS] === false ? 0 : bounds.borne,
   });
   if (found?.reason === 'caughtUp' && enabled[PROMOTE_FIRST] === false) {
@@ -157,24 +182,58 @@
   };
 }
 
+/** A leader and as many other sound voters as make a quorum with it. */
+function quorumWith(state: State, leader: string): ReadonlySet<string> {
+  const { voters } = state.members;
+  const quorumSize = Math.floor(voters.length / 2) + 1;
+  const sound = voters.filter((id) => findReplica(state, id)?.status === 'sound');
+  const isVoter = voters.includes(leader);
+  const holders = new Set([...(isVoter ? [leader] : []), ...sound]);
+  return new Set([...holders].slice(0, quorumSize));
+}
+
+/** Once a change of voters is committed, a quorum of the new voters holds the log up to it. */
+function copyToQuorum(state: State, leader: string): State {
+  const quorum = quorumWith(state, leader);
+  return {
+    ...state,
+    replicas: state.replicas.map((current) => ({
+      ...current,
+      isUpToDate: current.isUpToDate || quorum.has(current.id),
+    })),
+  };
+}
+
 type Step = (state: State, event: Event, bounds: VotersBounds, enabled: Safeguards) => State;
 
 const STEPS: Readonly<Record<string, Step>> = {
   lose: (state, { id = '', fresh = '' }) => {
     const lost = setReplica(state, id, { status: 'gone', suspected: false, isUpToDate: false });
-    const newcomer: Replica = { id: fresh, status: 'sound', suspected: false, isUpToDate: false };
     return {
-      ...lost,
-      replicas: [...lost.replicas, newcomer],
+      ...addReplica(lost, fresh),
       unrepaired: state.unrepaired + 1,
       losses: state.losses + 1,
     };
   },
+  add: (state, { fresh = '' }) => ({
+    ...addReplica(state, fresh),
+    additions: state.additions + 1,
+  }),
+  leave: (state, { id = '' }) => ({
+    ...setReplica(state, id, { isLeaving: true }),
+    departures: state.departures + 1,
+  }),
+  remove: (state, { id = '' }) => {
+    const removed = setReplica(state, id, { status: 'gone', suspected: false, isUpToDate: false });
+    return dropUnusedReplicas({ ...removed, removals: state.removals + 1 });
+  },
+  stop: (state, { id = '' }) => setReplica(state, id, { status: 'silent' }),
   silence: (state, { id = '' }) => ({
     ...setReplica(state, id, { status: 'silent' }),
     silences: state.silences + 1,
   }),
-  back: (state, { id = '' }) => setReplica(state, id, { status: 'sound', suspected: false }),
+  back: (state, { id = '' }) =>
+    setReplica(state, id, { status: 'sound', suspected: false, isLeaving: false }),
   notice: (state, { id = '' }) => setReplica(state, id, { suspected: true }),
   restart: (state) => ({ ...state, isRestarted: true }),
   hide: (state, { id = '' }) => ({ ...state, hidden: id }),
@@ -190,10 +249,7 @@
   catchUp: (state, { id = '' }) => setReplica(state, id, { isUpToDate: true }),
   // The minimum for acceptance: only a quorum of voters holds the entry, the others don't yet.
   accept: (state) => {
-    const quorumSize = Math.floor(state.members.voters.length / 2) + 1;
-    const sound = state.members.voters.filter((id) => findReplica(state, id)?.status === 'sound');
-    const holders = new Set([leaderOf(state)?.id ?? '', ...sound].slice(0, quorumSize + 1));
-    const quorum = new Set([...holders].slice(0, quorumSize));
+    const quorum = quorumWith(state, leaderOf(state)?.id ?? '');
     return {
       ...state,
       replicas: state.replicas.map((current) => ({
@@ -210,7 +266,10 @@
     const isHeard =
       next.reason === 'silent' && findReplica(state, next.replica)?.status === 'sound';
     const hasDroppedHeard = state.hasDroppedHeard || isHeard;
-    return dropUnusedReplicas({ ...state, members: next.members, hasDroppedHeard });
+    const changed = { ...state, members: next.members, hasDroppedHeard };
+    return dropUnusedReplicas(
+      bounds.copiesLog ? copyToQuorum(changed, leaderOf(state)?.id ?? '') : changed,
+    );
   },
   settle: (state) => ({ ...state, unrepaired: 0 }),
 };
@@ -239,6 +298,54 @@
   ];
 }
 
+/** Name of the host that is added as the successor of one that leaves for good. */
+function successorId(additions: number): string {
+  return `s${additions}.0`;
+}
+
+/**
+ * Hosts are added, and processes leave: for good once a host that was added is a voter, or to restart. Without a quorum
+ * a process stops with its vote; no host is removed for good then.
+ */
+function departureEvents(
+  state: State,
+  bounds: VotersBounds,
+  enabled: Safeguards,
+): readonly Event[] {
+  const { voters } = state.members;
+  const leader = leaderOf(state);
+  const isDecided = nextChange(state, bounds, enabled) === null;
+  const successor = findReplica(state, successorId(state.removals + 1));
+  const hasSuccessor =
+    successor !== undefined &&
+    isSound(successor) &&
+    successor.isUpToDate &&
+    voters.includes(successor.id);
+  const mayStop = ({ id, isLeaving, status }: Replica): boolean =>
+    isLeaving &&
+    status === 'sound' &&
+    (!voters.includes(id) ||
+      leader === undefined ||
+      isDecided ||
+      enabled[WAIT_FOR_REMOVAL] === false);
+  const stopping = state.replicas.filter(mayStop);
+  const leavable = state.replicas.filter(
+    (replica) => isSound(replica) && !replica.isLeaving && voters.includes(replica.id),
+  );
+  return [
+    ...(state.additions < bounds.departures
+      ? [{ type: 'add', fresh: successorId(state.additions + 1) }]
+      : []),
+    ...(state.departures < bounds.departures
+      ? leavable.map(({ id }) => ({ type: 'leave', id }))
+      : []),
+    ...stopping.map(({ id }) => ({ type: 'stop', id })),
+    ...(hasSuccessor && leader !== undefined
+      ? stopping.filter(({ id }) => id !== successor.id).map(({ id }) => ({ type: 'remove', id }))
+      : []),
+  ];
+}
+
 function eventsOf(state: State, bounds: VotersBounds, enabled: Safeguards): readonly Event[] {
   const leader = leaderOf(state);
   const { voters, learners } = state.members;
@@ -268,6 +375,7 @@
     }),
     ...(leader === undefined ? [] : [{ type: 'accept' }]),
     ...(bounds.reports ? reportEvents(state, leader) : []),
+    ...departureEvents(state, bounds, enabled),
     ...(next !== null && canCommit(state, next) ? [{ type: 'change' }] : []),
     ...(enabled[SILENCE_OUTLIVES_ELECTION] === false ? [{ type: 'elect' }] : []),
     ...(state.unrepaired > 0 && isRepaired(state, bounds, enabled) ? [{ type: 'settle' }] : []),
@@ -295,11 +403,20 @@
     bounds: JSON.stringify(bounds),
     safeguards,
     init: {
-      replicas: voters.map((id) => ({ id, status: 'sound', suspected: false, isUpToDate: true })),
+      replicas: voters.map((id) => ({
+        id,
+        status: 'sound',
+        suspected: false,
+        isUpToDate: true,
+        isLeaving: false,
+      })),
       members: { voters, learners: [] },
       unrepaired: 0,
       losses: 0,
       silences: 0,
+      additions: 0,
+      departures: 0,
+      removals: 0,
       isRestarted: false,
       hidden: null,
       hasDroppedHeard: false,
--- a/spec/SpecVotersState.ts
+++ b/spec/SpecVotersState.ts
@@ -17,6 +17,8 @@
   readonly suspected: boolean;
   /** Whether its disk holds all accepted entries. */
   readonly isUpToDate: boolean;
+  /** Whether its process has announced that it stops, and has not returned since. */
+  readonly isLeaving: boolean;
 }
 
 export interface State {
@@ -26,6 +28,11 @@
   readonly unrepaired: number;
   readonly losses: number;
   readonly silences: number;
+  /** Hosts that were added as successors of hosts that leave. */
+  readonly additions: number;
+  /** Processes that have begun to leave, and hosts that were removed for good thereafter. */
+  readonly departures: number;
+  readonly removals: number;
   /** Whether the leader's process has restarted, so that it has never heard from an unreachable voter. */
   readonly isRestarted: boolean;
   /** A replica that only the leader can't reach, and treats as unreachable; null if there is none. */
@@ -40,6 +47,7 @@
 const PROMOTE_FIRST = 'newcomers are promoted before any voter is dropped';
 const KEEP_ENOUGH_VOTERS = 'as many voters stay as the disks that may be lost ask for';
 const ASK_REPLICAS = 'the replicas tell for how long a voter has been silent';
+const WAIT_FOR_REMOVAL = 'a voter that leaves waits until its vote is removed or kept';
 const HEED_CONTACT = 'a voter that another one hears keeps its vote';
 
 /** Names of the safeguards; each specification lists those whose mutants fail within its bounds. */
@@ -51,6 +59,7 @@
   KEEP_ENOUGH_VOTERS,
   ASK_REPLICAS,
   HEED_CONTACT,
+  WAIT_FOR_REMOVAL,
 };
 
 /** Current time, ms; a replica last heard from at 0 counts as unreachable. */
--- a/src/coordination/Consensus.ts
+++ b/src/coordination/Consensus.ts
@@ -16,6 +16,7 @@
   chain,
   commitTo,
   entriesFrom,
+  hasUncommittedChange,
   lastIndex,
   membersOf,
   nextElection,
@@ -243,10 +244,6 @@
   return added.length + removed.length <= 1 && to.voters.length > 0;
 }
 
-function hasUncommittedChange(state: ConsensusState): boolean {
-  return state.log.some(({ index, payload }) => index > state.commit && payload.kind === 'members');
-}
-
 function onMembers(
   state: ConsensusState,
   input: Extract<ConsensusInput, { type: 'members' }>,
--- a/src/coordination/ConsensusLog.ts
+++ b/src/coordination/ConsensusLog.ts
@@ -42,6 +42,11 @@
   return entry?.payload.kind === 'members' ? entry.payload.members : snapshot.members;
 }
 
+/** Whether the log ends with a change of members that isn't known to be committed. */
+export function hasUncommittedChange(state: ConsensusState): boolean {
+  return state.log.some(({ index, payload }) => index > state.commit && payload.kind === 'members');
+}
+
 /** All replicas except this one. */
 export function peersOf(state: ConsensusState): readonly string[] {
   return [...state.members.voters, ...state.members.learners].filter((id) => id !== state.id);
--- a/src/coordination/ConsensusVoters.ts
+++ b/src/coordination/ConsensusVoters.ts
@@ -8,15 +8,16 @@
   repliesFrom,
   UNREACHABLE_VOTER_MS,
 } from './ConsensusContacts.js';
+import { hasUncommittedChange } from './ConsensusLog.js';
 import type { ConsensusContext, ConsensusMembers, ConsensusState } from './ConsensusTypes.js';
 
 /**
- * A change of members and its reason: the voter was superseded (`forgotten`) or is unreachable (`silent`), or
- * the learner has caught up.
+ * A change of members and its reason: the voter was superseded (`forgotten`), has announced that its process stops
+ * (`leaving`) or is unreachable (`silent`), or the learner has caught up.
  */
 export interface VoterChange {
   readonly members: ConsensusMembers;
-  readonly reason: 'forgotten' | 'silent' | 'caughtUp';
+  readonly reason: 'forgotten' | 'leaving' | 'silent' | 'caughtUp';
   readonly replica: string;
 }
 
@@ -26,10 +27,18 @@
   readonly now: number;
   /** Contact of this process with a replica's host, in any term; undefined if it has no way to it. */
   readonly heardAt: ConsensusContext['heardAt'];
+  /** Replicas whose processes have announced that they stop and have not returned since. */
+  readonly leaving: ReadonlySet<string>;
   /** Number of disks that may be lost at once without losing an accepted entry. */
   readonly lossesBorne: number;
 }
 
+/**
+ * What a leader replies to a replica that leaves: it has no vote any more, or its vote isn't removed since the quorum
+ * wouldn't get smaller, or that isn't decided yet.
+ */
+export type LeaveOutcome = 'left' | 'kept' | 'pending';
+
 /** Name of a replica: its id without the part that changes with a new data folder. */
 export function replicaName(replica: string): string {
   return replica.split('.')[0] ?? replica;
@@ -67,10 +76,10 @@
   return 2 * lossesBorne + 1;
 }
 
-/** Whether removing unreachable voters makes the quorum smaller and leaves enough voters. */
-function canDropVoter(voters: readonly string[], unreachable: number, view: VoterView): boolean {
+/** Whether removing absent voters makes the quorum smaller and leaves enough voters. */
+function canDropVoter(voters: readonly string[], absent: number, view: VoterView): boolean {
   const dropped = voters.length % 2 === 0 ? 1 : 2;
-  return unreachable >= dropped && voters.length - dropped >= minVoters(view);
+  return absent >= dropped && voters.length - dropped >= minVoters(view);
 }
 
 function removeVoter({ voters, learners }: ConsensusMembers, replica: string): ConsensusMembers {
@@ -102,6 +111,9 @@
  * committed again. Unreachable voters are therefore removed even without a newcomer wherever that makes the
  * quorum smaller, down to the number that the disks that may be lost require.
  *
+ * A voter whose process stops in order says so and counts as absent at once: its host may be replaced by a newcomer
+ * that is a voter already, and the next disk may be lost before the silence of its host is proof.
+ *
  * A voter may be partitioned while another's disk is lost and a newcomer is ready. If it were removed to make
  * room, it would return without a vote, and after the next lost disk too few voters would be left. A newcomer
  * is therefore promoted first, and a voter removed only from the larger number.
@@ -117,9 +129,33 @@
   if (caughtUp !== undefined) {
     return { members: promoteLearner(members, caughtUp), reason: 'caughtUp', replica: caughtUp };
   }
-  const unreachable = voters.filter((id) => id !== state.id && isUnreachable(state, id, view));
-  const [dropped] = unreachable;
-  return dropped !== undefined && canDropVoter(voters, unreachable.length, view)
-    ? { members: removeVoter(members, dropped), reason: 'silent', replica: dropped }
+  const leaving = voters.filter((id) => view.leaving.has(id));
+  const silent = voters.filter(
+    (id) => id !== state.id && !leaving.includes(id) && isUnreachable(state, id, view),
+  );
+  // Where two are removed, the quorum may need the vote of the one that leaves until the silent one is removed. Where
+  // one is removed, the silent one may return.
+  const [dropped] = voters.length % 2 === 0 ? [...leaving, ...silent] : [...silent, ...leaving];
+  return dropped !== undefined && canDropVoter(voters, leaving.length + silent.length, view)
+    ? {
+        members: removeVoter(members, dropped),
+        reason: leaving.includes(dropped) ? 'leaving' : 'silent',
+        replica: dropped,
+      }
     : null;
 }
+
+/** The reply of a leader to a replica in `view.leaving`, which stops once the outcome isn't pending. */
+export function leaveOutcome(
+  state: ConsensusState,
+  replica: string,
+  view: VoterView,
+): LeaveOutcome {
+  if (hasUncommittedChange(state)) {
+    return 'pending';
+  }
+  if (!state.members.voters.includes(replica)) {
+    return 'left';
+  }
+  return nextVoterChange(state, view) === null ? 'kept' : 'pending';
+}
--- a/src/coordination/__tests__/unit/ConsensusContacts.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusContacts.test.ts
@@ -15,7 +15,8 @@
     cluster.runUntil(() => cluster.now >= next);
     const { leader, now } = cluster;
     const heardAt = (id: string) => cluster.heardAt(leader?.id ?? '', id);
-    const change = leader && nextVoterChange(leader, { now, heardAt, lossesBorne: 1 });
+    const change =
+      leader && nextVoterChange(leader, { now, heardAt, leaving: new Set(), lossesBorne: 1 });
     if (leader !== undefined && change) {
       cluster.input(leader.id, { type: 'members', id: 'm', members: change.members });
     }
--- a/src/coordination/__tests__/unit/ConsensusVoters.test.ts
+++ b/src/coordination/__tests__/unit/ConsensusVoters.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { nextVoterChange, type VoterView } from '../../index.js';
+import { leaveOutcome, nextVoterChange, type VoterView } from '../../index.js';
 import { ConsensusCluster } from '../utils/ConsensusCluster.js';
 
 const MEMBERS = { voters: ['a.1', 'b.1', 'c.1'], learners: [] };
@@ -10,17 +10,25 @@
 /** Interval at which a leader checks its voters, ms. */
 const VOTER_CHECK_INTERVAL_MS = 100;
 
+/** Replicas whose processes are about to stop. */
+type Leaving = ReadonlySet<string>;
+
 /** A leader's view, in which as many disks may be lost as the initial number of voters allows. */
-function viewOf(cluster: ConsensusCluster, leader: string): VoterView {
+function viewOf(
+  cluster: ConsensusCluster,
+  leader: string,
+  leaving: Leaving = new Set(),
+): VoterView {
   return {
     now: cluster.now,
     heardAt: (id) => cluster.heardAt(leader, id),
+    leaving,
     lossesBorne: Math.floor((cluster.initialVoterCount - 1) / 2),
   };
 }
 
 /** Advances the clock; the leader adds new hosts as learners and checks its voters. */
-function run(cluster: ConsensusCluster, ms: number): void {
+function run(cluster: ConsensusCluster, ms: number, leaving: Leaving = new Set()): void {
   const until = cluster.now + ms;
   while (cluster.now < until) {
     const next = cluster.now + VOTER_CHECK_INTERVAL_MS;
@@ -31,7 +39,7 @@
       const newcomer = cluster.ids.find((id) => !voters.includes(id) && !learners.includes(id));
       const members =
         newcomer === undefined
-          ? nextVoterChange(leader, viewOf(cluster, leader.id))?.members
+          ? nextVoterChange(leader, viewOf(cluster, leader.id, leaving))?.members
           : { voters, learners: [...learners, newcomer] };
       if (members !== undefined) {
         cluster.input(leader.id, { type: 'members', id: 'm', members });
@@ -72,6 +80,26 @@
   commitCommand(cluster, command);
 }
 
+/** How long a process that stops waits for the outcome of its leaving, ms. */
+const LEAVE_TIMEOUT_MS = 2_000;
+
+/** A host announces that it leaves, and is removed for good once the outcome is known. */
+function leave(cluster: ConsensusCluster, id: string): void {
+  const leaving = new Set([id]);
+  const until = cluster.now + LEAVE_TIMEOUT_MS;
+  const isPending = (): boolean => {
+    const { leader } = cluster;
+    return (
+      leader === undefined ||
+      leaveOutcome(leader, id, viewOf(cluster, leader.id, leaving)) === 'pending'
+    );
+  };
+  while (isPending() && cluster.now < until) {
+    run(cluster, 50, leaving);
+  }
+  cluster.remove(id);
+}
+
 /**
  * `behind`: a host is partitioned. `replaced`: by an empty host. `wiped`: it returns without its disk. `dark`: all
  * hosts lose power, and one its disk.
@@ -237,6 +265,45 @@
     recoverWithoutLeader(cluster, 'fourth');
   });
 
+  // Guards against a quorum that counts a host which has left after its successor became a voter: with the next lost
+  // disk, two of four voters would be left.
+  [true, false].forEach((isLeader) => {
+    [0, 500, 1_000, 2_500].forEach((afterMs) => {
+      const who = isLeader ? 'the leader' : 'a follower';
+      it(`accepts commands again if a disk is lost ${afterMs} ms after ${who} has left`, () => {
+        const cluster = new ConsensusCluster(MEMBERS);
+        commitCommand(cluster, 'first');
+        cluster.add('d.1');
+        run(cluster, 4_000);
+        commitCommand(cluster, 'second');
+        const id =
+          MEMBERS.voters.find((voter) => (voter === cluster.leader?.id) === isLeader) ?? '';
+        leave(cluster, id);
+        run(cluster, afterMs);
+        const wiped = MEMBERS.voters.find((voter) => cluster.ids.includes(voter)) ?? '';
+        cluster.remove(wiped);
+        cluster.add(`${wiped.slice(0, 1)}.2`);
+        run(cluster, 4_000);
+        commitCommand(cluster, 'third');
+        assert.equal(cluster.leader?.members.voters.length, 3);
+      });
+    });
+  });
+
+  // Guards against an acknowledged change on one disk only: with two voters left, each lost disk could take it.
+  it('keeps the vote of one of three hosts that stops, and promotes it again after it left as one of four', () => {
+    const cluster = new ConsensusCluster(MEMBERS);
+    commitCommand(cluster, 'first');
+    const [stopped = ''] = cluster.ids.filter((id) => id !== cluster.leader?.id);
+    run(cluster, 1_000, new Set([stopped]));
+    assert.equal(cluster.leader?.members.voters.length, 3);
+    cluster.add('d.1');
+    run(cluster, 1_000, new Set([stopped]));
+    assert.equal(cluster.leader?.members.voters.includes(stopped), false);
+    run(cluster, 1_000);
+    assert.equal(cluster.leader?.members.voters.length, 4);
+  });
+
   // As above with five hosts, which tolerate the loss of two disks. Two are replaced within a second and
   // their successors are promoted before the two count as unreachable: seven voters, an odd number, of
   // which two are lost for good. When two more disks are lost in a power loss, three of seven would elect
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -39,9 +39,11 @@
   ReportedContact,
 } from './ConsensusTypes.js';
 export {
+  leaveOutcome,
   nextVoterChange,
   replicaName,
   type VoterChange,
+  type LeaveOutcome,
   type VoterView,
 } from './ConsensusVoters.js';
 export {
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -6,7 +6,7 @@
 import { addQuarantineApi } from './DaemonQuarantineApi.js';
 import { startControlCore } from './DaemonControlCore.js';
 import { createApp } from './DaemonApp.js';
-import type { Runtime } from './DaemonRuntime.js';
+import { waitForAbort, type Runtime } from './DaemonRuntime.js';
 import type { ControlSettings } from './DaemonSettings.js';
 import { DaemonTestSwitch } from './DaemonTestSwitch.js';
 
@@ -23,6 +23,7 @@
   signal: AbortSignal,
 ): Promise<void> {
   const testSwitch = new DaemonTestSwitch(cfg['test-switch'], cfg['test-cut']);
+  const stop = new AbortController();
   const core = await startControlCore(
     {
       id: cfg.id,
@@ -39,7 +40,7 @@
       retries: null,
     },
     runtime,
-    signal,
+    stop.signal,
   );
   const { hub, consensus } = core;
   const app = createApp(runtime, () => ({
@@ -59,6 +60,9 @@
     submit: async (manifest) => core.submit(manifest),
     controls: async () => core.status(),
   });
-  await serveHttp(app, cfg.http, signal);
+  await serveHttp(app, cfg.http, stop.signal);
   runtime.log.info({ event: 'listening', replica: core.replica }, 'control process is listening');
+  await waitForAbort(signal);
+  await core.leave();
+  stop.abort();
 }
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,6 +1,7 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import { replicaName } from '../coordination/index.js';
+import { setTimeout as delay } from 'node:timers/promises';
+import { replicaName, type LeaveOutcome } from '../coordination/index.js';
 import type { Manifest, MemberRecord, SubmitReply, RetryAllowance } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
@@ -47,6 +48,15 @@
  */
 const VOTER_CHECK_INTERVAL_MS = 100;
 
+/**
+ * How long a process that stops waits for the outcome of its leaving, ms: an election and a commit. Without a leader by
+ * then, the others find out that it is unreachable.
+ */
+const LEAVE_TIMEOUT_MS = 2_000;
+
+/** How often it asks, ms. */
+const LEAVE_POLL_MS = 50;
+
 /** How often a replica that has not confirmed that it is up to date asks the leader, ms. */
 const CONFIRM_INTERVAL_MS = 50;
 
@@ -144,6 +154,7 @@
           random: runtime.random,
           isCut: cfg.testSwitch.isCut,
           onFounded: () => container.cradle.retryGrants?.onFounded(),
+          onHostUp: (name) => container.cradle.service.onHostUp(name),
         }),
     ).singleton(),
     hub: asFunction(
@@ -231,6 +242,7 @@
     'leader.depart': async (params) => departures.decide(params as readonly DepartureRequest[]),
     'leader.submit': async (params) => service.submit(params as Manifest),
     'leader.lease': async (params) => service.requestLease(params as LeaseRequest),
+    'leader.leave': async (params) => service.leave((params as { replica: string }).replica),
     'leader.join': async (params) => service.join((params as { replica: string }).replica),
     'leader.readIndex': async () => consensus.readIndex(),
   };
@@ -326,6 +338,43 @@
   });
 }
 
+async function askToLeave(cradle: Cradle, replica: string): Promise<LeaveOutcome> {
+  const { runtime, service } = cradle;
+  return callLeader(cradle, 'leader.leave', { replica }, async () => service.leave(replica)).catch(
+    (err: unknown): LeaveOutcome => {
+      runtime.log.debug({ err: (err as Error).message }, 'the leader gave no outcome of leaving');
+      return 'pending';
+    },
+  );
+}
+
+/**
+ * Announces to the leader that this replica's process is about to stop, and waits until its vote is removed or kept.
+ *
+ * A host may be replaced by one that is a voter already. Until the host that stops has no vote, it counts towards the
+ * quorum, and with one more disk lost no quorum would be left: nothing could be committed or read any more.
+ */
+async function leaveCluster(cradle: Cradle): Promise<void> {
+  const { consensus, runtime } = cradle;
+  const replica = consensus.state.id;
+  if (!consensus.state.members.voters.includes(replica)) {
+    return;
+  }
+  const startedAt = runtime.now();
+  const timeout = delay(LEAVE_TIMEOUT_MS, 'pending' as const);
+  let outcome: LeaveOutcome = 'pending';
+  while (outcome === 'pending' && runtime.now() - startedAt < LEAVE_TIMEOUT_MS) {
+    // eslint-disable-next-line no-await-in-loop
+    outcome = await Promise.race([askToLeave(cradle, replica), timeout]);
+    if (outcome === 'pending') {
+      // eslint-disable-next-line no-await-in-loop
+      await delay(LEAVE_POLL_MS);
+    }
+  }
+  const ms = Math.round(runtime.now() - startedAt);
+  runtime.log.info({ event: 'leave', replica, outcome, ms }, 'replica stops');
+}
+
 /** Interface of a control process for its HTTP API. */
 export interface ControlCore {
   readonly replica: string;
@@ -342,6 +391,8 @@
   readNewest: () => Promise<ConfigState>;
   /** Status of each reachable control process, this one first. */
   status: () => Promise<readonly ControlStatus[]>;
+  /** Gives up this replica's vote where the quorum gets smaller; to be awaited before the process is stopped. */
+  leave: () => Promise<void>;
 }
 
 function replaceViaLeader(cradle: Cradle): ControlCore['replace'] {
@@ -395,5 +446,6 @@
       controlStatus(cfg.id, consensus, hub),
       ...((await peers.requestAll('control.status', {})) as readonly ControlStatus[]),
     ],
+    leave: async () => leaveCluster(cradle),
   };
 }
--- a/src/daemon/DaemonControlPeers.ts
+++ b/src/daemon/DaemonControlPeers.ts
@@ -59,6 +59,8 @@
   readonly isCut: LinkSwitch;
   /** Called before this process becomes a founder of the cluster. */
   readonly onFounded: () => void;
+  /** Called when the process of a host has opened a link to this one. */
+  readonly onHostUp: (name: string) => void;
 }
 
 interface RaftParams {
@@ -108,6 +110,7 @@
         this.#peerAddresses.set(from, self);
         this.#trackHelloLink(from, link);
         this.#connect(self);
+        this.#options.onHostUp(from);
         hub().onControlsChanged();
       },
       raft: (params) => {
--- a/src/daemon/DaemonControlService.ts
+++ b/src/daemon/DaemonControlService.ts
@@ -6,11 +6,13 @@
   votersWithEntry,
   initLeaseRenewals,
   hasLostQuorum,
+  leaveOutcome,
   mayGrant,
   nextVoterChange,
   recordRenewal,
   replicaName,
   silenceByVoter,
+  type LeaveOutcome,
   type LeaseRenewalsState,
   type VoterView,
 } from '../coordination/index.js';
@@ -94,6 +96,9 @@
   /** Whether a change of the voters is in progress. */
   #isChangingVoters = false;
 
+  /** See {@link VoterView}; what was announced to an earlier leader isn't known here. */
+  #leaving: ReadonlySet<string> = new Set();
+
   constructor(options: ControlServiceOptions) {
     this.#options = options;
     this.#consensus = options.consensus;
@@ -267,11 +272,35 @@
     return result !== null;
   }
 
+  /**
+   * Removes the vote of a replica whose process is about to stop, where that makes the quorum smaller. The replica asks
+   * again while the outcome is pending.
+   */
+  async leave(replica: string): Promise<LeaveOutcome> {
+    const { state } = this.#consensus;
+    // A leader that was replaced without knowing it may count other voters than there are now.
+    if (state.role !== 'leader' || hasLostQuorum(state, this.#now())) {
+      return 'pending';
+    }
+    this.#leaving = new Set(this.#leaving).add(replica);
+    await this.updateVoters();
+    return leaveOutcome(this.#consensus.state, replica, this.#voterView());
+  }
+
+  /** Called when a host's process has opened a link: its replica isn't leaving any more. */
+  onHostUp(name: string): void {
+    this.#leaving = new Set([...this.#leaving].filter((id) => replicaName(id) !== name));
+  }
+
+  #voterView(): VoterView {
+    const { heardAt, lossesBorne } = this.#options;
+    return { now: this.#now(), heardAt, leaving: this.#leaving, lossesBorne };
+  }
+
   /** Promotes learners to voters, and drops voters that are gone; see {@link nextVoterChange}. */
   async updateVoters(): Promise<void> {
     const { state } = this.#consensus;
-    const { heardAt, lossesBorne } = this.#options;
-    const view: VoterView = { now: this.#now(), heardAt, lossesBorne };
+    const view = this.#voterView();
     const change = state.role === 'leader' ? nextVoterChange(state, view) : null;
     if (change === null || this.#isChangingVoters) {
       return;
--- a/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonControlPeers.test.ts
@@ -92,6 +92,7 @@
     random: () => 0,
     isCut: () => false,
     onFounded: () => undefined,
+    onHostUp: () => undefined,
   });
   return { peers, target: { name, address }, received };
 }
