Screen all parts of a prompt, however many it names

Cause: DaemonScreening looked at the first 32 parts of a prompt. The limit was to bound memory and time, and silently ended the check. Behind it were two more cuts of the same kind: suspects beyond a limit were dropped in the same order at each crash, so that one part could be dropped for ever, and parts that all prompts share were forgotten for those of one long prompt.

Evidence: `suspects` lines never name the part; nothing said that suspects were dropped, so that is a log line now.

Fix: all parts of a head are screened; the size of a head bounds them. Suspects have limits by kind; of equal crash counts those of the newest crash are kept, and what is dropped is logged. Sound parts are kept by generations, so that one that is answered on again stays. An update of many messages is merged once, and parts with the same crashes are compared as one.

Two tests name the new limits instead of the old ones: they send more than these, and check the limit of all customers too.

--- a/bench/BenchPromptPartsModel.ts
+++ b/bench/BenchPromptPartsModel.ts
@@ -5,7 +5,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
-  clearSuspect,
+  clearSuspects,
   EMPTY_QUARANTINE,
   hashText,
   mergeSuspectRecords,
@@ -258,7 +258,7 @@
     [...entry.state.values()]
       .filter(({ kind, digest }) => kind === 'part' && entry.sound.has(digest, this.#now))
       .forEach(({ digest }) => {
-        Object.assign(entry, { state: clearSuspect(entry.state, digest).state });
+        Object.assign(entry, { state: clearSuspects(entry.state, [digest]).state });
       });
   }
 
--- a/bench/BenchQuarantine.ts
+++ b/bench/BenchQuarantine.ts
@@ -4,7 +4,7 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
-  MAX_SUSPECTS,
+  SUSPECT_LIMITS,
   toQuarantineUpdates,
 } from '../src/coordination/index.js';
 import { digestRequest } from '../src/protocol/index.js';
@@ -60,7 +60,7 @@
     const identity = { customer: 'kano', method: 'POST', host: 'desk.example', path: '/a/b', body };
     report('quarantine-digest', { seed, bytes, us: medianUs(() => digestRequest(identity)) });
   });
-  const lost = Array.from({ length: MAX_SUSPECTS }, (_item, i) => {
+  const lost = Array.from({ length: SUSPECT_LIMITS.request.total }, (_item, i) => {
     const digest = i.toString(16).padStart(32, '0');
     return { digest, customer: `c${i % 8}`, parts: [], request: digest };
   });
--- a/bench/BenchQuarantineModel.ts
+++ b/bench/BenchQuarantineModel.ts
@@ -2,7 +2,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import {
-  clearSuspect,
+  clearSuspects,
   EMPTY_QUARANTINE,
   crashCount,
   recordSuspects,
@@ -126,7 +126,7 @@
     items
       .filter(({ endAt }) => endAt <= now)
       .forEach(({ digest }) => {
-        this.#state = clearSuspect(this.#state, digest).state;
+        this.#state = clearSuspects(this.#state, [digest]).state;
       });
     this.#running[at] = items.filter(({ endAt }) => endAt > now);
   }
--- a/src/coordination/Quarantine.ts
+++ b/src/coordination/Quarantine.ts
@@ -20,6 +20,8 @@
   readonly kind: SuspectKind;
   /** Time of the last crash, ms on the local monotonic clock. */
   readonly lastCrashAt: number;
+  /** See {@link SuspectRecord}; 0 if the process that recorded the crash doesn't tell. */
+  readonly crashedAt: number;
 }
 
 /** All suspects, by digest. */
@@ -46,12 +48,20 @@
  */
 export const SUSPECT_RETENTION_MS = 600_000;
 
+/** Limits of the suspects of one kind, per customer and in total. */
+interface SuspectLimits {
+  readonly perCustomer: number;
+  readonly total: number;
+}
+
 /**
- * Maximum suspects per customer and in total: a hundred requests in progress at each of several crashed
- * endpoints.
+ * Requests: a hundred in progress at each of several crashed endpoints. Parts: three prompts that fill the head of their
+ * request with parts that no endpoint has answered on, for each of several customers.
  */
-export const MAX_SUSPECTS_PER_CUSTOMER = 256;
-export const MAX_SUSPECTS = 1_024;
+export const SUSPECT_LIMITS: Readonly<Record<SuspectKind, SuspectLimits>> = {
+  request: { perCustomer: 256, total: 1_024 },
+  part: { perCustomer: 4_096, total: 16_384 },
+};
 
 /** Maximum crashes kept per request; more than are ever counted. */
 const MAX_CRASHES_PER_SUSPECT = 16;
@@ -65,7 +75,7 @@
 
 /** Number of crashes recorded against a suspect and not cleared. */
 export function crashCount(suspect: Pick<Suspect, 'ends' | 'cleared'>): number {
-  return countedEnds(suspect).length;
+  return suspect.cleared.length === 0 ? suspect.ends.length : countedEnds(suspect).length;
 }
 
 /** Sorted union of two lists. Every process drops the same entries beyond the maximum. */
@@ -102,6 +112,7 @@
     ends: unionOf(a.ends, b.ends),
     cleared: unionOf(a.cleared, b.cleared),
     lastCrashAt: mergeLastCrashAt(a, b),
+    crashedAt: Math.max(a.crashedAt, b.crashedAt),
   };
 }
 
@@ -109,32 +120,76 @@
   return a?.ends.length === b.ends.length && a.cleared.length === b.cleared.length;
 }
 
+/** Hash of each suspect, as most stay the same from one state to the next. */
+const SUSPECT_HASHES = new WeakMap<Suspect, number>();
+
+function hashSuspect(suspect: Suspect): number {
+  const { digest, ends, cleared } = suspect;
+  const hash =
+    SUSPECT_HASHES.get(suspect) ?? hashText(`${digest} ${ends.join(',')} ${cleared.join(',')}`);
+  SUSPECT_HASHES.set(suspect, hash);
+  return hash;
+}
+
 /**
- * Sorts suspects with most crashes first, so that those close to quarantine are kept, then by digest, so that
- * all processes keep the same ones.
+ * Sorts suspects with most crashes first, so that those close to quarantine are kept. Of those with as many, the ones of
+ * the newest crash come first: if what is already there were kept, a part that was dropped at its first crash would be
+ * dropped at each one. Then by a hash over the crashes, so that all processes keep the same ones, and other ones
+ * at each crash that has more suspects than are kept.
  */
 function compareSuspects(a: Suspect, b: Suspect): number {
-  return crashCount(b) - crashCount(a) || (a.digest < b.digest ? -1 : 1);
+  return (
+    crashCount(b) - crashCount(a) ||
+    b.crashedAt - a.crashedAt ||
+    hashSuspect(a) - hashSuspect(b) ||
+    (a.digest < b.digest ? -1 : 1)
+  );
+}
+
+/** Counts the suspects of each kind, in total and by customer. */
+class SuspectCounts {
+  readonly #counts = {
+    request: { total: 0, byCustomer: new Map<string, number>() },
+    part: { total: 0, byCustomer: new Map<string, number>() },
+  };
+
+  /** Counts a suspect if it is within the limits of its kind; returns whether it is. */
+  add({ kind, customer }: Suspect): boolean {
+    const limits = SUSPECT_LIMITS[kind];
+    const counts = this.#counts[kind];
+    const ofCustomer = counts.byCustomer.get(customer) ?? 0;
+    if (ofCustomer >= limits.perCustomer || counts.total >= limits.total) {
+      return false;
+    }
+    counts.byCustomer.set(customer, ofCustomer + 1);
+    counts.total += 1;
+    return true;
+  }
+}
+
+function isWithinLimits(state: QuarantineState): boolean {
+  const counts = new SuspectCounts();
+  return (
+    state.size <= SUSPECT_LIMITS.request.perCustomer ||
+    [...state.values()].every((suspect) => counts.add(suspect))
+  );
 }
 
 /** Drops suspects beyond the limits. A customer with a thousand suspects uses up only its own share. */
 function trim(state: QuarantineState): QuarantineState {
-  const counts = new Map<string, number>();
-  const kept = [...state.values()].sort(compareSuspects).filter(({ kind, customer }) => {
-    const owner = `${kind} ${customer}`;
-    const count = (counts.get(owner) ?? 0) + 1;
-    counts.set(owner, count);
-    return count <= MAX_SUSPECTS_PER_CUSTOMER;
-  });
-  return kept.length === state.size && kept.length <= MAX_SUSPECTS
-    ? state
-    : new Map(kept.slice(0, MAX_SUSPECTS).map((suspect) => [suspect.digest, suspect]));
+  if (isWithinLimits(state)) {
+    return state;
+  }
+  const counts = new SuspectCounts();
+  const kept = [...state.values()].sort(compareSuspects).filter((suspect) => counts.add(suspect));
+  return new Map(kept.map((suspect) => [suspect.digest, suspect]));
 }
 
-/** State after a merge, with the suspects that changed. */
+/** State after a merge, with the suspects that changed, and the number of those dropped beyond the limits. */
 export interface QuarantineStep {
   readonly state: QuarantineState;
   readonly changed: readonly Suspect[];
+  readonly dropped: number;
 }
 
 function merge(state: QuarantineState, suspects: readonly Suspect[]): QuarantineStep {
@@ -144,19 +199,25 @@
     next.set(suspect.digest, known === undefined ? suspect : mergeSuspect(known, suspect));
   });
   const kept = trim(next);
-  const changed = [...kept.values()].filter(
-    (suspect) => !isSame(state.get(suspect.digest), suspect),
-  );
-  return { state: kept, changed };
+  const changed = [...new Set(suspects.map(({ digest }) => digest))].flatMap((digest) => {
+    const suspect = kept.get(digest);
+    return suspect === undefined || isSame(state.get(digest), suspect) ? [] : [suspect];
+  });
+  return { state: kept, changed, dropped: next.size - kept.size };
 }
 
-/** Records the crash of an incarnation of an endpoint against all requests in progress there, and their parts. */
+/**
+ * Records the crash of an incarnation of an endpoint against all requests in progress there, and their parts.
+ * `crashedAt` is the time of the crash, Unix ms.
+ */
 export function recordSuspects(
   state: QuarantineState,
   incarnationKey: IncarnationKey,
   lost: readonly LostRequest[],
   now: number,
+  crashedAt = now,
 ): QuarantineStep {
+  const ends = [incarnationKey];
   const suspects = lost.flatMap(({ digest, customer, parts }) =>
     [
       { kind: 'request' as const, digest },
@@ -164,23 +225,51 @@
     ].map((suspect) => ({
       ...suspect,
       customer,
-      ends: [incarnationKey],
+      ends,
       cleared: [],
       lastCrashAt: now,
+      crashedAt,
     })),
   );
   return merge(state, suspects);
 }
 
 /**
- * Clears the crashes known so far for a suspect that an endpoint could answer or that is released by an operator.
+ * Clears the crashes known so far for suspects that an endpoint could answer or that are released by an operator.
  * Reports of these crashes that are late or repeated have no effect.
  */
-export function clearSuspect(state: QuarantineState, digest: string): QuarantineStep {
-  const known = state.get(digest);
-  return known === undefined || crashCount(known) === 0
-    ? { state, changed: [] }
-    : merge(state, [{ ...known, cleared: known.ends }]);
+export function clearSuspects(state: QuarantineState, digests: readonly string[]): QuarantineStep {
+  const cleared = digests.flatMap((digest) => {
+    const known = state.get(digest);
+    return known === undefined || crashCount(known) === 0
+      ? []
+      : [{ ...known, cleared: known.ends }];
+  });
+  return cleared.length === 0 ? { state, changed: [], dropped: 0 } : merge(state, cleared);
+}
+
+/** Parts that were in progress at the same crashes, so that nothing tells them apart. */
+interface TiedParts {
+  readonly ends: readonly string[];
+  readonly digests: readonly string[];
+}
+
+/** Parts with at least `minCrashes` crashes, by their crashes. */
+function tiedParts(state: QuarantineState, minCrashes: number): readonly TiedParts[] {
+  const byEnds = new Map<
+    string,
+    { readonly ends: readonly string[]; readonly digests: string[] }
+  >();
+  state.forEach((suspect) => {
+    const ends = suspect.kind === 'part' ? countedEnds(suspect) : [];
+    if (ends.length > 0 && ends.length >= minCrashes) {
+      const key = ends.join();
+      const tied = byEnds.get(key) ?? { ends, digests: [] };
+      tied.digests.push(suspect.digest);
+      byEnds.set(key, tied);
+    }
+  });
+  return [...byEnds.values()];
 }
 
 /**
@@ -190,16 +279,14 @@
  * them. Of parts with the same crashes one may be sound; they are quarantined only after more crashes.
  */
 export function quarantinedParts(state: QuarantineState, minCrashes: number): ReadonlySet<string> {
-  const parts = [...state.values()]
-    .filter(({ kind }) => kind === 'part')
-    .map((suspect) => ({ digest: suspect.digest, ends: countedEnds(suspect) }))
-    .filter(({ ends }) => ends.length >= minCrashes);
-  const quarantined = parts.filter((part) => {
-    const rivals = parts.filter((other) => other !== part && isSubset(part.ends, other.ends));
-    const isExplained = rivals.some(({ ends }) => ends.length > part.ends.length);
-    return !isExplained && (rivals.length === 0 || part.ends.length >= TIED_PARTS_CRASHES);
+  const tied = tiedParts(state, minCrashes);
+  const quarantined = tied.filter(({ ends, digests }) => {
+    const isExplained = tied.some(
+      (other) => other.ends.length > ends.length && isSubset(ends, other.ends),
+    );
+    return !isExplained && (digests.length === 1 || ends.length >= TIED_PARTS_CRASHES);
   });
-  return new Set(quarantined.map(({ digest }) => digest));
+  return new Set(quarantined.flatMap(({ digests }) => digests));
 }
 
 /** Merges an update, or the full set, of another process. */
@@ -210,9 +297,10 @@
 ): QuarantineStep {
   const suspects = records
     .filter(({ ageMs }) => ageMs < SUSPECT_RETENTION_MS)
-    .map(({ ageMs, kind = 'request', ...record }) => ({
+    .map(({ ageMs, kind = 'request', crashedAt = 0, ...record }) => ({
       ...record,
       kind,
+      crashedAt,
       lastCrashAt: now - ageMs,
     }));
   return merge(state, suspects);
@@ -224,12 +312,13 @@
   return kept.length === state.size ? state : new Map(kept);
 }
 
-/** Hash of all suspects, equal for two processes with the same suspects. 0 if there are none. */
+/** Hash of all suspects in any order, equal for two processes with the same suspects. 0 if there are none. */
 export function hashQuarantine(state: QuarantineState): number {
-  const lines = [...state.values()]
-    .map(({ digest, ends, cleared }) => `${digest} ${ends.join(',')} ${cleared.join(',')}`)
-    .sort();
-  return lines.length === 0 ? 0 : hashText(lines.join('\n'));
+  let sum = 0;
+  state.forEach((suspect) => {
+    sum = (sum + hashSuspect(suspect)) % 2 ** 32;
+  });
+  return sum;
 }
 
 /** Updates with suspects for another process, in messages of a bounded size; at least one message. */
@@ -247,5 +336,6 @@
   return Array.from({ length: messages }, (_item, i) => ({
     records: records.slice(i * MAX_RECORDS_PER_MESSAGE, (i + 1) * MAX_RECORDS_PER_MESSAGE),
     hash,
+    isPartial: i < messages - 1,
   }));
 }
--- a/src/coordination/SoundParts.ts
+++ b/src/coordination/SoundParts.ts
@@ -3,49 +3,62 @@
  * those beside it need not be suspected.
  */
 
-/** For this long an answer shows that the current endpoints can answer on a part, ms. */
-const SOUND_TTL_MS = 30_000;
+import { REFRESH_MS, SOUND_TTL_MS, SoundPartsOfCustomer } from './SoundPartsOfCustomer.js';
 
-/** A part is recorded again only after this time, ms. */
-const REFRESH_MS = 1_000;
+/** Maximum number of parts of all customers. */
+export const MAX_SOUND_PARTS = 32_768;
 
-/** Maximum number of parts of one customer, so that none displaces those of others. */
-const MAX_PARTS_PER_CUSTOMER = 1_024;
+/** The parts known to one process. */
+export class SoundParts {
+  readonly #byCustomer = new Map<string, SoundPartsOfCustomer>();
 
-/** Maximum number of customers. */
-const MAX_CUSTOMERS = 256;
+  #forgotten = 0;
 
-/** Removes the oldest entry of a map that has more than `max`. */
-function limitSize<Value>(map: Map<string, Value>, max: number): void {
-  const [oldest] = map.keys();
-  if (map.size > max && oldest !== undefined) {
-    map.delete(oldest);
+  /** Number of parts that were forgotten before their time, as there were too many. */
+  get forgotten(): number {
+    return this.#forgotten;
   }
-}
-
-/** The parts known to one process. */
-export class SoundParts {
-  /** When each part was last answered on, ms, by customer; in order of time. */
-  readonly #answeredAt = new Map<string, Map<string, number>>();
 
   /** Records that an endpoint has answered on a customer's parts. */
   add(customer: string, digests: readonly string[], now: number): void {
-    const parts = this.#answeredAt.get(customer) ?? new Map<string, number>();
-    this.#answeredAt.set(customer, parts);
-    limitSize(this.#answeredAt, MAX_CUSTOMERS);
+    const parts = this.#byCustomer.get(customer) ?? new SoundPartsOfCustomer();
+    this.#byCustomer.set(customer, parts);
     digests
-      .filter((digest) => now - (parts.get(digest) ?? -Infinity) >= REFRESH_MS)
+      .filter((digest) => now - parts.answeredOn(digest) >= REFRESH_MS)
       .forEach((digest) => {
-        parts.delete(digest);
-        parts.set(digest, now);
-        limitSize(parts, MAX_PARTS_PER_CUSTOMER);
+        if (parts.isFull) {
+          this.#forgotten += parts.rotate(now);
+        }
+        parts.add(digest, now);
       });
+    this.#limitTotal(now);
   }
 
   /** Whether a part was recently answered on, for any customer. */
   has(digest: string, now: number): boolean {
-    return [...this.#answeredAt.values()].some(
-      (parts) => now - (parts.get(digest) ?? -Infinity) < SOUND_TTL_MS,
+    return [...this.#byCustomer.values()].some(
+      (parts) => now - parts.answeredOn(digest) < SOUND_TTL_MS,
     );
   }
+
+  /** Forgets customers without a recent answer. */
+  tick(now: number): void {
+    this.#byCustomer.forEach((parts, customer) => {
+      if (now - parts.answeredAt >= SOUND_TTL_MS) {
+        this.#byCustomer.delete(customer);
+      }
+    });
+  }
+
+  /** Forgets the older parts of the customers that have most. */
+  #limitTotal(now: number): void {
+    const all = [...this.#byCustomer.values()];
+    let total = all.reduce((sum, { size }) => sum + size, 0);
+    while (total > MAX_SOUND_PARTS) {
+      const largest = all.reduce((a, b) => (b.size > a.size ? b : a));
+      const before = largest.size;
+      this.#forgotten += largest.rotate(now);
+      total -= before - largest.size;
+    }
+  }
 }
--- a/src/coordination/__tests__/unit/Quarantine.test.ts
+++ b/src/coordination/__tests__/unit/Quarantine.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
 import {
-  clearSuspect,
+  clearSuspects,
   EMPTY_QUARANTINE,
   crashCount,
   dropExpiredSuspects,
@@ -10,14 +10,14 @@
   recordSuspects,
   mergeSuspectRecords,
   quarantinedParts,
-  MAX_SUSPECTS_PER_CUSTOMER,
-  MAX_SUSPECTS,
+  SUSPECT_LIMITS,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type QuarantineState,
 } from '../../Quarantine.js';
 import type { SuspectRecord } from '../../../protocol/index.js';
-import { SoundParts } from '../../SoundParts.js';
+import { MAX_SOUND_PARTS, SoundParts } from '../../SoundParts.js';
+import { MAX_PARTS_PER_GENERATION } from '../../SoundPartsOfCustomer.js';
 import { rememberAnswer, wasRecentlyAnswered, type RecentAnswers } from '../../RecentAnswers.js';
 
 const SEED = 37;
@@ -78,7 +78,7 @@
       const items = [lost(event.digest, customer, ['shared part', `part ${event.digest}`])];
       states[event.at] = recordSuspects(state, event.incarnationKey, items, 0).state;
     } else if (event.kind === 'clear') {
-      states[event.at] = clearSuspect(state, event.digest).state;
+      states[event.at] = clearSuspects(state, [event.digest]).state;
     } else {
       states[event.to] = mergeSuspectRecords(
         states[event.to] ?? EMPTY_QUARANTINE,
@@ -113,7 +113,7 @@
   });
 
   it('clears a request after a complete answer, and ignores late reports of earlier crashes', () => {
-    const cleared = clearSuspect(withCrashes(['i-1', 'a'], ['i-2', 'a']), 'a').state;
+    const cleared = clearSuspects(withCrashes(['i-1', 'a'], ['i-2', 'a']), ['a']).state;
     assert.equal(crashesOf(cleared, 'a'), 0);
     const late = recordSuspects(cleared, 'i-2', [lost('a')], 9).state;
     assert.equal(crashesOf(late, 'a'), 0);
@@ -144,10 +144,13 @@
     const many = Array.from({ length: 1_000 }, (_item, i) => lost(`m${i}`, 'loud'));
     const first = withCrashes(['i-1', 'quiet'], ['i-2', 'quiet']);
     const { state } = recordSuspects(first, 'i-3', many, 0);
-    assert.equal(state.size, MAX_SUSPECTS_PER_CUSTOMER + 1);
+    assert.equal(state.size, SUSPECT_LIMITS.request.perCustomer + 1);
     assert.equal(crashesOf(state, 'quiet'), 2);
     const customers = Array.from({ length: 1_000 }, (_item, i) => lost(`n${i}`, `c${i % 50}`));
-    assert.equal(recordSuspects(state, 'i-4', customers, 0).state.size, MAX_SUSPECTS);
+    assert.equal(
+      recordSuspects(state, 'i-4', customers, 0).state.size,
+      SUSPECT_LIMITS.request.total,
+    );
   });
 
   /** Records crashes, each of an incarnation with requests in progress that have the given parts. */
@@ -174,7 +177,7 @@
   it('holds no part that another one explains, and clears parts that were answered on', () => {
     const state = withParts([['a', 'bad']], [['a', 'bad']], [['b', 'bad']]);
     assert.deepEqual([...quarantinedParts(state, 2)], ['bad']);
-    const cleared = clearSuspect(state, 'bad').state;
+    const cleared = clearSuspects(state, ['bad']).state;
     assert.equal(quarantinedParts(cleared, 3).size, 0);
   });
 
@@ -191,11 +194,20 @@
 
   // Guards against a customer that sends requests with many parts and displaces the evidence on those of others.
   it('drops no part of another customer for those of one customer', () => {
-    const parts = Array.from({ length: 1_000 }, (_item, i) => `m${i}`);
+    const { perCustomer, total } = SUSPECT_LIMITS.part;
+    const partsOf = (name: string) =>
+      Array.from({ length: perCustomer + 1_000 }, (_item, i) => `${name}${i}`);
     const first = withParts([['quiet']], [['quiet']]);
-    const { state } = recordSuspects(first, 'i-9', [lost('r', 'loud', parts)], 0);
+    const step = recordSuspects(first, 'i-9', [lost('r', 'loud', partsOf('m'))], 0);
+    assert.deepEqual([...quarantinedParts(step.state, 2)], ['quiet']);
+    assert.ok(step.state.size <= perCustomer + 4);
+    assert.equal(step.dropped, 1_000);
+    const customers = Array.from({ length: 6 }, (_item, i) =>
+      lost(`r${i}`, `loud${i}`, partsOf(`c${i}-`)),
+    );
+    const { state } = recordSuspects(step.state, 'i-10', customers, 0);
     assert.deepEqual([...quarantinedParts(state, 2)], ['quiet']);
-    assert.ok(state.size <= MAX_SUSPECTS_PER_CUSTOMER + 4);
+    assert.equal([...state.values()].filter(({ kind }) => kind === 'part').length, total);
   });
 
   it('reads updates of processes that know only requests', () => {
@@ -285,12 +297,47 @@
     assert.ok(!sound.has('b', 0));
   });
 
+  it('knows a part as long as one of its customers has been answered on it', () => {
+    const sound = new SoundParts();
+    sound.add('first', ['a'], 0);
+    sound.add('second', ['a'], 5);
+    const many = Array.from({ length: 3 * MAX_PARTS_PER_GENERATION }, (_item, i) => `m${i}`);
+    sound.add('second', many, 6);
+    assert.ok(sound.has('a', 29_999));
+    assert.ok(!sound.has('a', 30_000));
+  });
+
+  it('keeps the parts that all prompts share beside thousands that never come again', () => {
+    const sound = new SoundParts();
+    const shared = Array.from({ length: 1_000 }, (_item, i) => `shared${i}`);
+    for (let n = 0; n < 200; n += 1) {
+      const own = Array.from({ length: 300 }, (_part, i) => `own${n}-${i}`);
+      sound.add('kano', [...shared, ...own], n * 200);
+    }
+    assert.ok(shared.every((part) => sound.has(part, 40_000)));
+    assert.ok(sound.forgotten > 0);
+  });
+
+  it('limits the parts of all customers together', () => {
+    const sound = new SoundParts();
+    const customers = Array.from({ length: 20 }, (_item, i) => `c${i}`);
+    const partsOf = (customer: string) =>
+      Array.from({ length: 2 * MAX_PARTS_PER_GENERATION }, (_item, i) => `${customer}-${i}`);
+    sound.add('quiet', ['a'], 0);
+    customers.forEach((customer) => sound.add(customer, partsOf(customer), 0));
+    const known = customers.flatMap(partsOf).filter((part) => sound.has(part, 1));
+    assert.ok(known.length <= MAX_SOUND_PARTS);
+    assert.ok(sound.has('a', 1));
+  });
+
   it('keeps the parts of a customer beside one that sends thousands of new ones', () => {
     const sound = new SoundParts();
     sound.add('quiet', ['a'], 0);
-    Array.from({ length: 5_000 }, (_item, i) => sound.add('loud', [`m${i}`], i / 1_000));
+    const last = 3 * MAX_PARTS_PER_GENERATION;
+    Array.from({ length: last + 1 }, (_item, i) => sound.add('loud', [`m${i}`], i / 10_000));
     assert.ok(sound.has('a', 10));
     assert.ok(!sound.has('m0', 10));
-    assert.ok(sound.has('m4999', 10));
+    assert.ok(sound.has(`m${last}`, 10));
+    assert.equal(sound.forgotten, 2 * MAX_PARTS_PER_GENERATION);
   });
 });
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -47,7 +47,7 @@
   type VoterView,
 } from './ConsensusVoters.js';
 export {
-  clearSuspect,
+  clearSuspects,
   EMPTY_QUARANTINE,
   crashCount,
   dropExpiredSuspects,
@@ -56,7 +56,7 @@
   mergeSuspectRecords,
   quarantinedParts,
   QUARANTINE_CRASHES,
-  MAX_SUSPECTS,
+  SUSPECT_LIMITS,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type QuarantineState,
--- a/src/daemon/DaemonEntryMetrics.ts
+++ b/src/daemon/DaemonEntryMetrics.ts
@@ -67,6 +67,19 @@
     });
   }
 
+  /** `forgotten` is called each time the metrics are read. */
+  addForgottenParts(forgotten: () => number): void {
+    // eslint-disable-next-line no-new
+    new Gauge({
+      name: 'laburnumgauge_forgotten_prompt_parts',
+      help: 'Parts of prompts with a recent answer that were forgotten early, as there were too many',
+      registers: [...this.#registers],
+      collect() {
+        this.set(forgotten());
+      },
+    });
+  }
+
   onEnded(outcome: string): void {
     this.#requests.inc({ outcome });
   }
--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -1,6 +1,6 @@
 /** Holds the set of suspect requests and parts of prompts in an entry or control process, and exchanges it with others. */
 import {
-  clearSuspect,
+  clearSuspects,
   EMPTY_QUARANTINE,
   crashCount,
   dropExpiredSuspects,
@@ -31,6 +31,12 @@
   toUpdates: toQuarantineUpdates,
 };
 
+/** Maximum number of changed suspects of a kind that are named in one log line. */
+const MAX_LOGGED = 32;
+
+/** Called with the suspects that have changed. */
+export type QuarantineListener = (changed: readonly Suspect[]) => void;
+
 /** Dependencies of {@link DaemonQuarantine}. */
 export interface QuarantineOptions {
   readonly runtime: Pick<Runtime, 'now' | 'log'>;
@@ -51,7 +57,7 @@
   /** Quarantined parts by the number of crashes that suffices; computed when they are asked for. */
   readonly #quarantinedParts = new Map<number, ReadonlySet<string>>();
 
-  readonly #listeners = new Set<() => void>();
+  readonly #listeners = new Set<QuarantineListener>();
 
   constructor(options: QuarantineOptions) {
     this.#options = options;
@@ -106,20 +112,32 @@
   }
 
   /** Calls a listener after each change of items; returns a function that unregisters it. */
-  registerListener(listener: () => void): () => void {
+  registerListener(listener: QuarantineListener): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
   }
 
-  recordSuspects(incarnationKey: IncarnationKey, lost: readonly LostRequest[]): void {
-    this.#set.apply(
-      recordSuspects(this.#set.state, incarnationKey, lost, this.#options.runtime.now()),
-    );
+  /** Records the crash of an endpoint; `crashedAt` is its time, Unix ms. */
+  recordSuspects(
+    incarnationKey: IncarnationKey,
+    lost: readonly LostRequest[],
+    crashedAt: number,
+  ): void {
+    const { runtime } = this.#options;
+    const step = recordSuspects(this.#set.state, incarnationKey, lost, runtime.now(), crashedAt);
+    if (step.dropped > 0) {
+      const { dropped } = step;
+      runtime.log.warn(
+        { event: 'suspects_dropped', incarnationKey, dropped },
+        'more suspects than are kept: those with fewest and oldest crashes are dropped',
+      );
+    }
+    this.#set.apply(step);
   }
 
-  /** Releases a request; returns whether any crash was counted against it. */
-  clear(digest: string): boolean {
-    const step = clearSuspect(this.#set.state, digest);
+  /** Releases requests and parts; returns whether any crash was counted against them. */
+  clear(digests: readonly string[]): boolean {
+    const step = clearSuspects(this.#set.state, digests);
     this.#set.apply(step);
     return step.changed.length > 0;
   }
@@ -140,24 +158,29 @@
   }
 
   /**
-   * Logs one line for all changed suspects, as all requests in progress at a crashed endpoint become suspects
+   * Logs one line for all changed suspects, those with most crashes first, as all requests in progress at a crashed endpoint become suspects
    * together, with their parts.
    */
   #onChanged(changed: readonly Suspect[], from: string | null): void {
-    const listOf = (listed: Suspect['kind']): readonly string[] =>
+    const ofKind = (wanted: Suspect['kind']): readonly string[] =>
       changed
-        .filter(({ kind }) => kind === listed)
+        .filter(({ kind }) => kind === wanted)
+        .sort((a, b) => crashCount(b) - crashCount(a))
         .map((suspect) => `${suspect.digest}=${crashCount(suspect)}`);
+    const requests = ofKind('request');
+    const parts = ofKind('part');
     this.#options.runtime.log.info(
       {
         event: 'suspects',
         from,
-        requests: listOf('request'),
-        parts: listOf('part'),
+        requests: requests.slice(0, MAX_LOGGED),
+        parts: parts.slice(0, MAX_LOGGED),
+        unlisted:
+          Math.max(0, requests.length - MAX_LOGGED) + Math.max(0, parts.length - MAX_LOGGED),
         held: this.#set.state.size,
       },
       'suspects changed',
     );
-    this.#listeners.forEach((listener) => listener());
+    this.#listeners.forEach((listener) => listener(changed));
   }
 }
--- a/src/daemon/DaemonQuarantineApi.ts
+++ b/src/daemon/DaemonQuarantineApi.ts
@@ -25,7 +25,7 @@
 }
 
 function release(quarantine: DaemonQuarantine, digest: string, ctx: Context): void {
-  const released = quarantine.clear(digest);
+  const released = quarantine.clear([digest]);
   ctx.status = released ? 200 : 404;
   ctx.body = released
     ? { digest, released }
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -12,7 +12,6 @@
   type RecentAnswers,
 } from '../coordination/index.js';
 import {
-  digestPromptPart,
   digestRequest,
   type MemberRecord,
   type QuarantineUpdate,
@@ -22,6 +21,7 @@
 import { probeAddress } from '../transport/index.js';
 import { DaemonEndpointCrashes } from './DaemonEndpointCrashes.js';
 import type { EntryMetrics } from './DaemonEntryMetrics.js';
+import { DaemonPartDigests } from './DaemonPartDigests.js';
 import { DaemonQuarantine, type SendQuarantineUpdate } from './DaemonQuarantine.js';
 import type { Runtime } from './DaemonRuntime.js';
 
@@ -33,9 +33,6 @@
   readonly send: SendQuarantineUpdate;
 }
 
-/** Maximum number of parts of one prompt that are looked at. */
-const MAX_PARTS_PER_REQUEST = 32;
-
 /** Sender name for all updates from control processes: this process is attached to only one at a time. */
 const HUB = 'hub';
 
@@ -49,7 +46,7 @@
 
   readonly #digests = new WeakMap<RequestIdentity, string>();
 
-  readonly #partDigests = new WeakMap<RequestIdentity, readonly string[]>();
+  readonly #partDigests = new DaemonPartDigests();
 
   readonly #soundParts = new SoundParts();
 
@@ -66,14 +63,19 @@
         }
       },
     });
-    this.#quarantine.registerListener(() => this.#clearSoundParts());
+    this.#quarantine.registerListener((changed) =>
+      this.#clearSoundParts(
+        changed.filter(({ kind }) => kind === 'part').map(({ digest }) => digest),
+      ),
+    );
     metrics.addSuspects(() => this.#quarantine.suspects.length);
+    metrics.addForgottenParts(() => this.#soundParts.forgotten);
     this.#crashes = new DaemonEndpointCrashes({
       runtime,
       probe: probeAddress,
       crashes: metrics.endpointCrashes,
       onSuspects: (incarnationKey, suspects) =>
-        this.#quarantine.recordSuspects(incarnationKey, suspects),
+        this.#quarantine.recordSuspects(incarnationKey, suspects, runtime.clocks().wall),
     });
   }
 
@@ -114,10 +116,10 @@
     if (isHeld) {
       return { kind: 'request', digest: this.#digest(identity) };
     }
-    if (!this.#quarantine.hasParts) {
+    const quarantined = this.#quarantine.quarantinedParts(quarantineCrashes);
+    if (quarantined.size === 0) {
       return null;
     }
-    const quarantined = this.#quarantine.quarantinedParts(quarantineCrashes);
     const digest = this.#partsOf(identity).find((part) => quarantined.has(part));
     return digest === undefined ? null : { kind: 'part', digest };
   }
@@ -178,7 +180,7 @@
       this.#options.runtime.now(),
     );
     if (this.#quarantine.hasSuspects(identity.customer)) {
-      this.#quarantine.clear(this.#digest(identity));
+      this.#quarantine.clear([this.#digest(identity)]);
     }
     this.onPartsAnswered(identity);
   }
@@ -188,7 +190,7 @@
     const parts = this.#partsOf(identity);
     if (parts.length > 0) {
       this.#soundParts.add(identity.customer, parts, this.#options.runtime.now());
-      this.#clearSoundParts();
+      this.#clearSoundParts(parts);
     }
   }
 
@@ -208,6 +210,7 @@
   }
 
   tick(): void {
+    this.#soundParts.tick(this.#options.runtime.now());
     this.#crashes.tick();
     this.#quarantine.tick();
   }
@@ -218,23 +221,22 @@
     return { digest: this.#digest(identity), customer: identity.customer, parts, request };
   }
 
-  /** Clears suspect parts that endpoints have answered on here, whichever process suspects them. */
-  #clearSoundParts(): void {
+  /** Clears those of some parts that are suspect and that endpoints have answered on here, whoever suspects them. */
+  #clearSoundParts(digests: readonly string[]): void {
     if (!this.#quarantine.hasParts) {
       return;
     }
     const now = this.#options.runtime.now();
-    this.#quarantine.suspects
-      .filter(({ kind, digest }) => kind === 'part' && this.#soundParts.has(digest, now))
-      .forEach(({ digest }) => this.#quarantine.clear(digest));
+    const sound = digests.filter(
+      (digest) => this.#quarantine.crashCount(digest) > 0 && this.#soundParts.has(digest, now),
+    );
+    if (sound.length > 0) {
+      this.#quarantine.clear(sound);
+    }
   }
 
   #partsOf(identity: RequestIdentity): readonly string[] {
-    const { sharedParts = [] } = identity;
-    const known = this.#partDigests.get(identity);
-    const digests = known ?? sharedParts.slice(0, MAX_PARTS_PER_REQUEST).map(digestPromptPart);
-    this.#partDigests.set(identity, digests);
-    return digests;
+    return this.#partDigests.of(identity);
   }
 
   #digest(identity: RequestIdentity): string {
--- a/src/daemon/DaemonSharedSet.ts
+++ b/src/daemon/DaemonSharedSet.ts
@@ -31,6 +31,15 @@
   readonly toUpdates: (state: State, items: readonly Item[], now: number) => readonly Update[];
 }
 
+/** An update, which may be split over several messages. */
+export interface SharedSetUpdate {
+  readonly records: readonly unknown[];
+  /** Hash of the sender's whole set. */
+  readonly hash: number;
+  /** Whether further messages with the rest of the records follow. */
+  readonly isPartial?: boolean;
+}
+
 /** Dependencies of {@link DaemonSharedSet}. */
 export interface SharedSetOptions<Item, Update> {
   readonly now: () => number;
@@ -43,7 +52,7 @@
 }
 
 /** The set as held by one process. */
-export class DaemonSharedSet<State, Item, Update extends { readonly hash: number }> {
+export class DaemonSharedSet<State, Item, Update extends SharedSetUpdate> {
   readonly #rules: SharedSetRules<State, Item, Update>;
 
   readonly #options: SharedSetOptions<Item, Update>;
@@ -53,6 +62,9 @@
   /** When the whole set was last sent to another process in reply, ms, by its name. */
   readonly #allSentAt = new Map<string, number>();
 
+  /** Records of the partial updates that the rest hasn't followed yet, by sender. */
+  readonly #partialRecords = new Map<string, readonly unknown[]>();
+
   #comparedAt = -Infinity;
 
   constructor(rules: SharedSetRules<State, Item, Update>, options: SharedSetOptions<Item, Update>) {
@@ -74,10 +86,19 @@
     }
   }
 
-  /** Merges an update from another process, and replies with the whole set if that process holds a different one. */
+  /**
+   * Merges an update from another process once all of its messages have come, as each merge takes a pass over the set;
+   * replies with the whole set if that process holds a different one. */
   onUpdate(update: Update, from: string, reply: SendUpdate<Update>): void {
+    const records = [...(this.#partialRecords.get(from) ?? []), ...update.records];
+    if (update.isPartial === true) {
+      this.#partialRecords.set(from, records);
+      return;
+    }
+    // If the rest of an earlier update was lost, its records come with this one: their order doesn't matter.
+    this.#partialRecords.delete(from);
     const now = this.#options.now();
-    this.apply(this.#rules.merge(this.#state, update, now), from);
+    this.apply(this.#rules.merge(this.#state, { ...update, records }, now), from);
     const sentAt = this.#allSentAt.get(from) ?? -Infinity;
     if (update.hash !== this.#rules.hash(this.#state) && now - sentAt >= FULL_SEND_INTERVAL_MS) {
       this.#allSentAt.set(from, now);
--- a/src/daemon/__tests__/unit/DaemonQuarantine.test.ts
+++ b/src/daemon/__tests__/unit/DaemonQuarantine.test.ts
@@ -11,9 +11,8 @@
     let now = 0;
     const runtime = { now: () => now, log: pino({ level: 'silent' }) };
     const quarantine = new DaemonQuarantine({ runtime, publish: () => undefined });
-    quarantine.recordSuspects('i-1@1', [
-      { digest: 'a', customer: 'kano', parts: [], request: 'r1' },
-    ]);
+    const lost = { digest: 'a', customer: 'kano', parts: [], request: 'r1' };
+    quarantine.recordSuspects('i-1@1', [lost], 0);
     assert.ok(quarantine.hasSuspects('kano'));
     now = SUSPECT_RETENTION_MS;
     quarantine.tick();
--- /dev/null
+++ b/src/daemon/__tests__/unit/DaemonScreening.test.ts
@@ -0,0 +1,140 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { pino } from 'pino';
+import { Registry } from 'prom-client';
+import { QUARANTINE_CRASHES } from '../../../coordination/index.js';
+import type { MemberRecord, QuarantineUpdate, RequestIdentity } from '../../../protocol/index.js';
+import { EntryMetrics } from '../../DaemonEntryMetrics.js';
+import type { Runtime } from '../../DaemonRuntime.js';
+import { DaemonScreening } from '../../DaemonScreening.js';
+
+const FATAL_PART = 'fatal';
+
+/** About as many parts as the head of a request can name. */
+const PARTS_PER_HEAD = 1_300;
+
+const CRASHES = QUARANTINE_CRASHES.single;
+
+/** Entry processes that exchange their suspects at once. */
+class EntryProcesses {
+  readonly screenings: readonly DaemonScreening[];
+
+  #now = 0;
+
+  #crashes = 0;
+
+  constructor(count: number) {
+    const received: QuarantineUpdate[][] = Array.from({ length: count }, () => []);
+    this.screenings = received.map((_updates, self) => {
+      const registry = new Registry();
+      const runtime = {
+        registry,
+        log: pino({ level: 'silent' }),
+        now: () => this.#now,
+        clocks: () => ({ monotonic: this.#now, wall: this.#now }),
+      } as unknown as Runtime;
+      return new DaemonScreening({
+        runtime,
+        metrics: new EntryMetrics(registry, () => 0),
+        send: (update) =>
+          received.forEach((updates, other) => {
+            if (other !== self) {
+              updates.push(update);
+            }
+          }),
+      });
+    });
+    this.#received = received;
+  }
+
+  readonly #received: readonly QuarantineUpdate[][];
+
+  /** Another endpoint crashes during some requests, which were in progress from one entry process. */
+  crash(requests: readonly RequestIdentity[]): void {
+    this.#now += 1_000;
+    this.#crashes += 1;
+    const endpoint = { id: `i-${this.#crashes}`, incarnation: 1 } as MemberRecord;
+    const screening = this.screenings[this.#crashes % this.screenings.length];
+    requests.forEach((identity, n) => screening?.onEngineCrash(endpoint, 0, identity, `r${n}`));
+    this.#deliver();
+  }
+
+  answer(at: number, identity: RequestIdentity): void {
+    this.screenings[at]?.onAnswered(identity);
+    this.#deliver();
+  }
+
+  areHolding(identity: RequestIdentity): readonly boolean[] {
+    return this.screenings.map((screening) => screening.isQuarantined(identity, CRASHES));
+  }
+
+  #deliver(): void {
+    while (this.#received.some((updates) => updates.length > 0)) {
+      this.#received.forEach((updates, self) =>
+        updates.splice(0).forEach((update) => this.screenings[self]?.onUpdate(update)),
+      );
+    }
+  }
+}
+
+let counter = 0;
+
+function requestWith(parts: readonly string[], customer = 'kano'): RequestIdentity {
+  counter += 1;
+  return {
+    customer,
+    method: 'POST',
+    host: 'desk.example',
+    path: '/stream/x',
+    body: Buffer.from(`body ${counter}`),
+    sharedParts: parts,
+  };
+}
+
+/** Names of parts, with the fatal one at a place. */
+function partsWithFatalAt(place: number, nameOf: (n: number) => string): readonly string[] {
+  return Array.from({ length: PARTS_PER_HEAD }, (_part, n) =>
+    n === place ? FATAL_PART : nameOf(n),
+  );
+}
+
+const PLACES = [0, 31, 32, 35, 579, PARTS_PER_HEAD - 1];
+
+describe('DaemonScreening', () => {
+  // Guards against a part that crashes endpoint after endpoint since only the first parts of a prompt are looked at.
+  PLACES.forEach((place) => {
+    it(`holds a part at place ${place} of a prompt whose other parts sound requests share`, () => {
+      const entries = new EntryProcesses(3);
+      const shared = Array.from({ length: PARTS_PER_HEAD }, (_part, n) => `shared ${n}`);
+      entries.answer(0, requestWith(shared));
+      const fatalParts = partsWithFatalAt(place, (n) => `shared ${n}`);
+      for (let n = 0; n < CRASHES; n += 1) {
+        entries.crash([requestWith(fatalParts, `customer ${n}`), requestWith(shared)]);
+      }
+      assert.deepEqual(entries.areHolding(requestWith([FATAL_PART])), [true, true, true]);
+      assert.deepEqual(entries.areHolding(requestWith(shared)), [false, false, false]);
+    });
+  });
+
+  // Guards against a fatal part that is dropped as one of too many suspects at each of its crashes.
+  [0, 35, PARTS_PER_HEAD - 1].forEach((place) => {
+    it(`holds a part at place ${place} of prompts whose other parts never come again`, () => {
+      const entries = new EntryProcesses(3);
+      for (let n = 0; n < 5; n += 1) {
+        entries.crash([requestWith(partsWithFatalAt(-1, (part) => `earlier ${n} ${part}`))]);
+      }
+      for (let n = 0; n < CRASHES; n += 1) {
+        entries.crash([
+          requestWith(partsWithFatalAt(place, (part) => `own ${n} ${part}`)),
+          requestWith(partsWithFatalAt(-1, (part) => `beside ${n} ${part}`)),
+        ]);
+      }
+      assert.deepEqual(entries.areHolding(requestWith([FATAL_PART])), [true, true, true]);
+      assert.deepEqual(entries.areHolding(requestWith(['own 0 1', 'own 2 1'])), [
+        false,
+        false,
+        false,
+      ]);
+    });
+  });
+});
--- a/src/protocol/ProtocolQuarantine.ts
+++ b/src/protocol/ProtocolQuarantine.ts
@@ -17,10 +17,17 @@
   readonly cleared: readonly string[];
   /** Time since the last crash, ms; an age, since the clocks of two hosts differ. */
   readonly ageMs: number;
+  /**
+   * Time of the last crash by the clock of the process that recorded it, Unix ms. All processes go by it where they drop
+   * suspects beyond a limit; absent in messages of processes that drop by digest only.
+   */
+  readonly crashedAt?: number;
 }
 
 /** Changed suspects or a complete set; `hash` is the hash of all records that the sender holds. */
 export interface QuarantineUpdate {
   readonly records: readonly SuspectRecord[];
   readonly hash: number;
+  /** Whether further messages with the rest of the records follow, so that the hash can't be compared yet. */
+  readonly isPartial?: boolean;
 }
