Ask for keys wherever a configuration has a list of customers

Cause: a missing list of customers was given the default [], and the check asked for a key only where there was a customer. "No request needs a key" and "no key is valid" had one value.

Evidence: unknown keys run too, and requests reach engines without a customer's name, so neither a late change nor a cache explains it. PlatformCustomers.test.ts (real processes) and PlatformDocument.test.ts failed on the code before: 200 where 401 is expected, [] for no list.

Fix: the plan has null for a missing list, and the view of the routes says whether keys are asked for; a plan without the field asks.

--- a/src/daemon/direct/DirectConfig.ts
+++ b/src/daemon/direct/DirectConfig.ts
@@ -111,7 +111,11 @@
     const version = this.#routes?.plan.version ?? null;
     // How long ago the one before was last known to be the newest: this one was accepted after that.
     const sinceProofMs = provenAt === undefined ? null : Math.round(now() - provenAt);
-    log.info({ event: 'config', index: config.index, version, sinceProofMs }, 'in force');
+    const asksForKeys = this.#routes?.asksForKeys;
+    log.info(
+      { event: 'config', index: config.index, version, sinceProofMs, asksForKeys },
+      'in force',
+    );
   }
 
   /**
--- a/src/daemon/direct/DirectRequestReader.ts
+++ b/src/daemon/direct/DirectRequestReader.ts
@@ -100,7 +100,7 @@
       throw new RequestError('not_ready', this.#state.readiness);
     }
     const route = findRoute(routes, req.headers.host ?? '', req.url ?? '/');
-    const needsKey = routes.plan.customers.length > 0 && route?.anonymous !== true;
+    const needsKey = routes.asksForKeys && route?.anonymous !== true;
     const customer = key === null ? undefined : routes.byKey.get(key);
     const isOpen = route !== undefined && !needsKey;
     const isKnown = route !== undefined && customer !== undefined && isFresh;
--- a/src/protocol/ProtocolRoutes.ts
+++ b/src/protocol/ProtocolRoutes.ts
@@ -120,8 +120,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSpec[];
-  /** Empty if no request needs a key. */
-  readonly customers: readonly KeyedCustomer[];
+  /** Null if the configuration has no list of customers: no request needs a key. With an empty list, no key is valid. */
+  readonly customers: readonly KeyedCustomer[] | null;
   readonly limits: CallerLimits;
 }
 
--- a/src/state/StateRoutes.ts
+++ b/src/state/StateRoutes.ts
@@ -7,6 +7,8 @@
   /** Routes of a host, longest prefix first. */
   readonly byHost: ReadonlyMap<string, readonly Route[]>;
   readonly byKey: ReadonlyMap<string, KeyedCustomer>;
+  /** Whether requests need a key, but for those of anonymous routes. */
+  readonly asksForKeys: boolean;
   readonly services: ReadonlyMap<string, ServiceSpec>;
 }
 
@@ -21,8 +23,9 @@
     plan,
     byHost,
     byKey: new Map(
-      plan.customers.flatMap((customer) => customer.keys.map((key) => [key, customer])),
+      plan.customers?.flatMap((customer) => customer.keys.map((key) => [key, customer])),
     ),
+    asksForKeys: plan.customers !== null,
     services: new Map(plan.services.map((service) => [service.name, service])),
   };
 }
