Replace a control host as planned in the soak of the configuration

After the rounds of losses a host is added, another one is stopped with SIGTERM for good, and within 3 s as many others lose their disks as may be lost. Each of them and the new host must read back what was acknowledged. Earlier parts of a seed's plan are unchanged.

--- a/soak/SoakConfigRun.ts
+++ b/soak/SoakConfigRun.ts
@@ -21,6 +21,7 @@
   type SoakLossKind,
   type SoakLossRound,
   type SoakPowerLoss,
+  type SoakReplacement,
 } from './SoakConfigSchedule.js';
 import type { SoakFinding } from './SoakTypes.js';
 
@@ -95,6 +96,7 @@
     await waitUntil('a first document is accepted', isAccepted, RECOVERY_MS);
     await delay(CATCH_UP_MS);
     await inSequence(plan.rounds, async (round) => this.#runRound(round));
+    await inSequence(plan.replacements, async (replacement) => this.#replace(replacement));
     await inSequence(plan.powerLosses, async (powerLoss) => this.#losePower(powerLoss));
     const findings = [...this.#findings, ...this.#operator.findings];
     const figures = {
@@ -112,6 +114,34 @@
     });
   }
 
+  /** Replaces a host as planned; each host must read the newest back after others have lost their disks. */
+  async #replace({ left, wiped, afterMs, forMs }: SoakReplacement): Promise<void> {
+    const hostAt = (position: number): number => this.#hosts[position] ?? 0;
+    const leaving = hostAt(left);
+    const losing = wiped.map(hostAt);
+    await this.#whileOperating(async () => {
+      const successor = await this.#startSuccessor(leaving);
+      await delay(CATCH_UP_MS);
+      await this.#platform.signal(`control-${leaving}`, 'SIGTERM');
+      await delay(afterMs);
+      await Promise.all(
+        losing.map(async (host) =>
+          this.#lose({ kind: 'wipe', position: 0, afterMs: 0, forMs }, host),
+        ),
+      );
+      await Promise.all([successor, ...losing].map(async (host) => this.#checkReadBack(host)));
+      await delay(CATCH_UP_MS);
+    });
+  }
+
+  /** Starts an empty host at another address that takes the place of a host. */
+  async #startSuccessor(host: number): Promise<number> {
+    const successor = Math.max(...this.#hosts) + 1;
+    this.#hosts = this.#hosts.map((n) => (n === host ? successor : n));
+    await this.#platform.startControl(successor, false);
+    return successor;
+  }
+
   async #whileOperating(task: () => Promise<void>): Promise<void> {
     const stop = new AbortController();
     const operating = this.#operator.run(stop.signal);
@@ -142,9 +172,7 @@
       replace: async () => {
         await this.#platform.signal(name, 'SIGKILL');
         await delay(forMs);
-        const successor = Math.max(...this.#hosts) + 1;
-        this.#hosts = this.#hosts.map((n) => (n === host ? successor : n));
-        await this.#platform.startControl(successor, false);
+        await this.#startSuccessor(host);
       },
     };
     await delay(afterMs);
--- a/soak/SoakConfigSchedule.ts
+++ b/soak/SoakConfigSchedule.ts
@@ -17,6 +17,18 @@
 /** Losses that overlap; the next round begins once all of their hosts must count again. */
 export type SoakLossRound = readonly SoakLoss[];
 
+/**
+ * A planned replacement: a host is added, then another one is stopped with SIGTERM for good, and others lose their disks.
+ * Hosts are named by their places among those that run.
+ */
+export interface SoakReplacement {
+  readonly left: number;
+  readonly wiped: readonly number[];
+  /** Time from the end of the process that leaves until the disks are lost, and how long their hosts are gone; ms. */
+  readonly afterMs: number;
+  readonly forMs: number;
+}
+
 /** The end of a run: all processes are killed, and some control hosts lose their disks. */
 export interface SoakPowerLoss {
   readonly wiped: readonly number[];
@@ -28,6 +40,7 @@
 /** All losses of one run, in order. Later power losses meet what the earlier ones have left. */
 export interface SoakConfigPlan {
   readonly rounds: readonly SoakLossRound[];
+  readonly replacements: readonly SoakReplacement[];
   readonly powerLosses: readonly SoakPowerLoss[];
 }
 
@@ -44,6 +57,12 @@
 /** Number of power losses at the end of a run: what the first one leaves must tolerate the second. */
 const POWER_LOSSES = 2;
 
+/** Number of planned replacements in a run. */
+const REPLACEMENTS = 1;
+
+/** An unreachable voter is removed after 3 s, so that later losses show nothing new. */
+const MAX_PAUSE_MS = 3_000;
+
 const MAX_LOSS_MS = 4_000;
 const MAX_LOSS_DELAY_MS = 1_000;
 const MAX_DARK_MS = 1_000;
@@ -67,12 +86,16 @@
       afterMs: below(MAX_LOSS_DELAY_MS),
       forMs: below(MAX_LOSS_MS),
     }));
-  return {
-    rounds: Array.from({ length: rounds }, planRound),
-    powerLosses: Array.from({ length: POWER_LOSSES }, () => ({
-      wiped: pickPositions(below(lossesBorne + 1)),
-      darkMs: below(MAX_DARK_MS),
-      spreadMs: below(MAX_SPREAD_MS),
-    })),
+  const planReplacement = (): SoakReplacement => {
+    const [left = 0, ...wiped] = pickPositions(1 + lossesBorne);
+    return { left, wiped, afterMs: below(MAX_PAUSE_MS), forMs: below(MAX_LOSS_DELAY_MS) };
   };
+  const plannedRounds = Array.from({ length: rounds }, planRound);
+  const powerLosses = Array.from({ length: POWER_LOSSES }, () => ({
+    wiped: pickPositions(below(lossesBorne + 1)),
+    darkMs: below(MAX_DARK_MS),
+    spreadMs: below(MAX_SPREAD_MS),
+  }));
+  const replacements = Array.from({ length: REPLACEMENTS }, planReplacement);
+  return { rounds: plannedRounds, replacements, powerLosses };
 }
--- a/soak/__tests__/unit/SoakConfigRun.test.ts
+++ b/soak/__tests__/unit/SoakConfigRun.test.ts
@@ -19,9 +19,10 @@
 
   it('never loses more disks at once than may be lost', () => {
     Array.from({ length: 200 }, (_item, seed) => planConfigLosses(seed, SHORT_RUN)).forEach(
-      ({ rounds, powerLosses }) => {
+      ({ rounds, replacements, powerLosses }) => {
         const sizes = [
           ...rounds.map((round) => round.length),
+          ...replacements.map(({ wiped }) => wiped.length),
           ...powerLosses.map(({ wiped }) => wiped.length),
         ];
         assert.ok(Math.max(...sizes) <= SHORT_RUN.lossesBorne);
@@ -29,7 +30,7 @@
     );
   });
 
-  // Control hosts are lost, then all processes are killed twice with disks lost. What was acknowledged must be read back
+  // Control hosts are lost, one is replaced as planned while others lose their disks, then all processes are killed twice with disks lost. What was acknowledged must be read back
   // at each control host, and entry hosts must know the newest route.
   it('reads back what was acknowledged after hosts, power and disks were lost', async () => {
     const { findings, figures } = await runConfigSoak({ ...SHORT_RUN, seed: 1 });
