--- a/spec/SpecList.ts
+++ b/spec/SpecList.ts
@@ -8,6 +8,9 @@
 import { VOTERS_SAFEGUARDS } from './SpecVotersState.js';
 import type { Spec, SpecEvent } from './SpecTypes.js';
 
+/** No process leaves in order, and a change of voters copies no entries. */
+const NO_DEPARTURES = { departures: 0, copiesLog: false };
+
 /** The specifications that `npm run check:model` explores. */
 export const SPECS = [
   makeConsensusSpec(
@@ -27,80 +30,34 @@
   ),
   makeVotersSpec(
     {
+      ...NO_DEPARTURES,
       hosts: 3,
       borne: 1,
       losses: 2,
       silences: 1,
-      departures: 0,
-      copiesLog: false,
       reports: false,
       inOrder: false,
     },
     [VOTERS_SAFEGUARDS.SILENCE_OUTLIVES_ELECTION, VOTERS_SAFEGUARDS.DROP_SILENT],
   ),
   makeVotersSpec(
-    {
-      hosts: 5,
-      borne: 2,
-      losses: 4,
-      silences: 0,
-      departures: 0,
-      copiesLog: false,
-      reports: false,
-      inOrder: true,
-    },
+    { ...NO_DEPARTURES, hosts: 5, borne: 2, losses: 4, silences: 0, reports: false, inOrder: true },
     [VOTERS_SAFEGUARDS.DROP_TWO_OF_ODD, VOTERS_SAFEGUARDS.KEEP_ENOUGH_VOTERS],
   ),
   makeVotersSpec(
-    {
-      hosts: 5,
-      borne: 2,
-      losses: 2,
-      silences: 1,
-      departures: 0,
-      copiesLog: false,
-      reports: false,
-      inOrder: true,
-    },
+    { ...NO_DEPARTURES, hosts: 5, borne: 2, losses: 2, silences: 1, reports: false, inOrder: true },
     [VOTERS_SAFEGUARDS.PROMOTE_FIRST],
   ),
   makeVotersSpec(
-    {
-      hosts: 6,
-      borne: 2,
-      losses: 3,
-      silences: 1,
-      departures: 0,
-      copiesLog: false,
-      reports: false,
-      inOrder: true,
-    },
+    { ...NO_DEPARTURES, hosts: 6, borne: 2, losses: 3, silences: 1, reports: false, inOrder: true },
     [],
   ),
   makeVotersSpec(
-    {
-      hosts: 3,
-      borne: 1,
-      losses: 2,
-      silences: 0,
-      departures: 0,
-      copiesLog: false,
-      reports: true,
-      inOrder: true,
-    },
+    { ...NO_DEPARTURES, hosts: 3, borne: 1, losses: 2, silences: 0, reports: true, inOrder: true },
     [VOTERS_SAFEGUARDS.ASK_REPLICAS],
   ),
   makeVotersSpec(
-    {
-      hosts: 4,
-      borne: 1,
-      losses: 1,
-      silences: 1,
-      departures: 0,
-      copiesLog: false,
-      reports: true,
-      inOrder: true,
-    },
+    { ...NO_DEPARTURES, hosts: 4, borne: 1, losses: 1, silences: 1, reports: true, inOrder: true },
     [VOTERS_SAFEGUARDS.HEED_CONTACT],
   ),
   makeVotersSpec(
--- a/spec/SpecVoters.ts
+++ b/spec/SpecVoters.ts
@@ -1,6 +1,7 @@
 /**
  * Specification of the choice of voters: hosts are replaced, with or without notice, lose their disks or restart in
- * order, some are unreachable for a while, leaders change. It runs the production code for the choice (`nextVoterChange`); the log is assumed correct.
+ * order, some are unreachable for a while, leaders change. It runs the production code for the choice
+ * (`nextVoterChange`); the log is assumed correct.
  */
 import {
   nextVoterChange,
--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -158,8 +158,8 @@
   }
 
   /**
-   * Logs one line for all changed suspects, those with most crashes first, as all requests in progress at a crashed endpoint become suspects
-   * together, with their parts.
+   * Logs one line for all changed suspects, those with most crashes first, as all requests in progress at a crashed
+   * endpoint become suspects together, with their parts.
    */
   #onChanged(changed: readonly Suspect[], from: string | null): void {
     const ofKind = (wanted: Suspect['kind']): readonly string[] =>
--- a/src/daemon/DaemonSharedSet.ts
+++ b/src/daemon/DaemonSharedSet.ts
@@ -88,7 +88,8 @@
 
   /**
    * Merges an update from another process once all of its messages have come, as each merge takes a pass over the set;
-   * replies with the whole set if that process holds a different one. */
+   * replies with the whole set if that process holds a different one.
+   */
   onUpdate(update: Update, from: string, reply: SendUpdate<Update>): void {
     const records = [...(this.#partialRecords.get(from) ?? []), ...update.records];
     if (update.isPartial === true) {
