Hold parts of prompts only together with those that explain the same crashes

What callers saw: with prompts that all share 37 parts, and a part that crashed endpoints before any request had been answered, every sound request was refused (503, quarantined) for ten minutes.

Cause: after four crashes each of the parts with the same crashes was held by itself. A part that all prompts share could then not be cleared any more, as no request with it was sent.

Fix: parts that explain the same crashes (from four on, all but one, as endpoints crash for other causes too) are held together: only a request that has all of them is. One without some of them may be sound; it is sent, and its answer clears the parts that it has.

"waits for more crashes while nothing tells two parts apart" expected both parts to be held, each by itself, after four crashes; it expects the combination now, and a new test that neither is held alone.

--- a/bench/BenchPromptParts.ts
+++ b/bench/BenchPromptParts.ts
@@ -13,10 +13,12 @@
   firstParts: 60,
   secondParts: 200,
   forgedParts: 0,
+  commonParts: 0,
   fatalParts: 1,
   fatalPerSecond: 2,
   isTied: false,
   fatalFromMs: 10_000,
+  soundFromMs: 0,
   isScreened: true,
 };
 
@@ -29,6 +31,14 @@
   '30 forged parts': { forgedParts: 30 },
   'with one first part': { isTied: true },
   'from the start': { fatalFromMs: 0 },
+  'common parts': { commonParts: 30 },
+  'common parts, from the start': { commonParts: 30, fatalFromMs: 0 },
+  'common parts, before sound requests': {
+    commonParts: 30,
+    fatalFromMs: 0,
+    soundFromMs: 5_000,
+    fatalPerSecond: 5,
+  },
   'not screened': { isScreened: false },
 };
 
--- a/bench/BenchPromptPartsModel.ts
+++ b/bench/BenchPromptPartsModel.ts
@@ -7,12 +7,14 @@
 import {
   clearSuspects,
   EMPTY_QUARANTINE,
+  findCombination,
   hashText,
   mergeSuspectRecords,
   QUARANTINE_CRASHES,
-  quarantinedParts,
+  quarantinedCombinations,
   recordSuspects,
   SoundParts,
+  type PartCombination,
   type QuarantineState,
 } from '../src/coordination/index.js';
 
@@ -29,6 +31,8 @@
   readonly secondParts: number;
   /** Parts that each request names beside the others, with ids that never come again. */
   readonly forgedParts: number;
+  /** Parts that all prompts share. */
+  readonly commonParts: number;
   /** Number of parts that crash endpoints. */
   readonly fatalParts: number;
   /** Requests with such a part, per second. */
@@ -37,6 +41,8 @@
   readonly isTied: boolean;
   /** Time from the start until the first request with a fatal part, ms. */
   readonly fatalFromMs: number;
+  /** Time from the start until the first request without one, ms. */
+  readonly soundFromMs: number;
   /** Whether the parts are suspected at all. */
   readonly isScreened: boolean;
 }
@@ -92,7 +98,7 @@
   readonly #incarnations: number[];
 
   /** Quarantined parts by state, as they are asked for with each request. */
-  readonly #quarantined = new WeakMap<QuarantineState, ReadonlySet<string>>();
+  readonly #quarantined = new WeakMap<QuarantineState, readonly PartCombination[]>();
 
   readonly #crashTimes = new Map<string, number[]>();
 
@@ -143,20 +149,21 @@
   }
 
   #prompt(fatalPart: string | null): readonly string[] {
-    const { firstParts, secondParts, forgedParts, isTied } = this.#shape;
+    const { firstParts, secondParts, forgedParts, commonParts, isTied } = this.#shape;
     const isCompanion = isTied && fatalPart !== null;
     const first = `first-${isCompanion ? 1 : this.#skewed(firstParts)}`;
     const forged = Array.from({ length: forgedParts }, () => {
       this.#forgedCounter += 1;
       return `forged-${hashText(String(this.#forgedCounter))}`;
     });
-    return [first, fatalPart ?? `second-${this.#skewed(secondParts)}`, ...forged];
+    const common = Array.from({ length: commonParts }, (_part, n) => `common-${n}`);
+    return [first, ...common, fatalPart ?? `second-${this.#skewed(secondParts)}`, ...forged];
   }
 
-  #quarantinedAt({ state }: ModelEntry): ReadonlySet<string> {
+  #quarantinedAt({ state }: ModelEntry): readonly PartCombination[] {
     const { single, group } = QUARANTINE_CRASHES;
     const known = this.#quarantined.get(state);
-    const parts = known ?? quarantinedParts(state, this.#shape.isGroup ? group : single);
+    const parts = known ?? quarantinedCombinations(state, this.#shape.isGroup ? group : single);
     this.#quarantined.set(state, parts);
     return parts;
   }
@@ -166,7 +173,7 @@
     const entry = Math.floor(this.#random() * this.#entries.length);
     const parts = this.#prompt(fatalPart);
     const held = this.#quarantinedAt(this.#entries[entry] as ModelEntry);
-    if (parts.some((part) => held.has(part))) {
+    if (findCombination(held, parts) !== null) {
       this.#count.wronglyHeld += Number(fatalPart === null);
       return;
     }
@@ -196,6 +203,9 @@
 
   /** Sends new requests so that each running endpoint has the given number in progress. */
   #startRequests(): void {
+    if (this.#now < this.#shape.soundFromMs) {
+      return;
+    }
     this.#running.forEach((items, at) => {
       const missing = this.#isUp(at) ? this.#shape.inProgress - items.length : 0;
       for (let i = 0; i < missing; i += 1) {
--- a/src/coordination/Quarantine.ts
+++ b/src/coordination/Quarantine.ts
@@ -37,12 +37,6 @@
  */
 export const QUARANTINE_CRASHES = { group: 2, single: 3 } as const;
 
-/**
- * Number of crashes after which parts are quarantined that were in progress at the same ones, so that nothing tells them
- * apart. Until then another crash may.
- */
-const TIED_PARTS_CRASHES = 4;
-
 /**
  * How long a suspect is kept after its last crash, ms. A new version of the endpoints may be able to run it.
  */
@@ -69,7 +63,11 @@
 /** Maximum suspects in one message. */
 const MAX_RECORDS_PER_MESSAGE = 64;
 
-function countedEnds({ ends, cleared }: Pick<Suspect, 'ends' | 'cleared'>): readonly string[] {
+/** Crashes recorded against a suspect and not cleared. */
+export function countedEnds({
+  ends,
+  cleared,
+}: Pick<Suspect, 'ends' | 'cleared'>): readonly string[] {
   return ends.filter((incarnationKey) => !cleared.includes(incarnationKey));
 }
 
@@ -248,47 +246,6 @@
   return cleared.length === 0 ? { state, changed: [], dropped: 0 } : merge(state, cleared);
 }
 
-/** Parts that were in progress at the same crashes, so that nothing tells them apart. */
-interface TiedParts {
-  readonly ends: readonly string[];
-  readonly digests: readonly string[];
-}
-
-/** Parts with at least `minCrashes` crashes, by their crashes. */
-function tiedParts(state: QuarantineState, minCrashes: number): readonly TiedParts[] {
-  const byEnds = new Map<
-    string,
-    { readonly ends: readonly string[]; readonly digests: string[] }
-  >();
-  state.forEach((suspect) => {
-    const ends = suspect.kind === 'part' ? countedEnds(suspect) : [];
-    if (ends.length > 0 && ends.length >= minCrashes) {
-      const key = ends.join();
-      const tied = byEnds.get(key) ?? { ends, digests: [] };
-      tied.digests.push(suspect.digest);
-      byEnds.set(key, tied);
-    }
-  });
-  return [...byEnds.values()];
-}
-
-/**
- * Parts that explain at least `minCrashes` crashes by themselves, by digest.
- *
- * A part isn't quarantined if another one was in progress at all of its crashes and at more: the other one explains
- * them. Of parts with the same crashes one may be sound; they are quarantined only after more crashes.
- */
-export function quarantinedParts(state: QuarantineState, minCrashes: number): ReadonlySet<string> {
-  const tied = tiedParts(state, minCrashes);
-  const quarantined = tied.filter(({ ends, digests }) => {
-    const isExplained = tied.some(
-      (other) => other.ends.length > ends.length && isSubset(ends, other.ends),
-    );
-    return !isExplained && (digests.length === 1 || ends.length >= TIED_PARTS_CRASHES);
-  });
-  return new Set(quarantined.flatMap(({ digests }) => digests));
-}
-
 /** Merges an update, or the full set, of another process. */
 export function mergeSuspectRecords(
   state: QuarantineState,
--- a/src/coordination/__tests__/unit/Quarantine.test.ts
+++ b/src/coordination/__tests__/unit/Quarantine.test.ts
@@ -9,12 +9,12 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
-  quarantinedParts,
   SUSPECT_LIMITS,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type QuarantineState,
 } from '../../Quarantine.js';
+import { findCombination, quarantinedCombinations } from '../../QuarantineParts.js';
 import type { SuspectRecord } from '../../../protocol/index.js';
 import { MAX_SOUND_PARTS, SoundParts } from '../../SoundParts.js';
 import { MAX_PARTS_PER_GENERATION } from '../../SoundPartsOfCustomer.js';
@@ -167,29 +167,71 @@
     );
   }
 
+  /** The quarantined combinations of parts, each sorted. */
+  function combinationsOf(state: QuarantineState, minCrashes: number) {
+    return quarantinedCombinations(state, minCrashes)
+      .map(({ digests }) => digests.flat().sort())
+      .sort(([a = ''], [b = '']) => a.localeCompare(b));
+  }
+
+  function isHeld(state: QuarantineState, minCrashes: number, parts: readonly string[]): boolean {
+    return findCombination(quarantinedCombinations(state, minCrashes), parts) !== null;
+  }
+
   // Guards against evidence that is kept by whole requests: no two of them are alike.
   it('quarantines a part that different requests share', () => {
     const state = withParts([['a', 'bad'], ['b']], [['c', 'bad'], ['d']]);
-    assert.deepEqual([...quarantinedParts(state, 2)], ['bad']);
-    assert.equal(quarantinedParts(state, 3).size, 0);
+    assert.deepEqual(combinationsOf(state, 2), [['bad']]);
+    assert.deepEqual(combinationsOf(state, 3), []);
   });
 
   it('holds no part that another one explains, and clears parts that were answered on', () => {
     const state = withParts([['a', 'bad']], [['a', 'bad']], [['b', 'bad']]);
-    assert.deepEqual([...quarantinedParts(state, 2)], ['bad']);
+    assert.ok(isHeld(state, 2, ['bad']));
+    assert.ok(!isHeld(state, 2, ['a', 'b']));
     const cleared = clearSuspects(state, ['bad']).state;
-    assert.equal(quarantinedParts(cleared, 3).size, 0);
+    assert.deepEqual(combinationsOf(cleared, 3), []);
   });
 
   it('waits for more crashes while nothing tells two parts apart', () => {
     const both = [['a', 'bad']];
-    assert.equal(quarantinedParts(withParts(both, both, both), 2).size, 0);
-    assert.equal(quarantinedParts(withParts(both, both, both, both), 2).size, 2);
+    assert.deepEqual(combinationsOf(withParts(both, both, both), 2), []);
+    assert.deepEqual(combinationsOf(withParts(both, both, both, both), 2), [['a', 'bad']]);
+  });
+
+  // Guards against sound requests that are all held for a part that they share, so that no answer can clear it any more.
+  it('holds no request without one of the parts that nothing tells apart', () => {
+    const both = [
+      ['common', 'bad'],
+      ['common', 'own'],
+    ];
+    const state = withParts(both, both, [['common', 'bad']], [['common', 'bad']]);
+    assert.ok(isHeld(state, 3, ['first', 'common', 'bad']));
+    assert.ok(!isHeld(state, 3, ['common', 'own']));
+    const cleared = clearSuspects(state, ['common']).state;
+    assert.ok(isHeld(cleared, 3, ['bad']));
+  });
+
+  // Guards against the same where an endpoint has crashed for another cause, so that the shared part has more crashes.
+  it('holds no request without the part that explains all crashes of its parts but one', () => {
+    const both = [['common', 'bad']];
+    const state = withParts(both, both, both, [['common']]);
+    assert.ok(isHeld(state, 3, ['common', 'bad']));
+    assert.ok(!isHeld(state, 3, ['common']));
+    const more = withParts(both, both, both, [['common']], [['common']]);
+    assert.ok(isHeld(more, 3, ['common']));
+  });
+
+  it('holds a part for itself once two of its crashes are explained by no other', () => {
+    const both = [['companion', 'bad']];
+    const state = withParts(both, both, both, both, [['bad']], [['bad']]);
+    assert.ok(isHeld(state, 3, ['bad']));
+    assert.ok(!isHeld(state, 3, ['companion']));
   });
 
   it('quarantines two parts that crash endpoints at the same time', () => {
     const state = withParts([['bad']], [['worse']], [['bad']], [['worse']]);
-    assert.deepEqual([...quarantinedParts(state, 2)].sort(), ['bad', 'worse']);
+    assert.deepEqual(combinationsOf(state, 2), [['bad'], ['worse']]);
   });
 
   // Guards against a customer that sends requests with many parts and displaces the evidence on those of others.
@@ -199,14 +241,14 @@
       Array.from({ length: perCustomer + 1_000 }, (_item, i) => `${name}${i}`);
     const first = withParts([['quiet']], [['quiet']]);
     const step = recordSuspects(first, 'i-9', [lost('r', 'loud', partsOf('m'))], 0);
-    assert.deepEqual([...quarantinedParts(step.state, 2)], ['quiet']);
+    assert.deepEqual(combinationsOf(step.state, 2), [['quiet']]);
     assert.ok(step.state.size <= perCustomer + 4);
     assert.equal(step.dropped, 1_000);
     const customers = Array.from({ length: 6 }, (_item, i) =>
       lost(`r${i}`, `loud${i}`, partsOf(`c${i}-`)),
     );
     const { state } = recordSuspects(step.state, 'i-10', customers, 0);
-    assert.deepEqual([...quarantinedParts(state, 2)], ['quiet']);
+    assert.deepEqual(combinationsOf(state, 2), [['quiet']]);
     assert.equal([...state.values()].filter(({ kind }) => kind === 'part').length, total);
   });
 
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -54,7 +54,6 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
-  quarantinedParts,
   QUARANTINE_CRASHES,
   SUSPECT_LIMITS,
   SUSPECT_RETENTION_MS,
@@ -63,6 +62,11 @@
   type QuarantineStep,
   type Suspect,
 } from './Quarantine.js';
+export {
+  findCombination,
+  quarantinedCombinations,
+  type PartCombination,
+} from './QuarantineParts.js';
 export { SoundParts } from './SoundParts.js';
 export { rememberAnswer, wasRecentlyAnswered, type RecentAnswers } from './RecentAnswers.js';
 export {
--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -7,11 +7,12 @@
   hashQuarantine,
   recordSuspects,
   mergeSuspectRecords,
-  quarantinedParts,
+  quarantinedCombinations,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
   type IncarnationKey,
   type LostRequest,
+  type PartCombination,
   type QuarantineState,
   type Suspect,
 } from '../coordination/index.js';
@@ -55,7 +56,7 @@
   #hasParts = false;
 
   /** Quarantined parts by the number of crashes that suffices; computed when they are asked for. */
-  readonly #quarantinedParts = new Map<number, ReadonlySet<string>>();
+  readonly #combinations = new Map<number, readonly PartCombination[]>();
 
   readonly #listeners = new Set<QuarantineListener>();
 
@@ -71,7 +72,7 @@
           suspects.filter(({ kind }) => kind === 'request').map(({ customer }) => customer),
         );
         this.#hasParts = suspects.some(({ kind }) => kind === 'part');
-        this.#quarantinedParts.clear();
+        this.#combinations.clear();
       },
     });
   }
@@ -91,12 +92,12 @@
     return this.#hasParts;
   }
 
-  /** Digests of the parts that explain at least `minCrashes` crashes; see {@link quarantinedParts}. */
-  quarantinedParts(minCrashes: number): ReadonlySet<string> {
-    const known = this.#quarantinedParts.get(minCrashes);
-    const parts = known ?? quarantinedParts(this.#set.state, minCrashes);
-    this.#quarantinedParts.set(minCrashes, parts);
-    return parts;
+  /** Combinations of parts that explain at least `minCrashes` crashes; see {@link quarantinedCombinations}. */
+  quarantinedCombinations(minCrashes: number): readonly PartCombination[] {
+    const known = this.#combinations.get(minCrashes);
+    const combinations = known ?? quarantinedCombinations(this.#set.state, minCrashes);
+    this.#combinations.set(minCrashes, combinations);
+    return combinations;
   }
 
   /** Number of crashes counted against a request or part. */
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -3,6 +3,7 @@
  * not be sent. It is consulted before each send, whatever the reason for the send.
  */
 import {
+  findCombination,
   incarnationKeyOf,
   QUARANTINE_CRASHES,
   rememberAnswer,
@@ -80,8 +81,8 @@
   }
 
   /**
-   * Whether a request must not be sent: at least `quarantineCrashes` endpoints have crashed during it, or a part of its
-   * prompt explains as many crashes.
+   * Whether a request must not be sent: at least `quarantineCrashes` endpoints have crashed during it, or parts of its
+   * prompt explain as many crashes.
    */
   isQuarantined(identity: RequestIdentity, quarantineCrashes: number): boolean {
     return this.#quarantinedAs(identity, quarantineCrashes) !== null;
@@ -105,7 +106,7 @@
     }
   }
 
-  /** What a request is quarantined for: itself, or a part of its prompt; null if it isn't. */
+  /** What a request is quarantined for: itself, or parts of its prompt, of which one is named; null if it isn't. */
   #quarantinedAs(
     identity: RequestIdentity,
     quarantineCrashes: number,
@@ -116,12 +117,12 @@
     if (isHeld) {
       return { kind: 'request', digest: this.#digest(identity) };
     }
-    const quarantined = this.#quarantine.quarantinedParts(quarantineCrashes);
-    if (quarantined.size === 0) {
+    const combinations = this.#quarantine.quarantinedCombinations(quarantineCrashes);
+    if (combinations.length === 0) {
       return null;
     }
-    const digest = this.#partsOf(identity).find((part) => quarantined.has(part));
-    return digest === undefined ? null : { kind: 'part', digest };
+    const combination = findCombination(combinations, this.#partsOf(identity));
+    return combination === null ? null : { kind: 'part', digest: combination.digest };
   }
 
   /**
--- a/src/daemon/__tests__/unit/DaemonScreening.test.ts
+++ b/src/daemon/__tests__/unit/DaemonScreening.test.ts
@@ -116,6 +116,21 @@
     });
   });
 
+  // Guards against sound requests that are all held for parts that they share with the first ones, which crashed endpoints.
+  it('holds no sound request where nothing was answered before the crashes', () => {
+    const entries = new EntryProcesses(3);
+    const shared = Array.from({ length: PARTS_PER_HEAD }, (_part, n) => `shared ${n}`);
+    const fatalParts = partsWithFatalAt(35, (n) => `shared ${n}`);
+    const soundParts = shared.filter((_part, n) => n !== 35);
+    for (let n = 0; n <= CRASHES; n += 1) {
+      entries.crash([requestWith(fatalParts), requestWith(soundParts)]);
+    }
+    assert.deepEqual(entries.areHolding(requestWith(fatalParts)), [true, true, true]);
+    assert.deepEqual(entries.areHolding(requestWith(soundParts)), [false, false, false]);
+    entries.answer(0, requestWith(soundParts));
+    assert.deepEqual(entries.areHolding(requestWith([FATAL_PART])), [true, true, true]);
+  });
+
   // Guards against a fatal part that is dropped as one of too many suspects at each of its crashes.
   [0, 35, PARTS_PER_HEAD - 1].forEach((place) => {
     it(`holds a part at place ${place} of prompts whose other parts never come again`, () => {
