Count a refusal without the request's id as a lost answer

Cause: DirectAttempt compares the id of each answer, but let one without any id pass if it said "not run", the one answer that allows another run.

Evidence: the record of the case names the faulty engine and another one for each of the requests. Two new cases of PlatformAnswers.test.ts (503 and 421 without an id) and a test that sends such bytes before the request's own answer failed on the code before.

Fix: no exception.

--- a/fuzz/FuzzOracle.ts
+++ b/fuzz/FuzzOracle.ts
@@ -31,7 +31,7 @@
   readonly arrival: FuzzArrival;
   /** Final answers on its connection with the request's id and no other id. */
   readonly answers: readonly ReadAnswer[];
-  /** Whether an answer on the connection, with this request's id or none, says that the request has not run. */
+  /** Whether an answer on the connection with this request's id says that it has not run. */
   readonly reportsNotRun: boolean;
 }
 
@@ -64,13 +64,10 @@
     const ids = headerValues(answer, ID_HEADER);
     return ids.length > 0 && ids.every((id) => id === arrival.id);
   };
-  const hasNoId = (answer: ReadAnswer): boolean => headerValues(answer, ID_HEADER).length === 0;
   return {
     arrival,
     answers: finals.filter(isForRequest),
-    reportsNotRun: finals.some(
-      (answer) => isRefusal(answer) && (isForRequest(answer) || hasNoId(answer)),
-    ),
+    reportsNotRun: finals.some((answer) => isRefusal(answer) && isForRequest(answer)),
   };
 }
 
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -99,12 +99,13 @@
    *
    * An endpoint may send a second answer late, or extra bytes after an answer. They arrive where the next answer on
    * the connection is due, and the caller of that request would get another caller's answer. On a mismatch the
-   * connection is closed and the attempt counts as lost.
+   * connection is closed and the attempt counts as lost. That holds for a refusal too: it allows the request to be sent
+   * to another endpoint, and would make it run twice if it belonged to another request.
    */
   onHead(status: number, headers: IncomingHttpHeaders, raw: readonly string[]): void {
     const { dialect, id } = this.#options;
     const head = dialect.readAnswer(status, headers);
-    if (head.id !== id && !(head.id === null && head.notRun)) {
+    if (head.id !== id) {
       this.#fail('lost', `the answer is for request "${head.id ?? ''}"`);
       return;
     }
