Wait at shutdown until answers are sent, not only handed on

Cause: a request counted as ended once its answer was handed to the HTTP library. The process exited with the rest in memory; and from 2.5 s on it closed these connections as idle, as Node.js's closeIdleConnections skips an answer only until end() was called.

Fix: DirectCallerConnections counts answers until the operating system has them. A leaving process waits for these too, and closes as idle only connections without one. Its time limit is unchanged.

Open: the product's own protocol (UNPROVED).

--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -201,7 +201,8 @@
 
   /**
    * Drains the process: reports that it is leaving, so that the platform sends no new connections, closes kept-alive
-   * connections with their next answer, and waits for all requests in progress, including streams.
+   * connections with their next answer, and waits for all requests in progress, including streams, until their answers
+   * are sent.
    */
   async leave(): Promise<void> {
     this.#state.isLeaving = true;
@@ -213,21 +214,28 @@
     while (this.#leaving.remainingMs > 0) {
       const now = this.#runtime.now();
       const isDeregistered = now - drainStartedAt > DEREGISTRATION_MS;
-      if (this.#state.requests.inProgress > 0) {
+      if (this.#unfinished > 0) {
         idleSince = now;
       } else if (isDeregistered && now - idleSince > IDLE_DRAIN_MS) {
         break;
       }
       if (isDeregistered) {
         // Callers would otherwise send their next request on them just as the process exits.
-        this.#server?.closeIdleConnections();
+        this.#connections?.closeIdle();
       }
       // eslint-disable-next-line no-await-in-loop
       await delay(50);
     }
-    this.#runtime.log.info({ event: 'left', inProgress: this.#state.requests.inProgress }, 'left');
+    const { inProgress } = this.#state.requests;
+    const unsent = this.#connections?.unsent ?? 0;
+    this.#runtime.log.info({ event: 'left', inProgress, unsent }, 'left');
     this.#server?.close();
-    this.#server?.closeIdleConnections();
+    this.#connections?.closeIdle();
+  }
+
+  /** Number of requests that aren't answered yet, or whose answers aren't sent yet. */
+  get #unfinished(): number {
+    return Math.max(this.#state.requests.inProgress, this.#connections?.unsent ?? 0);
   }
 
   #tick(): void {
--- a/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import { createServer } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
 import { DirectCallerConnections } from '../../DirectCallerConnections.js';
 
 const REQUEST = 'GET / HTTP/1.1\r\nhost: x\r\n\r\n';
@@ -70,4 +71,44 @@
     assert.deepEqual(await send(LARGE), ['431 Request Header Fields Too Large']);
     assert.deepEqual(await send('GET / HT'), ['408 Request Timeout']);
   });
+
+  // Guards against answers that are cut off because the HTTP server counts their connections as idle.
+  it('closes no connection on which something is received or sent as idle', async () => {
+    const server = createServer();
+    const connections = new DirectCallerConnections(server);
+    server.on('request', (req, res) => {
+      connections.onRequest(req, res);
+      // More than the operating system takes for a caller that doesn't read.
+      res.end(req.url === '/large' ? Buffer.alloc(16 * 1_048_576) : 'x');
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    closers.push(() => server.close());
+    const closed: string[] = [];
+    const open = (name: string, text: string): Socket => {
+      const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+      closers.push(() => socket.destroy());
+      socket.on('close', () => closed.push(name));
+      socket.write(text);
+      return socket;
+    };
+    open('unused', '').resume();
+    open('answered', REQUEST).resume();
+    open('receiving', 'GET / HT').resume();
+    const large = open('sending', REQUEST.replace('/', '/large')).pause();
+    await delay(RUN_MS);
+    assert.equal(connections.unsent, 1);
+    connections.closeIdle();
+    await delay(RUN_MS);
+    assert.deepEqual([...closed].sort(), ['answered', 'unused']);
+    large.resume();
+    await delay(RUN_MS);
+    assert.equal(connections.unsent, 0);
+    open('receiving again', `${REQUEST}GET / HT`).resume();
+    await delay(RUN_MS);
+    connections.closeIdle();
+    await delay(RUN_MS);
+    assert.deepEqual([...closed].sort(), ['answered', 'sending', 'unused']);
+  });
 });
