Search a stream's bytes once, and bound an event and a plain answer

Cause: DirectAttempt joined each chunk with all since the last complete event and searched it anew; nothing bounded what it keeps, of a plain answer either.

PlatformAnswers.test.ts with endless answers failed on the code before: no answer in 1.5 s.

Fix: EventAssembler searches each byte once, and gives the same events for any chunks (fast-check). More than 1 MiB without an event's end, or 64 MiB of a plain answer, is a broken answer. The relay of gates had the same code.

Open: a bound on all answers of a process together, and on reports that an endpoint process reads (UNPROVED).

--- a/src/daemon/DaemonGateRelay.ts
+++ b/src/daemon/DaemonGateRelay.ts
@@ -1,13 +1,14 @@
 /** Relays an engine's answer as frames, without interpreting its events. */
 import type { ServerResponse } from 'node:http';
 import type { Readable } from 'node:stream';
-import { DONE_EVENT, scanWholeEvents } from '../transport/index.js';
+import { DONE_EVENT, EventAssembler } from '../transport/index.js';
 
 /** Sends bytes that contain `events` complete events. */
 export type SendPart = (bytes: Buffer, events: number) => void;
 
 /** Why a relayed answer ended; `done` if it is complete. */
-export type RelayEnd = 'done' | 'the engine broke off its stream';
+export type RelayEnd =
+  'done' | 'the engine broke off its stream' | 'the engine sent an event that is too long';
 
 async function waitForDrain(res: ServerResponse): Promise<void> {
   await new Promise<void>((resolve) => {
@@ -28,23 +29,23 @@
   res: ServerResponse,
   send: SendPart,
 ): Promise<RelayEnd> {
-  let remainder: Buffer = Buffer.alloc(0);
+  const assembler = new EventAssembler();
   let done = false;
   // eslint-disable-next-line no-restricted-syntax -- the only way to read a stream chunk by chunk
   for await (const chunk of body) {
-    const data =
-      remainder.length === 0 ? (chunk as Buffer) : Buffer.concat([remainder, chunk as Buffer]);
-    const { end, events } = scanWholeEvents(data);
-    if (events > 0) {
-      done = data.subarray(0, end).subarray(-DONE_EVENT.length).equals(Buffer.from(DONE_EVENT));
-      send(data.subarray(0, end), events);
+    const whole = assembler.add(chunk as Buffer);
+    if (whole !== null) {
+      done = whole.bytes.subarray(-DONE_EVENT.length).equals(Buffer.from(DONE_EVENT));
+      send(whole.bytes, whole.count);
+    }
+    if (assembler.isOverlong) {
+      return 'the engine sent an event that is too long';
     }
-    remainder = data.subarray(end);
     if (res.writableNeedDrain) {
       await waitForDrain(res);
     }
   }
-  return done && remainder.length === 0 ? 'done' : 'the engine broke off its stream';
+  return done && assembler.pendingBytes === 0 ? 'done' : 'the engine broke off its stream';
 }
 
 /** Relays an answer that is not a stream; each chunk counts as one event. */
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -3,7 +3,8 @@
 import { isNotRunStatus, type DirectFailure } from '../../coordination/index.js';
 import type { AnswerHead, HttpDialect } from '../../protocol/index.js';
 import {
-  scanWholeEvents,
+  EventAssembler,
+  MAX_EVENT_BYTES,
   startCall,
   type CallListener,
   type EndpointPool,
@@ -62,6 +63,9 @@
 
 const FIRST_ERROR_STATUS = 500;
 
+/** Maximum size of an answer that isn't a stream, in bytes. It is held until it is complete, and may come without end. */
+const MAX_ANSWER_BYTES = 64 * 1_048_576;
+
 /** A running attempt. It reports its outcome once, and nothing after `abort`. */
 export class DirectAttempt implements CallListener {
   readonly #options: AttemptOptions;
@@ -72,7 +76,12 @@
 
   #raw: readonly string[] = [];
 
-  #chunks: Buffer[] = [];
+  readonly #events = new EventAssembler();
+
+  /** Body of an answer that isn't a stream, as far as received. */
+  readonly #chunks: Buffer[] = [];
+
+  #bytes = 0;
 
   #isOver = false;
 
@@ -119,9 +128,14 @@
   }
 
   onData(chunk: Buffer): void {
-    this.#chunks.push(chunk);
     if (this.#isStream) {
-      this.#passEvents();
+      this.#passEvents(chunk);
+      return;
+    }
+    this.#chunks.push(chunk);
+    this.#bytes += chunk.length;
+    if (this.#bytes > MAX_ANSWER_BYTES) {
+      this.#fail('broken', `the answer has more than ${MAX_ANSWER_BYTES} bytes`);
     }
   }
 
@@ -161,21 +175,22 @@
   }
 
   /** Passes on complete events only, so that a truncated event never reaches the caller. */
-  #passEvents(): void {
-    const data = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
+  #passEvents(chunk: Buffer): void {
     const head = this.#head;
-    if (data === undefined || head === null || this.#isOver) {
+    if (head === null || this.#isOver) {
       return;
     }
-    const { end } = scanWholeEvents(data);
-    this.#chunks = end < data.length ? [data.subarray(end)] : [];
-    if (end > 0) {
-      this.#options.listener.onEvents(data.subarray(0, end), { head, raw: this.#raw });
+    const whole = this.#events.add(chunk);
+    if (whole !== null) {
+      this.#options.listener.onEvents(whole.bytes, { head, raw: this.#raw });
+    }
+    if (this.#events.isOverlong) {
+      this.#fail('broken', `an event of the stream has more than ${MAX_EVENT_BYTES} bytes`);
     }
   }
 
   #endStream(answer: AttemptHead): void {
-    if (this.#chunks.length > 0) {
+    if (this.#events.pendingBytes > 0) {
       this.#fail('broken', 'the stream ended inside an event');
       return;
     }
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -9,10 +9,10 @@
   type OutgoingCall,
   type RunningCall,
 } from './TransportCall.js';
+export { EventAssembler, MAX_EVENT_BYTES, type WholeEvents } from './TransportEvents.js';
 export { resetSocket } from './TransportReset.js';
 export {
   DONE_EVENT,
-  scanWholeEvents,
   findLastEvent,
   FRAMES_CONTENT_TYPE,
   FrameWriter,
