Refuse requests that wait for a service once the configuration drops it

Cause: the queue is served by a forecast that needs the service's costs, and without these nothing looked at it any more, nor at deadlines.

Evidence: a test of DirectAdmission failed on the code before: after the service is dropped, tick leaves the request in the queue.

Fix: each tick refuses what waits for services that the configuration doesn't have.

--- a/src/daemon/direct/DirectAdmission.ts
+++ b/src/daemon/direct/DirectAdmission.ts
@@ -254,6 +254,17 @@
       this.#grants.report(service);
       this.#admitWaiting(service);
     });
+    this.#refuseUnconfigured();
+  }
+
+  /** Refuses the requests that wait for services which the configuration doesn't have any more. */
+  #refuseUnconfigured(): void {
+    [...this.#queues.keys()]
+      .filter((service) => this.#modelOf(service) === null)
+      .forEach((service) => {
+        this.refuseWaiting(service);
+        this.#queues.delete(service);
+      });
   }
 
   /** Time after which the caller of a refused request should retry, ms; null where that isn't known. */
--- a/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectAdmission.test.ts
@@ -78,12 +78,14 @@
   log = pino({ level: 'silent' }),
   now = (): number => 0,
   sent: Demand[] | null = null,
+  isConfigured = (): boolean => true,
 ): DirectAdmission {
   const runtime = { log, now, random: () => 0, registry: new Registry() };
   const admission = new DirectAdmission({
     zone: 'z1',
     runtime: runtime as unknown as Runtime,
-    modelOf: () => ({ costs: COSTS, pauseMs: 120, byUrgency: sent !== null }),
+    modelOf: () =>
+      isConfigured() ? { costs: COSTS, pauseMs: 120, byUrgency: sent !== null } : null,
     sendDemand: (demand) => sent?.push(demand),
   });
   admission.setMembers([engine(1), engine(2), sidecar(1), sidecar(2)], 1);
@@ -108,6 +110,20 @@
     assert.equal(admission.choose('plain', []), undefined);
   });
 
+  // Guards against requests that are never answered, as a configuration drops the service whose slots they wait for.
+  it('refuses the requests that wait for a service once it is dropped', async () => {
+    let isConfigured = true;
+    const admission = openAdmission(undefined, undefined, null, () => isConfigured);
+    admission.onLoad(load(0, false));
+    const waiting = admission.acquire(REQUEST, NEVER_ABORTED);
+    admission.tick();
+    assert.equal(admission.waiting, 1);
+    isConfigured = false;
+    admission.tick();
+    assert.equal(admission.waiting, 0);
+    assert.equal((await waiting).granted, false);
+  });
+
   // All ranks refuse because one is dead. If each request were tried at one rank after another, it would use up the
   // retry budget of its service, and be refused in the end.
   it('sends nothing to a group whose ranks blame another, until it is open again', async () => {
