--- a/src/coordination/Quarantine.ts
+++ b/src/coordination/Quarantine.ts
@@ -5,8 +5,8 @@
  * A request may crash each endpoint that runs it (a query of death), or each request with a certain part in its prompt
  * may, and whoever sends, retries or resumes it does not know of the earlier crashes: endpoint after endpoint would
  * crash, with all requests in progress there. Each crash is therefore recorded against the requests in progress at the
- * endpoint and their parts, and reported to all entry processes. A request with too many crashes, or with a part that
- * explains too many, is sent to no endpoint.
+ * endpoint and their parts, and reported to all entry processes. A request with too many crashes, or with parts that
+ * explain too many, is sent to no endpoint.
  *
  * Crashes and cleared crashes are sets that merge by union, so that neither order nor repetition of updates
  * matters.
