--- a/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
@@ -11,6 +11,14 @@
 const RUN_MS = 150;
 const HEAD_MS = 40;
 
+/** Waits until a condition holds; the runner's own time limit ends a test in which it never does. */
+async function waitFor(isMet: () => boolean): Promise<void> {
+  while (!isMet()) {
+    // eslint-disable-next-line no-await-in-loop
+    await delay(10);
+  }
+}
+
 describe('DirectCallerConnections', () => {
   const closers: (() => void)[] = [];
 
@@ -85,6 +93,8 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     closers.push(() => server.close());
+    const sockets: Socket[] = [];
+    server.on('connection', (socket) => sockets.push(socket));
     const closed: string[] = [];
     const open = (name: string, text: string): Socket => {
       const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
@@ -93,22 +103,27 @@
       socket.write(text);
       return socket;
     };
+    const received = (): number => sockets.reduce((sum, { bytesRead }) => sum + bytesRead, 0);
+    const sent = (): number => sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0);
+    const largeRequest = REQUEST.replace('/', '/large');
+    const half = 'GET / HT';
     open('unused', '').resume();
     open('answered', REQUEST).resume();
-    open('receiving', 'GET / HT').resume();
-    const large = open('sending', REQUEST.replace('/', '/large')).pause();
-    await delay(RUN_MS);
-    assert.equal(connections.unsent, 1);
+    open('receiving', half).resume();
+    const large = open('sending', largeRequest).pause();
+    const all = REQUEST.length + half.length + largeRequest.length;
+    await waitFor(() => sockets.length === 4 && received() === all && sent() > 0);
+    await waitFor(() => connections.unsent === 1);
     connections.closeIdle();
-    await delay(RUN_MS);
+    await waitFor(() => closed.length === 2);
     assert.deepEqual([...closed].sort(), ['answered', 'unused']);
     large.resume();
-    await delay(RUN_MS);
-    assert.equal(connections.unsent, 0);
-    open('receiving again', `${REQUEST}GET / HT`).resume();
-    await delay(RUN_MS);
+    await waitFor(() => connections.unsent === 0);
+    open('receiving again', REQUEST + half).resume();
+    await waitFor(() => received() === all + REQUEST.length + half.length);
+    await waitFor(() => connections.unsent === 0);
     connections.closeIdle();
-    await delay(RUN_MS);
+    await waitFor(() => closed.length === 3);
     assert.deepEqual([...closed].sort(), ['answered', 'sending', 'unused']);
   });
 });
