Handle attempts that the client library refuses to send

Cause: the library reports such an error before dispatch returns. DirectAttempt started its call in the constructor, so that DirectCall didn't know of the attempt yet and ignored its failure. The request also stayed counted as in progress at the endpoint for good.

Fix: an attempt is registered first and started then, so that its outcome may come at any time.

--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -66,11 +66,11 @@
 /** Maximum size of an answer that isn't a stream, in bytes. It is held until it is complete, and may come without end. */
 const MAX_ANSWER_BYTES = 64 * 1_048_576;
 
-/** A running attempt. It reports its outcome once, and nothing after `abort`. */
+/** An attempt. Once started, it reports its outcome once, and nothing after `abort`. */
 export class DirectAttempt implements CallListener {
   readonly #options: AttemptOptions;
 
-  readonly #running: RunningCall;
+  #running: RunningCall | null = null;
 
   #head: AnswerHead | null = null;
 
@@ -89,13 +89,17 @@
 
   constructor(options: AttemptOptions) {
     this.#options = options;
-    this.#running = startCall(options.pool, options.call, this);
+  }
+
+  /** Sends the request. The outcome may be reported before this returns. */
+  start(): void {
+    this.#running = startCall(this.#options.pool, this.#options.call, this);
   }
 
   /** Cancels the attempt and closes its connection, so that the endpoint stops working on it. */
   abort(): void {
     this.#isOver = true;
-    this.#running.abort();
+    this.#running?.abort();
   }
 
   onStart(): boolean {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -266,6 +266,7 @@
       },
     });
     this.#running = { endpoint, attempt, streamedAt: null, isSteady: false };
+    attempt.start();
   }
 
   /** Called right before the first byte is sent: whether the attempt may reach the endpoint. */
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -272,6 +272,23 @@
     );
   });
 
+  // Guards against requests that the client library refuses to write and that count as in progress for good.
+  it('ends an attempt that the client library refuses to send', async () => {
+    const results: string[] = [];
+    const replaced = {
+      onSent: () => results.push('sent'),
+      onDone: (_service: string, _endpoint: string, result: string) => results.push(result),
+      dialect: { writeForward: () => ['x-name', 'a\nb'], readAnswer: () => HEAD },
+      canRoute: () => false,
+      retryAfter: () => 1_000,
+      retries: ALL_RETRIES,
+    };
+    const { outcome, status, faults } = await serve('http://127.0.0.1:1', replaced);
+    assert.deepEqual({ outcome, status, faults }, { outcome: 'refused', status: 503, faults: [] });
+    const isDone = results.every((result, i) => result === (i % 2 === 0 ? 'sent' : 'failed'));
+    assert.ok(isDone && results.length % 2 === 0, results.join());
+  });
+
   // An answer that can't continue a stream must not be counted as its completion.
   it('cuts a stream whose continuation is not a stream, and counts it as failed', async () => {
     let sends = 0;
