Keep suspects of crashes on the disks of control processes

Cause: suspects were only in the memory of processes, passed on from those that run to those that start.

Fix: each control process writes them to a file of its data folder some 0.1 s after a change, and merges the file before a process can attach. The merge is that of other processes' records, so that an older file undoes nothing, a release by an operator included.

--- a/src/coordination/Quarantine.ts
+++ b/src/coordination/Quarantine.ts
@@ -278,6 +278,14 @@
   return sum;
 }
 
+/** Records of suspects as other processes and the disk hold them. */
+export function toSuspectRecords(
+  suspects: readonly Suspect[],
+  now: number,
+): readonly Required<SuspectRecord>[] {
+  return suspects.map(({ lastCrashAt, ...record }) => ({ ...record, ageMs: now - lastCrashAt }));
+}
+
 /** Updates with suspects for another process, in messages of a bounded size; at least one message. */
 export function toQuarantineUpdates(
   state: QuarantineState,
@@ -285,10 +293,7 @@
   now: number,
 ): readonly QuarantineUpdate[] {
   const hash = hashQuarantine(state);
-  const records = suspects.map(({ lastCrashAt, ...record }) => ({
-    ...record,
-    ageMs: now - lastCrashAt,
-  }));
+  const records = toSuspectRecords(suspects, now);
   const messages = Math.max(1, Math.ceil(records.length / MAX_RECORDS_PER_MESSAGE));
   return Array.from({ length: messages }, (_item, i) => ({
     records: records.slice(i * MAX_RECORDS_PER_MESSAGE, (i + 1) * MAX_RECORDS_PER_MESSAGE),
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -58,6 +58,7 @@
   SUSPECT_LIMITS,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
+  toSuspectRecords,
   type QuarantineState,
   type QuarantineStep,
   type Suspect,
--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -28,6 +28,7 @@
 } from './DaemonEvacuations.js';
 import { DaemonHub } from './DaemonHub.js';
 import { callLeader, loggedNewestIndex } from './DaemonLeaderCalls.js';
+import { DaemonQuarantineStore } from './DaemonQuarantineStore.js';
 import { runEvery, type Runtime } from './DaemonRuntime.js';
 import type { ControlTarget } from './DaemonSettings.js';
 import { CoalescedRead } from './DaemonCoalescedRead.js';
@@ -38,6 +39,7 @@
 const TICK_MS = 50;
 const HUB_TICK_MS = 500;
 const CLUSTER_CHECK_INTERVAL_MS = 500;
+const SUSPECTS_SAVE_INTERVAL_MS = 100;
 
 /** How often the list of control hosts is proven to be the newest, ms; reads for entry processes prove it too. */
 const HOSTS_PROOF_INTERVAL_MS = 1_000;
@@ -93,6 +95,7 @@
   readonly service: DaemonControlService;
   readonly evacuations: DaemonEvacuations;
   readonly departures: DaemonDepartures;
+  readonly quarantineStore: DaemonQuarantineStore;
   readonly newest: CoalescedRead<number>;
   /** Null where control processes grant no retries. */
   readonly retryGrants: DaemonRetryGrants | null;
@@ -217,6 +220,14 @@
           callLeader: async (requests) => departAtLeader(container.cradle, requests),
         }),
     ).singleton(),
+    quarantineStore: asFunction(
+      ({ hub }: Cradle) =>
+        new DaemonQuarantineStore({
+          folder: cfg.dataFolder,
+          quarantine: hub.quarantine,
+          runtime,
+        }),
+    ).singleton(),
     newest: asFunction(
       () => new CoalescedRead(async () => readNewestIndex(container.cradle)),
     ).singleton(),
@@ -312,6 +323,7 @@
     consensus.expire();
   });
   runEvery(HUB_TICK_MS, signal, () => hub.tick());
+  runEvery(SUSPECTS_SAVE_INTERVAL_MS, signal, () => logFailure(cradle.quarantineStore.save()));
   let confirming = false;
   runEvery(CONFIRM_INTERVAL_MS, signal, () => {
     if (!confirming) {
@@ -416,6 +428,8 @@
   const folder = await StateDataFolder.open(cfg.dataFolder, cfg.id);
   const cradle = compose(cfg, runtime, folder, signal);
   const { consensus, hub, peers } = cradle;
+  // Before any entry process attaches, which may send requests from then on.
+  await cradle.quarantineStore.load();
   await serveLinks({
     address: cfg.bind,
     handlers: {
--- a/src/daemon/DaemonQuarantine.ts
+++ b/src/daemon/DaemonQuarantine.ts
@@ -10,13 +10,14 @@
   quarantinedCombinations,
   SUSPECT_RETENTION_MS,
   toQuarantineUpdates,
+  toSuspectRecords,
   type IncarnationKey,
   type LostRequest,
   type PartCombination,
   type QuarantineState,
   type Suspect,
 } from '../coordination/index.js';
-import type { QuarantineUpdate } from '../protocol/index.js';
+import type { QuarantineUpdate, SuspectRecord } from '../protocol/index.js';
 import type { Runtime } from './DaemonRuntime.js';
 import { DaemonSharedSet, type SendUpdate, type SharedSetRules } from './DaemonSharedSet.js';
 
@@ -55,6 +56,8 @@
 
   #hasParts = false;
 
+  #revision = 0;
+
   /** Quarantined parts by the number of crashes that suffices; computed when they are asked for. */
   readonly #combinations = new Map<number, readonly PartCombination[]>();
 
@@ -77,6 +80,21 @@
     });
   }
 
+  /** Increases with each recorded or cleared crash. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** The whole set, with crashes that don't count any more. */
+  get records(): readonly Required<SuspectRecord>[] {
+    return toSuspectRecords([...this.#set.state.values()], this.#options.runtime.now());
+  }
+
+  /** Merges records that an earlier process of this host has kept. */
+  restore(records: readonly SuspectRecord[]): void {
+    this.#set.apply(mergeSuspectRecords(this.#set.state, records, this.#options.runtime.now()));
+  }
+
   /** All suspects with at least one counted crash. */
   get suspects(): readonly Suspect[] {
     return [...this.#set.state.values()].filter((suspect) => crashCount(suspect) > 0);
@@ -163,6 +181,7 @@
    * endpoint become suspects together, with their parts.
    */
   #onChanged(changed: readonly Suspect[], from: string | null): void {
+    this.#revision += 1;
     const ofKind = (wanted: Suspect['kind']): readonly string[] =>
       changed
         .filter(({ kind }) => kind === wanted)
--- a/src/state/StateDataFolder.ts
+++ b/src/state/StateDataFolder.ts
@@ -3,11 +3,12 @@
  * act on records before `append` has resolved, since they aren't synced to disk until then.
  */
 import { randomUUID } from 'node:crypto';
-import { mkdir, open, readFile, rename, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, type FileHandle } from 'node:fs/promises';
 import path from 'node:path';
 import { pack, unpack } from 'msgpackr';
 import xxhash from 'xxhash-wasm';
 import { StateCorruptError } from './StateCorruptError.js';
+import { readIfExists, syncDirectory, writeSynced } from './StateFiles.js';
 
 const { h32Raw: checksum } = await xxhash();
 
@@ -46,34 +47,6 @@
   return checksum(body) === data.readUInt32LE(offset + 4) ? { body, next } : undefined;
 }
 
-async function syncDirectory(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
-}
-
-async function writeSynced(file: string, data: Uint8Array): Promise<void> {
-  const temporary = `${file}.new`;
-  const handle = await open(temporary, 'w');
-  await handle.writeFile(data);
-  await handle.sync();
-  await handle.close();
-  await rename(temporary, file);
-  await syncDirectory(path.dirname(file));
-}
-
-/** Content of a file, empty if it doesn't exist. Rejects on any other error. */
-async function readIfExists(file: string): Promise<Buffer> {
-  try {
-    return await readFile(file);
-  } catch (err) {
-    if ((err as NodeJS.ErrnoException).code === 'ENOENT') {
-      return Buffer.alloc(0);
-    }
-    throw err;
-  }
-}
-
 async function readIdentity(file: string, name: string): Promise<Identity> {
   const text = (await readIfExists(file)).toString();
   if (text !== '') {
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -50,4 +50,5 @@
 export { findRoute, pickTarget, viewRoutes, type RouteView } from './StateRoutes.js';
 export { StateCorruptError } from './StateCorruptError.js';
 export { StateDataFolder, type Identity } from './StateDataFolder.js';
+export { readIfExists, writeSynced } from './StateFiles.js';
 export { isNewerRecord, mergeRecords, type Directory } from './StateDirectory.js';
