--- a/src/daemon/DaemonControlCore.ts
+++ b/src/daemon/DaemonControlCore.ts
@@ -1,7 +1,6 @@
 /** A control process without its HTTP API: a replica of the log, and the hub that processes of its AZ attach to. */
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
-import { setTimeout as delay } from 'node:timers/promises';
-import { replicaName, type LeaveOutcome } from '../coordination/index.js';
+import { replicaName } from '../coordination/index.js';
 import type { Manifest, MemberRecord, SubmitReply, RetryAllowance } from '../protocol/index.js';
 import { StateDataFolder, type ConfigState } from '../state/index.js';
 import { serveLinks, type Address, type LinkHandlers } from '../transport/index.js';
@@ -27,6 +26,7 @@
   type EvacuationRequest,
 } from './DaemonEvacuations.js';
 import { DaemonHub } from './DaemonHub.js';
+import { leaveCluster } from './DaemonLeave.js';
 import { callLeader, loggedNewestIndex } from './DaemonLeaderCalls.js';
 import { DaemonQuarantineStore } from './DaemonQuarantineStore.js';
 import { runEvery, type Runtime } from './DaemonRuntime.js';
@@ -50,15 +50,6 @@
  */
 const VOTER_CHECK_INTERVAL_MS = 100;
 
-/**
- * How long a process that stops waits for the outcome of its leaving, ms: an election and a commit. Without a leader by
- * then, the others find out that it is unreachable.
- */
-const LEAVE_TIMEOUT_MS = 2_000;
-
-/** How often it asks, ms. */
-const LEAVE_POLL_MS = 50;
-
 /** How often a replica that has not confirmed that it is up to date asks the leader, ms. */
 const CONFIRM_INTERVAL_MS = 50;
 
@@ -350,43 +341,6 @@
   });
 }
 
-async function askToLeave(cradle: Cradle, replica: string): Promise<LeaveOutcome> {
-  const { runtime, service } = cradle;
-  return callLeader(cradle, 'leader.leave', { replica }, async () => service.leave(replica)).catch(
-    (err: unknown): LeaveOutcome => {
-      runtime.log.debug({ err: (err as Error).message }, 'the leader gave no outcome of leaving');
-      return 'pending';
-    },
-  );
-}
-
-/**
- * Announces to the leader that this replica's process is about to stop, and waits until its vote is removed or kept.
- *
- * A host may be replaced by one that is a voter already. Until the host that stops has no vote, it counts towards the
- * quorum, and with one more disk lost no quorum would be left: nothing could be committed or read any more.
- */
-async function leaveCluster(cradle: Cradle): Promise<void> {
-  const { consensus, runtime } = cradle;
-  const replica = consensus.state.id;
-  if (!consensus.state.members.voters.includes(replica)) {
-    return;
-  }
-  const startedAt = runtime.now();
-  const timeout = delay(LEAVE_TIMEOUT_MS, 'pending' as const);
-  let outcome: LeaveOutcome = 'pending';
-  while (outcome === 'pending' && runtime.now() - startedAt < LEAVE_TIMEOUT_MS) {
-    // eslint-disable-next-line no-await-in-loop
-    outcome = await Promise.race([askToLeave(cradle, replica), timeout]);
-    if (outcome === 'pending') {
-      // eslint-disable-next-line no-await-in-loop
-      await delay(LEAVE_POLL_MS);
-    }
-  }
-  const ms = Math.round(runtime.now() - startedAt);
-  runtime.log.info({ event: 'leave', replica, outcome, ms }, 'replica stops');
-}
-
 /** Interface of a control process for its HTTP API. */
 export interface ControlCore {
   readonly replica: string;
