Follow the size limits of the configuration

Cause: a head was limited by the HTTP library's own 16 KiB and a body by a constant. The plan had both limits, and nothing read them.

--- a/src/daemon/direct/DirectCallerConnections.ts
+++ b/src/daemon/direct/DirectCallerConnections.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import type { CallerLimits } from '../../protocol/index.js';
 
 /** Status lines for input that can't be parsed as a request, by the code of the parser's error. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
@@ -15,6 +16,12 @@
 /** Code of the parser's error where the caller has closed its side in the middle of a request. */
 const UNEXPECTED_EOF = 'HPE_INVALID_EOF_STATE';
 
+/** A server with the size limit of a head that Node.js reads for each new connection. */
+type LimitedServer = Server & { maxHeaderSize?: number };
+
+/** Minimum time that a caller has for the head of a request, ms. */
+const MIN_HEAD_TIMEOUT_MS = 1_000;
+
 /** State of one connection. */
 interface Connection {
   /** Requests whose answers haven't been handed to the operating system as a whole. */
@@ -46,7 +53,7 @@
  * input accepts nothing more, and is closed once all completely received requests are answered.
  */
 export class DirectCallerConnections {
-  readonly #server: Server;
+  readonly #server: LimitedServer;
 
   readonly #connections = new Map<Duplex, Connection>();
 
@@ -66,6 +73,13 @@
     return [...this.#connections.values()].reduce((sum, { open }) => sum + open.size, 0);
   }
 
+  /** Applies the limits of the configuration; a changed size limit counts for new connections. */
+  applyLimits({ maxHeaderBytes, idleTimeoutMs, headerTimeoutMs }: CallerLimits): void {
+    this.#server.maxHeaderSize = maxHeaderBytes;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#server.headersTimeout = Math.max(MIN_HEAD_TIMEOUT_MS, headerTimeoutMs * 2);
+  }
+
   onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { socket } = req;
     const connection = this.#connections.get(socket);
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -242,9 +242,8 @@
     this.#state.tick();
     this.#state.admission.tick();
     const { routes } = this.#state.config;
-    if (this.#server !== null && routes !== null) {
-      this.#server.keepAliveTimeout = routes.plan.limits.idleTimeoutMs;
-      this.#server.headersTimeout = Math.max(1_000, routes.plan.limits.headerTimeoutMs * 2);
+    if (routes !== null) {
+      this.#connections?.applyLimits(routes.plan.limits);
     }
     this.#watch.poll();
   }
--- a/src/transport/TransportHttp.ts
+++ b/src/transport/TransportHttp.ts
@@ -5,7 +5,7 @@
 import { RequestError } from '../protocol/index.js';
 import type { Address } from './TransportAddress.js';
 
-/** Maximum size of a caller's request body, in bytes. */
+/** Maximum size of a request body where nothing else is configured, in bytes. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
 /** How long idle connections are kept, ms: longer than our clients do, so that they close first. */
@@ -31,15 +31,17 @@
 }
 
 /**
- * Reads a complete body.
+ * Reads a complete body of at most `maxBytes`.
  *
  * @throws {RequestError} if it is too large or incomplete.
  */
-export async function readBody(req: IncomingMessage): Promise<Buffer> {
+export async function readBody(req: IncomingMessage, maxBytes = MAX_BODY_BYTES): Promise<Buffer> {
   try {
-    return await getRawBody(req, { limit: MAX_BODY_BYTES });
+    return await getRawBody(req, { limit: maxBytes });
   } catch (err) {
-    throw new RequestError('bad_request', `body: ${(err as Error).message}`);
+    const isTooLarge = (err as { readonly type?: string }).type === 'entity.too.large';
+    const message = `body: ${(err as Error).message}`;
+    throw new RequestError(isTooLarge ? 'too_large' : 'bad_request', message);
   }
 }
 
