Check for some time that no other connection is closed as idle

The test waited until two connections were closed and compared at once, so that a third one closed right after would have been missed. A variable that was used once is gone from DirectCall.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -233,7 +233,6 @@
     const raw = dialect.writeForward(req.rawHeaders, forward);
     this.#sendCount += 1;
     this.#tried.push(endpoint.id);
-    const isRepeat = this.#sentTo.has(endpoint.id);
     this.#state.onSent(service, endpoint.id);
     const { sendSlots } = this.#state;
     let limitTimestamp = sendSlots.limits.timestamp(endpoint);
@@ -247,7 +246,7 @@
         headers: raw,
         body: body.length === 0 ? null : body,
         // A late answer to the earlier send to this endpoint would carry the same id.
-        usesOwnConnection: isRepeat,
+        usesOwnConnection: this.#sentTo.has(endpoint.id),
       },
       listener: {
         onStart: () => {
--- a/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCallerConnections.test.ts
@@ -116,6 +116,7 @@
     await waitFor(() => connections.unsent === 1);
     connections.closeIdle();
     await waitFor(() => closed.length === 2);
+    await delay(RUN_MS);
     assert.deepEqual([...closed].sort(), ['answered', 'unused']);
     large.resume();
     await waitFor(() => connections.unsent === 0);
@@ -124,6 +125,7 @@
     await waitFor(() => connections.unsent === 0);
     connections.closeIdle();
     await waitFor(() => closed.length === 3);
+    await delay(RUN_MS);
     assert.deepEqual([...closed].sort(), ['answered', 'sending', 'unused']);
   });
 });
