Try quarantined parts of prompts where nothing is answered

Cause: the shared parts were in progress at each of the crashes, so that their combination is held after four. There is no fatal part beside them that sound requests lack; these have the whole combination. None is sent, so no answer can clear it.

Fix: where none of a customer's prompts was answered for 3 s, each entry process sends one held request at a time of its own within 10 s. Its answer clears the parts; its crash counts, and no second endpoint gets it. Nothing is tried from the sixth crash of the parts on, so that the bound after the fifth one holds for a fatal part, nor while other prompts are answered.

--- a/src/coordination/SoundParts.ts
+++ b/src/coordination/SoundParts.ts
@@ -34,6 +34,11 @@
     this.#limitTotal(now);
   }
 
+  /** Time of the last answer on any part of a customer, ms. */
+  answeredAt(customer: string): number {
+    return this.#byCustomer.get(customer)?.answeredAt ?? -Infinity;
+  }
+
   /** Whether a part was recently answered on, for any customer. */
   has(digest: string, now: number): boolean {
     return [...this.#byCustomer.values()].some(
--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -68,6 +68,7 @@
   quarantinedCombinations,
   type PartCombination,
 } from './QuarantineParts.js';
+export { decideTrial, type TrialTimes } from './QuarantineTrials.js';
 export { SoundParts } from './SoundParts.js';
 export { rememberAnswer, wasRecentlyAnswered, type RecentAnswers } from './RecentAnswers.js';
 export {
--- a/src/daemon/DaemonScreening.ts
+++ b/src/daemon/DaemonScreening.ts
@@ -3,6 +3,7 @@
  * not be sent. It is consulted before each send, whatever the reason for the send.
  */
 import {
+  decideTrial,
   findCombination,
   incarnationKeyOf,
   QUARANTINE_CRASHES,
@@ -11,6 +12,7 @@
   wasRecentlyAnswered,
   type LostRequest,
   type RecentAnswers,
+  type TrialTimes,
 } from '../coordination/index.js';
 import {
   digestRequest,
@@ -53,6 +55,11 @@
 
   #recentAnswers: RecentAnswers = [];
 
+  #trialTimes: TrialTimes = new Map();
+
+  /** What is tried with a request that is sent although it is quarantined; see {@link decideTrial}. */
+  readonly #trials = new WeakMap<RequestIdentity, string>();
+
   constructor(options: ScreeningOptions) {
     this.#options = options;
     const { runtime, metrics, send } = options;
@@ -82,10 +89,13 @@
 
   /**
    * Whether a request must not be sent: at least `quarantineCrashes` endpoints have crashed during it, or parts of its
-   * prompt explain as many crashes.
+   * prompt explain as many crashes and aren't tried with it.
    */
   isQuarantined(identity: RequestIdentity, quarantineCrashes: number): boolean {
-    return this.#quarantinedAs(identity, quarantineCrashes) !== null;
+    const suspect = this.#quarantinedAs(identity, quarantineCrashes);
+    return (
+      suspect !== null && !(suspect.kind === 'part' && this.#isTrial(identity, suspect.digest))
+    );
   }
 
   /** Time after which a quarantined request may be sent again, ms. */
@@ -106,6 +116,27 @@
     }
   }
 
+  /** Whether a request is sent to find out whether quarantined parts are sound, of which one is given. */
+  #isTrial(identity: RequestIdentity, digest: string): boolean {
+    const { now, random, log } = this.#options.runtime;
+    const crashes = this.#quarantine.crashCount(digest);
+    const key = `${digest}=${crashes}`;
+    if (this.#trials.get(identity) === key) {
+      return true;
+    }
+    if (this.#quarantine.crashCount(this.#digest(identity)) > 0) {
+      return false;
+    }
+    const answeredAt = this.#soundParts.answeredAt(identity.customer);
+    const step = decideTrial(this.#trialTimes, { key, crashes, answeredAt }, now(), random());
+    this.#trialTimes = step.times;
+    if (step.isTrial) {
+      this.#trials.set(identity, key);
+      log.info({ event: 'trial', digest, ends: crashes }, 'sent though parts are quarantined');
+    }
+    return step.isTrial;
+  }
+
   /** What a request is quarantined for: itself, or parts of its prompt, of which one is named; null if it isn't. */
   #quarantinedAs(
     identity: RequestIdentity,
--- a/src/daemon/__tests__/unit/DaemonScreening.test.ts
+++ b/src/daemon/__tests__/unit/DaemonScreening.test.ts
@@ -31,6 +31,7 @@
         registry,
         log: pino({ level: 'silent' }),
         now: () => this.#now,
+        random: () => (self + 1) / (count + 1),
         clocks: () => ({ monotonic: this.#now, wall: this.#now }),
       } as unknown as Runtime;
       return new DaemonScreening({
@@ -59,6 +60,10 @@
     this.#deliver();
   }
 
+  wait(ms: number): void {
+    this.#now += ms;
+  }
+
   answer(at: number, identity: RequestIdentity): void {
     this.screenings[at]?.onAnswered(identity);
     this.#deliver();
@@ -152,4 +157,62 @@
       ]);
     });
   });
+
+  /** Endpoints crash for other causes before anything was answered, so that parts that all prompts share are held. */
+  function crashWithShared(entries: EntryProcesses, count: number): void {
+    for (let n = 0; n < count; n += 1) {
+      entries.crash([requestWith(['shared 1', 'shared 2', `own ${n}`])]);
+    }
+  }
+
+  /** Sends a request ten times a second for half a minute; calls `onSent` with each that isn't held. */
+  function sendFor30s(entries: EntryProcesses, onSent: (at: number, id: RequestIdentity) => void) {
+    for (let n = 0; n < 300; n += 1) {
+      entries.wait(100);
+      const identity = requestWith(['shared 1', 'shared 2', 'other']);
+      const at = n % entries.screenings.length;
+      if (entries.screenings[at]?.isQuarantined(identity, CRASHES) === false) {
+        onSent(at, identity);
+      }
+    }
+  }
+
+  // Guards against all requests held for parts that all prompts share, so that no answer can clear them any more.
+  it('tries held parts where nothing is answered, and releases them with an answer', () => {
+    const entries = new EntryProcesses(3);
+    crashWithShared(entries, 5);
+    const sound = requestWith(['shared 1', 'shared 2']);
+    assert.deepEqual(entries.areHolding(sound), [true, true, true]);
+    let sent = 0;
+    sendFor30s(entries, (at, identity) => {
+      sent += 1;
+      entries.answer(at, identity);
+    });
+    assert.deepEqual(entries.areHolding(sound), [false, false, false]);
+    assert.ok(sent > 200, `${sent} of 300 sent`);
+  });
+
+  // Guards against trials that go on to crash endpoints: after the fifth crash of a part hardly any may reach them.
+  it('tries held parts only up to their fifth crash', () => {
+    const entries = new EntryProcesses(3);
+    crashWithShared(entries, 4);
+    let sent = 0;
+    sendFor30s(entries, (_at, identity) => {
+      sent += 1;
+      entries.crash([identity]);
+      assert.deepEqual(entries.areHolding(identity), [true, true, true]);
+    });
+    assert.equal(sent, 2);
+  });
+
+  it('tries no parts while other requests of the customer are answered', () => {
+    const entries = new EntryProcesses(1);
+    crashWithShared(entries, 4);
+    const held = requestWith(['shared 1', 'shared 2']);
+    for (let n = 0; n < 300; n += 1) {
+      entries.wait(100);
+      entries.answer(0, requestWith(['another part']));
+      assert.deepEqual(entries.areHolding(held), [true]);
+    }
+  });
 });
