--- a/tools/BundlePlatform.mjs
+++ b/tools/BundlePlatform.mjs
@@ -21,7 +21,7 @@
     entryPoints: [`target/platform/Platform${role}.js`],
     bundle: true,
     splitting: true,
-    chunkNames: `Platform${role}-[hash]`,
+    chunkNames: `Platform${role}-[name]`,
     // Source text stays in each process's heap, so it is minified; identifiers are kept for stack traces.
     minifyWhitespace: true,
     minifySyntax: true,
