Read answers in turns, and keep bytes instead of chunks

What callers saw: a plain answer in chunks of one byte, without end, from one of three engines ended both entry processes after 13 MB each ("Reached heap limit", 100 Mbit/s), and 290 to 542 of some 660 requests to another service got no answer. So did chunks of 16 bytes, and a stream of short events with a chunk for each.

Cause: an attempt counted bytes but kept chunks, each a Buffer object on the heap, and each complete event was a write of its own to the caller. The sender chooses the size of chunks, and with it memory and time.

Evidence: stderr of the ended processes; the tests below. The event loop was busy as well: a read of 64 KiB has 11,000 chunks of one byte, 5 to 10 ms of work, with nothing between two reads.

Fix, for every answer that is read (calls of entry processes, the agent of gates, reports of engines): - Chunks that arrive together are passed on as one buffer, and bodies are held in blocks whose number follows from the bytes. - After 1,000 chunks other work gets its turn. An entry process also limits their rate: each body has 2,000 chunks and 2 a ms of its own, which no stream with a chunk for each token uses up; what goes beyond is taken from 100 a ms for all bodies together, so that more of them don't make more work. Reading pauses until then, which stops the engine by back-pressure. - Reads from a socket are limited to 16 KiB.

TransportCall "takes in no more than it reads" failed without the limit on reads (22.4 MB taken, 2.4 passed on).

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -157,6 +157,13 @@
   type OrderGateState,
   type OrderVerdict,
 } from './OrderGate.js';
+export {
+  BODY_CHUNKS,
+  initChunkAllowance,
+  SHARED_CHUNKS,
+  takeChunks,
+  type ChunkAllowance,
+} from './ChunkAllowance.js';
 export {
   BUCKET_BYTES,
   BYTES_PER_SECOND,
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -3,7 +3,9 @@
 import { isNotRunStatus, type DirectFailure } from '../../coordination/index.js';
 import type { AnswerHead, HttpDialect } from '../../protocol/index.js';
 import {
+  ByteCollector,
   EventAssembler,
+  MAX_ANSWER_BYTES,
   MAX_EVENT_BYTES,
   startCall,
   type CallListener,
@@ -63,9 +65,6 @@
 
 const FIRST_ERROR_STATUS = 500;
 
-/** Maximum size of an answer that isn't a stream, in bytes. It is held until it is complete, and may come without end. */
-const MAX_ANSWER_BYTES = 64 * 1_048_576;
-
 /** An attempt. Once started, it reports its outcome once, and nothing after `abort`. */
 export class DirectAttempt implements CallListener {
   readonly #options: AttemptOptions;
@@ -79,9 +78,7 @@
   readonly #events = new EventAssembler();
 
   /** Body of an answer that isn't a stream, as far as received. */
-  readonly #chunks: Buffer[] = [];
-
-  #bytes = 0;
+  readonly #body = new ByteCollector();
 
   #isOver = false;
 
@@ -131,14 +128,13 @@
     this.#options.listener.onHead(head);
   }
 
-  onData(chunk: Buffer): void {
+  onData(bytes: Buffer): void {
     if (this.#isStream) {
-      this.#passEvents(chunk);
+      this.#passEvents(bytes);
       return;
     }
-    this.#chunks.push(chunk);
-    this.#bytes += chunk.length;
-    if (this.#bytes > MAX_ANSWER_BYTES) {
+    this.#body.add(bytes);
+    if (this.#body.length > MAX_ANSWER_BYTES) {
       this.#fail('broken', `the answer has more than ${MAX_ANSWER_BYTES} bytes`);
     }
   }
@@ -153,7 +149,7 @@
       this.#endStream({ head, raw });
       return;
     }
-    const answer = { head, raw, body: Buffer.concat(this.#chunks) };
+    const answer = { head, raw, body: this.#body.take() };
     if (head.notRun) {
       this.#fail('notRun', `status ${head.status}`, answer);
     } else if (isNotRunStatus(head.status)) {
@@ -179,12 +175,12 @@
   }
 
   /** Passes on complete events only, so that a truncated event never reaches the caller. */
-  #passEvents(chunk: Buffer): void {
+  #passEvents(received: Buffer): void {
     const head = this.#head;
     if (head === null || this.#isOver) {
       return;
     }
-    const whole = this.#events.add(chunk);
+    const whole = this.#events.add(received);
     if (whole !== null) {
       this.#options.listener.onEvents(whole.bytes, { head, raw: this.#raw });
     }
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -247,6 +247,7 @@
         body: body.length === 0 ? null : body,
         // A late answer to the earlier send to this endpoint would carry the same id.
         usesOwnConnection: this.#sentTo.has(endpoint.id),
+        readDelay: this.#state.readLimits.openBody(),
       },
       listener: {
         onStart: () => {
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -42,6 +42,7 @@
 import type { DirectRequest } from './DirectRequest.js';
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
+import { DirectReadLimits } from './DirectReadLimits.js';
 import { DirectRetries } from './DirectRetries.js';
 import type { RequestRetries } from './DirectRetryGrants.js';
 import { DirectStartup } from './DirectStartup.js';
@@ -101,6 +102,8 @@
 
   readonly sendSlots: DirectSendSlots;
 
+  readonly readLimits: DirectReadLimits;
+
   #view: MembershipView = new Map();
 
   /** Throttles the work that follows from changed members. */
@@ -128,6 +131,7 @@
       sendDemand: options.sendDemand,
     });
     this.requests = new DirectRequestLog(options.runtime);
+    this.readLimits = new DirectReadLimits(options.runtime);
     this.sendSlots = new DirectSendSlots({
       self: options.id,
       runtime: options.runtime,
--- a/src/transport/TransportCall.ts
+++ b/src/transport/TransportCall.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { Socket } from 'node:net';
 import { Agent, buildConnector, Pool, type Dispatcher } from 'undici';
+import { readInTurns, withReadingInTurns, type ReadDelay } from './TransportChunks.js';
 import { resetSocket } from './TransportReset.js';
 
 /** A call to send. */
@@ -13,6 +14,8 @@
   readonly body: Buffer | null;
   /** Whether the call needs a new connection that is used for no other call. */
   readonly usesOwnConnection?: boolean;
+  /** Limits the rate of chunks of the answer; absent for no limit. */
+  readonly readDelay?: ReadDelay;
 }
 
 /** Callbacks of a call, in order; `onEnd` or `onError` is the last one. */
@@ -20,7 +23,8 @@
   /** Called right before the first byte is sent; if it returns false, nothing is sent. */
   onStart: () => boolean;
   onHead: (status: number, headers: IncomingHttpHeaders, raw: readonly string[]) => void;
-  onData: (chunk: Buffer) => void;
+  /** Bytes of the body that were received together, in any number of chunks. */
+  onData: (bytes: Buffer) => void;
   /** The answer is complete according to its framing. */
   onEnd: () => void;
   /** `sent` is false only if no byte of the call was sent. */
@@ -31,6 +35,9 @@
 export interface RunningCall {
   /** Aborts the call and resets its connection; no callback follows. */
   abort: () => void;
+  /** Stops reading the body of the answer until `resume`; what was received before is still passed on. */
+  pause: () => void;
+  resume: () => void;
 }
 
 /** Limit on connecting, ms: about a hundred round trips between availability zones. */
@@ -79,6 +86,23 @@
   };
 }
 
+/** Maximum number of bytes that the client library takes from a socket at once. */
+const MAX_READ_BYTES = 16_384;
+
+/**
+ * Makes `read` of a socket return a limited number of bytes.
+ *
+ * The client library takes everything that a socket has buffered and puts back what it hasn't parsed when its reader
+ * pauses. The socket then counts as empty and reads more, so that with each pause its buffer grows, and is copied as a
+ * whole.
+ */
+function limitReads(socket: Socket): void {
+  const read = socket.read.bind(socket);
+  // eslint-disable-next-line no-param-reassign
+  socket.read = (size?: number) =>
+    read(size ?? (socket.readableLength > MAX_READ_BYTES ? MAX_READ_BYTES : undefined)) as unknown;
+}
+
 /** Opens connections and detects when one of them fails. */
 interface WatchedConnector {
   readonly connect: buildConnector.connector;
@@ -121,6 +145,7 @@
     connector(options, (...result) => {
       const [, socket] = result;
       if (socket) {
+        limitReads(socket);
         watch(socket);
       }
       callback(...result);
@@ -138,13 +163,16 @@
   return length === undefined && coding === undefined && !BODILESS_STATUSES.has(status);
 }
 
+/** Maximum number of interim answers to one call, which an endpoint may send without end. */
+const MAX_INTERIM_ANSWERS = 100;
+
 const RESET_MESSAGE = 'the connection was reset before the end of the answer';
 
 /** Opens an agent for any origin, without header and body timeouts; an answer cut off by a reset fails. */
 export function openAgent(connectMs: number): Dispatcher {
   const { connect, isFailing } = watchConnections(connectMs, () => undefined);
   const agent = new Agent({ headersTimeout: 0, bodyTimeout: 0, connect });
-  return agent.compose((dispatch) => (options, handler) => {
+  return withReadingInTurns(agent).compose((dispatch) => (options, handler) => {
     let isUnframed = false;
     return dispatch(options, {
       onRequestStart: (...args) => handler.onRequestStart?.(...args),
@@ -218,18 +246,19 @@
   let isFinished = false;
   let answerStatus = 0;
   let isUnframed = false;
-  let stop: ((err: Error) => void) | null = null;
+  let interimCount = 0;
+  let ownController: Dispatcher.DispatchController | null = null;
   const finish = (): boolean => {
     const first = !isFinished;
     isFinished = true;
     return first;
   };
-  pool.dispatch(call, {
+  const handler: Dispatcher.DispatchHandler = {
     onRequestStart: (controller) => {
       // The client library may start a call again whose connection it has closed, though bytes of it were sent.
       const mayStart = !isFinished && !sent && listener.onStart();
       sent ||= mayStart;
-      stop = (err) => abortWithReset(() => controller.abort(err));
+      ownController = controller;
       if (!mayStart) {
         controller.abort(
           new Error(isFinished ? 'the call was given up' : 'the call was kept back'),
@@ -238,6 +267,11 @@
     },
     onResponseStart: (controller, status, headers) => {
       const informational = status < 200;
+      interimCount += Number(informational);
+      if (interimCount > MAX_INTERIM_ANSWERS) {
+        controller.abort(new Error(`more than ${MAX_INTERIM_ANSWERS} interim answers`));
+        return;
+      }
       if (!isFinished && !isFramed(headers)) {
         controller.abort(new Error('the answer is in a transfer coding that is not known'));
         return;
@@ -275,7 +309,8 @@
         listener.onError(err, sent);
       }
     },
-  });
+  };
+  pool.dispatch(call, readInTurns(handler, call.readDelay));
   if (usesOwnConnection) {
     // Closes the pool once the call has ended; a failure of the call is reported to its listener.
     pool.close().catch(() => undefined);
@@ -283,8 +318,11 @@
   return {
     abort: () => {
       if (finish()) {
-        stop?.(new Error('the call was given up'));
+        const controller = ownController;
+        abortWithReset(() => controller?.abort(new Error('the call was given up')));
       }
     },
+    pause: () => ownController?.pause(),
+    resume: () => ownController?.resume(),
   };
 }
--- a/src/transport/TransportHttp.ts
+++ b/src/transport/TransportHttp.ts
@@ -8,6 +8,11 @@
 /** Maximum size of a request body where nothing else is configured, in bytes. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
+/**
+ * Maximum size of an answer that isn't a stream, in bytes. It is held until it is complete, and may come without end.
+ */
+export const MAX_ANSWER_BYTES = 64 * 1_048_576;
+
 /** How long idle connections are kept, ms: longer than our clients do, so that they close first. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -6,7 +6,7 @@
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Dispatcher, Pool } from 'undici';
-import { openPool, startCall, type CallListener } from '../../index.js';
+import { MAX_CHUNKS_PER_TURN, openPool, startCall, type CallListener } from '../../index.js';
 
 /** Prints its port, then for each connection whether it was reset or is still open, and the bytes received. */
 const COUNTING_SERVER = `require('net').createServer({ allowHalfOpen: true }, (socket) => {
@@ -108,6 +108,49 @@
   return callbacks;
 }
 
+/** Chunks of one byte, as many as a socket buffers and more. */
+const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(20_000));
+
+/** An endpoint that answers with chunks of one byte without end, with the bytes that it could send. */
+async function startEndlessServer(): Promise<{
+  readonly origin: string;
+  readonly sentBytes: () => number;
+  readonly close: () => void;
+}> {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n');
+      const write = (): void => {
+        while (socket.writable && socket.write(SMALL_CHUNKS)) {
+          // Until the socket is full.
+        }
+      };
+      socket.on('drain', write);
+      write();
+    });
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    sentBytes: () =>
+      sockets.reduce(
+        (sum, { bytesWritten, writableLength }) => sum + bytesWritten - writableLength,
+        0,
+      ),
+    close: () => {
+      server.close();
+      sockets.forEach((socket) => socket.destroy());
+    },
+  };
+}
+
+/** What the operating system holds of a connection on its way, in bytes. */
+const MAX_KERNEL_BYTES = 16 * 1_048_576;
+
 /** A complete answer that leaves the connection open. */
 const SHORT_ANSWER = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
@@ -188,6 +231,64 @@
     });
   });
 
+  // Guards against a process that handles interim answers without end.
+  it('fails an answer after too many interim answers', async () => {
+    const interim = 'HTTP/1.1 103 Early Hints\r\n\r\n';
+    assert.deepEqual(await callbacksFor(interim.repeat(100) + SHORT_ANSWER), ['200', 'end']);
+    assert.deepEqual(await callbacksFor(interim.repeat(101) + SHORT_ANSWER), ['error']);
+  });
+
+  // Guards against a buffer of the socket that grows with each pause of an answer in small chunks.
+  it('takes in no more than it reads, however often it pauses', async () => {
+    const server = await startEndlessServer();
+    const endpoint = openPool(server.origin, 1);
+    let received = 0;
+    const call = { method: 'GET', path: '/', headers: [], body: null, readDelay: () => 4 };
+    const running = startCall(endpoint, call, {
+      ...NOOP_LISTENER,
+      onData: (bytes) => {
+        received += bytes.length;
+      },
+    });
+    await delay(4_000);
+    const taken = server.sentBytes();
+    running.abort();
+    await endpoint.pool.destroy();
+    server.close();
+    assert.ok(received > 50_000, `${received} bytes received`);
+    const framed = 6 * received;
+    assert.ok(taken < framed + MAX_KERNEL_BYTES, `${taken} bytes taken, ${framed} passed on`);
+  });
+
+  it('passes on nothing while it is paused, and can be aborted then', async () => {
+    const server = await startEndlessServer();
+    const endpoint = openPool(server.origin, 1);
+    let received = 0;
+    const running = startCall(
+      endpoint,
+      { method: 'GET', path: '/', headers: [], body: null },
+      {
+        ...NOOP_LISTENER,
+        onData: (bytes) => {
+          received += bytes.length;
+          running.pause();
+        },
+      },
+    );
+    await delay(200);
+    const first = received;
+    assert.ok(first > 0 && first <= 2 * MAX_CHUNKS_PER_TURN, `${first} bytes`);
+    running.resume();
+    await delay(100);
+    assert.ok(received > first && received <= first + 2 * MAX_CHUNKS_PER_TURN, `${received} bytes`);
+    running.abort();
+    const last = received;
+    await delay(100);
+    assert.equal(received, last);
+    await endpoint.pool.destroy();
+    server.close();
+  });
+
   // An uncaught exception on aborting a call during its answer would end the process with all its streams.
   (['onHead', 'onData'] as const).forEach((step) => {
     it(`can be aborted in ${step}`, async () => {
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -1,6 +1,12 @@
 /** Layer `transport`: HTTP calls and servers, links and probes, based on libraries. It contains no policy. */
 export { parseAddress, type Address } from './TransportAddress.js';
 export { ByteCollector } from './TransportBytes.js';
+export {
+  ChunkReader,
+  MAX_CHUNKS_PER_TURN,
+  withReadingInTurns,
+  type ReadDelay,
+} from './TransportChunks.js';
 export {
   openAgent,
   openPool,
@@ -20,7 +26,7 @@
   readFrames,
 } from './TransportFrames.js';
 export { EventScanner } from './TransportEventScanner.js';
-export { headerOf, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
+export { headerOf, MAX_ANSWER_BYTES, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
 export {
   HEARTBEAT_METHOD,
   HEARTBEAT_INTERVAL_MS,
