Read request bodies in turns, and keep bytes instead of chunks

What callers saw: one caller's body of 1 MB in chunks of one byte (6 MB on the wire, below every limit) ended the entry process that read it, with a full heap, and with it the requests of all others. Found by looking for the cause of the answers that fill the heap on related paths.

Cause: raw-body keeps each chunk until the body is complete; a chunk of one byte takes more than 200 bytes of heap (1 MB: 216 MB).

Fix: readBody uses the reader of the answers: bytes in blocks, turns, and in entry processes the rate of chunks. It serves all bodies that are read: callers' requests, documents and heartbeats at control processes, attempts at gates. raw-body isn't needed any more.

Test: PlatformChunks "a body in chunks of one byte" (real processes) failed before: the entry process ended. TransportHttp.test.ts on sizes, limits and callers that leave.

--- a/src/daemon/direct/DirectRequestReader.ts
+++ b/src/daemon/direct/DirectRequestReader.ts
@@ -55,7 +55,10 @@
    */
   async read(req: IncomingMessage, reply: DirectReply, startedAt: number): Promise<DirectRequest> {
     const head = this.#state.dialect.readRequest(req.headers);
-    const body = await readBody(req, this.#state.config.routes?.plan.limits.maxBodyBytes);
+    const body = await readBody(req, {
+      maxBytes: this.#state.config.routes?.plan.limits.maxBodyBytes,
+      delay: this.#state.readLimits.openBody(),
+    });
     await this.#awaitStartup(reply, startedAt, head.deadlineMs, () => this.#hasConfig);
     const { route, customer } = this.#authorize(req, head.key);
     this.#leaving.check(route);
--- a/src/transport/TransportHttp.ts
+++ b/src/transport/TransportHttp.ts
@@ -1,9 +1,10 @@
 /** HTTP servers with koa, and reading of bodies and headers. */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import type Koa from 'koa';
-import getRawBody from 'raw-body';
 import { RequestError } from '../protocol/index.js';
 import type { Address } from './TransportAddress.js';
+import { ByteCollector } from './TransportBytes.js';
+import { ChunkReader, type ReadDelay } from './TransportChunks.js';
 
 /** Maximum size of a request body where nothing else is configured, in bytes. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -35,19 +36,61 @@
   return server;
 }
 
+/** Options of {@link readBody}. */
+export interface BodyOptions {
+  /** Maximum size in bytes; {@link MAX_BODY_BYTES} by default. */
+  readonly maxBytes?: number | undefined;
+  /** Limits the rate of chunks; without a limit, other work still gets its turn. */
+  readonly delay?: ReadDelay;
+}
+
 /**
- * Reads a complete body of at most `maxBytes`.
+ * Reads a complete body.
  *
  * @throws {RequestError} if it is too large or incomplete.
  */
-export async function readBody(req: IncomingMessage, maxBytes = MAX_BODY_BYTES): Promise<Buffer> {
+export async function readBody(
+  req: IncomingMessage,
+  { maxBytes = MAX_BODY_BYTES, delay = () => 0 }: BodyOptions = {},
+): Promise<Buffer> {
+  const declaredBytes = Number(req.headers['content-length'] ?? 0);
+  const tooLarge = new RequestError('too_large', `body: more than ${maxBytes} bytes`);
+  if (declaredBytes > maxBytes) {
+    throw tooLarge;
+  }
+  const body = new ByteCollector();
+  let onData: (chunk: Buffer) => void = () => undefined;
   try {
-    return await getRawBody(req, { limit: maxBytes });
+    await new Promise<void>((resolve, reject) => {
+      const reader = new ChunkReader({
+        source: req,
+        delay,
+        onBytes: (bytes) => {
+          body.add(bytes);
+          if (body.length > maxBytes) {
+            reader.stop();
+            reject(tooLarge);
+          }
+        },
+      });
+      onData = (chunk) => reader.add(chunk);
+      req.on('data', onData);
+      req.once('end', () => {
+        reader.end();
+        resolve();
+      });
+      req.once('error', (err) => reject(new RequestError('bad_request', `body: ${err.message}`)));
+      req.once('close', () => {
+        reader.stop();
+        reject(new RequestError('bad_request', 'body: the connection was closed'));
+      });
+    });
   } catch (err) {
-    const isTooLarge = (err as { readonly type?: string }).type === 'entity.too.large';
-    const message = `body: ${(err as Error).message}`;
-    throw new RequestError(isTooLarge ? 'too_large' : 'bad_request', message);
+    req.off('data', onData);
+    req.pause();
+    throw err;
   }
+  return body.take();
 }
 
 /** Value of a header; the first one if it has several. */
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -26,7 +26,14 @@
   readFrames,
 } from './TransportFrames.js';
 export { EventScanner } from './TransportEventScanner.js';
-export { headerOf, MAX_ANSWER_BYTES, MAX_BODY_BYTES, readBody, serveHttp } from './TransportHttp.js';
+export {
+  headerOf,
+  MAX_ANSWER_BYTES,
+  MAX_BODY_BYTES,
+  readBody,
+  serveHttp,
+  type BodyOptions,
+} from './TransportHttp.js';
 export {
   HEARTBEAT_METHOD,
   HEARTBEAT_INTERVAL_MS,
