Bound a plain answer that comes through a gate

What callers saw: nothing yet; found on related paths. An engine of the product's own protocol that sends a plain answer without end had all of it kept by the entry process until the deadline, frame by frame, and the caller got no answer before.

Cause: answers that are called directly got a limit of 64 MiB with; those through a gate are held by DaemonEntryCall, which had none.

Fix: the same limit, with a log line (event "overlong"). The connection to the gate is closed, so that the gate ends its call of the engine. Frames are kept as bytes, not one by one.

Test: DaemonAnswers "ends an answer that is too long to be held" failed before: 504 at the deadline of 2 s, where 502 is due at the limit.

--- a/src/daemon/DaemonEntryCall.ts
+++ b/src/daemon/DaemonEntryCall.ts
@@ -21,7 +21,12 @@
   type RequestIdentity,
   type RevokeReply,
 } from '../protocol/index.js';
-import { FRAMES_CONTENT_TYPE, readFrames } from '../transport/index.js';
+import {
+  ByteCollector,
+  FRAMES_CONTENT_TYPE,
+  MAX_ANSWER_BYTES,
+  readFrames,
+} from '../transport/index.js';
 import type { CallerApiOptions } from './DaemonEntryApi.js';
 import { sendError } from './DaemonApp.js';
 
@@ -69,8 +74,8 @@
   /** Frame that a `deliver` output refers to. */
   #frame: AnswerFrame | null = null;
 
-  /** Buffered parts of an answer that is not streamed. */
-  #parts: Uint8Array[] = [];
+  /** Body of an answer that is not streamed, as far as received. */
+  readonly #body = new ByteCollector();
 
   #status = 200;
 
@@ -102,9 +107,7 @@
       this.#revoke(endpoint, attempt).catch(() => this.#step({ type: 'revokeFailed', attempt }));
     },
     deliver: () => this.#deliver(),
-    reset: () => {
-      this.#parts = [];
-    },
+    reset: () => this.#body.clear(),
     cancel: ({ attempt }) => this.#aborts.get(attempt)?.abort(),
     finish: () => this.#finishAnswer(),
     fail: ({ error }) => this.#finishWithError(error),
@@ -260,6 +263,14 @@
           });
           return frame.whole ? 'whole' : 'failed';
         }
+        if (this.#body.length > MAX_ANSWER_BYTES) {
+          this.#options.runtime.log.warn(
+            { event: 'overlong', request: this.#request, maxBytes: MAX_ANSWER_BYTES },
+            'the answer is too long to be held',
+          );
+          response.body.destroy();
+          break;
+        }
         if (this.#res.writableNeedDrain) {
           await new Promise((resolve) => {
             this.#res.once('drain', resolve);
@@ -326,14 +337,14 @@
       if (this.#res.headersSent) {
         this.#res.write(frame.bytes);
       } else {
-        this.#parts.push(frame.bytes);
+        this.#body.add(frame.bytes);
       }
     }
   }
 
   #finishAnswer(): void {
     if (!this.#res.headersSent) {
-      this.#writeBufferedAnswer(Buffer.concat(this.#parts));
+      this.#writeBufferedAnswer(this.#body.take());
     }
     this.#res.end();
     this.#options.state.screening.onAnswered(this.#identity);
--- a/src/daemon/__tests__/unit/DaemonAnswers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonAnswers.test.ts
@@ -199,6 +199,28 @@
     });
   });
 
+  // Guards against an entry process that keeps a plain answer without end until the deadline.
+  it('ends an answer that is too long to be held', async () => {
+    const piece = Buffer.alloc(65_536, 'x');
+    const [status, , body] = await call((socket) => {
+      answer(200, [TEXT, `content-length: ${2 ** 32}`])(socket);
+      const write = (): void => {
+        while (socket.writable && socket.write(piece)) {
+          // Until the socket is full.
+        }
+      };
+      socket.on('drain', write);
+      write();
+    });
+    assert.deepEqual([status, /"code":"(\w+)"/.exec(body)?.[1]], [502, 'outcome_unknown']);
+  });
+
+  it('delivers an answer in chunks of one byte', async () => {
+    const chunks = `${'1\r\nx\r\n'.repeat(20_000)}0\r\n\r\n`;
+    const got = await call(answer(200, [TEXT, 'transfer-encoding: chunked'], chunks));
+    assert.deepEqual(got, [200, 'text/x-own', 'x'.repeat(20_000), true]);
+  });
+
   // Guards against a stream without its final event that looks finished.
   it('ends a stream without its final event with an error event', async () => {
     const [status, , body] = await call((socket) => {
