Bound what an entry process holds of all answers together

What callers saw: nothing yet; found by asking for the bounds of the whole process. Each answer may have 64 MiB, their sum wasn't bounded, and a stream was taken in as fast as its engine sent it, whether its caller read it or not. A few faulty answers, or slow callers, end the process and with it all requests.

Evidence, real processes, 12 plain answers without end from one engine: the entry process came to 897 MB, where its host has 350. Four callers that read nothing of a stream without end: each engine had 44 MB taken within 3 s, the event's deadline being the only end.

Fix: - HeldBytes (pure) counts the bytes of incomplete plain answers, and of answers that callers haven't read. Beyond a quarter of the host's memory (`limits.memoryMb`; 128 MiB where none is set) the answer that holds the most is ended, with a log line (event "held_bytes"): as broken if it isn't complete, else by cutting the connection of the caller that doesn't read. Sound answers are small, and lose nothing to a large one. - A stream whose caller leaves more than 256 KiB unread isn't read further until all of that is sent. - Metric laburnumgauge_held_answer_bytes.

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -164,6 +164,7 @@
   takeChunks,
   type ChunkAllowance,
 } from './ChunkAllowance.js';
+export { HeldBytes } from './HeldBytes.js';
 export {
   BUCKET_BYTES,
   BYTES_PER_SECOND,
--- a/src/daemon/direct/DirectAttempt.ts
+++ b/src/daemon/direct/DirectAttempt.ts
@@ -49,6 +49,8 @@
   onEvents: (bytes: Buffer, answer: AttemptHead) => void;
   /** The stream has ended after a complete event, or without any event. */
   onStreamEnd: (answer: AttemptHead) => void;
+  /** Part of an answer that isn't a stream has been received: the number of its bytes that are held. */
+  onPart: (heldBytes: number) => void;
   onWhole: (answer: WholeAnswer) => void;
   onFailure: (failure: AttemptFailure) => void;
 }
@@ -99,6 +101,20 @@
     this.#running?.abort();
   }
 
+  /** Reads no more of the answer until `resume`. */
+  pause(): void {
+    this.#running?.pause();
+  }
+
+  resume(): void {
+    this.#running?.resume();
+  }
+
+  /** Gives up an answer that isn't complete. */
+  breakOff(reason: string): void {
+    this.#fail('broken', reason);
+  }
+
   onStart(): boolean {
     this.#wasHeldBack = !this.#options.listener.onStart();
     return !this.#wasHeldBack;
@@ -136,7 +152,9 @@
     this.#body.add(bytes);
     if (this.#body.length > MAX_ANSWER_BYTES) {
       this.#fail('broken', `the answer has more than ${MAX_ANSWER_BYTES} bytes`);
+      return;
     }
+    this.#options.listener.onPart(this.#body.length);
   }
 
   onEnd(): void {
--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -15,6 +15,7 @@
   type AttemptHead,
   type WholeAnswer,
 } from './DirectAttempt.js';
+import { DirectCallBuffer } from './DirectCallBuffer.js';
 import { DirectCallRetries } from './DirectCallRetries.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import type { SendSlot } from './DirectSendSlots.js';
@@ -66,6 +67,8 @@
 
   readonly #retries: DirectCallRetries;
 
+  readonly #buffer: DirectCallBuffer;
+
   #firstByteAt: number | null = null;
 
   #lastEventAt = 0;
@@ -82,7 +85,13 @@
   constructor(state: DirectEntryState, request: DirectRequest) {
     this.#state = state;
     this.#request = request;
-    const { service, head } = request;
+    const { service, head, reply } = request;
+    this.#buffer = new DirectCallBuffer({
+      id: head.id,
+      reply,
+      limits: state.readLimits,
+      endAttempt: (reason) => this.#running?.attempt.breakOff(reason),
+    });
     this.#retries = new DirectCallRetries({
       retries: state.retries,
       now: () => state.now(),
@@ -261,6 +270,7 @@
           }),
         onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
         onStreamEnd: (answer) => this.#guard(() => this.#onStreamEnd(answer)),
+        onPart: (heldBytes) => this.#guard(() => this.#buffer.setReceived(heldBytes)),
         onWhole: (answer) => this.#guard(() => this.#onAnswer(answer)),
         onFailure: (failure) => this.#guard(() => this.#onFailure(failure)),
       },
@@ -365,6 +375,7 @@
     const running = this.#running;
     this.#running = null;
     if (running !== null) {
+      this.#buffer.release();
       const { admission } = this.#state;
       if (running.streamedAt !== null) {
         admission.onStreamFinished(running.endpoint.id);
@@ -395,6 +406,9 @@
       this.#lastEvent = last.id;
     }
     this.#request.reply.passEvents(bytes);
+    if (this.#running !== null) {
+      this.#buffer.onEvents(this.#running.attempt);
+    }
   }
 
   /**
@@ -435,6 +449,7 @@
     }
     this.#beginReply(answer);
     this.#request.reply.endStream();
+    this.#buffer.onWritten(this.#request.reply.unreadBytes);
     this.#finish('whole');
   }
 
@@ -471,6 +486,7 @@
       { status: head.status, headers: this.#state.answerHeaders(raw) },
       answer,
     );
+    this.#buffer.onWritten(answer.body.length);
     this.#finish(outcome);
   }
 
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -43,6 +43,8 @@
   readonly evacuateMs: number | null;
   /** Time from the stop signal until the process is killed, ms. */
   readonly graceMs: number;
+  /** Memory that the process may use, in bytes; null or absent where it isn't limited. */
+  readonly memoryBytes?: number | null;
   readonly retries: RetryAllowance;
   /** Bounds on the requests to cold endpoints; the defaults if absent. */
   readonly coldBounds?: ColdBounds;
@@ -102,7 +104,7 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, applyMs, evacuateMs, retries, coldBounds } = cfg;
+    const { id, zone, revokeMs, applyMs, evacuateMs, retries, coldBounds, memoryBytes } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
@@ -111,6 +113,7 @@
       applyMs,
       evacuateMs,
       retries,
+      ...(memoryBytes === undefined ? {} : { memoryBytes }),
       ...(coldBounds === undefined ? {} : { coldBounds }),
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -59,6 +59,8 @@
   readonly http: HttpDialect;
   readonly retries: RetryAllowance;
   readonly coldBounds?: ColdBounds;
+  /** Memory that the process may use, in bytes; null or absent where it isn't limited. */
+  readonly memoryBytes?: number | null;
   /** Sends updates on suspect requests to the control process. */
   readonly sendQuarantineUpdate: SendQuarantineUpdate;
   /** Sends updates on limits to the control process. */
@@ -131,7 +133,7 @@
       sendDemand: options.sendDemand,
     });
     this.requests = new DirectRequestLog(options.runtime);
-    this.readLimits = new DirectReadLimits(options.runtime);
+    this.readLimits = new DirectReadLimits(options.runtime, options.memoryBytes ?? null);
     this.sendSlots = new DirectSendSlots({
       self: options.id,
       runtime: options.runtime,
--- a/src/daemon/direct/DirectReadLimits.ts
+++ b/src/daemon/direct/DirectReadLimits.ts
@@ -1,6 +1,8 @@
-/** What an entry process reads for all of its requests together. */
+/** What an entry process reads and holds for all of its requests together. */
+import { Gauge } from 'prom-client';
 import {
   BODY_CHUNKS,
+  HeldBytes,
   initChunkAllowance,
   SHARED_CHUNKS,
   takeChunks,
@@ -9,16 +11,47 @@
 import type { ReadDelay } from '../../transport/index.js';
 import type { Runtime } from '../DaemonRuntime.js';
 
+/** Share of the memory of the process that answers may take; a complete answer is copied once, and callers send bodies. */
+const HELD_SHARE = 0.25;
+
+/** Maximum number of bytes held where the memory isn't limited. */
+const DEFAULT_HELD_BYTES = 134_217_728;
+
+/** Whoever holds bytes. */
+export interface ByteHolder {
+  /** Id of the request. */
+  readonly id: string;
+  /** Ends it, as it holds the most bytes of a process that can't hold more. */
+  readonly end: (reason: string) => void;
+}
+
 /** Limits of one entry process. */
 export class DirectReadLimits {
   readonly #runtime: Runtime;
 
+  readonly #maxBytes: number;
+
+  readonly #held: HeldBytes<ByteHolder>;
+
   /** Chunks that all bodies may take beyond their own allowances. */
   #shared: ChunkAllowance;
 
-  constructor(runtime: Runtime) {
+  /** `memoryBytes` is null where the memory isn't limited. */
+  constructor(runtime: Runtime, memoryBytes: number | null) {
     this.#runtime = runtime;
     this.#shared = initChunkAllowance(SHARED_CHUNKS, runtime.now());
+    this.#maxBytes = memoryBytes === null ? DEFAULT_HELD_BYTES : memoryBytes * HELD_SHARE;
+    this.#held = new HeldBytes(this.#maxBytes);
+    const held = this.#held;
+    // eslint-disable-next-line no-new
+    new Gauge({
+      name: 'laburnumgauge_held_answer_bytes',
+      help: 'Bytes of answers that are incomplete, or that callers have not read',
+      registers: [runtime.registry],
+      collect() {
+        this.set(held.total);
+      },
+    });
   }
 
   /** The limit on the rate of chunks of one body. */
@@ -32,4 +65,16 @@
       return taken.waitMs;
     };
   }
+
+  /** Sets how many bytes a request holds, and ends those that hold the most once the process can't hold more. */
+  hold(holder: ByteHolder, bytes: number): void {
+    this.#held.update(holder, bytes).forEach((ended) => {
+      const { id: request } = ended;
+      this.#runtime.log.warn(
+        { event: 'held_bytes', request, maxBytes: this.#maxBytes },
+        'ended the answer that holds the most bytes',
+      );
+      ended.end(`all answers together have more than ${this.#maxBytes} bytes`);
+    });
+  }
 }
--- a/src/daemon/direct/DirectReply.ts
+++ b/src/daemon/direct/DirectReply.ts
@@ -73,6 +73,11 @@
     return this.#res.destroyed;
   }
 
+  /** Number of bytes written that haven't been handed to the operating system, as the caller reads slowly. */
+  get unreadBytes(): number {
+    return this.#res.writableLength;
+  }
+
   get summary(): ReplySummary {
     const { headersSent, statusCode } = this.#res;
     return headersSent
@@ -94,6 +99,12 @@
     };
   }
 
+  /** Registers a callback for the time when no bytes are unread; returns a function that unregisters it. */
+  registerDrain(onDrain: () => void): () => void {
+    this.#res.once('drain', onDrain);
+    return () => this.#res.off('drain', onDrain);
+  }
+
   /** Starts a stream by sending its endpoint's head to the caller. */
   beginStream(start: ReplyStart): void {
     this.#writeHead('endpoint', start);
--- a/src/daemon/direct/__tests__/unit/DirectCall.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCall.test.ts
@@ -90,7 +90,7 @@
     onConnectionLost: async () => Promise.resolve(),
     answerHeaders: () => [],
     lastEvent: () => ({ id: '1' }),
-    readLimits: { openBody: () => () => 0 },
+    readLimits: { openBody: () => () => 0, hold: ignore },
     requests: {
       attemptFailed: ignore,
       sendSlotWait: ignore,
--- /dev/null
+++ b/src/daemon/direct/__tests__/unit/DirectCallBuffer.test.ts
@@ -0,0 +1,131 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { Registry } from 'prom-client';
+import type { Runtime } from '../../../DaemonRuntime.js';
+import { DirectCallBuffer } from '../../DirectCallBuffer.js';
+import { DirectReadLimits } from '../../DirectReadLimits.js';
+import type { DirectReply } from '../../DirectReply.js';
+
+const MEMORY_BYTES = 4_000_000;
+
+/** A quarter of the memory. */
+const MAX_HELD_BYTES = 1_000_000;
+
+const ignore = (): void => undefined;
+
+interface StandInReply {
+  unreadBytes: number;
+  isClosed: boolean;
+  onDrain: () => void;
+  onClose: () => void;
+}
+
+/** Requests of one process that share its limits; `log` records what was done to them. */
+class Fixture {
+  readonly log: string[] = [];
+
+  readonly registry = new Registry();
+
+  readonly #limits: DirectReadLimits;
+
+  constructor() {
+    const runtime = { registry: this.registry, now: () => 0, log: { warn: ignore } };
+    this.#limits = new DirectReadLimits(runtime as unknown as Runtime, MEMORY_BYTES);
+  }
+
+  open(id: string): { readonly buffer: DirectCallBuffer; readonly reply: StandInReply } {
+    const reply: StandInReply = {
+      unreadBytes: 0,
+      isClosed: false,
+      onDrain: ignore,
+      onClose: ignore,
+    };
+    const buffer = new DirectCallBuffer({
+      id,
+      reply: Object.assign(reply, {
+        cut: () => this.log.push(`cut ${id}`),
+        registerClose: (onClose: () => void) => {
+          reply.onClose = onClose;
+          return ignore;
+        },
+        registerDrain: (onDrain: () => void) => {
+          reply.onDrain = onDrain;
+          return () => {
+            reply.onDrain = ignore;
+          };
+        },
+      }) as unknown as DirectReply,
+      limits: this.#limits,
+      endAttempt: () => {
+        this.log.push(`end ${id}`);
+        buffer.release();
+      },
+    });
+    return { buffer, reply };
+  }
+
+  async heldBytes(): Promise<number> {
+    const metric = await this.registry.getSingleMetricAsString('laburnumgauge_held_answer_bytes');
+    return Number(metric.split(' ').at(-1));
+  }
+}
+
+describe('DirectCallBuffer', () => {
+  // Guards against answers that each stay within their limit and together fill the memory of the process.
+  it('ends the answer that holds the most once all together hold too much', async () => {
+    const fixture = new Fixture();
+    const [large, small] = [fixture.open('large'), fixture.open('small')];
+    large.buffer.setReceived(MAX_HELD_BYTES - 10);
+    small.buffer.setReceived(10);
+    assert.deepEqual(fixture.log, []);
+    small.buffer.setReceived(20);
+    assert.deepEqual(fixture.log, ['end large']);
+    assert.equal(await fixture.heldBytes(), 20);
+  });
+
+  it('counts a complete answer until its caller has read it, and cuts it if it holds the most', async () => {
+    const fixture = new Fixture();
+    const slow = fixture.open('slow');
+    slow.reply.unreadBytes = 900_000;
+    slow.buffer.onWritten(900_000);
+    assert.equal(await fixture.heldBytes(), 900_000);
+    fixture.open('next').buffer.setReceived(200_000);
+    assert.deepEqual(fixture.log, ['cut slow']);
+    const read = fixture.open('read');
+    read.reply.unreadBytes = 500_000;
+    read.buffer.onWritten(500_000);
+    read.reply.onClose();
+    assert.equal(await fixture.heldBytes(), 200_000);
+  });
+
+  it('counts no answer that its caller has read, or whose caller has left', async () => {
+    const fixture = new Fixture();
+    fixture.open('read').buffer.onWritten(500_000);
+    const left = fixture.open('left');
+    Object.assign(left.reply, { unreadBytes: 1, isClosed: true });
+    left.buffer.onWritten(500_000);
+    assert.equal(await fixture.heldBytes(), 0);
+  });
+
+  // Guards against a stream that is taken in as fast as its endpoint sends it while its caller reads nothing.
+  it('pauses a stream that its caller leaves unread, until all of it is read', () => {
+    const fixture = new Fixture();
+    const { buffer, reply } = fixture.open('slow');
+    const reading = {
+      pause: () => fixture.log.push('pause'),
+      resume: () => fixture.log.push('resume'),
+    };
+    reply.unreadBytes = 262_144;
+    buffer.onEvents(reading);
+    assert.deepEqual(fixture.log, []);
+    reply.unreadBytes += 1;
+    buffer.onEvents(reading);
+    buffer.onEvents(reading);
+    reply.onDrain();
+    assert.deepEqual(fixture.log, ['pause', 'resume']);
+    buffer.onEvents(reading);
+    buffer.release();
+    reply.onDrain();
+    assert.deepEqual(fixture.log, ['pause', 'resume', 'pause']);
+  });
+});
