--- a/src/daemon/__tests__/unit/DaemonAnswers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonAnswers.test.ts
@@ -1,35 +1,12 @@
 import assert from 'node:assert/strict';
-import type { Server } from 'node:http';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
-import Koa from 'koa';
-import { Agent, request } from 'undici';
-import type { MemberRecord } from '../../../protocol/index.js';
-import { openAgent, serveHttp } from '../../../transport/index.js';
-import { DaemonGate, type GateOptions } from '../../DaemonGate.js';
-import { addCallerApi, type CallerApiOptions } from '../../DaemonEntryApi.js';
-import type { Runtime } from '../../DaemonRuntime.js';
-
-const ignore = (): void => undefined;
-
-const LOG = { info: ignore, warn: ignore, error: ignore, debug: ignore };
-
-const RUNTIME = { log: LOG, now: () => performance.now(), incarnation: 1 } as unknown as Runtime;
-
-const ANY_PORT = { host: '127.0.0.1', port: 0 };
-
-const SERVICE = {
-  fleet: 'f',
-  service: { name: 's', deadlineMs: 2_000, repeatable: false },
-};
+import { request } from 'undici';
+import { GatePath, type GateScript } from '../utils/GatePath.js';
 
 /** What a caller receives: status, content type, body, and whether the body is complete. */
 type Answer = readonly [number, string | undefined, string, boolean];
 
-/** Script of an engine: writes its answer to the socket of a connection. */
-type Script = (socket: Socket) => void;
-
-function answer(status: number, lines: readonly string[], body = ''): Script {
+function answer(status: number, lines: readonly string[], body = ''): GateScript {
   return (socket) => socket.write([`HTTP/1.1 ${status} X`, ...lines, '', body].join('\r\n'));
 }
 
@@ -39,7 +16,7 @@
 
 const DONE = 'data: [DONE]\n\n';
 
-const CASES: Readonly<Record<string, readonly [Script, Answer]>> = {
+const CASES: Readonly<Record<string, readonly [GateScript, Answer]>> = {
   'a body': [answer(200, [TEXT, 'content-length: 1'], 'x'), [200, 'text/x-own', 'x', true]],
   JSON: [
     answer(200, ['content-type: application/json', 'content-length: 2'], '{}'),
@@ -73,94 +50,12 @@
 };
 
 describe('answers through entry process and gate', () => {
-  const closers: (() => void)[] = [];
-
-  afterEach(() => closers.splice(0).forEach((close) => close()));
-
-  const portOf = (server: Server | ReturnType<typeof createServer>): number =>
-    (server.address() as AddressInfo).port;
-
-  const serve = async (app: Koa): Promise<number> => {
-    const stop = new AbortController();
-    const server = await serveHttp(app, ANY_PORT, stop.signal);
-    closers.push(() => {
-      stop.abort();
-      server.closeAllConnections();
-    });
-    return portOf(server);
-  };
-
-  const startEngine = async (script: Script): Promise<number> => {
-    const sockets: Socket[] = [];
-    const server = createServer((socket) => {
-      sockets.push(socket);
-      socket.on('error', ignore);
-      socket.once('data', () => script(socket));
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    closers.push(() => {
-      server.close();
-      sockets.forEach((socket) => socket.destroy());
-    });
-    return portOf(server);
-  };
+  const path = new GatePath();
 
-  const startGate = async (enginePort: number): Promise<MemberRecord> => {
-    const agent = openAgent(1_000);
-    closers.push(() => {
-      agent.destroy().catch(ignore);
-    });
-    const app = new Koa();
-    const record = { id: 'e1', incarnation: 1 } as MemberRecord;
-    const options: GateOptions = {
-      runtime: RUNTIME,
-      agent,
-      engine: `http://127.0.0.1:${enginePort}`,
-      slots: 1,
-      probe: () => ({ result: Promise.resolve('open'), settled: Promise.resolve() }),
-      record: () => record,
-      onDrained: ignore,
-    };
-    const gate = new DaemonGate(options);
-    gate.step({ type: 'ready' });
-    gate.addApi(app);
-    return { ...record, address: `127.0.0.1:${await serve(app)}` };
-  };
-
-  const startEntry = async (endpoint: MemberRecord): Promise<number> => {
-    const agent = new Agent();
-    closers.push(() => {
-      agent.destroy().catch(ignore);
-    });
-    const state = {
-      isReady: true,
-      customer: () => ({ name: 'kano' }),
-      config: { byModel: new Map(), byPath: [['/', SERVICE]] },
-      screening: {
-        onAnswered: ignore,
-        onConnectionLost: async () => Promise.resolve(),
-        onEngineCrash: ignore,
-      },
-      admit: ignore,
-      begin: ignore,
-      end: ignore,
-      takeRetry: () => false,
-      route: () => ({ endpoint }),
-      isQuarantined: () => false,
-      updateRouting: ignore,
-      observeFirstByte: ignore,
-    };
-    const hubLink = { record: { incarnation: 1 } };
-    const options = { id: 'n1', runtime: RUNTIME, state, agent, hubLink };
-    const app = new Koa();
-    addCallerApi(app, options as unknown as CallerApiOptions);
-    return serve(app);
-  };
+  afterEach(() => path.close());
 
-  const call = async (script: Script): Promise<Answer> => {
-    const port = await startEntry(await startGate(await startEngine(script)));
+  const call = async (script: GateScript): Promise<Answer> => {
+    const port = await path.startEntry(await path.startGate(await path.startEngine(script)));
     const res = await request(`http://127.0.0.1:${port}/x`, { method: 'POST', body: 'b' });
     const body = await res.body.text().catch(() => null);
     return [
@@ -178,7 +73,7 @@
     });
   });
 
-  const BROKEN: Readonly<Record<string, Script>> = {
+  const BROKEN: Readonly<Record<string, GateScript>> = {
     'no length, and a reset': (socket) => {
       answer(200, [TEXT, 'connection: close'], 'answer')(socket);
       setTimeout(() => socket.resetAndDestroy(), 30);
