--- a/src/daemon/__tests__/utils/GatePath.ts
+++ b/src/daemon/__tests__/utils/GatePath.ts
@@ -17,10 +17,7 @@
 
 const ANY_PORT = { host: '127.0.0.1', port: 0 };
 
-const SERVICE = {
-  fleet: 'f',
-  service: { name: 's', deadlineMs: 2_000, repeatable: false },
-};
+const DEADLINE_MS = 2_000;
 
 /** Script of an engine: writes its answer to the socket of a connection. */
 export type GateScript = (socket: Socket) => void;
@@ -78,8 +75,9 @@
     return { ...record, address: `127.0.0.1:${await this.#serve(app)}` };
   }
 
-  /** Returns the port of an entry process for callers. */
-  async startEntry(endpoint: MemberRecord): Promise<number> {
+  /** Returns the port of an entry process for callers, whose requests have this deadline. */
+  async startEntry(endpoint: MemberRecord, deadlineMs = DEADLINE_MS): Promise<number> {
+    const service = { fleet: 'f', service: { name: 's', deadlineMs, repeatable: false } };
     const agent = new Agent();
     this.#closers.push(() => {
       agent.destroy().catch(ignore);
@@ -87,7 +85,7 @@
     const state = {
       isReady: true,
       customer: () => ({ name: 'kano' }),
-      config: { byModel: new Map(), byPath: [['/', SERVICE]] },
+      config: { byModel: new Map(), byPath: [['/', service]] },
       screening: {
         onAnswered: ignore,
         onConnectionLost: async () => Promise.resolve(),
