Move what entry processes track of a call into modules of its own

DirectCall and DirectEntryState had grown with the limits on answers. The times of an answer, the attempt in progress with its begin of a stream, and the replaced incarnations stand in modules now; DirectCallBuffer writes the answers whose bytes it counts, so that none is written without being counted. No behaviour changes; the assertions of its test are unchanged.

--- a/src/daemon/direct/DirectCall.ts
+++ b/src/daemon/direct/DirectCall.ts
@@ -17,7 +17,9 @@
 } from './DirectAttempt.js';
 import { DirectCallBuffer } from './DirectCallBuffer.js';
 import { DirectCallRetries } from './DirectCallRetries.js';
+import { DirectCallTiming } from './DirectCallTiming.js';
 import type { DirectEntryState } from './DirectEntryState.js';
+import { withStreamPart, type RunningAttempt } from './DirectRunningAttempt.js';
 import type { SendSlot } from './DirectSendSlots.js';
 import { deadlineError, outcomeUnknownError, quarantineError } from './DirectReply.js';
 import {
@@ -27,22 +29,6 @@
   type DirectRequest,
 } from './DirectRequest.js';
 
-/**
- * An endpoint that still streams this long after its first event has survived the begin of its answer, ms. Events that
- * were sent together may arrive this far apart.
- */
-const STEADY_STREAM_MS = 250;
-
-/** An attempt with its endpoint. */
-interface RunningAttempt {
-  readonly endpoint: MemberRecord;
-  readonly attempt: DirectAttempt;
-  /** When the endpoint began to answer with a stream, ms; null before. */
-  readonly streamedAt: number | null;
-  /** Whether the endpoint went on to answer after it had begun, so that the parts of the prompt are sound. */
-  readonly isSteady: boolean;
-}
-
 /** Runs one request to completion. */
 export class DirectCall {
   readonly #state: DirectEntryState;
@@ -69,11 +55,7 @@
 
   readonly #buffer: DirectCallBuffer;
 
-  #firstByteAt: number | null = null;
-
-  #lastEventAt = 0;
-
-  #longestPauseMs = 0;
+  readonly #timing: DirectCallTiming;
 
   #timer: NodeJS.Timeout | null = null;
 
@@ -85,7 +67,8 @@
   constructor(state: DirectEntryState, request: DirectRequest) {
     this.#state = state;
     this.#request = request;
-    const { service, head, reply } = request;
+    const { service, head, reply, startedAt } = request;
+    this.#timing = new DirectCallTiming(startedAt);
     this.#buffer = new DirectCallBuffer({
       id: head.id,
       reply,
@@ -123,14 +106,12 @@
     return outcome;
   }
 
-  /** Time to the first byte of the answer, ms; null where there was none. */
   get firstMs(): number | null {
-    return this.#firstByteAt === null ? null : this.#firstByteAt - this.#request.startedAt;
+    return this.#timing.firstMs;
   }
 
-  /** Longest pause between two events of the stream, ms; 0 where there was none. */
   get longestPauseMs(): number {
-    return this.#longestPauseMs;
+    return this.#timing.longestPauseMs;
   }
 
   get lastEvent(): string | null {
@@ -268,7 +249,7 @@
             this.#retries.onArrived('answered');
             sendSlots.onAnswer(endpoint, answer, head.id, limitTimestamp);
           }),
-        onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer)),
+        onEvents: (bytes, answer) => this.#guard(() => this.#onEvents(bytes, answer, attempt)),
         onStreamEnd: (answer) => this.#guard(() => this.#onStreamEnd(answer)),
         onPart: (heldBytes) => this.#guard(() => this.#buffer.setReceived(heldBytes)),
         onWhole: (answer) => this.#guard(() => this.#onAnswer(answer)),
@@ -390,25 +371,18 @@
     }
   }
 
-  #onEvents(bytes: Buffer, answer: AttemptHead): void {
+  #onEvents(bytes: Buffer, answer: AttemptHead, attempt: DirectAttempt): void {
     if (this.#isFinished) {
       return;
     }
-    const now = this.#state.now();
+    this.#timing.onEvent(this.#state.now());
     this.#onStreaming();
-    if (this.#request.reply.streamStarted) {
-      this.#longestPauseMs = Math.max(this.#longestPauseMs, now - this.#lastEventAt);
-    }
     this.#beginReply(answer);
-    this.#lastEventAt = now;
     const last = this.#state.lastEvent(bytes);
     if (last !== null) {
       this.#lastEvent = last.id;
     }
-    this.#request.reply.passEvents(bytes);
-    if (this.#running !== null) {
-      this.#buffer.onEvents(this.#running.attempt);
-    }
+    this.#buffer.passEvents(bytes, attempt);
   }
 
   /**
@@ -422,12 +396,10 @@
     }
     const now = this.#state.now();
     this.#state.admission.onEvent(running.endpoint.id, running.streamedAt === null);
-    const streamedAt = running.streamedAt ?? now;
-    const isSteady = now - streamedAt >= STEADY_STREAM_MS;
-    if (isSteady && !running.isSteady) {
+    this.#running = withStreamPart(running, now);
+    if (this.#running.isSteady && !running.isSteady) {
       this.#state.screening.onPartsAnswered(this.#request.identity);
     }
-    this.#running = { ...running, streamedAt, isSteady };
   }
 
   /** Sends the head of a stream to the caller, unless the head of an earlier attempt was sent. */
@@ -435,7 +407,7 @@
     const { reply } = this.#request;
     if (!reply.streamStarted) {
       reply.beginStream({ status: head.status, headers: this.#state.answerHeaders(raw) });
-      this.#firstByteAt = this.#state.now();
+      this.#timing.onFirstByte(this.#state.now());
     }
   }
 
@@ -448,8 +420,7 @@
       return;
     }
     this.#beginReply(answer);
-    this.#request.reply.endStream();
-    this.#buffer.onWritten(this.#request.reply.unreadBytes);
+    this.#buffer.endStream();
     this.#finish('whole');
   }
 
@@ -480,13 +451,12 @@
     if (this.#isFinished) {
       return;
     }
-    this.#firstByteAt = this.#state.now();
+    this.#timing.onFirstByte(this.#state.now());
     const { head, raw } = answer;
-    this.#request.reply.passWhole(
+    this.#buffer.passWhole(
       { status: head.status, headers: this.#state.answerHeaders(raw) },
       answer,
     );
-    this.#buffer.onWritten(answer.body.length);
     this.#finish(outcome);
   }
 
--- a/src/daemon/direct/DirectCallBuffer.ts
+++ b/src/daemon/direct/DirectCallBuffer.ts
@@ -1,6 +1,7 @@
-/** Bytes that an entry process holds of one request's answer, as it is incomplete or its caller reads slowly. */
-import type { DirectReadLimits, ByteHolder } from './DirectReadLimits.js';
-import type { DirectReply } from './DirectReply.js';
+/** Passes one request's answer on, and counts the bytes held of it: it is incomplete, or its caller reads slowly. */
+import type { WholeAnswer } from './DirectAttempt.js';
+import type { ByteHolder, DirectReadLimits } from './DirectReadLimits.js';
+import type { DirectReply, ReplyStart } from './DirectReply.js';
 
 /** Number of bytes of a stream that its caller may leave unread before the endpoint's answer isn't read further. */
 const MAX_UNREAD_BYTES = 262_144;
@@ -41,33 +42,34 @@
     this.#options.limits.hold(this.#holder, bytes);
   }
 
-  /** The complete answer was written; its bytes are held until the caller has read them. */
-  onWritten(bytes: number): void {
-    const { reply } = this.#options;
-    this.#isReceived = true;
-    if (reply.isClosed || reply.unreadBytes === 0) {
-      this.setReceived(0);
-      return;
-    }
-    reply.registerClose(() => this.setReceived(0));
-    this.setReceived(bytes);
-  }
-
-  /** Events of a stream were written. Pauses `reading` while the caller has too many bytes left to read. */
-  onEvents(reading: AnswerReading): void {
+  /** Passes on events of a stream. Pauses `reading` while the caller has too many bytes left to read. */
+  passEvents(bytes: Buffer, reading: AnswerReading): void {
     const { reply } = this.#options;
+    reply.passEvents(bytes);
     const { unreadBytes } = reply;
     this.setReceived(unreadBytes);
     if (unreadBytes > MAX_UNREAD_BYTES && this.#unregisterDrain === null) {
       reading.pause();
-      const unregister = reply.registerDrain(() => {
+      this.#unregisterDrain = reply.registerDrain(() => {
         this.release();
         reading.resume();
       });
-      this.#unregisterDrain = unregister;
     }
   }
 
+  /** Ends a complete stream. */
+  endStream(): void {
+    const { reply } = this.#options;
+    reply.endStream();
+    this.#holdUntilRead(reply.unreadBytes);
+  }
+
+  /** Passes on a complete answer. */
+  passWhole(start: ReplyStart, answer: WholeAnswer): void {
+    this.#options.reply.passWhole(start, answer);
+    this.#holdUntilRead(answer.body.length);
+  }
+
   /** Forgets what an attempt has received. */
   release(): void {
     this.#unregisterDrain?.();
@@ -75,6 +77,18 @@
     this.setReceived(0);
   }
 
+  /** Counts a complete answer until its caller has read all of it. */
+  #holdUntilRead(bytes: number): void {
+    const { reply } = this.#options;
+    this.#isReceived = true;
+    if (reply.isClosed || reply.unreadBytes === 0) {
+      this.setReceived(0);
+      return;
+    }
+    reply.registerClose(() => this.setReceived(0));
+    this.setReceived(bytes);
+  }
+
   #end(reason: string): void {
     if (this.#isReceived) {
       this.#options.reply.cut();
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -104,7 +104,7 @@
   ) {
     this.#cfg = cfg;
     this.#runtime = runtime;
-    const { id, zone, revokeMs, applyMs, evacuateMs, retries, coldBounds, memoryBytes } = cfg;
+    const { id, zone, revokeMs, applyMs, evacuateMs, retries, coldBounds } = cfg;
     this.#state = new DirectEntryState({
       id,
       zone,
@@ -113,7 +113,7 @@
       applyMs,
       evacuateMs,
       retries,
-      ...(memoryBytes === undefined ? {} : { memoryBytes }),
+      memoryBytes: cfg.memoryBytes ?? null,
       ...(coldBounds === undefined ? {} : { coldBounds }),
       ...dialects,
       sendQuarantineUpdate: (update) => this.#hubLink.notify('quarantine', update),
--- a/src/daemon/direct/DirectEntryState.ts
+++ b/src/daemon/direct/DirectEntryState.ts
@@ -43,6 +43,7 @@
 import { DirectRequestLog } from './DirectRequestLog.js';
 import { DirectPools } from './DirectPools.js';
 import { DirectReadLimits } from './DirectReadLimits.js';
+import { DirectReplaced } from './DirectReplaced.js';
 import { DirectRetries } from './DirectRetries.js';
 import type { RequestRetries } from './DirectRetryGrants.js';
 import { DirectStartup } from './DirectStartup.js';
@@ -71,9 +72,6 @@
   readonly requestRetries: RequestRetries;
 }
 
-/** Replaced instances are remembered this long, as late updates may still list them. In ms. */
-const REPLACED_RETENTION_MS = 60_000;
-
 /** Connections that an endpoint accepts where its service doesn't declare a number. */
 const DEFAULT_CONNECTIONS = 64;
 
@@ -86,8 +84,7 @@
 
   readonly #pools = new DirectPools();
 
-  /** When an incarnation of an endpoint was found to be replaced by another instance at its address, ms. */
-  readonly #replaced = new Map<string, number>();
+  readonly #replaced = new DirectReplaced();
 
   readonly retries: DirectRetries;
 
@@ -225,10 +222,7 @@
     if (view !== this.#view) {
       this.#setView(view);
     }
-    const old = this.now() - REPLACED_RETENTION_MS;
-    [...this.#replaced]
-      .filter(([, at]) => at < old)
-      .forEach(([incarnationKey]) => this.#replaced.delete(incarnationKey));
+    this.#replaced.tick(this.now());
   }
 
   /** Chooses an endpoint and logs the reason; null if none is available. */
@@ -341,7 +335,7 @@
   /** The endpoint with an id if it may be sent requests; undefined otherwise. */
   #servingEndpoint(id: string): MemberRecord | undefined {
     const record = this.#view.get(id)?.record;
-    const serves = record?.status === 'serving' && !this.#replaced.has(incarnationKeyOf(record));
+    const serves = record?.status === 'serving' && !this.#replaced.has(record);
     return serves && !this.evacuations.isEvacuated(id) ? record : undefined;
   }
 
@@ -377,7 +371,7 @@
       this.admission.onGroupBroken(endpoint.id);
     }
     if (wrongInstance) {
-      this.#replaced.set(incarnationKeyOf(endpoint), this.now());
+      this.#replaced.add(endpoint, this.now());
       this.#setView(this.#view);
     }
   }
@@ -424,9 +418,7 @@
   #setView(view: MembershipView): void {
     this.#view = view;
     this.#throttle = finishUpdate(this.now());
-    const serving = servingMembers(view).filter(
-      (record) => !this.#replaced.has(incarnationKeyOf(record)),
-    );
+    const serving = servingMembers(view).filter((record) => !this.#replaced.has(record));
     const entries = serving.filter(({ role }) => role === 'entry').map(({ id }) => id);
     this.#entryHosts = entries.length;
     this.sendSlots.limits.setHosts(entries);
@@ -440,7 +432,7 @@
     this.sendSlots.keep((incarnationKey) => incarnationKeys.has(incarnationKey));
     this.#pools.keep(
       (incarnationKey) =>
-        incarnationKeys.has(incarnationKey) && !this.#replaced.has(incarnationKey),
+        incarnationKeys.has(incarnationKey) && !this.#replaced.hasKey(incarnationKey),
     );
     this.startup.recheck();
   }
--- a/src/daemon/direct/__tests__/unit/DirectCallBuffer.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCallBuffer.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { Registry } from 'prom-client';
 import type { Runtime } from '../../../DaemonRuntime.js';
+import type { WholeAnswer } from '../../DirectAttempt.js';
 import { DirectCallBuffer } from '../../DirectCallBuffer.js';
 import { DirectReadLimits } from '../../DirectReadLimits.js';
 import type { DirectReply } from '../../DirectReply.js';
@@ -13,6 +14,14 @@
 
 const ignore = (): void => undefined;
 
+const START = { status: 200, headers: [] };
+
+const EVENTS = Buffer.from('id: 1\n\n');
+
+function answerOf(bytes: number): WholeAnswer {
+  return { body: Buffer.alloc(bytes) } as unknown as WholeAnswer;
+}
+
 interface StandInReply {
   unreadBytes: number;
   isClosed: boolean;
@@ -44,6 +53,8 @@
       id,
       reply: Object.assign(reply, {
         cut: () => this.log.push(`cut ${id}`),
+        passEvents: ignore,
+        passWhole: ignore,
         registerClose: (onClose: () => void) => {
           reply.onClose = onClose;
           return ignore;
@@ -87,23 +98,23 @@
     const fixture = new Fixture();
     const slow = fixture.open('slow');
     slow.reply.unreadBytes = 900_000;
-    slow.buffer.onWritten(900_000);
+    slow.buffer.passWhole(START, answerOf(900_000));
     assert.equal(await fixture.heldBytes(), 900_000);
     fixture.open('next').buffer.setReceived(200_000);
     assert.deepEqual(fixture.log, ['cut slow']);
     const read = fixture.open('read');
     read.reply.unreadBytes = 500_000;
-    read.buffer.onWritten(500_000);
+    read.buffer.passWhole(START, answerOf(500_000));
     read.reply.onClose();
     assert.equal(await fixture.heldBytes(), 200_000);
   });
 
   it('counts no answer that its caller has read, or whose caller has left', async () => {
     const fixture = new Fixture();
-    fixture.open('read').buffer.onWritten(500_000);
+    fixture.open('read').buffer.passWhole(START, answerOf(500_000));
     const left = fixture.open('left');
     Object.assign(left.reply, { unreadBytes: 1, isClosed: true });
-    left.buffer.onWritten(500_000);
+    left.buffer.passWhole(START, answerOf(500_000));
     assert.equal(await fixture.heldBytes(), 0);
   });
 
@@ -116,14 +127,14 @@
       resume: () => fixture.log.push('resume'),
     };
     reply.unreadBytes = 262_144;
-    buffer.onEvents(reading);
+    buffer.passEvents(EVENTS, reading);
     assert.deepEqual(fixture.log, []);
     reply.unreadBytes += 1;
-    buffer.onEvents(reading);
-    buffer.onEvents(reading);
+    buffer.passEvents(EVENTS, reading);
+    buffer.passEvents(EVENTS, reading);
     reply.onDrain();
     assert.deepEqual(fixture.log, ['pause', 'resume']);
-    buffer.onEvents(reading);
+    buffer.passEvents(EVENTS, reading);
     buffer.release();
     reply.onDrain();
     assert.deepEqual(fixture.log, ['pause', 'resume', 'pause']);
