Count the work on a body by turns of the event loop

What callers saw: beside load, the slowest answer took more than a second while another engine sent short events in large chunks without end, and while a caller sent a body in chunks of one byte.

Cause: a socket with enough input is read up to 32 times in one turn of the event loop, 64 KiB each. The reader paused after 1,000 chunks, but counted anew with each read, so that 900 chunks a read, or large chunks, never made it pause: up to 2 MB in one turn. And 100 chunks a ms are a third of a core where the chunks are a caller's (3 µs each), more than a host with a small share of a core has.

Fix: the reader counts chunks by turn, and 64 bytes as one more; it pauses until the next turn. The rate of chunks beyond each body's own is 20 a ms.

--- a/src/coordination/ChunkAllowance.ts
+++ b/src/coordination/ChunkAllowance.ts
@@ -20,7 +20,7 @@
 export const BODY_CHUNKS: ChunkRate = { perMs: 2, burst: 2_000 };
 
 /** Rate of all bodies together beyond their own. */
-export const SHARED_CHUNKS: ChunkRate = { perMs: 100, burst: 10_000 };
+export const SHARED_CHUNKS: ChunkRate = { perMs: 20, burst: 10_000 };
 
 /** The allowance of a new body, or of a new process. */
 export function initChunkAllowance({ burst }: ChunkRate, now: number): ChunkAllowance {
--- a/src/transport/TransportChunks.ts
+++ b/src/transport/TransportChunks.ts
@@ -17,9 +17,15 @@
 /** Returns how long to wait after reading a number of chunks, ms. */
 export type ReadDelay = (chunks: number) => number;
 
-/** Number of chunks of a body after which other work of the process gets its turn. */
+/**
+ * Work on a body after which the rest of the process gets its turn, in chunks. A socket that receives without a pause
+ * is read up to 32 times in one turn of the event loop.
+ */
 export const MAX_CHUNKS_PER_TURN = 1_000;
 
+/** A chunk of more bytes counts as several. */
+const BYTES_PER_CHUNK = 64;
+
 /** Options of a {@link ChunkReader}. */
 export interface ChunkReaderOptions {
   readonly source: ChunkSource;
@@ -42,7 +48,13 @@
   /** Whether the receiver of the bytes has paused reading. */
   #isHeld = false;
 
-  /** Number of waits for a turn of the event loop, or for the rate, that haven't ended. */
+  /** Work done in this turn of the event loop, in chunks. */
+  #turnWork = 0;
+
+  /** Whether reading waits for the next turn of the event loop. */
+  #isTurnOver = false;
+
+  /** Number of waits for the rate that haven't ended. */
   #waits = 0;
 
   #isEnded = false;
@@ -63,9 +75,7 @@
     } else {
       this.#more.add(chunk);
     }
-    if (this.#chunks === MAX_CHUNKS_PER_TURN) {
-      this.#wait(0);
-    }
+    this.#addWork(Math.max(1, chunk.length / BYTES_PER_CHUNK));
   }
 
   /** Pauses reading until `release`. */
@@ -106,19 +116,30 @@
     this.#options.onBytes(bytes);
   }
 
-  /** Pauses reading for a time, or until the next turn of the event loop if it is 0. */
+  #addWork(work: number): void {
+    if (this.#turnWork === 0) {
+      setImmediate(() => {
+        this.#turnWork = 0;
+        if (this.#isTurnOver) {
+          this.#isTurnOver = false;
+          this.#resume();
+        }
+      });
+    }
+    this.#turnWork += work;
+    if (this.#turnWork >= MAX_CHUNKS_PER_TURN && !this.#isTurnOver) {
+      this.#isTurnOver = true;
+      this.#pause();
+    }
+  }
+
   #wait(ms: number): void {
     this.#waits += 1;
     this.#pause();
-    const end = (): void => {
+    setTimeout(() => {
       this.#waits -= 1;
       this.#resume();
-    };
-    if (ms > 0) {
-      setTimeout(end, ms);
-    } else {
-      setImmediate(end);
-    }
+    }, ms);
   }
 
   #pause(): void {
@@ -128,7 +149,7 @@
   }
 
   #resume(): void {
-    if (!this.#isEnded && !this.#isHeld && this.#waits === 0) {
+    if (!this.#isEnded && !this.#isHeld && !this.#isTurnOver && this.#waits === 0) {
       this.#options.source.resume();
     }
   }
--- a/src/transport/__tests__/unit/TransportChunks.test.ts
+++ b/src/transport/__tests__/unit/TransportChunks.test.ts
@@ -61,6 +61,27 @@
     assert.equal(source.passedOn.join('').length, MAX_CHUNKS_PER_TURN);
   });
 
+  // Guards against a socket that is read many times in one turn, each time with fewer chunks than the limit.
+  [1, 100, 10_000].forEach((size) => {
+    it(`pauses within a turn that brings many reads, in chunks of ${size} bytes`, async () => {
+      const source = new StandInSource();
+      const chunk = Buffer.alloc(size, 'x');
+      const chunksOfRead = Math.ceil(MAX_CHUNKS_PER_TURN / 4 / Math.max(1, size / 64));
+      let reads = 0;
+      while (!source.isPaused && reads < 32) {
+        Array.from({ length: chunksOfRead }, () => source.reader.add(chunk));
+        reads += 1;
+        // What was read is passed on before the next read of the same turn.
+        // eslint-disable-next-line no-await-in-loop
+        await Promise.resolve();
+      }
+      assert.ok(reads <= 4, `${reads} reads`);
+      await nextTurn();
+      await nextTurn();
+      assert.equal(source.isPaused, false);
+    });
+  });
+
   it('waits for as long as the delay says', async () => {
     const asked: number[] = [];
     const source = new StandInSource((chunks) => {
