--- a/src/__tests__/utils/CutAnswers.ts
+++ b/src/__tests__/utils/CutAnswers.ts
@@ -1,6 +1,6 @@
 /** Answers that an endpoint breaks off after any byte. */
-import { once } from 'node:events';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
+import type { Socket } from 'node:net';
+import { LoopbackServer } from './LoopbackServer.js';
 
 /** Ways in which a connection ends after a part of an answer. */
 export const CUT_ENDS: Readonly<Record<string, (socket: Socket) => void>> = {
@@ -65,21 +65,12 @@
 export class CutServer {
   script: CutScript = { answers: [], end: (socket) => socket.end() };
 
-  /** Number of requests that arrived. */
-  requests = 0;
-
-  readonly #sockets = new Set<Socket>();
-
-  readonly #server = createServer((socket) => {
+  readonly #server = new LoopbackServer((socket) => {
     let count = 0;
-    this.#sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('close', () => this.#sockets.delete(socket));
     socket.on('data', (bytes) => {
       if (!bytes.includes('\r\n\r\n')) {
         return;
       }
-      this.requests += 1;
       const { answers, end } = this.script;
       const answer = answers[count] ?? '';
       count += 1;
@@ -92,13 +83,10 @@
   });
 
   async start(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
-    await once(this.#server, 'listening');
-    return (this.#server.address() as AddressInfo).port;
+    return this.#server.start();
   }
 
   stop(): void {
-    this.#server.close();
-    this.#sockets.forEach((socket) => socket.destroy());
+    this.#server.stop();
   }
 }
--- a/src/__tests__/utils/CutProxy.ts
+++ b/src/__tests__/utils/CutProxy.ts
@@ -1,6 +1,6 @@
 /** A proxy in front of a server that breaks its answers off after a number of bytes. */
-import { once } from 'node:events';
-import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { connect, type Socket } from 'node:net';
+import { LoopbackServer } from './LoopbackServer.js';
 
 /** Address of a server. */
 interface Target {
@@ -22,33 +22,24 @@
   /** Number of bytes of the longest answer so far. */
   longest = 0;
 
-  readonly #sockets = new Set<Socket>();
-
-  readonly #server;
+  readonly #server: LoopbackServer;
 
   constructor(target: Target) {
-    this.#server = createServer((socket) => this.#pass(socket, connect(target)));
+    this.#server = new LoopbackServer((socket) => this.#pass(socket, connect(target)));
   }
 
   async start(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
-    await once(this.#server, 'listening');
-    return (this.#server.address() as AddressInfo).port;
+    return this.#server.start();
   }
 
   stop(): void {
-    this.#server.close();
-    this.#sockets.forEach((socket) => socket.destroy());
+    this.#server.stop();
   }
 
   #pass(socket: Socket, upstream: Socket): void {
     let passed = 0;
     let isCut = false;
-    [socket, upstream].forEach((each) => {
-      this.#sockets.add(each);
-      each.on('error', () => undefined);
-      each.on('close', () => this.#sockets.delete(each));
-    });
+    this.#server.track(upstream);
     socket.on('data', (bytes) => {
       // Begins a request, as callers send none before the one before is answered.
       passed = 0;
--- a/src/daemon/__tests__/unit/DaemonAnswers.test.ts
+++ b/src/daemon/__tests__/unit/DaemonAnswers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
 import { request } from 'undici';
+import { writeEndlessly } from '../../../__tests__/utils/LoopbackServer.js';
 import { GatePath, type GateScript } from '../utils/GatePath.js';
 
 /** Longer than it takes to read as much as an answer may have, ms. */
@@ -103,13 +104,7 @@
     const piece = Buffer.alloc(65_536, 'x');
     const [status, , body] = await call((socket) => {
       answer(200, [TEXT, `content-length: ${2 ** 32}`])(socket);
-      const write = (): void => {
-        while (socket.writable && socket.write(piece)) {
-          // Until the socket is full.
-        }
-      };
-      socket.on('drain', write);
-      write();
+      writeEndlessly(socket, piece);
     }, LONG_DEADLINE_MS);
     assert.deepEqual([status, /"code":"(\w+)"/.exec(body)?.[1]], [502, 'outcome_unknown']);
   });
--- a/src/daemon/__tests__/utils/GatePath.ts
+++ b/src/daemon/__tests__/utils/GatePath.ts
@@ -1,8 +1,8 @@
 /** The path of a request through an entry process and a gate to an engine, each with a server of its own. */
-import type { Server } from 'node:http';
-import { createServer, type AddressInfo, type Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import Koa from 'koa';
 import { Agent } from 'undici';
+import { LoopbackServer } from '../../../__tests__/utils/LoopbackServer.js';
 import type { MemberRecord } from '../../../protocol/index.js';
 import { openAgent, serveHttp } from '../../../transport/index.js';
 import { DaemonGate, type GateOptions } from '../../DaemonGate.js';
@@ -22,10 +22,6 @@
 /** Script of an engine: writes its answer to the socket of a connection. */
 export type GateScript = (socket: Socket) => void;
 
-function portOf(server: Server | ReturnType<typeof createServer>): number {
-  return (server.address() as AddressInfo).port;
-}
-
 /** Servers of one test. */
 export class GatePath {
   readonly #closers: (() => void)[] = [];
@@ -36,20 +32,9 @@
 
   /** Returns the port of an engine. */
   async startEngine(script: GateScript): Promise<number> {
-    const sockets: Socket[] = [];
-    const server = createServer((socket) => {
-      sockets.push(socket);
-      socket.on('error', ignore);
-      socket.once('data', () => script(socket));
-    });
-    await new Promise<void>((resolve) => {
-      server.listen(0, '127.0.0.1', resolve);
-    });
-    this.#closers.push(() => {
-      server.close();
-      sockets.forEach((socket) => socket.destroy());
-    });
-    return portOf(server);
+    const server = new LoopbackServer((socket) => socket.once('data', () => script(socket)));
+    this.#closers.push(() => server.stop());
+    return server.start();
   }
 
   /** Returns the record of a gate; `port` is that of its engine. */
@@ -114,6 +99,6 @@
       stop.abort();
       server.closeAllConnections();
     });
-    return portOf(server);
+    return (server.address() as AddressInfo).port;
   }
 }
--- a/src/transport/__tests__/unit/TransportCall.test.ts
+++ b/src/transport/__tests__/unit/TransportCall.test.ts
@@ -6,6 +6,7 @@
 import { describe, it } from 'node:test';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Dispatcher, Pool } from 'undici';
+import { LoopbackServer, writeEndlessly } from '../../../__tests__/utils/LoopbackServer.js';
 import { MAX_CHUNKS_PER_TURN, openPool, startCall, type CallListener } from '../../index.js';
 
 /** Prints its port, then for each connection whether it was reset or is still open, and the bytes received. */
@@ -111,41 +112,19 @@
 /** Chunks of one byte, as many as a socket buffers and more. */
 const SMALL_CHUNKS = Buffer.from('1\r\nx\r\n'.repeat(20_000));
 
-/** An endpoint that answers with chunks of one byte without end, with the bytes that it could send. */
-async function startEndlessServer(): Promise<{
-  readonly origin: string;
-  readonly sentBytes: () => number;
-  readonly close: () => void;
-}> {
-  const sockets: Socket[] = [];
-  const server = createServer((socket) => {
-    sockets.push(socket);
-    socket.on('error', () => undefined);
+/** An endpoint that answers with chunks of one byte without end. */
+function endlessServer(): LoopbackServer {
+  return new LoopbackServer((socket) => {
     socket.once('data', () => {
       socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n');
-      const write = (): void => {
-        while (socket.writable && socket.write(SMALL_CHUNKS)) {
-          // Until the socket is full.
-        }
-      };
-      socket.on('drain', write);
-      write();
+      writeEndlessly(socket, SMALL_CHUNKS);
     });
   });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  return {
-    origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
-    sentBytes: () =>
-      sockets.reduce(
-        (sum, { bytesWritten, writableLength }) => sum + bytesWritten - writableLength,
-        0,
-      ),
-    close: () => {
-      server.close();
-      sockets.forEach((socket) => socket.destroy());
-    },
-  };
+}
+
+/** Number of bytes that a server could send. */
+function sentBytes({ sockets }: LoopbackServer): number {
+  return sockets.reduce((sum, socket) => sum + socket.bytesWritten - socket.writableLength, 0);
 }
 
 /** What the operating system holds of a connection on its way, in bytes. */
@@ -240,8 +219,8 @@
 
   // Guards against a buffer of the socket that grows with each pause of an answer in small chunks.
   it('takes in no more than it reads, however often it pauses', async () => {
-    const server = await startEndlessServer();
-    const endpoint = openPool(server.origin, 1);
+    const server = endlessServer();
+    const endpoint = openPool(`http://127.0.0.1:${await server.start()}`, 1);
     let received = 0;
     const call = { method: 'GET', path: '/', headers: [], body: null, readDelay: () => 4 };
     const running = startCall(endpoint, call, {
@@ -251,18 +230,18 @@
       },
     });
     await delay(4_000);
-    const taken = server.sentBytes();
+    const taken = sentBytes(server);
     running.abort();
     await endpoint.pool.destroy();
-    server.close();
+    server.stop();
     assert.ok(received > 50_000, `${received} bytes received`);
     const framed = 6 * received;
     assert.ok(taken < framed + MAX_KERNEL_BYTES, `${taken} bytes taken, ${framed} passed on`);
   });
 
   it('passes on nothing while it is paused, and can be aborted then', async () => {
-    const server = await startEndlessServer();
-    const endpoint = openPool(server.origin, 1);
+    const server = endlessServer();
+    const endpoint = openPool(`http://127.0.0.1:${await server.start()}`, 1);
     let received = 0;
     const running = startCall(
       endpoint,
@@ -286,7 +265,7 @@
     await delay(100);
     assert.equal(received, last);
     await endpoint.pool.destroy();
-    server.close();
+    server.stop();
   });
 
   // An uncaught exception on aborting a call during its answer would end the process with all its streams.
--- a/src/transport/__tests__/unit/TransportHttp.test.ts
+++ b/src/transport/__tests__/unit/TransportHttp.test.ts
@@ -62,6 +62,13 @@
     assert.equal(await bodyOf(chunked(1, 4), limit), 'xxxx');
   });
 
+  // Guards against a refusal that its caller never gets, as its unread body resets the connection.
+  it('reads a body that is too large up to the limit before it refuses it', async () => {
+    const limit = { maxBytes: 4 };
+    assert.equal(await bodyOf(`${HEAD}content-length: 5\r\n\r\nxxxx`, limit, true), 'bad_request');
+    assert.equal(await bodyOf(`${HEAD}content-length: 5\r\n\r\nxxxxx`, limit, true), 'too_large');
+  });
+
   it('refuses a body whose caller has left', async () => {
     assert.equal(await bodyOf(`${HEAD}content-length: 4\r\n\r\nbo`, {}, true), 'bad_request');
   });
