--- a/src/coordination/HeldBytes.ts
+++ b/src/coordination/HeldBytes.ts
@@ -1,6 +1,6 @@
 /**
- * Bounds the bytes that a process holds for all of its requests together. Each answer has a limit of its own, but some
- * at once that stay below it would fill the memory, and the process would end with all of its requests.
+ * Bounds the bytes that a process holds for all of its requests together. Each answer has a limit of its own, but several
+ * that stay below it would fill the memory together, and the process would end with all of its requests.
  */
 
 /** Bytes by holder, with their bound. */
