--- a/tools/UnitMain.ts
+++ b/tools/UnitMain.ts
@@ -24,9 +24,22 @@
   }
 }
 
-/** Runs the test files; forwards their output, and returns it with the exit code. */
-async function runTests(files: readonly string[]): Promise<{ tap: string; code: number }> {
-  const args = ['--import', 'tsx', '--test', `--test-timeout=${TEST_TIMEOUT_MS}`, ...files];
+/** Files of tests that measure the memory of processes; they run one at a time, after all others. */
+const SERIAL_SUFFIX = 'Crowd.test.ts';
+
+/** Output and exit code of a run. */
+interface TestRun {
+  readonly tap: string;
+  readonly code: number;
+}
+
+/** Runs test files; forwards their output, and returns it with the exit code. */
+async function runTests(files: readonly string[], flags: readonly string[]): Promise<TestRun> {
+  if (files.length === 0) {
+    return { tap: '', code: 0 };
+  }
+  const timeout = `--test-timeout=${TEST_TIMEOUT_MS}`;
+  const args = ['--import', 'tsx', '--test', timeout, ...flags, ...files];
   const child = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'inherit'] });
   const chunks: Buffer[] = [];
   child.stdout.on('data', (chunk: Buffer) => {
@@ -40,10 +53,20 @@
 }
 
 const known = await readKnownFailures();
-const { tap, code } = await runTests(process.argv.slice(2));
-const results = parseResults(tap);
+const files = process.argv.slice(2);
+const parallel = await runTests(
+  files.filter((file) => !file.endsWith(SERIAL_SUFFIX)),
+  [],
+);
+const serial = await runTests(
+  files.filter((file) => file.endsWith(SERIAL_SUFFIX)),
+  ['--test-concurrency=1'],
+);
+const results = parseResults(`${parallel.tap}\n${serial.tap}`);
 const verdict = evaluateResults(results, known);
 verdict.lines.forEach((line) => process.stderr.write(`${line}\n`));
 // The runner can fail without a failed test, for example on a file that can't be loaded.
-const unexplained = code !== 0 && results.failed.size === 0;
+const unexplained = [parallel, serial].some(
+  ({ tap, code }) => code !== 0 && parseResults(tap).failed.size === 0,
+);
 process.exitCode = verdict.ok && !unexplained && results.seen.size > 0 ? 0 : 1;
