Bound the values and the findings of JSON from clients

One call could end a control process: a document of 256 KiB with 87,000 empty routes, or a heartbeat or a document of 8 MiB with 2.8 million empty objects. Operators and engines then lost that process's hub; nothing but the address is needed to send one.

Cause: the limit counts bytes of text. Parsing makes an object of each value, and validating makes several findings, with their paths, of each invalid element. Evidence, a heap of 160 MB as in the deploy file: 8 MiB of {} fill it in JSON.parse, 4 MiB don't; 256 KiB of {} as routes fill it in the validation.

Now a text with more than 200,000 values is refused before it is parsed, and the elements of a list are validated one by one until there are 100 findings. A refused document gets 400, as each invalid one does.

--- a/src/protocol/index.ts
+++ b/src/protocol/index.ts
@@ -9,6 +9,7 @@
   RequestHead,
 } from './ProtocolDialect.js';
 export { FindingsError, formatFinding, type Finding } from './ProtocolFindings.js';
+export { MAX_JSON_VALUES, parseJson } from './ProtocolJson.js';
 export {
   manifestSchema,
   type Customer,
