Bound the messages of a link until its peer has sent one

Four connections to the port for links that send bytes which form no message took a control process to 386 MB and an endpoint process to 415 MB in two seconds, where the test allows 250. Any client that reaches the port could do so.

Cause: an incomplete message is kept until it is complete, whatever its size, and copied with each read; a link without a message ends only after 2 s. Evidence: PlatformControlCrowd with a message that announces 4 GB.

Now the first message on an accepted link may have 64 KiB, and each later one 64 MiB; beyond that the link is closed.

--- a/src/transport/TransportLink.ts
+++ b/src/transport/TransportLink.ts
@@ -31,6 +31,13 @@
 /** Error code for a request without an answer in time; it is set locally and never sent by a peer. */
 const TIMEOUT_CODE = -32_000;
 
+/**
+ * Maximum size of a message, in bytes, and of the first one on a link that was accepted. Incomplete messages are kept,
+ * and until its first message the peer may be any client; the side that opens a link begins with a small one.
+ */
+const MAX_MESSAGE_BYTES = 64 * 1_048_576;
+const MAX_FIRST_MESSAGE_BYTES = 65_536;
+
 /** Handler of a method; its result is the reply. */
 export type LinkHandler = (params: unknown, link: TransportLink) => unknown;
 
@@ -64,6 +71,12 @@
 
   #lastReceivedAt = this.#openedAt;
 
+  /** Bytes received since the last complete message. */
+  #pendingBytes = 0;
+
+  /** Bound on the bytes of the next message. */
+  #maxPendingBytes: number;
+
   #hasDropped = false;
 
   #hasTimedOut = false;
@@ -76,6 +89,7 @@
   ) {
     this.#socket = socket;
     this.peer = peer;
+    this.#maxPendingBytes = peer === '' ? MAX_FIRST_MESSAGE_BYTES : MAX_MESSAGE_BYTES;
     this.#isCut = isCut;
     socket.setNoDelay(true);
     const server = new JSONRPCServer({ errorListener: () => undefined });
@@ -173,6 +187,8 @@
   #read(): void {
     const unpacker = new UnpackrStream();
     unpacker.on('data', (payload: unknown) => {
+      this.#pendingBytes = 0;
+      this.#maxPendingBytes = MAX_MESSAGE_BYTES;
       if (!this.#isDropping()) {
         this.#lastReceivedAt = performance.now();
         this.#rpc.receiveAndSend(payload, undefined, undefined).catch(() => undefined);
@@ -181,6 +197,12 @@
     // After a decoding error the message boundaries are unknown, so the link is closed and opened anew.
     unpacker.on('error', () => this.close());
     this.#socket.on('error', () => this.close());
+    this.#socket.on('data', (bytes: Buffer) => {
+      this.#pendingBytes += bytes.length;
+      if (this.#pendingBytes > this.#maxPendingBytes + bytes.length) {
+        this.close();
+      }
+    });
     this.#socket.pipe(unpacker);
   }
 
--- a/src/transport/TransportLinkConnector.ts
+++ b/src/transport/TransportLinkConnector.ts
@@ -87,6 +87,7 @@
       const socket = await openSocket(target.address, signal);
       const link = new TransportLink(socket, target.name, handlers, isCut);
       link.target = target.name;
+      link.notify(HEARTBEAT_METHOD, {});
       return link;
     } catch (err) {
       this.#fail(target.name, 'connect', err);
