Bound the connections of a server and the requests on each

Two crowds kept all other callers from their answers. Eight connections with 2,000 small GETs sent behind each other, answers unread, ended an entry process (V8's heap of 64 MB was full; 20 connections fill the 160 MB of the deploy file). 700 connections with one byte each took the 600 descriptors of a process: no ordinary request was answered while they stayed.

Cause: each request that the HTTP server has parsed is begun, however many of its connection are unanswered; and connections are accepted until the operating system refuses one, the process's own to endpoints included.

Now a connection with more than 64 unanswered requests is closed; so is one with more than one where all connections together have 2,000. Three quarters of the descriptors (limits.maxFds of the settings, less the 200 reserved ones) are for clients' connections; at that number the one that is needed least is closed for a new one: one without a request, then an idle one, then one whose request is incomplete. One whose request is complete is never closed for that. A counter has each closed connection, and the log 20 lines in 10 s.

--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -11,7 +11,13 @@
   type HttpDialect,
   type RetryAllowance,
 } from '../../protocol/index.js';
-import { serveHttp, type Address } from '../../transport/index.js';
+import {
+  createHttpServer,
+  serveHttp,
+  type Address,
+  type RequestHandler,
+} from '../../transport/index.js';
+import { connectionBoundsOf } from '../DaemonConnections.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
 import { RETRY_GRANT_METHOD, type RetryGrantRequest } from '../DaemonRetryGrants.js';
@@ -45,6 +51,8 @@
   readonly graceMs: number;
   /** Memory that the process may use, in bytes; null or absent where it isn't limited. */
   readonly memoryBytes?: number | null;
+  /** Number of descriptors that the process may open; null or absent where it isn't limited. */
+  readonly maxDescriptors?: number | null;
   readonly retries: RetryAllowance;
   /** Bounds on the requests to cold endpoints; the defaults if absent. */
   readonly coldBounds?: ColdBounds;
@@ -170,13 +178,14 @@
   /** Starts to listen for callers, and runs the periodic tasks until the signal is aborted. */
   async serve(signal: AbortSignal): Promise<Server> {
     const { callers } = this.#cfg;
-    const server = createServer({ keepAlive: true, noDelay: true }, (req, res) => {
+    const onRequest: RequestHandler = (req, res) => {
       this.#onRequest(req, res).catch((err: unknown) => {
         this.#runtime.log.error({ err }, 'request failed');
         res.destroy();
       });
-    });
-    server.requestTimeout = 0;
+    };
+    const bounds = connectionBoundsOf(this.#runtime, this.#cfg.maxDescriptors ?? null);
+    const server = createHttpServer({ keepAlive: true, noDelay: true }, onRequest, bounds);
     this.#connections = new DirectCallerConnections(server);
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
--- a/src/transport/TransportHttp.ts
+++ b/src/transport/TransportHttp.ts
@@ -1,10 +1,17 @@
 /** HTTP servers with koa, and reading of bodies and headers. */
-import { createServer, type IncomingMessage, type Server } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
 import type Koa from 'koa';
 import { RequestError } from '../protocol/index.js';
 import type { Address } from './TransportAddress.js';
 import { ByteCollector } from './TransportBytes.js';
 import { ChunkReader, type ReadDelay } from './TransportChunks.js';
+import { ConnectionGuard, type ConnectionBounds } from './TransportConnections.js';
 
 /** Maximum size of a request body where nothing else is configured, in bytes. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -17,14 +24,42 @@
 /** How long idle connections are kept, ms: longer than our clients do, so that they close first. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 
+/** Handles one request. */
+export type RequestHandler = (req: IncomingMessage, res: ServerResponse) => void;
+
+/** Bounds of a server whose descriptors aren't limited. */
+const DEFAULT_BOUNDS: ConnectionBounds = { maxConnections: null, onClosed: () => undefined };
+
+/** Creates a server with bounds on the connections of its clients. */
+export function createHttpServer(
+  options: ServerOptions,
+  handler: RequestHandler,
+  bounds = DEFAULT_BOUNDS,
+): Server {
+  const server = createServer(options);
+  const guard = new ConnectionGuard(server, bounds);
+  server.on('request', (req, res) => {
+    if (guard.admit(req, res)) {
+      handler(req, res);
+    }
+  });
+  server.requestTimeout = 0;
+  return server;
+}
+
 /** Serves a koa application until the signal aborts; requests in progress are completed. */
-export async function serveHttp(app: Koa, address: Address, signal: AbortSignal): Promise<Server> {
+export async function serveHttp(
+  app: Koa,
+  address: Address,
+  signal: AbortSignal,
+  bounds = DEFAULT_BOUNDS,
+): Promise<Server> {
   const handler = app.callback();
-  const server = createServer((req, res) => {
+  const onRequest: RequestHandler = (req, res) => {
     handler(req, res).catch(() => res.destroy());
-  });
+  };
+  const server = createHttpServer({}, onRequest, bounds);
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
-  server.requestTimeout = 0;
   signal.addEventListener('abort', () => {
     server.close();
     server.closeIdleConnections();
--- a/src/transport/index.ts
+++ b/src/transport/index.ts
@@ -26,13 +26,16 @@
   readFrames,
 } from './TransportFrames.js';
 export { EventScanner } from './TransportEventScanner.js';
+export type { CloseReason, ConnectionBounds } from './TransportConnections.js';
 export {
+  createHttpServer,
   headerOf,
   MAX_ANSWER_BYTES,
   MAX_BODY_BYTES,
   readBody,
   serveHttp,
   type BodyOptions,
+  type RequestHandler,
 } from './TransportHttp.js';
 export {
   HEARTBEAT_METHOD,
