Take the overhead of a process off the memory that answers may take

60 callers that ask for answers of 4 MiB and read none took an entry process to 302 MB, where 250 were allowed.

Cause: answers could take a quarter of the whole memory, of which the process itself uses 100 MB, and buffers that wait for the garbage collector as much again: sampled each 5 ms, the buffers outside the heap had 115 to 126 MB at a bound of 62. The blocks of a body are garbage once they are joined, and V8 collects such memory only after some 64 MB.

Now answers may take 0.35 of what is left after 150 MB: 70 MB of 350 (87 before), 35 of 250, and at least 16 MiB. Blocks are used again, up to 8 MB of them.

The sizes in DirectCallBuffer.test.ts follow the new minimum; what they check is unchanged.

--- a/src/daemon/direct/DirectReadLimits.ts
+++ b/src/daemon/direct/DirectReadLimits.ts
@@ -9,14 +9,12 @@
   type ChunkRate,
 } from '../../coordination/index.js';
 import type { ReadDelay } from '../../transport/index.js';
+import { heldBytesOf } from '../DaemonMemory.js';
 import type { Runtime } from '../DaemonRuntime.js';
 import { DirectSharedChunks } from './DirectSharedChunks.js';
 
-/** Share of the memory of the process that answers may take; a complete answer is copied once, and callers send bodies. */
-const HELD_SHARE = 0.25;
-
-/** Maximum number of bytes held where the memory isn't limited. */
-const DEFAULT_HELD_BYTES = 134_217_728;
+/** Share of the memory that answers may take; a complete answer is copied once. */
+const HELD_SHARE = 0.35;
 
 /** Whoever holds bytes. */
 export interface ByteHolder {
@@ -45,7 +43,7 @@
     this.#runtime = runtime;
     this.#ofAnswers = new DirectSharedChunks(runtime.now());
     this.#ofRequests = new DirectSharedChunks(runtime.now());
-    this.#maxBytes = memoryBytes === null ? DEFAULT_HELD_BYTES : memoryBytes * HELD_SHARE;
+    this.#maxBytes = heldBytesOf(memoryBytes, HELD_SHARE);
     this.#held = new HeldBytes(this.#maxBytes);
     const held = this.#held;
     // eslint-disable-next-line no-new
--- a/src/daemon/direct/__tests__/unit/DirectCallBuffer.test.ts
+++ b/src/daemon/direct/__tests__/unit/DirectCallBuffer.test.ts
@@ -9,8 +9,8 @@
 
 const MEMORY_BYTES = 4_000_000;
 
-/** A quarter of the memory. */
-const MAX_HELD_BYTES = 1_000_000;
+/** What answers may take at least. */
+const MAX_HELD_BYTES = 16_777_216;
 
 const ignore = (): void => undefined;
 
@@ -97,16 +97,16 @@
   it('counts a complete answer until its caller has read it, and cuts it if it holds the most', async () => {
     const fixture = new Fixture();
     const slow = fixture.open('slow');
-    slow.reply.unreadBytes = 900_000;
-    slow.buffer.passWhole(START, answerOf(900_000));
-    assert.equal(await fixture.heldBytes(), 900_000);
-    fixture.open('next').buffer.setReceived(200_000);
+    slow.reply.unreadBytes = 14_400_000;
+    slow.buffer.passWhole(START, answerOf(14_400_000));
+    assert.equal(await fixture.heldBytes(), 14_400_000);
+    fixture.open('next').buffer.setReceived(3_200_000);
     assert.deepEqual(fixture.log, ['cut slow']);
     const read = fixture.open('read');
-    read.reply.unreadBytes = 500_000;
-    read.buffer.passWhole(START, answerOf(500_000));
+    read.reply.unreadBytes = 8_000_000;
+    read.buffer.passWhole(START, answerOf(8_000_000));
     read.reply.onClose();
-    assert.equal(await fixture.heldBytes(), 200_000);
+    assert.equal(await fixture.heldBytes(), 3_200_000);
   });
 
   it('counts no answer that its caller has read, or whose caller has left', async () => {
--- a/src/transport/TransportBytes.ts
+++ b/src/transport/TransportBytes.ts
@@ -4,6 +4,15 @@
 const MIN_BLOCK_BYTES = 1_024;
 const MAX_BLOCK_BYTES = 262_144;
 
+/** Maximum number of blocks that are kept to be used again. */
+const MAX_FREE_BLOCKS = 32;
+
+/**
+ * Blocks of the largest size that are in use no more. Memory outside the heap is only freed when the garbage collector
+ * runs, so that blocks which aren't used again would take several times the bytes that are held.
+ */
+const freeBlocks: Buffer[] = [];
+
 /** Collects the bytes of a body in blocks. */
 export class ByteCollector {
   #blocks: Buffer[] = [];
@@ -13,6 +22,13 @@
 
   #length = 0;
 
+  #capacity = 0;
+
+  /** Size of all blocks, in bytes. */
+  get capacity(): number {
+    return this.#capacity;
+  }
+
   /** Number of bytes collected. */
   get length(): number {
     return this.#length;
@@ -38,18 +54,25 @@
   /** Returns all bytes and becomes empty. */
   take(): Buffer {
     const [first] = this.#blocks;
-    const bytes =
-      first !== undefined && this.#blocks.length === 1
-        ? first.subarray(0, this.#length)
-        : Buffer.concat(this.#blocks, this.#length);
+    if (first !== undefined && this.#blocks.length === 1) {
+      const bytes = first.subarray(0, this.#length);
+      this.#blocks = [];
+      this.clear();
+      return bytes;
+    }
+    const bytes = Buffer.concat(this.#blocks, this.#length);
     this.clear();
     return bytes;
   }
 
+  /** Drops all bytes. */
   clear(): void {
+    const free = this.#blocks.filter(({ length }) => length === MAX_BLOCK_BYTES);
+    freeBlocks.push(...free.slice(0, MAX_FREE_BLOCKS - freeBlocks.length));
     this.#blocks = [];
     this.#used = 0;
     this.#length = 0;
+    this.#capacity = 0;
   }
 
   #blockWithSpace(wanted: number): Buffer {
@@ -58,8 +81,10 @@
       return last;
     }
     const size = Math.max(MIN_BLOCK_BYTES, Math.min(MAX_BLOCK_BYTES, this.#length + wanted));
-    const block = Buffer.allocUnsafeSlow(size);
+    const free = size === MAX_BLOCK_BYTES ? freeBlocks.pop() : undefined;
+    const block = free ?? Buffer.allocUnsafeSlow(size);
     this.#blocks.push(block);
+    this.#capacity += size;
     this.#used = 0;
     return block;
   }
