Bound what a process holds of all request bodies together

60 connections with bodies of 4 MiB, stopped short of the end, took an entry process to 375 MB where 250 were allowed; complete ones to 473, bodies without end to 331, and 30 documents of 8 MiB a control process to 380. The platform ends such a process with all of its requests. 100 heads that announced 4 GB were neither refused nor closed in 15 s. No key was needed.

Cause: each body had a limit, and all together had none; a body that stopped short was kept as long as its connection; complete ones until their requests ended; bodies were read before the key and the path were looked at. A body announced over its limit was waited for, since an early refusal was lost with the reset of its connection.

Now all bodies of a process draw on one budget, a quarter of the memory beyond 150 MB (50 of 350 MB, 128 MiB where nothing limits it), from the first byte to the end of their requests. When it is used up, the incomplete body that has cost most is refused, by bytes times the time since it began: a crowd that stops short pays, small and quick bodies don't, nor does one that is complete. Large complete bodies leave a quarter to those of up to 64 KiB. The budget is never less than 1.5 bodies of the maximum size, so that a single one is served. The refusal is 503 with Retry-After: not run.

A body has to be complete within the time that its request has in all (the caller's own or its route's, a minute where neither is known), after which no answer could count; then it is refused with 408. Paths and keys that certainly don't exist are refused before the body, and bodies announced over the limit at once. A response that is sent before the end of the body keeps the connection for a second, 16 MiB or 2,000 chunks while the rest is dropped, so that it isn't lost. All servers of all roles do so; the gate, the product's callers' API and the administration API read through the same budget.

The test that a body over its limit is read up to it before the refusal checked how a refusal reaches its caller. It is replaced by one of just that: a caller that sends all of 12 MiB before it reads gets the refusal, and no reset (TransportResponse.test.ts).

--- a/src/coordination/index.ts
+++ b/src/coordination/index.ts
@@ -166,6 +166,7 @@
   type ChunkAllowance,
   type ChunkRate,
 } from './ChunkAllowance.js';
+export { BodyBudget } from './BodyBudget.js';
 export { HeldBytes } from './HeldBytes.js';
 export {
   BUCKET_BYTES,
--- a/src/daemon/DaemonAdmin.ts
+++ b/src/daemon/DaemonAdmin.ts
@@ -5,6 +5,7 @@
 import {
   FindingsError,
   parseManifestQuickly,
+  RequestError,
   type Manifest,
   type MemberRecord,
   type SubmitReply,
@@ -17,7 +18,8 @@
   checkSubmission,
   evacuationsOf,
 } from '../state/index.js';
-import { readBody } from '../transport/index.js';
+import { sendError } from './DaemonApp.js';
+import type { DaemonBodies } from './DaemonBodies.js';
 import type { DaemonConsensus } from './DaemonConsensus.js';
 import type { UrgencyLevel } from './DaemonDemand.js';
 import type { DaemonHub } from './DaemonHub.js';
@@ -25,6 +27,7 @@
 /** Dependencies of the API. */
 export interface AdminOptions {
   readonly name: string;
+  readonly bodies: DaemonBodies;
   readonly consensus: DaemonConsensus;
   readonly hub: DaemonHub;
   readonly submit: (manifest: Manifest) => Promise<SubmitReply>;
@@ -74,8 +77,8 @@
 
 const HTTP_STATUS = { accepted: 200, conflict: 409, older: 409, unavailable: 503 } as const;
 
-async function readManifest(ctx: Context): Promise<Manifest> {
-  const body = await readBody(ctx.req);
+async function readManifest({ bodies }: AdminOptions, ctx: Context): Promise<Manifest> {
+  const body = await bodies.read(ctx.req, ctx.res);
   return parseManifestQuickly(body.toString('utf8'));
 }
 
@@ -185,13 +188,14 @@
   'GET /v1/status': async (options) => getStatus(options),
   'GET /v1/endpoints': async (options) => getEndpoints(options),
   'GET /v1/groups': async (options) => getGroups(options),
-  'POST /v1/manifests/check': async (_options, ctx) => {
-    const manifest = await readManifest(ctx);
+  'POST /v1/manifests/check': async (options, ctx) => {
+    const manifest = await readManifest(options, ctx);
     return { fleet: manifest.fleet, version: manifest.version, digest: digestManifest(manifest) };
   },
-  'POST /v1/manifests/diff': async (options, ctx) => diffManifest(options, await readManifest(ctx)),
-  'POST /v1/manifests': async ({ submit }, ctx) => {
-    const reply = await submit(await readManifest(ctx));
+  'POST /v1/manifests/diff': async (options, ctx) =>
+    diffManifest(options, await readManifest(options, ctx)),
+  'POST /v1/manifests': async (options, ctx) => {
+    const reply = await options.submit(await readManifest(options, ctx));
     ctx.status = HTTP_STATUS[reply.result];
     if (reply.result === 'unavailable') {
       ctx.set('retry-after', '1');
@@ -238,6 +242,10 @@
       }
       ctx.body = body ?? { error: 'not found' };
     } catch (err) {
+      if (err instanceof RequestError) {
+        sendError(ctx, err);
+        return;
+      }
       if (!(err instanceof FindingsError)) {
         throw err;
       }
--- a/src/daemon/DaemonControl.ts
+++ b/src/daemon/DaemonControl.ts
@@ -2,6 +2,7 @@
 import { regionsOf } from '../state/index.js';
 import { serveHttp } from '../transport/index.js';
 import { addAdminApi } from './DaemonAdmin.js';
+import { DaemonBodies } from './DaemonBodies.js';
 import { addEvacuationApi } from './DaemonEvacuationApi.js';
 import { addQuarantineApi } from './DaemonQuarantineApi.js';
 import { startControlCore } from './DaemonControlCore.js';
@@ -55,6 +56,7 @@
   });
   addAdminApi(app, {
     name: cfg.id,
+    bodies: new DaemonBodies(runtime, null),
     consensus,
     hub,
     submit: async (manifest) => core.submit(manifest),
--- a/src/daemon/DaemonEndpoint.ts
+++ b/src/daemon/DaemonEndpoint.ts
@@ -7,6 +7,7 @@
 import { DaemonGate } from './DaemonGate.js';
 import { DaemonHubLink, preferOwnZone } from './DaemonHubLink.js';
 import { createApp } from './DaemonApp.js';
+import { DaemonBodies } from './DaemonBodies.js';
 import { waitForAbort, runEvery, type Runtime } from './DaemonRuntime.js';
 import type { EndpointSettings } from './DaemonSettings.js';
 
@@ -77,6 +78,7 @@
     gate: asFunction(
       ({ agent, hubLink }: Cradle) =>
         new DaemonGate({
+          bodies: new DaemonBodies(runtime, null),
           runtime,
           agent,
           engine: cfg.engine,
--- a/src/daemon/DaemonEntry.ts
+++ b/src/daemon/DaemonEntry.ts
@@ -2,6 +2,7 @@
 import { asFunction, asValue, createContainer, InjectionMode } from 'awilix';
 import { Agent } from 'undici';
 import { serveHttp } from '../transport/index.js';
+import { DaemonBodies } from './DaemonBodies.js';
 import { addCallerApi } from './DaemonEntryApi.js';
 import { DaemonEntryState } from './DaemonEntryState.js';
 import { DaemonHubLink, preferOwnZone } from './DaemonHubLink.js';
@@ -80,7 +81,8 @@
     const ready = state.isReady && !signal.aborted;
     return { ready, reason: signal.aborted ? 'leaving' : state.readiness };
   });
-  addCallerApi(app, { id: cfg.id, runtime, state, agent, hubLink });
+  const bodies = new DaemonBodies(runtime, null);
+  addCallerApi(app, { id: cfg.id, runtime, bodies, state, agent, hubLink });
   await serveHttp(app, cfg.http, stop.signal);
   runEvery(TICK_MS, stop.signal, () => state.tick());
   runtime.log.info({ event: 'listening', http: cfg.http }, 'entry process is listening');
--- a/src/daemon/DaemonEntryApi.ts
+++ b/src/daemon/DaemonEntryApi.ts
@@ -5,13 +5,14 @@
 import * as z from 'zod';
 import type { Agent } from 'undici';
 import { hashText, serviceKey } from '../coordination/index.js';
-import { CALLER_HEADERS, RequestError } from '../protocol/index.js';
+import { CALLER_HEADERS, parseJson, RequestError } from '../protocol/index.js';
 import type { FleetService } from '../state/index.js';
-import { headerOf, readBody } from '../transport/index.js';
+import { headerOf } from '../transport/index.js';
 import { DaemonEntryCall, type CallSpec } from './DaemonEntryCall.js';
 import type { DaemonEntryState } from './DaemonEntryState.js';
 import type { DaemonHubLink } from './DaemonHubLink.js';
 import { sendError } from './DaemonApp.js';
+import type { DaemonBodies } from './DaemonBodies.js';
 import type { Runtime } from './DaemonRuntime.js';
 
 /** How many leading characters of a prompt decide which endpoint may hold its prefix. */
@@ -21,6 +22,7 @@
 export interface CallerApiOptions {
   readonly id: string;
   readonly runtime: Runtime;
+  readonly bodies: DaemonBodies;
   readonly state: DaemonEntryState;
   readonly agent: Agent;
   readonly hubLink: DaemonHubLink;
@@ -44,7 +46,7 @@
 function parseCompletion(body: Buffer): z.infer<typeof completionSchema> {
   let json: unknown;
   try {
-    json = JSON.parse(body.toString('utf8'));
+    json = parseJson(body.toString('utf8'));
   } catch (err) {
     throw new RequestError('bad_request', `body: ${(err as Error).message}`);
   }
@@ -111,14 +113,14 @@
 }
 
 async function readCall(ctx: Context, options: CallerApiOptions): Promise<CallSpec> {
-  const { state, runtime } = options;
+  const { bodies, state, runtime } = options;
   const { req } = ctx;
   if (!state.isReady) {
     throw new RequestError('not_ready', state.readiness);
   }
   refuseIdempotencyKey(req);
   const customer = state.customer(headerOf(req, CALLER_HEADERS.customer));
-  const body = await readBody(req);
+  const body = await bodies.read(req, ctx.res);
   const isCompletion = ctx.method === 'POST' && COMPLETION_PATHS.has(ctx.path);
   const { service, prefix, streamed } = isCompletion
     ? findModelTarget(state, body)
--- a/src/daemon/DaemonGate.ts
+++ b/src/daemon/DaemonGate.ts
@@ -20,21 +20,17 @@
   type MemberRecord,
   type RevokeReply,
 } from '../protocol/index.js';
-import {
-  FRAMES_CONTENT_TYPE,
-  FrameWriter,
-  headerOf,
-  readBody,
-  type Probe,
-} from '../transport/index.js';
+import { FRAMES_CONTENT_TYPE, FrameWriter, headerOf, type Probe } from '../transport/index.js';
 import { relayEvents, relayBody } from './DaemonGateRelay.js';
 import { sendError } from './DaemonApp.js';
+import type { DaemonBodies } from './DaemonBodies.js';
 import type { Runtime } from './DaemonRuntime.js';
 
 /** Dependencies of {@link DaemonGate}. */
 export interface GateOptions {
   readonly runtime: Runtime;
   readonly agent: Dispatcher;
+  readonly bodies: DaemonBodies;
   /** URL of the engine. */
   readonly engine: string;
   readonly slots: number;
@@ -142,7 +138,7 @@
 
   async #onAttempt(ctx: Context): Promise<void> {
     const hop = readHopHeaders(ctx);
-    const body = await readBody(ctx.req);
+    const body = await this.#options.bodies.read(ctx.req, ctx.res);
     const { key, target, customer } = hop;
     const output = this.step({ type: 'attempt', key, target, customer });
     if (output?.type === 'refuse') {
--- a/src/daemon/__tests__/utils/GatePath.ts
+++ b/src/daemon/__tests__/utils/GatePath.ts
@@ -1,10 +1,12 @@
 /** The path of a request through an entry process and a gate to an engine, each with a server of its own. */
 import type { AddressInfo, Socket } from 'node:net';
 import Koa from 'koa';
+import { Registry } from 'prom-client';
 import { Agent } from 'undici';
 import { LoopbackServer } from '../../../__tests__/utils/LoopbackServer.js';
 import type { MemberRecord } from '../../../protocol/index.js';
 import { openAgent, serveHttp } from '../../../transport/index.js';
+import { DaemonBodies } from '../../DaemonBodies.js';
 import { DaemonGate, type GateOptions } from '../../DaemonGate.js';
 import { addCallerApi, type CallerApiOptions } from '../../DaemonEntryApi.js';
 import type { Runtime } from '../../DaemonRuntime.js';
@@ -15,6 +17,11 @@
 
 const RUNTIME = { log: LOG, now: () => performance.now(), incarnation: 1 } as unknown as Runtime;
 
+/** The bodies of a process; metrics of several processes can't share a registry. */
+function bodies(): DaemonBodies {
+  return new DaemonBodies({ ...RUNTIME, registry: new Registry() }, null);
+}
+
 const ANY_PORT = { host: '127.0.0.1', port: 0 };
 
 const DEADLINE_MS = 2_000;
@@ -47,6 +54,7 @@
     const record = { id: 'e1', incarnation: 1 } as MemberRecord;
     const options: GateOptions = {
       runtime: RUNTIME,
+      bodies: bodies(),
       agent,
       engine: `http://127.0.0.1:${port}`,
       slots: 1,
@@ -86,7 +94,7 @@
       observeFirstByte: ignore,
     };
     const hubLink = { record: { incarnation: 1 } };
-    const options = { id: 'n1', runtime: RUNTIME, state, agent, hubLink };
+    const options = { id: 'n1', runtime: RUNTIME, bodies: bodies(), state, agent, hubLink };
     const app = new Koa();
     addCallerApi(app, options as unknown as CallerApiOptions);
     return this.#serve(app);
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -17,6 +17,7 @@
   type Address,
   type RequestHandler,
 } from '../../transport/index.js';
+import { DaemonBodies } from '../DaemonBodies.js';
 import { connectionBoundsOf } from '../DaemonConnections.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
@@ -137,7 +138,12 @@
       },
     });
     this.#leaving = new DirectLeaving(cfg.graceMs, runtime.now);
-    this.#reader = new DirectRequestReader(this.#state, this.#leaving, runtime.random);
+    this.#reader = new DirectRequestReader(
+      this.#state,
+      new DaemonBodies(runtime, cfg.memoryBytes ?? null),
+      this.#leaving,
+      runtime.random,
+    );
     this.#hubLink = new DaemonHubLink({
       targets: cfg.controls,
       record: {
@@ -267,7 +273,7 @@
     const reply = new DirectReply(res);
     let request: DirectRequest;
     try {
-      request = await this.#reader.read(req, reply, startedAt);
+      request = await this.#reader.read(req, res, reply, startedAt);
     } catch (err) {
       if (!(err instanceof RequestError)) {
         throw err;
--- a/src/daemon/direct/DirectRequestReader.ts
+++ b/src/daemon/direct/DirectRequestReader.ts
@@ -1,24 +1,40 @@
 /** Reads callers' requests at an entry process and decides by which customer and route they are handled. */
-import type { IncomingMessage } from 'node:http';
-import { RequestError, type KeyedCustomer, type Route } from '../../protocol/index.js';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import {
+  RequestError,
+  type ErrorCode,
+  type KeyedCustomer,
+  type Route,
+} from '../../protocol/index.js';
 import { findRoute, pickTarget } from '../../state/index.js';
-import { readBody } from '../../transport/index.js';
+import type { DaemonBodies } from '../DaemonBodies.js';
 import type { DirectEntryState } from './DirectEntryState.js';
 import type { DirectLeaving } from './DirectLeaving.js';
 import type { DirectReply } from './DirectReply.js';
 import type { DirectRequest } from './DirectRequest.js';
 
+/** Codes after which callers don't retry. */
+const FINAL_CODES: ReadonlySet<ErrorCode> = new Set(['unknown_path', 'unknown_key']);
+
 /** Reader of one entry process. */
 export class DirectRequestReader {
   readonly #state: DirectEntryState;
 
+  readonly #bodies: DaemonBodies;
+
   readonly #leaving: DirectLeaving;
 
   /** Returns a number from 0 to 1. */
   readonly #random: () => number;
 
-  constructor(state: DirectEntryState, leaving: DirectLeaving, random: () => number) {
+  constructor(
+    state: DirectEntryState,
+    bodies: DaemonBodies,
+    leaving: DirectLeaving,
+    random: () => number,
+  ) {
     this.#state = state;
+    this.#bodies = bodies;
     this.#leaving = leaving;
     this.#random = random;
   }
@@ -53,10 +69,17 @@
    *
    * @throws {RequestError} if it is refused.
    */
-  async read(req: IncomingMessage, reply: DirectReply, startedAt: number): Promise<DirectRequest> {
+  async read(
+    req: IncomingMessage,
+    res: ServerResponse,
+    reply: DirectReply,
+    startedAt: number,
+  ): Promise<DirectRequest> {
     const head = this.#state.dialect.readRequest(req.headers);
-    const body = await readBody(req, {
+    this.#refuseUnauthorized(req, head.key);
+    const body = await this.#bodies.read(req, res, {
       maxBytes: this.#state.config.routes?.plan.limits.maxBodyBytes,
+      timeoutMs: this.#bodyTimeoutMs(req, head.deadlineMs),
       delay: this.#state.readLimits.openRequestBody(),
     });
     await this.#awaitStartup(reply, startedAt, head.deadlineMs, () => this.#hasConfig);
@@ -86,6 +109,35 @@
     };
   }
 
+  /**
+   * Refuses a request for a path or with a key that certainly doesn't exist before its body is read. Whether one that
+   * can't be served now can be once its body is there is decided then.
+   */
+  #refuseUnauthorized(req: IncomingMessage, key: string | null): void {
+    if (!this.#hasConfig || !this.#state.config.mayDeny) {
+      return;
+    }
+    try {
+      this.#authorize(req, key);
+    } catch (err) {
+      if (err instanceof RequestError && FINAL_CODES.has(err.code)) {
+        throw err;
+      }
+    }
+  }
+
+  /**
+   * Time until the body of a request has to be complete, ms: the time that its answer may take in all. Undefined where
+   * neither the caller nor the route limits it.
+   */
+  #bodyTimeoutMs(req: IncomingMessage, deadlineMs: number | null): number | undefined {
+    const { routes } = this.#state.config;
+    const route =
+      routes === null ? undefined : findRoute(routes, req.headers.host ?? '', req.url ?? '/');
+    const limits = [deadlineMs, route?.timeoutMs].filter((ms) => typeof ms === 'number');
+    return limits.length === 0 ? undefined : Math.min(...limits);
+  }
+
   /**
    * Finds the route and the customer of a request.
    *
--- a/src/protocol/ProtocolRequestError.ts
+++ b/src/protocol/ProtocolRequestError.ts
@@ -14,6 +14,7 @@
 /** All codes that callers can receive. Codes are stable: they are never renamed or reused. */
 export const ERROR_CODES = {
   bad_request: { status: 400, type: 'invalid_request', outcome: 'not_run' },
+  body_timeout: { status: 408, type: 'timeout', outcome: 'not_run', retryAfterSeconds: 1 },
   too_large: { status: 413, type: 'invalid_request', outcome: 'not_run' },
   unknown_customer: { status: 403, type: 'invalid_request', outcome: 'not_run' },
   unknown_key: { status: 401, type: 'invalid_request', outcome: 'not_run' },
--- a/src/transport/TransportHttp.ts
+++ b/src/transport/TransportHttp.ts
@@ -13,6 +13,7 @@
 import { ChunkReader, type ReadDelay } from './TransportChunks.js';
 import { ConnectionGuard, type ConnectionBounds } from './TransportConnections.js';
 import { CoalescedRequest } from './TransportRequest.js';
+import { LingeringResponse } from './TransportResponse.js';
 
 /** Maximum size of a request body where nothing else is configured, in bytes. */
 export const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -31,19 +32,28 @@
 /** Bounds of a server whose descriptors aren't limited. */
 const DEFAULT_BOUNDS: ConnectionBounds = { maxConnections: null, onClosed: () => undefined };
 
-/** Creates a server whose clients may send bodies in chunks of any size, with bounds on their connections. */
+/**
+ * Creates a server whose clients may send bodies in chunks of any size, and get a response before their end, within
+ * bounds on their connections.
+ */
 export function createHttpServer(
   options: ServerOptions,
   handler: RequestHandler,
   bounds = DEFAULT_BOUNDS,
 ): Server {
-  const server = createServer({ ...options, IncomingMessage: CoalescedRequest });
+  const server: Server = createServer({
+    ...options,
+    IncomingMessage: CoalescedRequest,
+    // The server passes its own class of requests, which the type of the option can't tell.
+    ServerResponse: LingeringResponse as unknown as typeof ServerResponse,
+  });
   const guard = new ConnectionGuard(server, bounds);
   server.on('request', (req, res) => {
     if (guard.admit(req, res)) {
       handler(req, res);
     }
   });
+  // Readers of bodies have time limits of their own.
   server.requestTimeout = 0;
   return server;
 }
@@ -78,22 +88,39 @@
   readonly maxBytes?: number | undefined;
   /** Limits the rate of chunks; without a limit, other work still gets its turn. */
   readonly delay?: ReadDelay;
+  /** Called with the number of bytes held of the body after each change. */
+  readonly onHeld?: (bytes: number) => void;
+  /** Ends reading; its reason is thrown. */
+  readonly signal?: AbortSignal;
+}
+
+/** Size of a body by its head, in bytes; 0 if it isn't declared. */
+function declaredBytes(req: IncomingMessage): number {
+  return Number(req.headers['content-length'] ?? 0);
 }
 
 /**
- * Reads a complete body. One with a length over the limit is read up to the limit before it is refused: a caller whose
- * body is left unread would get a reset in place of the refusal.
+ * Reads a complete body. What is held of one that is refused is dropped at once.
  *
  * @throws {RequestError} if it is too large or incomplete.
  */
 export async function readBody(
   req: IncomingMessage,
-  { maxBytes = MAX_BODY_BYTES, delay = () => 0 }: BodyOptions = {},
+  {
+    maxBytes = MAX_BODY_BYTES,
+    delay = () => 0,
+    onHeld = () => undefined,
+    signal,
+  }: BodyOptions = {},
 ): Promise<Buffer> {
   const tooLarge = new RequestError('too_large', `body: more than ${maxBytes} bytes`);
+  if (declaredBytes(req) > maxBytes) {
+    throw tooLarge;
+  }
   const body = new ByteCollector();
   const coalesced = req instanceof CoalescedRequest ? req : null;
-  let onData: (chunk: Buffer) => void = () => undefined;
+  const reportHeld = (): void => onHeld(body.capacity + req.readableLength);
+  let unregister: () => void = () => undefined;
   try {
     await new Promise<void>((resolve, reject) => {
       const reader = new ChunkReader({
@@ -102,28 +129,40 @@
         onBytes: (bytes) => {
           body.add(bytes);
           if (body.length > maxBytes) {
-            reader.stop();
             reject(tooLarge);
           }
+          reportHeld();
         },
       });
-      onData = (chunk) => reader.add(chunk, coalesced?.takeChunkCount() ?? 1);
+      const onData = (chunk: Buffer): void => reader.add(chunk, coalesced?.takeChunkCount() ?? 1);
+      const onAbort = (): void => {
+        reject(signal?.reason);
+      };
+      unregister = () => {
+        reader.stop();
+        req.off('data', onData);
+        signal?.removeEventListener('abort', onAbort);
+        coalesced?.setArrivalListener(null);
+      };
+      coalesced?.setArrivalListener(reportHeld);
+      signal?.addEventListener('abort', onAbort);
       req.on('data', onData);
       req.once('end', () => {
         reader.end();
         resolve();
       });
       req.once('error', (err) => reject(new RequestError('bad_request', `body: ${err.message}`)));
-      req.once('close', () => {
-        reader.stop();
-        reject(new RequestError('bad_request', 'body: the connection was closed'));
-      });
+      req.once('close', () =>
+        reject(new RequestError('bad_request', 'body: the connection was closed')),
+      );
     });
   } catch (err) {
-    req.off('data', onData);
+    unregister();
+    body.clear();
     req.pause();
     throw err;
   }
+  unregister();
   return body.take();
 }
 
