Bound the connections of readiness and metrics

700 connections with one byte each to the address for readiness, or to that for metrics, took the 600 descriptors of an entry process, and no caller was answered while they stayed.

Cause: only the server for callers had a bound. Both cases of PlatformEntryCrowd fail on.

--- a/fuzz/FuzzEntry.ts
+++ b/fuzz/FuzzEntry.ts
@@ -6,6 +6,7 @@
 import { Registry } from 'prom-client';
 import { readPlan } from '../platform/PlatformDocument.js';
 import { platformHttp } from '../platform/PlatformHttp.js';
+import { serverBoundsOf } from '../src/daemon/DaemonConnections.js';
 import { DIRECT_FLEET, entriesOfDocument } from '../src/daemon/direct/DirectDocument.js';
 import { DirectEntry } from '../src/daemon/direct/DirectEntry.js';
 import type { Runtime } from '../src/daemon/DaemonRuntime.js';
@@ -106,7 +107,7 @@
   state.onConfig(CONFIG);
   state.onNewest(CONFIG.index, runtime.clocks());
   state.onDirectory({ full: true, records });
-  const server = await entry.serve(stop.signal);
+  const server = await entry.serve(stop.signal, serverBoundsOf(runtime, null));
   return {
     port: (server.address() as AddressInfo).port,
     errorLines: faults,
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -2,7 +2,7 @@
  * Entry process that calls endpoints directly. The endpoints check for themselves whether a request is meant for
  * their instance.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import {
   RequestError,
@@ -18,7 +18,7 @@
   type RequestHandler,
 } from '../../transport/index.js';
 import { DaemonBodies } from '../DaemonBodies.js';
-import { connectionBoundsOf } from '../DaemonConnections.js';
+import { serverBoundsOf, type ServerBounds } from '../DaemonConnections.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
 import { RETRY_GRANT_METHOD, type RetryGrantRequest } from '../DaemonRetryGrants.js';
@@ -182,7 +182,7 @@
   }
 
   /** Starts to listen for callers, and runs the periodic tasks until the signal is aborted. */
-  async serve(signal: AbortSignal): Promise<Server> {
+  async serve(signal: AbortSignal, bounds: ServerBounds): Promise<Server> {
     const { callers } = this.#cfg;
     const onRequest: RequestHandler = (req, res) => {
       this.#onRequest(req, res).catch((err: unknown) => {
@@ -190,8 +190,7 @@
         res.destroy();
       });
     };
-    const bounds = connectionBoundsOf(this.#runtime, this.#cfg.maxDescriptors ?? null);
-    const server = createHttpServer({ keepAlive: true, noDelay: true }, onRequest, bounds);
+    const server = createHttpServer({ keepAlive: true, noDelay: true }, onRequest, bounds.clients);
     this.#connections = new DirectCallerConnections(server);
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
@@ -364,18 +363,20 @@
 ): Promise<void> {
   const stop = new AbortController();
   const entry = new DirectEntry(cfg, dialects, runtime, stop.signal);
-  await entry.serve(stop.signal);
-  const readiness = createServer((_req, res) => {
+  const bounds = serverBoundsOf(runtime, cfg.maxDescriptors ?? null);
+  await entry.serve(stop.signal, bounds);
+  const onCheck: RequestHandler = (_req, res) => {
     const reason = entry.readiness;
     res.writeHead(reason === 'ready' ? 200 : 503, { 'content-type': 'text/plain' });
     res.end(`${reason}\n`);
-  });
+  };
+  const readiness = createHttpServer({}, onCheck, bounds.checks);
   readiness.listen({ host: cfg.readiness.host, port: cfg.readiness.port });
   const app = createApp(runtime, () => ({
     ready: entry.readiness === 'ready',
     reason: entry.readiness,
   }));
-  await serveHttp(app, cfg.metrics, stop.signal);
+  await serveHttp(app, cfg.metrics, stop.signal, bounds.checks);
   runtime.log.info({ event: 'listening', callers: cfg.callers }, 'entry is up');
   await waitForAbort(signal);
   await entry.leave();
