Give a body's memory back when its connection closes before its turn

Found on reading the change. The response of a request that waits behind others on its connection isn't told when the connection closes, so its body stayed counted for good, and the budget shrank. The connection is watched until the body is released.

--- a/src/daemon/DaemonBodies.ts
+++ b/src/daemon/DaemonBodies.ts
@@ -11,6 +11,9 @@
 /** Share of the memory that bodies may take. */
 const HELD_SHARE = 0.25;
 
+/** Longest time that a timer takes, ms. */
+const MAX_TIMER_MS = 2_147_483_647;
+
 /** How long a body may take where nothing else is known of its request, ms. */
 const BODY_TIMEOUT_MS = 60_000;
 
@@ -68,15 +71,20 @@
     const { maxBytes = MAX_BODY_BYTES, timeoutMs = BODY_TIMEOUT_MS, delay } = limits;
     const budget = this.#budget;
     const abort = new AbortController();
-    const release = (): void => budget.close(abort);
+    const { socket } = req;
+    const release = (): void => {
+      budget.close(abort);
+      res.off('close', release);
+      socket.off('close', release);
+    };
     const timer = setTimeout(
       () => abort.abort(new RequestError('body_timeout', 'body: not complete in time')),
-      Math.max(1, timeoutMs),
+      Math.min(Math.max(1, timeoutMs), MAX_TIMER_MS),
     );
     budget.open(abort, maxBytes, this.#runtime.now());
     // A response that is queued behind others isn't notified when the connection closes.
     res.once('close', release);
-    req.socket.once('close', release);
+    socket.once('close', release);
     try {
       const body = await readBody(req, {
         maxBytes,
@@ -97,7 +105,6 @@
       throw err;
     } finally {
       clearTimeout(timer);
-      req.socket.off('close', release);
     }
   }
 
--- a/src/daemon/direct/DirectEntry.ts
+++ b/src/daemon/direct/DirectEntry.ts
@@ -8,6 +8,7 @@
   RequestError,
   type ColdBounds,
   type DocumentDialect,
+  type ErrorCode,
   type HttpDialect,
   type RetryAllowance,
 } from '../../protocol/index.js';
@@ -21,6 +22,7 @@
 import { serverBoundsOf, type ServerBounds } from '../DaemonConnections.js';
 import { DaemonHubLink } from '../DaemonHubLink.js';
 import { createApp } from '../DaemonApp.js';
+import { LogLimit } from '../DaemonLogLimit.js';
 import { RETRY_GRANT_METHOD, type RetryGrantRequest } from '../DaemonRetryGrants.js';
 import { waitForAbort, runEvery, type Runtime } from '../DaemonRuntime.js';
 import type { ControlTarget } from '../DaemonSettings.js';
@@ -85,6 +87,14 @@
 /** Statistics of a request that was sent to no endpoint. */
 const UNSENT_STATS: CallStats = { firstMs: null, longestPauseMs: 0, lastEvent: null, attempts: 0 };
 
+/** Codes of requests that are refused because of their bodies. */
+const BODY_CODES: ReadonlySet<ErrorCode> = new Set([
+  'bad_request',
+  'too_large',
+  'body_timeout',
+  'overloaded',
+]);
+
 /** Entry process. */
 export class DirectEntry {
   readonly #cfg: DirectEntrySettings;
@@ -101,6 +111,9 @@
 
   readonly #reader: DirectRequestReader;
 
+  /** Limits the lines on refused bodies, of which a crowd of callers can cause thousands a second. */
+  readonly #bodyLog: LogLimit;
+
   #server: Server | null = null;
 
   #connections: DirectCallerConnections | null = null;
@@ -137,6 +150,7 @@
         )) as number;
       },
     });
+    this.#bodyLog = new LogLimit(runtime.now);
     this.#leaving = new DirectLeaving(cfg.graceMs, runtime.now);
     this.#reader = new DirectRequestReader(
       this.#state,
@@ -345,10 +359,12 @@
   #refuse(req: IncomingMessage, reply: DirectReply, err: RequestError): void {
     const { id } = this.#state.dialect.readRequest(req.headers);
     const retryAfter = err.status === 503 ? this.#state.retryAfter('', 0) : null;
-    this.#runtime.log.info(
-      { event: 'refuse', request: id, code: err.code, reason: err.message, path: req.url },
-      'refused',
-    );
+    if (!BODY_CODES.has(err.code) || this.#bodyLog.take()) {
+      this.#runtime.log.info(
+        { event: 'refuse', request: id, code: err.code, reason: err.message, path: req.url },
+        'refused',
+      );
+    }
     reply.refuse(err, retryAfter, this.#state.isLeaving);
     this.#state.requests.countReply(reply);
   }
--- a/src/transport/TransportConnections.ts
+++ b/src/transport/TransportConnections.ts
@@ -87,6 +87,8 @@
       }
     }
     this.#connections.set(socket, NEW_CONNECTION);
+    // Each unanswered request adds some.
+    socket.setMaxListeners(0);
     socket.once('close', () => this.#forget(socket));
   }
 
