--- a/src/daemon/direct/DirectReadLimits.ts
+++ b/src/daemon/direct/DirectReadLimits.ts
@@ -14,7 +14,7 @@
 import { DirectSharedChunks } from './DirectSharedChunks.js';
 
 /** Share of the memory that answers may take; a complete answer is copied once. */
-const HELD_SHARE = 0.35;
+const HELD_SHARE = 0.4;
 
 /** Whoever holds bytes. */
 export interface ByteHolder {
